--- /dev/null
+++ b/Makefile
@@ -0,0 +1,97 @@
+# make            library, programs and fakes in build/
+# make check      all tests
+# make SANITIZE=1 the same under AddressSanitizer and UBSan, in build/asan
+# make schema     generated code from schema/*.proto
+
+CC ?= gcc
+BUILD := build
+PKGS := glib-2.0 jansson libprotobuf-c libxxhash
+DAEMON_PKGS := libh2o libuv openssl zlib libzmq libcurl libsodium
+CFLAGS_BASE := -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow \
+	-Wstrict-prototypes -Wmissing-prototypes -Wvla -Wformat=2 \
+	-fno-omit-frame-pointer -MMD -MP -Iinclude -Isrc \
+	-DH2O_USE_LIBUV=1
+ifdef SANITIZE
+BUILD := build/asan
+CFLAGS_BASE += -fsanitize=address,undefined -fno-sanitize-recover=all
+LDFLAGS += -fsanitize=address,undefined
+endif
+ifdef GUARD_OFF
+# Builds with one named guard removed, for tests of the tests.
+BUILD := build/guard-$(GUARD_OFF)
+CFLAGS_BASE += -DWF_GUARD_OFF_$(GUARD_OFF)
+endif
+CFLAGS_BASE += $(shell pkg-config --cflags $(PKGS) $(DAEMON_PKGS))
+LIBS := $(shell pkg-config --libs $(PKGS)) -lm
+DAEMON_LIBS := $(shell pkg-config --libs $(DAEMON_PKGS))
+CHECK_LIBS := $(shell pkg-config --libs check)
+
+LIB_DIRS := base schema rules core state member sched
+LIB_SRC := $(wildcard $(addsuffix /*.c,$(addprefix src/,$(LIB_DIRS))))
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libwagtailferry.a
+DAEMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/daemon/*.c))
+TOOL_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/tool/*.c))
+# Daemon parts that the tool and tests use, without the main program.
+NET_OBJ := $(filter-out %/main.o,$(DAEMON_OBJ))
+SUPPORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/*.c))
+TEST_SRC := $(wildcard tests/*_test.c)
+TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+BENCH_SRC := $(wildcard tests/bench/*.c)
+BENCHES := $(BENCH_SRC:tests/bench/%.c=$(BUILD)/bench/%)
+FAKE_SRC := $(wildcard tests/fakes/*_fake.c)
+FAKES := $(FAKE_SRC:tests/fakes/%.c=$(BUILD)/fakes/%)
+FAKE_OBJ := $(patsubst %.c,$(BUILD)/%.o,\
+	$(filter-out $(FAKE_SRC),$(wildcard tests/fakes/*.c)))
+PROGRAMS := $(if $(DAEMON_OBJ),$(BUILD)/wagtailferryd) \
+	$(if $(TOOL_OBJ),$(BUILD)/wagtailferry)
+
+all: $(LIB) $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_BASE) $(CFLAGS) -c -o $@ $<
+
+# Generated code is not held to our warnings.
+$(BUILD)/src/schema/%.pb-c.o: src/schema/%.pb-c.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_BASE) -Wno-error -w -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/wagtailferryd: $(DAEMON_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS)
+
+$(BUILD)/wagtailferry: $(TOOL_OBJ) $(NET_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
+
+$(BUILD)/fakes/%: $(BUILD)/tests/fakes/%.o $(FAKE_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
+
+$(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(SUPPORT_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+schema:
+	protoc-c --proto_path=schema --c_out=src/schema schema/*.proto
+
+check: all
+	scripts/run-tests.sh $(BUILD)
+
+clean:
+	rm -rf build
+
+print-sources:
+	@git ls-files -co --exclude-standard '*.c' '*.h' | grep -v 'pb-c\.'
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+.PHONY: all check clean schema print-sources
+.SECONDARY:
