Add membership by probing, suspicion and eager news

A statement is ordered by (incarnation, refutation, state), so an old list entry or an old message never resurrects a dead instance, and a replacement on the same address is a different incarnation.

--- /dev/null
+++ b/src/member/mem_gossip.c
@@ -0,0 +1,260 @@
+#include <string.h>
+
+#include "member/mem_private.h"
+
+/* Bounds the size of one message to about one kilobyte. */
+#define MAX_UPDATES_PER_MESSAGE 12
+
+/* Each update rides on this many messages times log2 of the table size. */
+#define TRANSMISSIONS_PER_DOUBLING 3
+
+/* Statements about targets are forgotten after this time. */
+#define TARGET_MEMORY_MS CLK_HOUR
+
+void mem_rumor_free(struct mem_rumor *rumor)
+{
+	g_free(rumor->id);
+	g_free(rumor);
+}
+
+static unsigned transmission_limit(const struct mem_members *members)
+{
+	guint n = g_hash_table_size(members->entries);
+	unsigned doublings = 1;
+
+	while (n > 1) {
+		n /= 2;
+		doublings++;
+	}
+	return TRANSMISSIONS_PER_DOUBLING * doublings;
+}
+
+/* Removes an older update about the same subject from the queue. */
+static void drop_rumor(struct mem_members *members, const char *id,
+		       bool is_target)
+{
+	GList *item;
+
+	for (item = members->rumors.head; item; item = item->next) {
+		struct mem_rumor *rumor = item->data;
+
+		if (rumor->is_target != is_target || strcmp(rumor->id, id))
+			continue;
+		g_queue_delete_link(&members->rumors, item);
+		mem_rumor_free(rumor);
+		return;
+	}
+}
+
+static struct mem_rumor *add_rumor(struct mem_members *members, const char *id,
+				   bool is_target)
+{
+	struct mem_rumor *rumor = g_new0(struct mem_rumor, 1);
+
+	drop_rumor(members, id, is_target);
+	rumor->id = g_strdup(id);
+	rumor->is_target = is_target;
+	rumor->transmissions_left = transmission_limit(members);
+	g_queue_push_head(&members->rumors, rumor);
+	return rumor;
+}
+
+void mem_queue_rumor(struct mem_members *members, const char *id)
+{
+	add_rumor(members, id, false);
+}
+
+bool mem_apply_target(struct wf_ctx *ctx, struct mem_members *members,
+		      const char *id, uint64_t incarnation, enum wf_life life)
+{
+	struct mem_target *known = g_hash_table_lookup(members->targets, id);
+	struct mem_rumor *rumor;
+
+	if (known &&
+	    (incarnation < known->incarnation ||
+	     (incarnation == known->incarnation && life <= known->life)))
+		return false;
+	if (!known) {
+		known = g_new0(struct mem_target, 1);
+		g_hash_table_insert(members->targets, g_strdup(id), known);
+	}
+	known->incarnation = incarnation;
+	known->life = life;
+	known->heard = ctx->now;
+	rumor = add_rumor(members, id, true);
+	rumor->incarnation = incarnation;
+	rumor->life = life;
+	return true;
+}
+
+/* The updates of one message. */
+struct batch {
+	Wf__MemberUpdate members[MAX_UPDATES_PER_MESSAGE + 2];
+	Wf__MemberUpdate *member_list[MAX_UPDATES_PER_MESSAGE + 2];
+	size_t n_members;
+	Wf__TargetUpdate targets[MAX_UPDATES_PER_MESSAGE];
+	Wf__TargetUpdate *target_list[MAX_UPDATES_PER_MESSAGE];
+	size_t n_targets;
+};
+
+static void batch_member(const struct mem_members *members, struct batch *batch,
+			 const char *id)
+{
+	const struct mem_entry *entry = mem_find(members, id);
+	Wf__MemberUpdate *update = &batch->members[batch->n_members];
+
+	if (!entry)
+		return;
+	wf__member_update__init(update);
+	update->id = entry->id;
+	update->data_center = entry->data_center;
+	update->address = entry->address;
+	update->incarnation = entry->incarnation;
+	update->refutation = entry->refutation;
+	update->life = entry->life;
+	batch->member_list[batch->n_members++] = update;
+}
+
+static void batch_target(struct batch *batch, const struct mem_rumor *rumor)
+{
+	Wf__TargetUpdate *update = &batch->targets[batch->n_targets];
+
+	wf__target_update__init(update);
+	update->id = rumor->id;
+	update->incarnation = rumor->incarnation;
+	update->life = rumor->life;
+	batch->target_list[batch->n_targets++] = update;
+}
+
+static void fill_batch(const struct mem_members *members, struct batch *batch)
+{
+	const GList *item = members->rumors.head;
+	unsigned i;
+
+	for (i = 0; item && i < MAX_UPDATES_PER_MESSAGE; i++) {
+		const struct mem_rumor *rumor = item->data;
+
+		if (rumor->is_target)
+			batch_target(batch, rumor);
+		else
+			batch_member(members, batch, rumor->id);
+		item = item->next;
+	}
+}
+
+/* Moves the updates just sent behind the others, or drops them if done. */
+static void count_transmissions(struct mem_members *members)
+{
+	unsigned n = MIN(members->rumors.length, MAX_UPDATES_PER_MESSAGE);
+
+	while (n--) {
+		struct mem_rumor *rumor = g_queue_pop_head(&members->rumors);
+
+		if (--rumor->transmissions_left)
+			g_queue_push_tail(&members->rumors, rumor);
+		else
+			mem_rumor_free(rumor);
+	}
+}
+
+static void pack_and_send(struct wf_ctx *ctx, const Wf__MemberMessage *message,
+			  const char *to, enum mem_kind kind)
+{
+	size_t len = wf__member_message__get_packed_size(message);
+	uint8_t *packed = g_malloc(len);
+
+	wf__member_message__pack(message, packed);
+	wf_send_peer(ctx, to, kind, packed, len);
+	ctr_add(ctx->counters, "wf_member_messages_total", 1);
+	ctr_add(ctx->counters, "wf_member_bytes_total", len);
+	g_free(packed);
+}
+
+void mem_send(struct wf_ctx *ctx, struct mem_members *members, const char *to,
+	      enum mem_kind kind, uint64_t sequence, const char *subject)
+{
+	const struct mem_hooks *hooks = &members->config.hooks;
+	const struct mem_entry *receiver = mem_find(members, to);
+	Wf__MemberMessage message = WF__MEMBER_MESSAGE__INIT;
+	struct batch batch = {.n_members = 0};
+
+	mem_publish_view(ctx, members);
+	fill_batch(members, &batch);
+	batch_member(members, &batch, ctx->self);
+	/* A receiver believed suspect or dead can refute it at once. */
+	if (receiver && receiver->life != WF_LIFE_LIVE)
+		batch_member(members, &batch, to);
+	message.sequence = sequence;
+	message.subject = (char *)(subject ? subject : "");
+	message.updates = batch.member_list;
+	message.n_updates = batch.n_members;
+	message.targets = batch.target_list;
+	message.n_targets = batch.n_targets;
+	if (hooks->rules_revision)
+		message.rules_revision = hooks->rules_revision(hooks->user);
+	pack_and_send(ctx, &message, to, kind);
+	count_transmissions(members);
+	if (receiver && receiver->life == WF_LIFE_DEAD) {
+		/* Dead instances are in no view, but the address is known. */
+		struct wf_action *sent = g_queue_peek_tail(ctx->actions);
+
+		sent->address = g_strdup(receiver->address);
+	}
+}
+
+struct mem_entry *mem_pick(struct wf_ctx *ctx, struct mem_members *members,
+			   const char *excluded)
+{
+	guint n = members->order->len;
+	guint start = n ? (guint)g_rand_int_range(ctx->rand, 0, (gint)n) : 0;
+	guint i;
+
+	for (i = 0; i < n; i++) {
+		const char *id = members->order->pdata[(start + i) % n];
+		struct mem_entry *entry = mem_find(members, id);
+
+		if (entry->life != WF_LIFE_DEAD &&
+		    (!excluded || strcmp(id, excluded)))
+			return entry;
+	}
+	return NULL;
+}
+
+void mem_push_news(struct wf_ctx *ctx, struct mem_members *members)
+{
+	const char *previous = NULL;
+	unsigned i;
+
+	for (i = 0; i < members->config.fanout; i++) {
+		struct mem_entry *entry = mem_pick(ctx, members, previous);
+
+		if (!entry)
+			return;
+		previous = entry->id;
+		mem_send(ctx, members, entry->id, MEM_KIND_NEWS, 0, NULL);
+	}
+}
+
+static void forget_old_targets(struct wf_ctx *ctx, struct mem_members *members)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, members->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct mem_target *known = value;
+
+		if (ctx->now - known->heard > TARGET_MEMORY_MS)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void mem_spread_target(struct wf_ctx *ctx, struct mem_members *members,
+		       const char *target, uint64_t incarnation,
+		       enum wf_life life)
+{
+	if (!mem_apply_target(ctx, members, target, incarnation, life))
+		return;
+	mem_push_news(ctx, members);
+	forget_old_targets(ctx, members);
+}
