Add limits that hold over all instances

Each scope has one owner among the live instances, which keeps the token buckets and the count of calls in progress. Other instances ask for grants in batches that follow their demand, so a scope without traffic costs nothing.

--- /dev/null
+++ b/src/sched/lim_owner.c
@@ -0,0 +1,222 @@
+#include <string.h>
+
+#include "sched/lim_private.h"
+
+void lim_owned_free(gpointer data)
+{
+	struct lim_owned *owned = data;
+
+	g_hash_table_unref(owned->holders);
+	g_free(owned);
+}
+
+/*
+ * A new owner starts with empty buckets: the former owner may have granted a
+ * full burst just before.
+ */
+static struct lim_owned *add_owned(struct wf_ctx *ctx,
+				   struct lim_limits *limits, const char *scope)
+{
+	struct lim_owned *owned = g_new0(struct lim_owned, 1);
+
+	owned->holders =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	owned->calls.filled = ctx->now;
+	owned->tokens.filled = ctx->now;
+	owned->taken_over = ctx->now;
+	g_hash_table_insert(limits->owned, g_strdup(scope), owned);
+	return owned;
+}
+
+/* Of two versions of the rules the higher revision's terms hold. */
+static void update_terms(struct lim_owned *owned, const Wf__LimitTerms *terms)
+{
+	if (terms->rules_revision < owned->terms.rules_revision)
+		return;
+	owned->terms.rules_revision = terms->rules_revision;
+	owned->terms.rate = terms->rate;
+	owned->terms.token_rate = terms->token_rate;
+	owned->terms.concurrency = terms->concurrency;
+}
+
+/*
+ * With several listed instances out of sight this may be one side of a
+ * partition, and the other side has an owner of its own. Each side then
+ * grants the part that corresponds to the instances it sees.
+ */
+static double visible_share(const struct wf_ctx *ctx,
+			    const struct lim_limits *limits)
+{
+	unsigned unseen = 0;
+
+	if (limits->config.unseen)
+		unseen = limits->config.unseen(limits->config.user);
+	if (unseen < 2)
+		return 1.0;
+	return (double)ctx->peers->len / (double)(ctx->peers->len + unseen);
+}
+
+static struct lim_holder *find_holder(struct lim_owned *owned,
+				      const char *instance)
+{
+	struct lim_holder *holder =
+		g_hash_table_lookup(owned->holders, instance);
+
+	if (!holder) {
+		holder = g_new0(struct lim_holder, 1);
+		g_hash_table_insert(owned->holders, g_strdup(instance), holder);
+	}
+	return holder;
+}
+
+static void set_slots(struct lim_owned *owned, struct lim_holder *holder,
+		      unsigned slots)
+{
+	owned->slots_used = owned->slots_used - holder->slots + slots;
+	holder->slots = slots;
+}
+
+/*
+ * What the demander says it holds replaces the owner's count if it has seen
+ * the latest grant. That heals the loss of any message.
+ */
+static void settle_holder(struct lim_owned *owned, struct lim_holder *holder,
+			  const Wf__LimitDemand *demand)
+{
+	unsigned returned = MIN(demand->returned_slots, holder->slots);
+
+	if (demand->last_grant >= holder->last_grant)
+		set_slots(owned, holder, demand->held_slots);
+	else
+		set_slots(owned, holder, holder->slots - returned);
+}
+
+static unsigned grant_slots(struct wf_ctx *ctx, struct lim_limits *limits,
+			    struct lim_owned *owned, struct lim_holder *holder,
+			    unsigned wanted)
+{
+	unsigned limit = owned->terms.concurrency;
+	unsigned room;
+
+	if (!limit)
+		return wanted;
+	if (ctx->now - owned->taken_over < limits->config.takeover_wait)
+		return 0;
+	limit = MAX(1, (unsigned)(limit * visible_share(ctx, limits)));
+	room = limit > owned->slots_used ? limit - owned->slots_used : 0;
+	wanted = MIN(wanted, room);
+	set_slots(owned, holder, holder->slots + wanted);
+	return wanted;
+}
+
+static void fill_buckets(struct wf_ctx *ctx, struct lim_limits *limits,
+			 struct lim_owned *owned)
+{
+	double share = visible_share(ctx, limits);
+
+	lim_bucket_fill(&owned->calls, owned->terms.rate * share, ctx->now);
+	lim_bucket_fill(&owned->tokens, owned->terms.token_rate * share,
+			ctx->now);
+}
+
+static void take_back(struct lim_owned *owned, const Wf__LimitDemand *demand)
+{
+	owned->calls.level += demand->returned_calls;
+	owned->tokens.level += (double)demand->returned_tokens;
+}
+
+static uint64_t take(struct lim_bucket *bucket, double rate, uint64_t wanted)
+{
+	return rate > 0.0 ? lim_bucket_take(bucket, wanted) : wanted;
+}
+
+static void set_retry(const struct lim_limits *limits,
+		      const struct lim_owned *owned,
+		      const Wf__LimitDemand *demand, Wf__LimitGrant *grant)
+{
+	clk_ms wait = 0;
+
+	if (grant->calls < demand->calls)
+		wait = lim_bucket_wait(&owned->calls, owned->terms.rate);
+	if (grant->tokens < demand->tokens)
+		wait = MAX(wait, lim_bucket_wait(&owned->tokens,
+						 owned->terms.token_rate));
+	if (grant->slots < demand->slots)
+		wait = MAX(wait, limits->config.prefetch);
+	grant->retry_after_ms = (uint32_t)CLAMP(wait, 0, CLK_MINUTE);
+}
+
+void lim_owner_demand(struct wf_ctx *ctx, struct lim_limits *limits,
+		      const char *from, const Wf__LimitDemand *demand,
+		      Wf__LimitGrant *grant)
+{
+	const char *scope = demand->terms->scope;
+	struct lim_owned *owned = g_hash_table_lookup(limits->owned, scope);
+	struct lim_holder *holder;
+
+	if (!owned)
+		owned = add_owned(ctx, limits, scope);
+	holder = find_holder(owned, from);
+	holder->heard = ctx->now;
+	owned->used = ctx->now;
+	update_terms(owned, demand->terms);
+	fill_buckets(ctx, limits, owned);
+	take_back(owned, demand);
+	settle_holder(owned, holder, demand);
+	grant->scope = demand->terms->scope;
+	grant->sequence = demand->sequence;
+	if (demand->sync_only)
+		return;
+	grant->slots = grant_slots(ctx, limits, owned, holder, demand->slots);
+	grant->calls =
+		(uint32_t)take(&owned->calls, owned->terms.rate, demand->calls);
+	grant->tokens =
+		take(&owned->tokens, owned->terms.token_rate, demand->tokens);
+	grant->grant = ++owned->next_grant;
+	/* Grant numbers stay ordered when ownership moves. */
+	if (grant->grant <= holder->last_grant ||
+	    grant->grant <= demand->last_grant)
+		grant->grant = MAX(holder->last_grant, demand->last_grant) + 1;
+	owned->next_grant = MAX(owned->next_grant, grant->grant);
+	holder->last_grant = grant->grant;
+	set_retry(limits, owned, demand, grant);
+}
+
+/* Frees the slots of instances that are gone. */
+static void drop_lost_holders(struct wf_ctx *ctx, struct lim_owned *owned)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owned->holders);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		struct lim_holder *holder = value;
+
+		if (wf_find_peer(ctx, id))
+			continue;
+		set_slots(owned, holder, 0);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+void lim_owner_sweep(struct wf_ctx *ctx, struct lim_limits *limits,
+		     bool peers_changed)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, limits->owned);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		struct lim_owned *owned = value;
+
+		if (peers_changed)
+			drop_lost_holders(ctx, owned);
+		if ((!owned->slots_used &&
+		     ctx->now - owned->used >= limits->config.idle) ||
+		    (peers_changed &&
+		     !wf_owns(ctx, lim_scope_hash(name), NULL)))
+			g_hash_table_iter_remove(&iter);
+	}
+}
--- /dev/null
+++ b/src/sched/lim_private.h
@@ -0,0 +1,123 @@
+#ifndef LIM_PRIVATE_H
+#define LIM_PRIVATE_H
+
+#include <wagtailferry/limits.h>
+
+#include "schema/limits.pb-c.h"
+
+struct lim_terms {
+	uint64_t rules_revision;
+	double rate;
+	double token_rate;
+	unsigned concurrency;
+};
+
+/* A token bucket; its level is negative while a debt is paid back. */
+struct lim_bucket {
+	double level;
+	clk_ms filled;
+};
+
+/* What the owner of a scope knows of one demander. */
+struct lim_holder {
+	unsigned slots;
+	uint64_t last_grant;
+	clk_ms heard;
+};
+
+/* A scope at its owner. */
+struct lim_owned {
+	struct lim_terms terms;
+	struct lim_bucket calls;
+	struct lim_bucket tokens;
+	GHashTable *holders; /* instance id to struct lim_holder */
+	unsigned slots_used;
+	uint64_t next_grant;
+	clk_ms taken_over;
+	clk_ms used;
+};
+
+/* A call that waits for a grant. */
+struct lim_waiting {
+	uint64_t call_id;
+	unsigned tokens;
+};
+
+/* A scope at an instance with demand for it. */
+struct lim_scope {
+	char *name;
+	struct lim_terms terms;
+	unsigned calls; /* granted and unused */
+	uint64_t tokens;
+	unsigned free_slots;
+	unsigned held_slots;
+	unsigned returned_calls;
+	int64_t returned_tokens;
+	unsigned returned_slots;
+	GQueue waiting; /* of struct lim_waiting */
+	bool asked;	/* a demand is unanswered */
+	uint64_t sequence;
+	uint64_t last_grant;
+	clk_ms asked_at;
+	clk_ms granted_at;
+	clk_ms refused_until;
+	clk_ms next_sync;
+	clk_ms used;
+	double arrivals; /* decaying count, for the prefetch */
+	clk_ms arrivals_at;
+	double tokens_per_call;
+	unsigned open_calls; /* admitted or waiting */
+	char *owner;	     /* at the last demand */
+	struct lim_bucket fallback;
+};
+
+/* An admitted or pending call. */
+struct lim_call {
+	struct lim_scope *scope;
+	unsigned tokens;
+	bool admitted;
+};
+
+struct lim_limits {
+	struct wf_module module;
+	struct lim_config config;
+	GHashTable *scopes; /* name to struct lim_scope */
+	GHashTable *owned;  /* name to struct lim_owned */
+	GHashTable *calls;  /* call id to struct lim_call */
+	uint64_t peers_revision;
+	clk_ms next_sweep;
+};
+
+/* Half-life of the arrival count that sets the prefetch. */
+#define LIM_ARRIVAL_HALF_LIFE_MS 1000.0
+
+/* lim_owner.c */
+void lim_owned_free(gpointer data);
+/* Answers a demand in *grant; grant->scope is borrowed from the demand. */
+void lim_owner_demand(struct wf_ctx *ctx, struct lim_limits *limits,
+		      const char *from, const Wf__LimitDemand *demand,
+		      Wf__LimitGrant *grant);
+/* Drops what belongs to lost instances, to other owners or is idle. */
+void lim_owner_sweep(struct wf_ctx *ctx, struct lim_limits *limits,
+		     bool peers_changed);
+
+/* lim_bucket.c */
+void lim_bucket_fill(struct lim_bucket *bucket, double rate, clk_ms now);
+/* Takes up to n; returns how many were taken. */
+uint64_t lim_bucket_take(struct lim_bucket *bucket, uint64_t n);
+/* Time until the bucket holds one more. */
+clk_ms lim_bucket_wait(const struct lim_bucket *bucket, double rate);
+
+/* lim_scope.c */
+void lim_scope_free(gpointer data);
+uint64_t lim_scope_hash(const char *name);
+void lim_scope_ask(struct wf_ctx *ctx, struct lim_limits *limits,
+		   struct lim_scope *scope, bool sync_only);
+void lim_scope_granted(struct wf_ctx *ctx, struct lim_limits *limits,
+		       struct lim_scope *scope, const Wf__LimitGrant *grant);
+/* Admits one call out of what is granted; false if that is not enough. */
+bool lim_scope_admit(struct lim_scope *scope, unsigned tokens);
+void lim_scope_tick(struct wf_ctx *ctx, struct lim_limits *limits,
+		    struct lim_scope *scope);
+
+#endif
