--- a/include/wagtailferry/core.h
+++ b/include/wagtailferry/core.h
@@ -69,6 +69,7 @@
 	bool repeatable;      /* idempotent: may be sent again */
 	char *target;	      /* model or service to route to */
 	char **data_centers;  /* allowed ones, NULL: all */
+	char **targets;	      /* allowed target ids, NULL: all */
 };
 
 /* Calls */
--- a/src/core/value.c
+++ b/src/core/value.c
@@ -25,6 +25,7 @@
 
 	copy.target = g_strdup(policy->target);
 	copy.data_centers = g_strdupv(policy->data_centers);
+	copy.targets = g_strdupv(policy->targets);
 	return copy;
 }
 
@@ -32,6 +33,7 @@
 {
 	g_free(policy->target);
 	g_strfreev(policy->data_centers);
+	g_strfreev(policy->targets);
 	memset(policy, 0, sizeof(*policy));
 }
 
--- /dev/null
+++ b/src/rules/rul_add.c
@@ -0,0 +1,167 @@
+#include <string.h>
+
+#include "rul_private.h"
+
+/* What adding the keys of one line found. */
+struct overlap {
+	unsigned n_keys;
+	unsigned n_taken;
+	unsigned by_line; /* the first line that has one of the keys */
+	const char *org;  /* and the key */
+	const char *name;
+};
+
+static unsigned line_number(const struct rul_set *set, uint32_t index)
+{
+	return g_array_index(set->lines, struct rul_line, index).line;
+}
+
+static void check_key(const struct rul_set *set, enum wf_call_kind call,
+		      const char *org, const char *name,
+		      struct overlap *overlap)
+{
+	const struct rul_entry *entry;
+
+	overlap->n_keys++;
+	entry = rul_index_find(&set->index, call, org, name);
+	if (!entry)
+		return;
+	if (!overlap->n_taken) {
+		overlap->by_line = line_number(set, entry->line);
+		overlap->org = org;
+		overlap->name = name;
+	}
+	overlap->n_taken++;
+}
+
+/* Calls check_key(), or adds the keys if overlap is NULL. */
+static void walk_keys(struct rul_set *set, const struct rul_line *line,
+		      uint32_t number, struct overlap *overlap)
+{
+	static char *any[] = {NULL};
+	enum wf_call_kind call = rul_line_call(line);
+	char **org = line->orgs ? line->orgs : any;
+
+	do {
+		char **name = line->names ? line->names : any;
+
+		do {
+			if (overlap)
+				check_key(set, call, *org, *name, overlap);
+			else
+				rul_index_add(&set->index, call, *org, *name,
+					      number);
+		} while (*name && *++name);
+	} while (*org && *++org);
+}
+
+/* The place of a name inside the value that lists it. */
+static struct rul_token find_item(struct rul_token list, const char *name)
+{
+	size_t len = name ? strlen(name) : 0;
+	const char *p = list.at;
+	const char *end = list.at + list.len;
+
+	if (!name)
+		return list;
+	while (p < end) {
+		const char *comma = memchr(p, ',', (size_t)(end - p));
+		size_t item = (size_t)((comma ? comma : end) - p);
+
+		if (item == len && !memcmp(p, name, len))
+			return (struct rul_token){p, len};
+		p += item + 1;
+	}
+	return list;
+}
+
+static void report_overlap(struct rul_parser *parser,
+			   const struct rul_token *values,
+			   const struct overlap *overlap)
+{
+	struct rul_token at = find_item(values[RUL_ATTR_ORG], overlap->org);
+
+	if (overlap->n_keys == 1)
+		rul_report(parser, at, NULL, "duplicate of line %u",
+			   overlap->by_line);
+	else if (overlap->n_taken == overlap->n_keys)
+		rul_report(parser, at, NULL,
+			   "rule is unreachable, line %u and others decide "
+			   "all its calls",
+			   overlap->by_line);
+	else
+		rul_report(parser, at, NULL,
+			   "line %u decides calls of this organisation to %s",
+			   overlap->by_line,
+			   overlap->name ? overlap->name : "any");
+}
+
+static bool add_rule(struct rul_parser *parser, const struct rul_line *line,
+		     uint32_t number, const struct rul_token *values)
+{
+	struct rul_set *set = parser->set;
+	struct overlap overlap = {0};
+
+	walk_keys(set, line, number, &overlap);
+	if (overlap.n_taken) {
+		report_overlap(parser, values, &overlap);
+		return false;
+	}
+	if (set->index.n + overlap.n_keys > RUL_MAX_ENTRIES) {
+		rul_report(parser, values[RUL_ATTR_ORG], NULL,
+			   "more than %u pairs of organisation and name",
+			   RUL_MAX_ENTRIES);
+		return false;
+	}
+	walk_keys(set, line, number, NULL);
+	set->n_rules++;
+	return true;
+}
+
+/* Adds a key of a "target" or "load" line; reports a duplicate. */
+static bool add_key(struct rul_parser *parser, GHashTable *keys, char *key,
+		    uint32_t number)
+{
+	size_t taken = GPOINTER_TO_SIZE(g_hash_table_lookup(keys, key));
+	struct rul_token all = {parser->line, parser->line_len};
+
+	if (taken) {
+		rul_report(parser, all, NULL, "duplicate of line %u",
+			   line_number(parser->set, (uint32_t)taken - 1));
+		return false;
+	}
+	g_hash_table_insert(keys, key, GSIZE_TO_POINTER((size_t)number + 1));
+	return true;
+}
+
+static bool add_load(struct rul_parser *parser, const struct rul_line *line,
+		     uint32_t number)
+{
+	struct rul_set *set = parser->set;
+	char *key = g_strjoin(" ", line->subject, line->names[0], line->version,
+			      NULL);
+	char *copy = rul_arena_copy(&set->arena, key, strlen(key));
+
+	g_free(key);
+	if (!add_key(parser, set->load_keys, copy, number))
+		return false;
+	g_array_append_val(set->loads, number);
+	return true;
+}
+
+void rul_add_line(struct rul_parser *parser, struct rul_line *line,
+		  const struct rul_token *values)
+{
+	uint32_t number = parser->set->lines->len;
+	bool good;
+
+	if (line->kind == RUL_TARGET)
+		good = add_key(parser, parser->set->targets, line->subject,
+			       number);
+	else if (line->kind == RUL_LOAD)
+		good = add_load(parser, line, number);
+	else
+		good = add_rule(parser, line, number, values);
+	if (good)
+		g_array_append_val(parser->set->lines, *line);
+}
