--- a/include/wagtailferry/rules.h
+++ b/include/wagtailferry/rules.h
@@ -15,6 +15,7 @@
 #define RUL_MAX_TEXT ((size_t)8 * 1024 * 1024)
 #define RUL_MAX_LINE ((size_t)4096)
 #define RUL_MAX_NAME ((size_t)128)
+#define RUL_MAX_LINES 500000U
 
 /* More problems than this are counted in one last entry. */
 #define RUL_MAX_PROBLEMS 10000
@@ -105,4 +106,218 @@
  */
 void rul_set_write(const struct rul_set *set, GString *out);
 
+/* Differences */
+
+/* A line that one text has and the other does not. */
+struct rul_change {
+	bool added;	  /* false: removed */
+	unsigned line;	  /* in the new text if added, else in the old one */
+	const char *text; /* without line feed; points into that text */
+	size_t len;
+};
+
+/*
+ * The difference of two texts as an array of struct rul_change in order of
+ * position, removed lines before added ones. Lines that occur once in both
+ * texts are matched first, so the result may be longer than the shortest
+ * one, but time is O(n log n) and memory about 40 bytes a line. What follows
+ * line RUL_MAX_LINES counts as one line.
+ */
+GArray *rul_diff(const char *old_text, size_t old_len, const char *new_text,
+		 size_t new_len);
+
+/*
+ * Appends changes as "-line: text" and "+line: text", at most max_lines
+ * (0: all) and then a line that gives the number of the others.
+ */
+void rul_diff_write(const GArray *changes, size_t max_lines, GString *out);
+
+/*
+ * The requesters of the added lines, each once, in order, separated by ", ",
+ * cut at RUL_MAX_NAME bytes. Free with g_free().
+ */
+char *rul_diff_requesters(const GArray *changes);
+
+/* Chunks */
+
+#define RUL_CHUNK_MIN ((size_t)4 * 1024)
+#define RUL_CHUNK_AVERAGE ((size_t)16 * 1024)
+#define RUL_CHUNK_MAX ((size_t)64 * 1024)
+#define RUL_CHUNK_KIND "chunk"
+
+/* A hash in hexadecimal digits with a zero byte. */
+#define RUL_HASH_LEN 33
+#define RUL_TEXT_HASH_LEN 65
+
+/* A piece of a text. */
+struct rul_chunk {
+	size_t offset;
+	size_t len;
+	char hash[RUL_HASH_LEN]; /* object name in kind RUL_CHUNK_KIND */
+};
+
+/* The name of a chunk: the first 16 bytes of its SHA-256. */
+void rul_chunk_hash(const void *data, size_t len, char hash[RUL_HASH_LEN]);
+
+/* The SHA-256 of a whole text. */
+void rul_text_hash(const void *data, size_t len, char hash[RUL_TEXT_HASH_LEN]);
+
+/*
+ * Cuts a text into an array of struct rul_chunk. Cuts are at line ends chosen
+ * by the content of the line before, so an edit changes the chunks around it
+ * only. A line longer than RUL_CHUNK_MAX is cut inside.
+ */
+GArray *rul_chunk_split(const char *text, size_t len);
+
+/* Manifest */
+
+#define RUL_MANIFEST_NAME "rules/manifest"
+#define RUL_NONCE_BYTES 16
+
+/* How long a chunk is kept after it was dropped. */
+#define RUL_CHUNK_RETENTION CLK_HOUR
+
+/* Bounds that keep a manifest below the store's 1 MB. */
+#define RUL_MAX_CHUNKS 4096U
+#define RUL_MAX_DROPPED 16384U
+#define RUL_MAX_RECENT 256U
+#define RUL_MAX_NOTE ((size_t)1024)
+
+struct rul_dropped {
+	char hash[RUL_HASH_LEN];
+	clk_ms time;
+};
+
+/* One accepted revision in the manifest's list of recent ones. */
+struct rul_recent {
+	uint64_t revision;
+	uint8_t nonce[RUL_NONCE_BYTES];
+	char *author;
+	char *requested_by;
+	clk_ms time;
+};
+
+/* The contents of object rules/manifest. Owned by one holder. */
+struct rul_manifest {
+	uint64_t revision;
+	uint64_t base_revision;
+	char *author;
+	char *requested_by;
+	char *note;
+	clk_ms time;
+	char text_hash[RUL_TEXT_HASH_LEN];
+	uint64_t text_size;
+	uint8_t nonce[RUL_NONCE_BYTES];
+	GArray *chunks;	 /* of struct rul_chunk */
+	GArray *dropped; /* of struct rul_dropped, oldest first */
+	GArray *recent;	 /* of struct rul_recent, oldest first */
+};
+
+/* What a publisher adds to a text. Strings are borrowed; may be NULL. */
+struct rul_author {
+	const char *name;	  /* who publishes */
+	const char *requested_by; /* who asked for the change */
+	const char *note;
+	uint8_t nonce[RUL_NONCE_BYTES]; /* random, unique for each try */
+};
+
+/*
+ * Builds the manifest that follows base (NULL: revision 1) for a text. Moves
+ * the chunks that are no longer used to the dropped ones and forgets those
+ * dropped more than RUL_CHUNK_RETENTION ago.
+ */
+struct rul_manifest *rul_manifest_new(const struct rul_manifest *base,
+				      const char *text, size_t len,
+				      const struct rul_author *author,
+				      clk_ms now);
+void rul_manifest_free(struct rul_manifest *manifest);
+
+/*
+ * The object's value. ERR_TOO_LARGE if a list is above its bound, else never
+ * fails.
+ */
+GBytes *rul_manifest_encode(const struct rul_manifest *manifest,
+			    GError **error);
+
+/* Reads a value; ERR_PROTOCOL if anything in it is malformed. */
+struct rul_manifest *rul_manifest_decode(GBytes *value, GError **error);
+
+/* Whether the manifest uses a chunk. */
+bool rul_manifest_uses(const struct rul_manifest *manifest, const char *hash);
+
+/* The recent revision with that nonce, or NULL. Borrowed. */
+const struct rul_recent *
+rul_manifest_find_nonce(const struct rul_manifest *manifest,
+			const uint8_t nonce[RUL_NONCE_BYTES]);
+
+/* Gives a chunk's bytes, or NULL. The reference stays with the callee. */
+typedef GBytes *(*rul_chunk_get)(void *user, const char *hash);
+
+/*
+ * The chunks of a manifest for which get() gives nothing, each once, as
+ * borrowed struct rul_chunk in an array to be freed by g_ptr_array_unref().
+ */
+GPtrArray *rul_chunk_missing(const struct rul_manifest *manifest,
+			     rul_chunk_get get, void *user);
+
+/*
+ * Joins the text and verifies each chunk and the whole. ERR_NOT_FOUND if a
+ * chunk is missing, ERR_PROTOCOL if one has the wrong size or hash, or the
+ * text has the wrong hash. Not terminated by a zero byte.
+ */
+GBytes *rul_chunk_join(const struct rul_manifest *manifest, rul_chunk_get get,
+		       void *user, GError **error);
+
+/* Audit trail */
+
+#define RUL_AUDIT_KIND "audit"
+#define RUL_AUDIT_MAX_BYTES ((size_t)256 * 1024)
+#define RUL_AUDIT_NAME_LEN 17
+
+/* The name of a segment, "audit/" and ten digits. */
+void rul_audit_name(uint64_t number, char name[RUL_AUDIT_NAME_LEN]);
+
+/* The number of a segment from its name without the kind; 0 if malformed. */
+uint64_t rul_audit_number(const char *name);
+
+/* One change. Strings may be NULL. schema/audit.proto explains the fields. */
+struct rul_audit_entry {
+	clk_ms time;
+	char *requested_by;
+	char *published_by;
+	uint64_t from_revision;
+	uint64_t to_revision;
+	char *order;
+	char *target;
+	char *argument;
+	uint64_t fence;
+	char *outcome;
+	char *note;
+	uint8_t nonce[RUL_NONCE_BYTES];
+};
+
+struct rul_audit_segment {
+	uint64_t number;
+	uint64_t rules_revision;
+	GArray *entries; /* of struct rul_audit_entry */
+};
+
+/* An empty segment; it carries over the revision of the one before. */
+struct rul_audit_segment *rul_audit_new(uint64_t number,
+					uint64_t rules_revision);
+void rul_audit_free(struct rul_audit_segment *segment);
+
+/* Appends a copy and raises rules_revision. */
+void rul_audit_add(struct rul_audit_segment *segment,
+		   const struct rul_audit_entry *entry);
+
+/* Whether the segment has an entry with that nonce. */
+bool rul_audit_has(const struct rul_audit_segment *segment,
+		   const uint8_t nonce[RUL_NONCE_BYTES]);
+
+GBytes *rul_audit_encode(const struct rul_audit_segment *segment);
+
+/* Reads a value; ERR_PROTOCOL if it is malformed. */
+struct rul_audit_segment *rul_audit_decode(GBytes *value, GError **error);
+
 #endif
