Add difference, chunks, manifest, publish sequence and collection

A collection changes the manifest's version before it deletes, so no publisher relies on a chunk that is being deleted.

--- a/include/wagtailferry/rules.h
+++ b/include/wagtailferry/rules.h
@@ -320,4 +320,108 @@
 /* Reads a value; ERR_PROTOCOL if it is malformed. */
 struct rul_audit_segment *rul_audit_decode(GBytes *value, GError **error);
 
+/* Publishing */
+
+/* Accepts whatever revision is the latest when publishing starts. */
+#define RUL_BASE_LATEST UINT64_MAX
+
+/* How often one step is tried before the sequence gives up. */
+#define RUL_PUBLISH_ATTEMPTS 8U
+
+enum rul_publish_result {
+	RUL_PUBLISH_RUNNING,
+	RUL_PUBLISH_ACCEPTED,	 /* proved: the revision is in the store */
+	RUL_PUBLISH_UNCHANGED,	 /* the latest revision has this very text */
+	RUL_PUBLISH_CONFLICT,	 /* proved not published: another one was */
+	RUL_PUBLISH_REFUSED,	 /* proved not published: see error */
+	RUL_PUBLISH_UNAVAILABLE, /* proved not published: store is down */
+	RUL_PUBLISH_UNKNOWN,	 /* may or may not have been published */
+};
+
+/* What is to be published. Copied. */
+struct rul_publish_config {
+	const char *text;
+	size_t len;
+	uint64_t base_revision; /* the edited one; 0: none exists yet */
+	struct rul_author author;
+	clk_ms timeout; /* of each store action */
+};
+
+/* How it went. Pointers belong to the publish sequence. */
+struct rul_publish_outcome {
+	enum rul_publish_result result;
+	uint64_t revision; /* accepted, or latest of UNCHANGED, CONFLICT */
+	bool audited;	   /* the audit trail has the revision */
+	enum err_code error;
+	const char *message; /* of REFUSED, UNAVAILABLE, UNKNOWN */
+	/* CONFLICT: who published what in between */
+	const char *other_author;
+	clk_ms other_time;
+	/*
+	 * Their changes against the base, or, if the base is gone, against
+	 * the own text (changes_from_base is false). NULL if it could not be
+	 * read.
+	 */
+	const GArray *changes; /* of struct rul_change */
+	bool changes_from_base;
+	/* what was written */
+	unsigned n_chunks_put;
+	size_t chunk_bytes_put;
+};
+
+/*
+ * The publish sequence of one text: read the manifest, compare, put missing
+ * chunks, put the manifest on condition of the version read, append to the
+ * audit trail. Gives store actions through ctx and takes their replies. A
+ * lost answer is settled by reading back and looking for the author's nonce.
+ */
+struct rul_publish;
+
+/*
+ * Checks the text. NULL with error and problems (may be NULL) as
+ * rul_set_parse() if it is not valid.
+ */
+struct rul_publish *rul_publish_new(const struct rul_publish_config *config,
+				    GPtrArray *problems, GError **error);
+void rul_publish_drop(struct rul_publish *publish);
+
+/* Emits the first action. */
+void rul_publish_start(struct wf_ctx *ctx, struct rul_publish *publish);
+
+/* Takes a reply; false if it is not for the action that is awaited. */
+bool rul_publish_handle(struct wf_ctx *ctx, struct rul_publish *publish,
+			const struct wf_store_reply *reply);
+
+/* Goes on after a pause; to be called at rul_publish_next_wakeup(). */
+void rul_publish_tick(struct wf_ctx *ctx, struct rul_publish *publish);
+
+/* CLK_NEVER while a reply is awaited and at the end. */
+clk_ms rul_publish_next_wakeup(const struct rul_publish *publish);
+
+/* The state; result is RUL_PUBLISH_RUNNING until the end. Borrowed. */
+const struct rul_publish_outcome *
+rul_publish_outcome(const struct rul_publish *publish);
+
+/* Collection of old chunks */
+
+/*
+ * Deletes the chunks that neither the manifest nor any manifest of the last
+ * hour uses. Before it deletes, it writes the manifest again under the same
+ * revision (the text stays, the list of dropped chunks and the object's
+ * version change), so a publisher that has read the manifest before must
+ * read it again and put its chunks again.
+ */
+struct rul_collect;
+
+struct rul_collect *rul_collect_new(clk_ms timeout);
+void rul_collect_drop(struct rul_collect *collect);
+void rul_collect_start(struct wf_ctx *ctx, struct rul_collect *collect);
+
+/* As rul_publish_handle(). */
+bool rul_collect_handle(struct wf_ctx *ctx, struct rul_collect *collect,
+			const struct wf_store_reply *reply);
+
+/* Whether it has ended, and how many chunks it has deleted. */
+bool rul_collect_done(const struct rul_collect *collect, unsigned *n_deleted);
+
 #endif
--- a/src/rules/rul_private.h
+++ b/src/rules/rul_private.h
@@ -207,4 +207,7 @@
 void rul_add_line(struct rul_parser *parser, struct rul_line *line,
 		  const struct rul_token *values);
 
+/* An empty manifest whose list of chunks is NULL. */
+struct rul_manifest *rul_manifest_alloc(void);
+
 #endif
--- /dev/null
+++ b/src/rules/rul_publish_private.h
@@ -0,0 +1,101 @@
+#ifndef RUL_PUBLISH_PRIVATE_H
+#define RUL_PUBLISH_PRIVATE_H
+
+/* Shared by the sources of the publish sequence; not public. */
+
+#include "rul_private.h"
+
+enum rul_step {
+	RUL_STEP_READ,	     /* get the manifest */
+	RUL_STEP_CHUNK,	     /* put a chunk that must not exist */
+	RUL_STEP_TOUCH_GET,  /* it exists: read its version */
+	RUL_STEP_TOUCH_PUT,  /* and write it again, see rul_publish.c */
+	RUL_STEP_PUT,	     /* put the manifest */
+	RUL_STEP_SETTLE,     /* read it back */
+	RUL_STEP_FETCH,	     /* conflict: get the chunks to compare */
+	RUL_STEP_AUDIT_LIST, /* find the last segment */
+	RUL_STEP_AUDIT_GET,
+	RUL_STEP_AUDIT_PUT,
+	RUL_STEP_DONE,
+	RUL_N_STEPS,
+};
+
+struct rul_publish {
+	struct rul_publish_outcome outcome;
+	enum rul_step step;
+	uint64_t op;	   /* of the awaited reply, 0: none */
+	clk_ms wakeup;	   /* end of a pause before the step */
+	unsigned attempts; /* failures since the last success */
+	clk_ms timeout;
+
+	GBytes *text;
+	uint64_t base_revision;
+	struct rul_author author;
+	char *author_name;
+	char *requested_by;
+	char *note;
+
+	struct rul_manifest *base; /* as read; NULL: none exists */
+	uint64_t base_version;	   /* of the object */
+	struct rul_manifest *next; /* to be put */
+	GBytes *next_value;
+	GPtrArray *missing; /* of struct rul_chunk in next */
+	guint chunk;	    /* index into missing */
+	uint64_t touch_version;
+	bool put_unknown; /* a put of the manifest may have been executed */
+
+	struct rul_manifest *other; /* the one that won a conflict */
+	GHashTable *fetched;	    /* chunk hash to GBytes */
+	GPtrArray *to_fetch;	    /* of struct rul_chunk */
+	guint fetch;
+	GBytes *base_text;
+	GBytes *other_text;
+	GArray *changes;
+
+	struct rul_manifest *accepted; /* borrowed: next or other */
+	uint64_t segment_number;
+	uint64_t segment_version;
+	struct rul_audit_segment *segment;
+	GBytes *segment_value;
+	char *message;
+};
+
+/* What a step emits, how it takes the reply, what happens at the last try. */
+struct rul_step_ops {
+	void (*send)(struct wf_ctx *ctx, struct rul_publish *publish);
+	void (*handle)(struct wf_ctx *ctx, struct rul_publish *publish,
+		       const struct wf_store_reply *reply);
+	void (*give_up)(struct wf_ctx *ctx, struct rul_publish *publish);
+};
+
+/* Goes to a step after success of the one before. */
+void rul_publish_enter(struct wf_ctx *ctx, struct rul_publish *publish,
+		       enum rul_step step);
+
+/* Goes to a step after a failure: pauses first, gives up after enough. */
+void rul_publish_retry(struct wf_ctx *ctx, struct rul_publish *publish,
+		       enum rul_step step);
+
+/* Ends the sequence. The message (may be NULL) is copied. */
+void rul_publish_end(struct rul_publish *publish,
+		     enum rul_publish_result result, enum err_code error,
+		     const char *message);
+
+/* Emits a store action for the present step; body may be NULL. */
+void rul_publish_send(struct wf_ctx *ctx, struct rul_publish *publish,
+		      enum wf_action_type type, const char *name,
+		      uint64_t version, GBytes *body);
+
+/* Reports the conflict with publish->other, after reading what it changed. */
+void rul_publish_conflict(struct wf_ctx *ctx, struct rul_publish *publish);
+
+/* The revision is accepted; goes on with the audit trail. */
+void rul_publish_accept(struct wf_ctx *ctx, struct rul_publish *publish,
+			struct rul_manifest *manifest, uint64_t revision);
+
+extern const struct rul_step_ops rul_step_fetch;
+extern const struct rul_step_ops rul_step_audit_list;
+extern const struct rul_step_ops rul_step_audit_get;
+extern const struct rul_step_ops rul_step_audit_put;
+
+#endif
--- a/src/rules/rul_set.c
+++ b/src/rules/rul_set.c
@@ -132,6 +132,11 @@
 	while (text < end) {
 		const char *feed = memchr(text, '\n', (size_t)(end - text));
 
+		if (parser->line_no == RUL_MAX_LINES) {
+			rul_report(parser, (struct rul_token){parser->line, 0},
+				   NULL, "more than %u lines", RUL_MAX_LINES);
+			return;
+		}
 		parser->line = text;
 		parser->line_len = (size_t)((feed ? feed : end) - text);
 		parser->line_no++;
