--- /dev/null
+++ b/src/sched/chn.h
@@ -0,0 +1,74 @@
+#ifndef SCHED_CHN_H
+#define SCHED_CHN_H
+
+#include "sched/tgt.h"
+
+#define CHN_MAX_STAGES 32
+
+/* What a chain is wanted for. */
+struct chn_query {
+	const char *model;
+	char **data_centers; /* allowed ones, NULL: all */
+	const tbl_handle *avoid;
+	size_t n_avoid;
+	bool need_room; /* only targets with a free place */
+	bool is_long;
+	const uint64_t *prefix_hashes;
+	size_t n_prefix_hashes;
+};
+
+/* One stage of a planned chain. */
+struct chn_stage {
+	tbl_handle target;
+	unsigned first_layer;
+	unsigned last_layer;
+	double us;   /* time of a step without waiting */
+	double load; /* steps at once that a request adds to the target */
+};
+
+struct chn_chain {
+	size_t n;
+	struct chn_stage stages[CHN_MAX_STAGES];
+	double token_us; /* time of a token without waiting */
+	double score;
+};
+
+enum chn_result {
+	CHN_FOUND,
+	CHN_NO_ROOM,  /* chains exist, but none has room now */
+	CHN_NO_CHAIN, /* the usable targets do not cover the model */
+};
+
+/* The targets of one model, ordered for planning. */
+struct chn_model;
+
+/* For the table of models; frees a struct chn_model. */
+void chn_model_drop(gpointer model);
+
+/* Marks a model's segments as out of date. A NULL name does nothing. */
+void chn_invalidate(struct tgt_targets *targets, const char *model);
+
+/* Brings all segments that are out of date up to date. */
+void chn_refresh(struct tgt_targets *targets);
+
+/* Plans a chain for a whole model. */
+enum chn_result chn_plan(struct wf_ctx *ctx, struct tgt_targets *targets,
+			 const struct chn_query *query,
+			 struct chn_chain *chain);
+
+/*
+ * Plans the stages that replace part of a chain, layers first to last, with
+ * neighbours in the given data centre.
+ */
+enum chn_result chn_plan_range(struct wf_ctx *ctx, struct tgt_targets *targets,
+			       const struct chn_query *query, unsigned first,
+			       unsigned last, unsigned data_center,
+			       struct chn_chain *chain);
+
+/* The layers of a model, 0 if no target of it is known. */
+unsigned chn_n_layers(struct tgt_targets *targets, const char *model);
+
+/* Mean time of a token of the model's chains, microseconds. */
+double chn_token_us(struct tgt_targets *targets, const char *model);
+
+#endif
--- /dev/null
+++ b/src/sched/chn_model.c
@@ -0,0 +1,228 @@
+#include <math.h>
+#include <string.h>
+
+#include "sched/chn_model.h"
+
+static void clear_boundary(gpointer data)
+{
+	struct chn_boundary *boundary = data;
+
+	if (boundary->candidates)
+		g_array_unref(boundary->candidates);
+	g_free(boundary->starts);
+}
+
+static GArray *new_boundaries(void)
+{
+	GArray *array;
+
+	array = g_array_new(FALSE, TRUE, sizeof(struct chn_boundary));
+	g_array_set_clear_func(array, clear_boundary);
+	return array;
+}
+
+static struct chn_model *model_new(const char *name)
+{
+	struct chn_model *model = g_new0(struct chn_model, 1);
+
+	model->name = g_strdup(name);
+	model->targets = g_ptr_array_new();
+	model->boundaries = new_boundaries();
+	model->stale = true;
+	return model;
+}
+
+void chn_model_drop(gpointer data)
+{
+	struct chn_model *model = data;
+
+	g_ptr_array_unref(model->targets);
+	g_array_unref(model->boundaries);
+	g_free(model->name);
+	g_free(model);
+}
+
+void chn_invalidate(struct tgt_targets *targets, const char *name)
+{
+	struct chn_model *model;
+
+	if (!name)
+		return;
+	model = g_hash_table_lookup(targets->models, name);
+	if (!model) {
+		model = model_new(name);
+		g_hash_table_insert(targets->models, g_strdup(name), model);
+	}
+	model->stale = true;
+}
+
+/* By data centre, then by id, so that the order does not depend on history. */
+static gint compare_targets(gconstpointer a, gconstpointer b)
+{
+	const struct tgt_target *left = *(struct tgt_target *const *)a;
+	const struct tgt_target *right = *(struct tgt_target *const *)b;
+
+	if (left->data_center_number != right->data_center_number)
+		return left->data_center_number < right->data_center_number ? -1
+									    : 1;
+	return strcmp(left->id, right->id);
+}
+
+static void collect_targets(struct tgt_targets *targets,
+			    struct chn_model *model)
+{
+	struct tgt_target *target;
+	size_t cursor = 0;
+
+	g_ptr_array_set_size(model->targets, 0);
+	model->n_layers = 0;
+	while ((target = tbl_next(targets->table, &cursor, NULL))) {
+		if (target->role != WF_ROLE_ENGINE || !target->listed ||
+		    target->leaving || strcmp(target->serves, model->name) != 0)
+			continue;
+		g_ptr_array_add(model->targets, target);
+		model->n_layers = MAX(model->n_layers, target->n_layers);
+	}
+	g_ptr_array_sort(model->targets, compare_targets);
+	model->n_targets = model->targets->len;
+}
+
+/* Marks layer 0 and the end of each range as boundaries. */
+static void collect_boundaries(struct chn_model *model)
+{
+	gboolean *marked = g_new0(gboolean, model->n_layers + 1);
+	unsigned layer;
+	guint i;
+
+	marked[0] = TRUE;
+	marked[model->n_layers] = TRUE;
+	for (i = 0; i < model->targets->len; i++) {
+		struct tgt_target *target = model->targets->pdata[i];
+
+		marked[target->last_layer + 1] = TRUE;
+	}
+	for (layer = 0; layer <= model->n_layers; layer++) {
+		struct chn_boundary boundary = {.layer = layer};
+
+		if (marked[layer])
+			g_array_append_val(model->boundaries, boundary);
+	}
+	g_free(marked);
+}
+
+static size_t find_boundary(const struct chn_model *model, unsigned layer)
+{
+	size_t i = 0;
+
+	while (g_array_index(model->boundaries, struct chn_boundary, i).layer !=
+	       layer)
+		i++;
+	return i;
+}
+
+static void mark_start(struct chn_boundary *boundary, unsigned data_center)
+{
+	while (boundary->n_starts <= data_center)
+		boundary->starts[boundary->n_starts++] =
+			boundary->candidates->len;
+}
+
+/* Adds a target if the rest of the model can be reached through it. */
+static void add_candidate(struct chn_model *model,
+			  struct chn_boundary *boundary,
+			  struct tgt_target *target, double link_us)
+{
+	struct chn_candidate candidate = {.target = target};
+	const struct chn_boundary *next;
+	double us;
+
+	candidate.next = find_boundary(model, target->last_layer + 1);
+	next = &g_array_index(model->boundaries, struct chn_boundary,
+			      candidate.next);
+	if (isinf(next->to_go))
+		return;
+	g_array_append_val(boundary->candidates, candidate);
+	us = tgt_stage_us(target, boundary->layer, target->last_layer);
+	boundary->to_go = MIN(boundary->to_go, us + link_us + next->to_go);
+}
+
+static void fill_boundary(struct tgt_targets *targets, struct chn_model *model,
+			  struct chn_boundary *boundary)
+{
+	guint i;
+
+	boundary->candidates =
+		g_array_new(FALSE, FALSE, sizeof(struct chn_candidate));
+	boundary->starts = g_new0(guint, targets->data_centers->len + 1);
+	boundary->to_go = boundary->layer == model->n_layers ? 0 : INFINITY;
+	for (i = 0; i < model->targets->len; i++) {
+		struct tgt_target *target = model->targets->pdata[i];
+
+		mark_start(boundary, target->data_center_number);
+		if (target->first_layer <= boundary->layer &&
+		    target->last_layer >= boundary->layer)
+			add_candidate(model, boundary, target,
+				      targets->config.link_us);
+	}
+	mark_start(boundary, targets->data_centers->len);
+}
+
+static void rebuild(struct tgt_targets *targets, struct chn_model *model)
+{
+	guint i;
+
+	model->stale = false;
+	g_array_set_size(model->boundaries, 0);
+	collect_targets(targets, model);
+	if (!model->n_layers)
+		return;
+	collect_boundaries(model);
+	for (i = model->boundaries->len; i-- > 0;)
+		fill_boundary(targets, model,
+			      &g_array_index(model->boundaries,
+					     struct chn_boundary, i));
+	if (model->token_us <= 0)
+		model->token_us =
+			g_array_index(model->boundaries, struct chn_boundary, 0)
+				.to_go;
+	if (isinf(model->token_us))
+		model->token_us = 0;
+}
+
+void chn_refresh(struct tgt_targets *targets)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, targets->models);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct chn_model *model = value;
+
+		if (model->stale)
+			rebuild(targets, model);
+	}
+}
+
+struct chn_model *chn_get_model(struct tgt_targets *targets, const char *name)
+{
+	struct chn_model *model;
+
+	model = name ? g_hash_table_lookup(targets->models, name) : NULL;
+	if (model && model->stale)
+		rebuild(targets, model);
+	return model;
+}
+
+unsigned chn_n_layers(struct tgt_targets *targets, const char *name)
+{
+	struct chn_model *model = chn_get_model(targets, name);
+
+	return model ? model->n_layers : 0;
+}
+
+double chn_token_us(struct tgt_targets *targets, const char *name)
+{
+	struct chn_model *model = chn_get_model(targets, name);
+
+	return model ? model->token_us : 0;
+}
--- /dev/null
+++ b/src/sched/tgt.h
@@ -0,0 +1,101 @@
+#ifndef SCHED_TGT_H
+#define SCHED_TGT_H
+
+#include <wagtailferry/sched.h>
+
+#define TGT_NO_DATA_CENTER UINT_MAX
+
+enum tgt_breaker {
+	TGT_CLOSED,
+	TGT_OPEN,
+	TGT_HALF_OPEN,
+};
+
+/* One target. Entries keep their address until they are removed. */
+struct tgt_target {
+	tbl_handle handle;
+	char *id;
+	char *address;
+	char *data_center;
+	char *serves;
+	unsigned data_center_number;
+	enum wf_role role;
+	uint64_t incarnation;
+	bool listed;
+	bool leaving; /* never goes back within an incarnation */
+	bool told_leaving;
+	clk_ms unlisted_since;
+	clk_ms joined;
+	unsigned n_layers;
+	unsigned first_layer;
+	unsigned last_layer;
+	unsigned slots;
+	double step_us;	  /* over the held range */
+	double listed_us; /* step_us as the list states it */
+	/* own requests in flight; load is in steps at once */
+	unsigned own_requests;
+	double own_load;
+	double own_long_load;
+	/* last report */
+	bool reachable;
+	clk_ms reported_at; /* 0: never */
+	double foreign_load;
+	double started_since_report;
+	unsigned kv_free_blocks;
+	unsigned running;
+	unsigned queued;
+	clk_ms next_poll;
+	bool fresh; /* not yet in a digest */
+	/* evidence from traffic */
+	double inflation; /* observed token time over the expected one */
+	double window;	  /* steps admitted at once per slot */
+	enum tgt_breaker breaker;
+	double failures;
+	clk_ms failed_at;
+	clk_ms open_until;
+	clk_ms open_span;
+	clk_ms closed_at;
+	unsigned probes; /* own requests while half open */
+	/* prefix cache */
+	uint64_t cache_seq;
+	uint32_t cache_generation;
+};
+
+struct tgt_cache;
+
+struct tgt_targets {
+	struct wf_module module;
+	struct tgt_config config;
+	struct tbl_table *table;
+	GHashTable *by_id;	 /* id to entry, borrowed */
+	GPtrArray *data_centers; /* names, owned; index is the number */
+	GHashTable *models;	 /* name to struct chn_model, owned */
+	struct tgt_cache *cache;
+	uint64_t revision; /* goes up when room may have appeared */
+	clk_ms next_digest;
+	clk_ms next_expiry;
+};
+
+/* The number of a data centre's name, given out on first use. */
+unsigned tgt_data_center(struct tgt_targets *targets, const char *name);
+
+/* The entry of an id or NULL. Borrowed. */
+struct tgt_target *tgt_find(const struct tgt_targets *targets, const char *id);
+
+/* The entry of a handle or NULL. Borrowed. */
+struct tgt_target *tgt_get(const struct tgt_targets *targets,
+			   tbl_handle handle);
+
+/* Whether new work may go to the target. */
+bool tgt_is_usable(const struct tgt_targets *targets,
+		   const struct tgt_target *target, clk_ms now);
+
+/* Time of one token over part of the held range, in microseconds. */
+double tgt_stage_us(const struct tgt_target *target, unsigned first,
+		    unsigned last);
+
+/* Notes that a target leaves; spreads it to other instances once. */
+void tgt_set_leaving(struct wf_ctx *ctx, struct tgt_targets *targets,
+		     struct tgt_target *target);
+
+#endif
--- /dev/null
+++ b/src/sched/tgt_cache.h
@@ -0,0 +1,38 @@
+#ifndef SCHED_TGT_CACHE_H
+#define SCHED_TGT_CACHE_H
+
+#include "sched/tgt.h"
+
+/* Targets known for one prefix block, at most. */
+#define TGT_CACHE_WAYS 8
+
+/* The targets that hold the longest known prefix of a prompt. */
+struct tgt_holders {
+	size_t n;
+	size_t n_blocks; /* length of the prefix they hold */
+	tbl_handle handles[TGT_CACHE_WAYS];
+};
+
+struct tgt_cache *tgt_cache_new(void);
+void tgt_cache_drop(struct tgt_cache *cache);
+
+/* Fills in the holders of the longest prefix that any target holds. */
+void tgt_cache_find(const struct tgt_targets *targets, const uint64_t *hashes,
+		    size_t n, struct tgt_holders *holders);
+
+/* Applies a cache event; a gap forgets what was known of the target. */
+void tgt_cache_apply(struct wf_ctx *ctx, struct tgt_targets *targets,
+		     const struct wf_cache_event *event);
+
+static inline bool tgt_holders_have(const struct tgt_holders *holders,
+				    tbl_handle handle)
+{
+	size_t i;
+
+	for (i = 0; i < holders->n; i++)
+		if (holders->handles[i] == handle)
+			return true;
+	return false;
+}
+
+#endif
--- /dev/null
+++ b/src/sched/tgt_load.h
@@ -0,0 +1,34 @@
+#ifndef SCHED_TGT_LOAD_H
+#define SCHED_TGT_LOAD_H
+
+#include "sched/tgt.h"
+
+/*
+ * A target that holds the prompt's prefix is preferred only while its load is
+ * at most this multiple of the mean (plus one step).
+ */
+#define TGT_LOCALITY_EXCESS 1.25
+
+/* Estimated steps at once at the target, own and of other instances. */
+double tgt_load(const struct wf_ctx *ctx, const struct tgt_targets *targets,
+		const struct tgt_target *target);
+
+/* Slots that count now: fewer during slow start and half-open recovery. */
+double tgt_places(const struct wf_ctx *ctx, const struct tgt_targets *targets,
+		  const struct tgt_target *target);
+
+/* Whether a request of that load may start at the target now. */
+bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
+		  const struct tgt_target *target, double load, bool is_long);
+
+/* Adds (or with a negative load removes) an own request. */
+void tgt_charge(struct tgt_targets *targets, struct tgt_target *target,
+		double load, bool is_long);
+void tgt_release(struct tgt_targets *targets, struct tgt_target *target,
+		 double load, bool is_long);
+
+/* Notes the observed time of a token against the expected one. */
+void tgt_observe(struct tgt_targets *targets, struct tgt_target *target,
+		 double ratio);
+
+#endif
