Add the settings schema and a JSON loader driven by its descriptors

The daemon and the operators' command both need validated settings. The schema is proto2, because protobuf-c's descriptors then carry required labels and default values; ranges and text forms are a table of rules next to it. Each refusal is ERR_BAD_SETTINGS and names the path of the key.

--- /dev/null
+++ b/include/wagtailferry/schema.h
@@ -0,0 +1,63 @@
+#ifndef WAGTAILFERRY_SCHEMA_H
+#define WAGTAILFERRY_SCHEMA_H
+
+/*
+ * Settings: a JSON text that is read into generated protobuf-c structures
+ * by means of their descriptors.
+ */
+
+#include <protobuf-c/protobuf-c.h>
+
+#include <schema/settings.pb-c.h>
+#include <wagtailferry/base.h>
+
+/*
+ * A restriction on one field that the descriptor does not express. For
+ * integers min and max bound the value, for repeated fields the number of
+ * entries. check (may be NULL) judges each string; expected completes its
+ * error message "expected ...".
+ */
+struct sch_rule {
+	const ProtobufCMessageDescriptor *message;
+	const char *field;
+	uint64_t min;
+	uint64_t max;
+	bool (*check)(const char *text);
+	const char *expected;
+};
+
+/*
+ * Reads a JSON object into a new message of the given type. Refuses unknown
+ * and repeated keys, wrong types, missing required values and values out of
+ * range with ERR_BAD_SETTINGS; the message names the path of the wrong key,
+ * such as "curve.peers[2].id". Enumeration values are written in lower case.
+ * Free the result with protobuf_c_message_free_unpacked(message, NULL).
+ */
+ProtobufCMessage *sch_load_json(const ProtobufCMessageDescriptor *descriptor,
+				const char *text, size_t len,
+				const struct sch_rule *rules, size_t n_rules,
+				GError **error);
+
+/*
+ * Reads and checks the settings of an instance. Returns NULL and sets
+ * ERR_BAD_SETTINGS if the text is refused. Free with sch_settings_free().
+ */
+Wf__Settings *sch_settings_parse(const char *text, size_t len, GError **error);
+
+/*
+ * The same for a file. ERR_IO if the file can't be read; the message of each
+ * error starts with the file's name.
+ */
+Wf__Settings *sch_settings_read(const char *path, GError **error);
+
+/* Frees settings; NULL is allowed. */
+void sch_settings_free(Wf__Settings *settings);
+
+/*
+ * Splits "IP:port" or "[IPv6]:port". host receives the bare IP address (46
+ * bytes at least). Returns false for anything else, such as a host name.
+ */
+bool sch_split_address(const char *address, char *host, size_t host_size,
+		       uint16_t *port);
+
+#endif
--- /dev/null
+++ b/tests/fuzz/settings_fuzz.c
@@ -0,0 +1,20 @@
+/* Settings from untrusted bytes: each text is accepted or has an error. */
+
+#include <stdlib.h>
+
+#include <wagtailferry/schema.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	GError *error = NULL;
+	Wf__Settings *settings;
+
+	settings = sch_settings_parse((const char *)data, size, &error);
+	if (!settings != (error != NULL))
+		abort();
+	sch_settings_free(settings);
+	g_clear_error(&error);
+	return 0;
+}
