Add the entry daemon's server, client, peer links and driver

h2o on libuv for callers and operators, libcurl's multi interface on the same loop, ZeroMQ with CURVE between instances, adapters for the platform's protocols, and the driver that connects them to a core. The daemon's program links once src/core/core.c exists; nothing has been run against sockets yet.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,8 @@
 TOOL_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/tool/*.c))
 # Daemon parts that the tool and tests use, without the main program.
 NET_OBJ := $(filter-out %/main.o,$(DAEMON_OBJ))
+# Servers, clients and a fake core on loopback, for wire tests only.
+WIRE_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/wire/*.c))
 SUPPORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/*.c))
 TEST_SRC := $(wildcard tests/*_test.c)
 TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
@@ -43,7 +45,8 @@
 FAKES := $(FAKE_SRC:tests/fakes/%.c=$(BUILD)/fakes/%)
 FAKE_OBJ := $(patsubst %.c,$(BUILD)/%.o,\
 	$(filter-out $(FAKE_SRC),$(wildcard tests/fakes/*.c)))
-PROGRAMS := $(if $(DAEMON_OBJ),$(BUILD)/wagtailferryd) \
+# The daemon's main program needs the core's facade.
+PROGRAMS := $(if $(wildcard src/core/core.c),$(BUILD)/wagtailferryd) \
 	$(if $(TOOL_OBJ),$(BUILD)/wagtailferry)
 
 all: $(LIB) $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES)
@@ -62,7 +65,7 @@
 	ar rcs $@ $^
 
 $(BUILD)/wagtailferryd: $(DAEMON_OBJ) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
 $(BUILD)/wagtailferry: $(TOOL_OBJ) $(NET_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
@@ -71,6 +74,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
+$(BUILD)/tests/%_wire_test: $(BUILD)/tests/%_wire_test.o $(WIRE_OBJ) \
+		$(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
+
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
--- a/include/wagtailferry/core.h
+++ b/include/wagtailferry/core.h
@@ -83,8 +83,9 @@
 	uint64_t id; /* chosen by the harness, unique in its core */
 	enum wf_call_kind kind;
 	const char *org;
-	const char *name; /* model or service asked for */
-	const char *key;  /* Idempotency-Key or NULL */
+	const char *name;      /* model or service asked for */
+	const char *operation; /* of the service; NULL if none is stated */
+	const char *key;       /* Idempotency-Key or NULL */
 	GBytes *body;
 	unsigned prompt_tokens;
 	unsigned max_tokens;
--- /dev/null
+++ b/src/daemon/cli_request.c
@@ -0,0 +1,283 @@
+#include <string.h>
+
+#include "daemon/cli_request.h"
+
+/* Same data centre or region: a connection is made within milliseconds. */
+#define CONNECT_TIMEOUT_MS 1000L
+/* Idle connections older than this are not used again. */
+#define IDLE_LIMIT_SECONDS 10L
+#define DEFAULT_BODY_LIMIT ((size_t)8 << 20)
+/* Of received bytes that a streaming handler has not taken yet. */
+#define STREAM_BUFFER_LIMIT ((size_t)1 << 20)
+#define HTTP_NO_CONTENT 204L
+#define HTTP_NOT_MODIFIED 304L
+#define HTTP_OK 200L
+
+/*
+ * Called when the connection stands and before the first byte of the request.
+ * The second call for one request is a repetition on another connection.
+ */
+static int on_request(void *user, char *remote_ip, char *local_ip,
+		      int remote_port, int local_port)
+{
+	struct cli_request *request = user;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (request->sent && !request->may_resend)
+		return CURL_PREREQFUNC_ABORT;
+	request->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static bool wants_stream(const struct cli_request *request)
+{
+	long status = 0;
+
+	if (!request->streams)
+		return false;
+	curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+	return status == HTTP_OK;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *user)
+{
+	struct cli_request *request = user;
+	size_t len = size * n;
+	size_t limit = request->body_limit;
+
+	if (wants_stream(request))
+		limit = STREAM_BUFFER_LIMIT;
+	if (request->received->len + len > limit) {
+		request->too_large = true;
+		return 0;
+	}
+	g_byte_array_append(request->received, (const guint8 *)data,
+			    (guint)len);
+	cli_request_has_data(request);
+	return len;
+}
+
+static bool is_header(const char *line, const char *name, char **value)
+{
+	size_t len = strlen(name);
+
+	if (g_ascii_strncasecmp(line, name, len) || line[len] != ':')
+		return false;
+	*value = g_strstrip(g_strdup(line + len + 1));
+	return true;
+}
+
+static uint64_t parse_etag(const char *value)
+{
+	guint64 number = 0;
+	size_t len = strlen(value);
+	char *digits;
+
+	if (len < 3 || *value != '"' || value[len - 1] != '"')
+		return 0;
+	digits = g_strndup(value + 1, len - 2);
+	if (!g_ascii_string_to_unsigned(digits, 10, 1, UINT64_MAX, &number,
+					NULL))
+		number = 0;
+	g_free(digits);
+	return number;
+}
+
+static clk_ms parse_retry_after(const char *value)
+{
+	guint64 seconds;
+
+	if (!g_ascii_string_to_unsigned(value, 10, 0, 24 * 3600, &seconds,
+					NULL))
+		return 0;
+	return (clk_ms)seconds * CLK_SECOND;
+}
+
+static void read_header(struct cli_request *request, const char *line)
+{
+	char *value = NULL;
+
+	if (is_header(line, "ETag", &value))
+		request->etag = parse_etag(value);
+	else if (is_header(line, "Retry-After", &value))
+		request->retry_after = parse_retry_after(value);
+	else if (is_header(line, "Content-Length", &value))
+		request->framed = true;
+	else if (is_header(line, "Transfer-Encoding", &value))
+		request->framed = true;
+	g_free(value);
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *user)
+{
+	struct cli_request *request = user;
+	char *line = g_strndup(data, size * n);
+
+	/* A status line starts anew, after an interim answer. */
+	if (g_str_has_prefix(line, "HTTP/")) {
+		request->etag = 0;
+		request->retry_after = 0;
+		request->framed = false;
+	}
+	read_header(request, line);
+	cli_request_has_data(request);
+	g_free(line);
+	return size * n;
+}
+
+static void add_header(struct cli_request *request, const char *line)
+{
+	request->headers = curl_slist_append(request->headers, line);
+}
+
+static void setup_headers(struct cli_request *request,
+			  const struct cli_spec *spec)
+{
+	const char *const *line;
+
+	/* Waiting for an interim answer would cost a round trip. */
+	add_header(request, "Expect:");
+	for (line = spec->headers; line && *line; line++)
+		add_header(request, *line);
+	curl_easy_setopt(request->easy, CURLOPT_HTTPHEADER, request->headers);
+}
+
+static void setup_body(struct cli_request *request, const struct cli_spec *spec)
+{
+	gsize len;
+	const char *data;
+
+	if (!spec->body)
+		return;
+	request->body = g_bytes_ref(spec->body);
+	data = g_bytes_get_data(request->body, &len);
+	curl_easy_setopt(request->easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(request->easy, CURLOPT_POSTFIELDS, data ? data : "");
+	curl_easy_setopt(request->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+			 (curl_off_t)len);
+}
+
+static void setup_connection(struct cli_request *request,
+			     const struct cli_spec *spec)
+{
+	CURL *easy = request->easy;
+
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)spec->timeout);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IDLE_LIMIT_SECONDS);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+			 (long)spec->fresh_connection);
+}
+
+static void setup_callbacks(struct cli_request *request)
+{
+	CURL *easy = request->easy;
+
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, request);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, request);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, request);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, request);
+}
+
+bool cli_request_setup(struct cli_request *request, const struct cli_spec *spec)
+{
+	char *url = g_strdup_printf("http://%s%s", spec->address, spec->path);
+	CURLcode code;
+
+	request->body_limit =
+		spec->body_limit ? spec->body_limit : DEFAULT_BODY_LIMIT;
+	request->silence_limit = spec->silence_limit;
+	request->may_resend = spec->may_resend;
+	request->received = g_byte_array_new();
+	setup_connection(request, spec);
+	setup_callbacks(request);
+	setup_headers(request, spec);
+	setup_body(request, spec);
+	if (strcmp(spec->method, "GET") != 0)
+		curl_easy_setopt(request->easy, CURLOPT_CUSTOMREQUEST,
+				 spec->method);
+	code = curl_easy_setopt(request->easy, CURLOPT_URL, url);
+	g_free(url);
+	return code == CURLE_OK;
+}
+
+static enum err_code translate(const struct cli_request *request, CURLcode code)
+{
+	if (request->too_large)
+		return ERR_TOO_LARGE;
+	switch (code) {
+	case CURLE_OPERATION_TIMEDOUT:
+		return request->sent ? ERR_DEADLINE : ERR_TARGET_FAILED;
+	case CURLE_COULDNT_CONNECT:
+		return ERR_TARGET_FAILED;
+	case CURLE_SEND_ERROR:
+	case CURLE_RECV_ERROR:
+	case CURLE_GOT_NOTHING:
+	case CURLE_PARTIAL_FILE:
+	case CURLE_ABORTED_BY_CALLBACK:
+		return ERR_TARGET_LOST;
+	case CURLE_UNSUPPORTED_PROTOCOL:
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_BAD_CONTENT_ENCODING:
+		return ERR_PROTOCOL;
+	default:
+		return ERR_IO;
+	}
+}
+
+/*
+ * An answer whose end is marked only by the end of the connection can't be
+ * told from one that was cut.
+ */
+static bool is_whole(const struct cli_request *request, int status)
+{
+	return request->framed || request->streams ||
+	       status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
+}
+
+void cli_request_result(struct cli_request *request, CURLcode code,
+			struct cli_result *result)
+{
+	long status = 0;
+
+	curl_easy_getinfo(request->easy, CURLINFO_RESPONSE_CODE, &status);
+	memset(result, 0, sizeof(*result));
+	result->sent = request->sent;
+	result->status = (int)status;
+	result->etag = request->etag;
+	result->retry_after = request->retry_after;
+	if (code != CURLE_OK) {
+		result->error = translate(request, code);
+		return;
+	}
+	if (!is_whole(request, result->status)) {
+		result->error = ERR_TARGET_LOST;
+		return;
+	}
+	result->ok = true;
+	result->body =
+		g_bytes_new(request->received->data, request->received->len);
+}
+
+void cli_request_free(struct cli_request *request)
+{
+	if (request->easy)
+		curl_easy_cleanup(request->easy);
+	curl_slist_free_all(request->headers);
+	if (request->received)
+		g_byte_array_unref(request->received);
+	if (request->body)
+		g_bytes_unref(request->body);
+	g_free(request->address);
+}
--- /dev/null
+++ b/src/daemon/cli_request.h
@@ -0,0 +1,46 @@
+#ifndef WAGTAILFERRY_DAEMON_CLI_REQUEST_H
+#define WAGTAILFERRY_DAEMON_CLI_REQUEST_H
+
+/* Private to the HTTP client: one request as a libcurl easy handle. */
+
+#include <curl/curl.h>
+
+#include "daemon/cli.h"
+
+struct cli_request {
+	struct cli_client *client;
+	struct cli_handler *handler;
+	tbl_handle handle;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *address;
+	GBytes *body;
+	GByteArray *received; /* collected, or not yet handed on */
+	size_t body_limit;
+	clk_ms silence_limit;
+	uint64_t last_byte_ms; /* on the loop's clock */
+	uint64_t etag;
+	clk_ms retry_after;
+	bool streams; /* the handler takes data */
+	bool may_resend;
+	bool sent;
+	bool framed; /* the answer's length or end is marked */
+	bool too_large;
+	bool queued; /* is in the client's queue of new data */
+};
+
+/* Fills in the easy handle. False if libcurl refuses an option. */
+bool cli_request_setup(struct cli_request *request,
+		       const struct cli_spec *spec);
+
+/* Translates libcurl's outcome. result->body is owned by the caller. */
+void cli_request_result(struct cli_request *request, CURLcode code,
+			struct cli_result *result);
+
+/* Frees the request, but not its handler. */
+void cli_request_free(struct cli_request *request);
+
+/* The client's part of a received piece: remembers that there is data. */
+void cli_request_has_data(struct cli_request *request);
+
+#endif
--- /dev/null
+++ b/src/daemon/drv.h
@@ -0,0 +1,75 @@
+#ifndef WAGTAILFERRY_DAEMON_DRV_H
+#define WAGTAILFERRY_DAEMON_DRV_H
+
+/*
+ * The driver: one instance on one event loop. Gives the core every event with
+ * the time, executes every action of the core, and wakes it when it asks.
+ */
+
+#include <uv.h>
+
+#include <wagtailferry/core.h>
+#include <wagtailferry/schema.h>
+
+struct drv_core;
+
+/* What the driver needs of a core. */
+struct drv_core_ops {
+	void (*handle)(struct drv_core *core, clk_ms now,
+		       const struct wf_event *event);
+	bool (*next_action)(struct drv_core *core, struct wf_action *out);
+	clk_ms (*next_wakeup)(struct drv_core *core);
+	bool (*is_ready)(struct drv_core *core);
+	void (*write_status)(struct drv_core *core, GString *out);
+};
+
+/* First member of a core, real or fake. */
+struct drv_core {
+	const struct drv_core_ops *ops;
+};
+
+/*
+ * Wall time that never jumps: the wall time of the start plus the time that
+ * passed since, sleep of the machine included.
+ */
+struct drv_clock {
+	clk_ms wall_start;
+	clk_ms boot_start;
+};
+
+void drv_clock_start(struct drv_clock *clock);
+clk_ms drv_clock_now(const struct drv_clock *clock);
+
+struct drv_driver;
+
+struct drv_config {
+	uv_loop_t *loop;
+	const Wf__Settings *settings; /* borrowed until drv_new() returns */
+	struct drv_core *core;	      /* borrowed until drv_drop() */
+	struct drv_clock clock;
+	struct ctr_set *counters; /* kept */
+	struct log_logger *log;	  /* kept */
+	uint64_t incarnation;
+};
+
+/*
+ * Opens all listeners and links and sends WF_EV_START. Errors are those of
+ * srv_new() and peer_new().
+ */
+struct drv_driver *drv_new(const struct drv_config *config, GError **error);
+
+/* Closes everything. The memory is released by the loop, which must run. */
+void drv_drop(struct drv_driver *driver);
+
+/* Sends WF_EV_DRAIN. */
+void drv_drain(struct drv_driver *driver);
+
+/* Whether the core asked to exit. The loop is stopped then. */
+bool drv_is_done(const struct drv_driver *driver);
+
+/* The bound addresses as "IP:port". Borrowed. */
+const char *drv_caller_address(const struct drv_driver *driver);
+const char *drv_operator_address(const struct drv_driver *driver);
+const char *drv_peer_address(const struct drv_driver *driver);
+
+#endif
--- /dev/null
+++ b/src/daemon/peer.h
@@ -0,0 +1,65 @@
+#ifndef WAGTAILFERRY_DAEMON_PEER_H
+#define WAGTAILFERRY_DAEMON_PEER_H
+
+/*
+ * Links to the other router instances: one ROUTER socket that receives and a
+ * DEALER socket for each instance that is sent to, all encrypted and
+ * authenticated with CURVE. A sender is accepted only with a public key of
+ * the settings, and only under the id that the settings give to that key.
+ */
+
+#include <uv.h>
+
+#include <wagtailferry/core.h>
+
+struct peer_key {
+	const char *id;
+	const char *public_key; /* Z85 */
+};
+
+struct peer_sink;
+
+struct peer_sink_ops {
+	/* Takes a message; what it points to is borrowed for the call. */
+	void (*message)(struct peer_sink *sink,
+			const struct wf_peer_event *message);
+};
+
+/* First member of whatever receives the messages. */
+struct peer_sink {
+	const struct peer_sink_ops *ops;
+};
+
+struct peer_config {
+	uv_loop_t *loop;
+	struct peer_sink *sink;	  /* borrowed */
+	struct ctr_set *counters; /* kept */
+	const char *self;
+	uint64_t incarnation;
+	const char *address; /* "IP:port"; port 0 lets the system choose */
+	const char *secret_key;
+	const char *public_key;
+	const struct peer_key *keys;
+	size_t n_keys;
+};
+
+struct peer_links;
+
+/* Binds and starts to receive. ERR_IO if the address can't be bound. */
+struct peer_links *peer_new(const struct peer_config *config, GError **error);
+
+/* Closes all links. The memory is released by the loop, which must run. */
+void peer_drop(struct peer_links *links);
+
+/* The bound address as "IP:port". Borrowed. */
+const char *peer_address(const struct peer_links *links);
+
+/*
+ * Sends a message without waiting; it is counted and dropped if the queue is
+ * full or the instance has no key in the settings. Returns whether it was
+ * queued.
+ */
+bool peer_send(struct peer_links *links, const char *id, const char *address,
+	       unsigned kind, const void *body, size_t len);
+
+#endif
