--- /dev/null
+++ b/tests/fakes/server.h
@@ -0,0 +1,128 @@
+#ifndef WF_FAKES_SERVER_H
+#define WF_FAKES_SERVER_H
+
+/*
+ * HTTP server layer that all fakes share: routes, answers, event streams,
+ * timers and faults that tests set at run time.
+ */
+
+#include <glib.h>
+#include <h2o.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <uv.h>
+
+#include "fault.h"
+
+struct fk_server;
+struct fk_call;
+
+/* Handles one request; the call stays valid while it is kept. */
+typedef void (*fk_handler)(struct fk_call *call);
+
+/* One path. A path that ends in '/' matches all longer ones. */
+struct fk_route {
+	const char *method;
+	const char *path;
+	fk_handler handle;
+};
+
+/* One request and its answer. */
+struct fk_call {
+	struct fk_server *server;
+	void *user;	/* of the server */
+	h2o_req_t *req; /* NULL once the connection is gone */
+	int refs;
+	char *method;
+	char *path;	  /* without the query */
+	const char *rest; /* of the path behind the route's prefix */
+	char *query;	  /* may be NULL */
+	char *body;	  /* NUL-terminated */
+	size_t body_len;
+	struct fk_fault fault; /* kind FK_FAULT_NONE if there is none */
+	const struct fk_route *route;
+	bool answered;
+	/* called once when the client has gone away before the answer's end */
+	void (*on_gone)(struct fk_call *call, void *data);
+	void *data;
+	struct fk_stream *stream;
+};
+
+/* Command line entries that all fakes have are added to the fake's own. */
+struct poptOption;
+
+/*
+ * Parses the command line with the given popt table (ended by POPT_TABLEEND),
+ * listens and prints "listening on IP:PORT". Exits on a bad command line.
+ */
+struct fk_server *fk_server_new(int argc, const char **argv,
+				const struct poptOption *options,
+				const struct fk_route *routes, void *user);
+
+/* Serves until SIGTERM or SIGINT; returns the exit code. */
+int fk_server_run(struct fk_server *server);
+
+uv_loop_t *fk_loop(struct fk_server *server);
+
+/* "IP:port" of the listener. */
+const char *fk_address(struct fk_server *server);
+
+struct fk_call *fk_call_keep(struct fk_call *call);
+void fk_call_drop(struct fk_call *call);
+
+/* The value of a request header or NULL; free with g_free(). */
+char *fk_header(struct fk_call *call, const char *name);
+
+/* A query parameter, decoded, or NULL; free with g_free(). */
+char *fk_param(struct fk_call *call, const char *name);
+
+/* A query parameter as a number, or the default. */
+int64_t fk_param_int(struct fk_call *call, const char *name, int64_t missing);
+
+/* The request body as a JSON object; answers 400 and returns NULL if bad. */
+json_t *fk_json_body(struct fk_call *call);
+
+/* Adds a header to the answer. Must precede fk_reply(). */
+void fk_add_header(struct fk_call *call, const char *name, const char *value);
+
+/* Answers; the body is copied. type may be NULL (octet stream). */
+void fk_reply(struct fk_call *call, int status, const char *type,
+	      const void *body, size_t len);
+
+/* Answers with JSON and takes over the reference. */
+void fk_reply_json(struct fk_call *call, int status, json_t *json);
+
+/* Answers {"error":{"type","message"}}. */
+void fk_reply_error(struct fk_call *call, int status, const char *type,
+		    const char *message);
+
+/* Starts a stream of server-sent events. */
+void fk_stream_start(struct fk_call *call);
+
+/* Sends one event; takes over the reference. */
+void fk_stream_event(struct fk_call *call, const char *event, json_t *data);
+
+/* Ends the stream; the call's last event. */
+void fk_stream_end(struct fk_call *call);
+
+/* Breaks the connection off without an answer. */
+void fk_break(struct fk_call *call);
+
+/* Timers */
+
+typedef void (*fk_timer_cb)(void *data);
+
+struct fk_timer;
+
+/* Calls back once after ms; the timer is gone afterwards. */
+struct fk_timer *fk_after(uv_loop_t *loop, uint64_t ms, fk_timer_cb cb,
+			  void *data);
+void fk_timer_cancel(struct fk_timer *timer);
+
+/* Milliseconds since the Unix epoch. */
+int64_t fk_now_ms(void);
+
+/* Microseconds of the monotonic clock. */
+int64_t fk_now_us(void);
+
+#endif
