--- a/tests/fakes/server.c
+++ b/tests/fakes/server.c
@@ -26,6 +26,11 @@
 	return server->address;
 }
 
+bool fk_fault_is_set(struct fk_server *server, uint64_t id)
+{
+	return fk_faults_has(server->faults, id);
+}
+
 static const struct fk_route *find_route(struct fk_server *server,
 					 const struct fk_call *call,
 					 bool *path_known)
--- a/tests/fakes/server.h
+++ b/tests/fakes/server.h
@@ -108,6 +108,9 @@
 /* Breaks the connection off without an answer. */
 void fk_break(struct fk_call *call);
 
+/* Whether a fault that a call took is still set. */
+bool fk_fault_is_set(struct fk_server *server, uint64_t id);
+
 /* Timers */
 
 typedef void (*fk_timer_cb)(void *data);
