--- a/include/wagtailferry/rules.h
+++ b/include/wagtailferry/rules.h
@@ -183,9 +183,14 @@
 #define RUL_MAX_RECENT 256U
 #define RUL_MAX_NOTE ((size_t)1024)
 
+/*
+ * A chunk that the manifest no longer uses. The put that drops it may take
+ * effect long after its publisher read the clock, so the publisher leaves the
+ * time at 0 and the next one who writes the manifest fills it in.
+ */
 struct rul_dropped {
 	char hash[RUL_HASH_LEN];
-	clk_ms time;
+	clk_ms seen; /* when it was first seen as dropped, 0: not yet */
 };
 
 /* One accepted revision in the manifest's list of recent ones. */
--- a/src/rules/rul_codec.c
+++ b/src/rules/rul_codec.c
@@ -82,7 +82,7 @@
 					 i);
 		wf__rules_dropped__init(out);
 		out->hash = from_hex(arena, dropped->hash);
-		out->time_ms = dropped->time;
+		out->seen_ms = dropped->seen;
 		message->dropped[i] = out;
 	}
 }
@@ -208,7 +208,7 @@
 	for (i = 0; i < message->n_dropped; i++) {
 		struct rul_dropped dropped = {0};
 
-		dropped.time = message->dropped[i]->time_ms;
+		dropped.seen = message->dropped[i]->seen_ms;
 		if (!to_hex(&message->dropped[i]->hash, dropped.hash,
 			    sizeof(dropped.hash)))
 			return "a dropped chunk's hash has the wrong length";
--- a/src/rules/rul_collect.c
+++ b/src/rules/rul_collect.c
@@ -84,23 +84,6 @@
 		    RUL_MANIFEST_NAME, 0, NULL);
 }
 
-/* Forgets chunks dropped long ago; the others must stay. */
-static void prune_dropped(struct rul_manifest *manifest, clk_ms now)
-{
-	guint i = 0;
-
-	while (i < manifest->dropped->len) {
-		clk_ms time =
-			g_array_index(manifest->dropped, struct rul_dropped, i)
-				.time;
-
-		if (time <= now - RUL_CHUNK_RETENTION)
-			g_array_remove_index(manifest->dropped, i);
-		else
-			i++;
-	}
-}
-
 /* Leaves those chunks in the list that no recent manifest uses. */
 static void keep_unused(struct rul_collect *collect,
 			const struct rul_manifest *manifest)
@@ -136,13 +119,13 @@
 	manifest = rul_manifest_decode(reply->value, NULL);
 	if (!manifest)
 		return;
-	prune_dropped(manifest, ctx->now);
+	rul_stamp_dropped(manifest->dropped, MAX(ctx->now, manifest->time));
 	keep_unused(collect, manifest);
 	value = rul_manifest_encode(manifest, NULL);
 	rul_manifest_free(manifest);
 	if (!value)
 		return;
-	if (collect->listed->len)
+	if (!g_bytes_equal(value, reply->value) || collect->listed->len)
 		send_action(ctx, collect, COLLECT_PUT, WF_ACT_STORE_PUT,
 			    RUL_MANIFEST_NAME, reply->version, value);
 	else
--- a/src/rules/rul_diff.c
+++ b/src/rules/rul_diff.c
@@ -47,7 +47,7 @@
 
 	side->text = text;
 	side->n = count_lines(text, len);
-	side->lines = g_new(struct diff_line, side->n);
+	side->lines = g_new0(struct diff_line, side->n);
 	side->match = g_new(uint32_t, side->n);
 	for (i = 0; i < side->n; i++) {
 		struct diff_line *line = &side->lines[i];
--- a/src/rules/rul_manifest.c
+++ b/src/rules/rul_manifest.c
@@ -106,6 +106,24 @@
 	return used;
 }
 
+void rul_stamp_dropped(GArray *dropped, clk_ms now)
+{
+	guint kept = 0;
+	guint i;
+
+	for (i = 0; i < dropped->len; i++) {
+		struct rul_dropped entry;
+
+		entry = g_array_index(dropped, struct rul_dropped, i);
+		if (!entry.seen)
+			entry.seen = now;
+		if (entry.seen > now - RUL_CHUNK_RETENTION)
+			g_array_index(dropped, struct rul_dropped, kept++) =
+				entry;
+	}
+	g_array_set_size(dropped, kept);
+}
+
 static void fill_dropped(struct rul_manifest *manifest,
 			 const struct rul_manifest *base)
 {
@@ -116,12 +134,12 @@
 		struct rul_dropped dropped;
 
 		dropped = g_array_index(base->dropped, struct rul_dropped, i);
-		if (dropped.time > manifest->time - RUL_CHUNK_RETENTION &&
-		    !g_hash_table_contains(used, dropped.hash))
+		if (!g_hash_table_contains(used, dropped.hash))
 			g_array_append_val(manifest->dropped, dropped);
 	}
+	rul_stamp_dropped(manifest->dropped, manifest->time);
 	for (i = 0; i < base->chunks->len; i++) {
-		struct rul_dropped dropped = {.time = manifest->time};
+		struct rul_dropped dropped = {.seen = 0};
 
 		g_strlcpy(dropped.hash,
 			  g_array_index(base->chunks, struct rul_chunk, i).hash,
--- a/src/rules/rul_private.h
+++ b/src/rules/rul_private.h
@@ -210,4 +210,18 @@
 /* An empty manifest whose list of chunks is NULL. */
 struct rul_manifest *rul_manifest_alloc(void);
 
+/*
+ * Stamps the dropped chunks that have no time yet and removes those whose
+ * time is RUL_CHUNK_RETENTION ago.
+ */
+void rul_stamp_dropped(GArray *dropped, clk_ms now);
+
+/* Drops the reference if there is one and sets it to NULL. */
+static inline void rul_clear_bytes(GBytes **bytes)
+{
+	if (*bytes)
+		g_bytes_unref(*bytes);
+	*bytes = NULL;
+}
+
 #endif
--- a/src/rules/rul_publish_audit.c
+++ b/src/rules/rul_publish_audit.c
@@ -116,7 +116,7 @@
 
 static void encode_segment(struct rul_publish *publish)
 {
-	g_clear_pointer(&publish->segment_value, g_bytes_unref);
+	rul_clear_bytes(&publish->segment_value);
 	publish->segment_value = rul_audit_encode(publish->segment);
 }
 
--- a/src/rules/rul_publish_private.h
+++ b/src/rules/rul_publish_private.h
@@ -93,6 +93,18 @@
 void rul_publish_accept(struct wf_ctx *ctx, struct rul_publish *publish,
 			struct rul_manifest *manifest, uint64_t revision);
 
+/* Ends the sequence because the store does not answer. */
+void rul_publish_give_up(struct wf_ctx *ctx, struct rul_publish *publish);
+
+/* Ends the sequence because the store refuses a write. */
+void rul_publish_refuse(struct rul_publish *publish);
+
+extern const struct rul_step_ops rul_step_read;
+extern const struct rul_step_ops rul_step_chunk;
+extern const struct rul_step_ops rul_step_touch_get;
+extern const struct rul_step_ops rul_step_touch_put;
+extern const struct rul_step_ops rul_step_put;
+extern const struct rul_step_ops rul_step_settle;
 extern const struct rul_step_ops rul_step_fetch;
 extern const struct rul_step_ops rul_step_audit_list;
 extern const struct rul_step_ops rul_step_audit_get;
--- a/src/schema/rules.pb-c.c
+++ b/src/schema/rules.pb-c.c
@@ -253,12 +253,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "time_ms",
+    "seen_ms",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wf__RulesDropped, time_ms),
+    offsetof(Wf__RulesDropped, seen_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -267,7 +267,7 @@
 };
 static const unsigned wf__rules_dropped__field_indices_by_name[] = {
   0,   /* field[0] = hash */
-  1,   /* field[1] = time_ms */
+  1,   /* field[1] = seen_ms */
 };
 static const ProtobufCIntRange wf__rules_dropped__number_ranges[1 + 1] =
 {
--- a/src/schema/rules.pb-c.h
+++ b/src/schema/rules.pb-c.h
@@ -54,9 +54,9 @@
   ProtobufCMessage base;
   ProtobufCBinaryData hash;
   /*
-   * when it was dropped
+   * when a later writer first saw it, 0: not yet
    */
-  int64_t time_ms;
+  int64_t seen_ms;
 };
 #define WF__RULES_DROPPED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__rules_dropped__descriptor) \
