--- a/include/wagtailferry/sched.h
+++ b/include/wagtailferry/sched.h
@@ -44,8 +44,32 @@
 /* All model requests of this instance: queues and streams. */
 struct run_runs;
 
+/* When and how requests are bound to engines. */
+enum adm_policy_kind {
+	ADM_LATE,  /* wait at the router until engines have a free place */
+	ADM_EARLY, /* push to the queues of the least loaded engines */
+	ADM_ROUND_ROBIN,
+	ADM_LEAST_OUTSTANDING,
+};
+
+/*
+ * The flags switch single mechanisms off for measurements; all are on by
+ * default.
+ */
 struct run_config {
 	struct tgt_targets *targets; /* borrowed, must outlive the runs */
+	enum adm_policy_kind policy;
+	size_t queue_limit; /* waiting requests of one model */
+	clk_ms max_wait;    /* longest expected wait without a deadline */
+	double retry_part;  /* retries as a part of requests */
+	double retry_burst; /* retries that can be saved up */
+	bool use_deadlines; /* refuse what cannot meet its deadline */
+	bool use_classes;   /* separate queues for short and long */
+	bool use_fair_share;
+	bool use_recovery; /* replace stages; if off, failures are final */
+	bool use_resume;
+	bool use_replacement; /* if off, only whole new chains */
+	bool use_moves;	      /* leave degraded stages before they stop */
 };
 
 /* Fills in the defaults; targets stays NULL. */
@@ -65,4 +89,75 @@
 /* Whether no request is queued or in flight. */
 bool run_is_idle(const struct run_runs *runs);
 
+/* The numbers of requests that wait and that have a stream. */
+size_t run_n_queued(const struct run_runs *runs);
+size_t run_n_streaming(const struct run_runs *runs);
+
+/*
+ * How the harness reports the error types of docs/interfaces.md in a
+ * WF_STREAM_FAILED event: stage_lost as ERR_TARGET_LOST, overloaded as
+ * ERR_OVERLOADED, kv_missing as ERR_TARGET_REFUSED, fenced as ERR_FENCED,
+ * leaving as ERR_DRAINING, a broken or refused connection to the head as
+ * ERR_IO, anything else as ERR_TARGET_FAILED. failed_target is the engine
+ * that the event names, otherwise NULL.
+ */
+
+/* Achievable bound */
+
+/* An engine as a resource: work it can do and layers it can do it on. */
+struct bnd_engine {
+	unsigned first_layer;
+	unsigned last_layer;
+	unsigned site; /* number of its data centre */
+	double rate;   /* tokens a second over its whole range */
+};
+
+/* A directed connection between two sites. */
+struct bnd_link {
+	unsigned from;
+	unsigned to;
+	double rate; /* tokens a second */
+};
+
+/*
+ * An upper bound of the tokens a second that a set of engines can produce:
+ * the smaller of two maximum flows, one of engine work over layers (an engine
+ * may spread its work over its range in any way) and one of tokens over layer
+ * boundaries and links. Sites without links between them exchange nothing;
+ * n_links of 0 means that links do not limit. Returns 0 if layers are not
+ * covered.
+ */
+double bnd_throughput(unsigned n_layers, const struct bnd_engine *engines,
+		      size_t n_engines, const struct bnd_link *links,
+		      size_t n_links);
+
+/* Retry budget */
+
+/*
+ * A token bucket that earns a part of a retry for each request. Retries and
+ * hedged requests take from it, so that a general failure cannot multiply
+ * the load.
+ */
+struct rty_budget {
+	double part;
+	double burst;
+	double tokens;
+};
+
+/* Starts full. part: 0.1 is 10 % of requests; burst: most that is saved. */
+void rty_init(struct rty_budget *budget, double part, double burst);
+
+/* Counts a request. */
+void rty_earn(struct rty_budget *budget);
+
+/* Takes one retry; false if there is none left. */
+bool rty_take(struct rty_budget *budget);
+
+/*
+ * Whether a second copy may be sent: only for repeatable work, only one, only
+ * after the p95 of the answer time, within the budget (which is charged).
+ */
+bool rty_may_hedge(struct rty_budget *budget, bool repeatable, unsigned sent,
+		   clk_ms waited, clk_ms p95);
+
 #endif
--- /dev/null
+++ b/src/sched/adm_history.c
@@ -0,0 +1,98 @@
+#include <math.h>
+#include <string.h>
+
+#include "sched/adm.h"
+
+/* Known pairs of organisation and kind: 65,536 x 24 bytes are 1.5 MB. */
+#define HISTORY_SLOTS 65536
+#define HISTORY_SMOOTHING 0.2
+/* Expected part of max_tokens of a request without history. */
+#define HISTORY_DEFAULT_PART 0.5
+/* A request is long at this multiple of the geometric mean of the work. */
+#define LONG_FACTOR 5.0
+#define LONG_SMOOTHING 0.02
+#define LONG_START 256.0
+
+struct slot {
+	uint64_t key; /* 0: free */
+	float mean;
+	float deviation;
+	unsigned n;
+};
+
+struct adm_history {
+	double log_cost; /* mean of the logarithm of the work, 0: not known */
+	struct slot slots[HISTORY_SLOTS];
+};
+
+struct adm_history *adm_history_new(void)
+{
+	return g_new0(struct adm_history, 1);
+}
+
+void adm_history_drop(struct adm_history *history)
+{
+	g_free(history);
+}
+
+/* The kind of a request is its model and the magnitude of its limit. */
+static uint64_t key_of(const char *org, const char *model, unsigned max_tokens)
+{
+	uint64_t kind = wf_hash(model, strlen(model),
+				(uint64_t)g_bit_storage(max_tokens));
+	uint64_t key = wf_hash(org, strlen(org), kind);
+
+	return key ? key : 1;
+}
+
+double adm_expect(const struct adm_history *history, const char *org,
+		  const char *model, unsigned max_tokens)
+{
+	uint64_t key = key_of(org, model, max_tokens);
+	const struct slot *slot = &history->slots[key % HISTORY_SLOTS];
+	double expected;
+
+	if (slot->key != key)
+		return MAX(max_tokens * HISTORY_DEFAULT_PART, 1);
+	expected = (double)slot->mean + (double)slot->deviation;
+	return CLAMP(expected, 1, max_tokens);
+}
+
+void adm_learn(struct adm_history *history, const char *org, const char *model,
+	       unsigned max_tokens, unsigned length)
+{
+	uint64_t key = key_of(org, model, max_tokens);
+	struct slot *slot = &history->slots[key % HISTORY_SLOTS];
+	double error;
+
+	if (slot->key != key) {
+		slot->key = key;
+		slot->mean = (float)length;
+		slot->deviation = (float)length / 4;
+		slot->n = 1;
+		return;
+	}
+	error = length - (double)slot->mean;
+	slot->mean += (float)(HISTORY_SMOOTHING * error);
+	slot->deviation += (float)(HISTORY_SMOOTHING *
+				   (fabs(error) - (double)slot->deviation));
+	slot->n++;
+}
+
+double adm_long_cost(const struct adm_history *history)
+{
+	if (history->log_cost == 0)
+		return LONG_START;
+	return LONG_FACTOR * exp(history->log_cost);
+}
+
+void adm_learn_cost(struct adm_history *history, double cost)
+{
+	double value = log(MAX(cost, 1));
+
+	if (history->log_cost == 0)
+		history->log_cost = value;
+	else
+		history->log_cost +=
+			LONG_SMOOTHING * (value - history->log_cost);
+}
--- a/src/sched/chn.c
+++ b/src/sched/chn.c
@@ -178,12 +178,45 @@
 	}
 }
 
-static void choose(const struct planner *p, const struct chn_boundary *boundary,
+/* The baselines: in turn, or fewest own requests, with a random start. */
+static void choose_simply(const struct planner *p,
+			  struct chn_boundary *boundary, struct choice *best)
+{
+	guint n = boundary->candidates->len;
+	bool in_turn = p->query->choice == CHN_ROUND_ROBIN;
+	const struct chn_candidate *found = NULL;
+	guint start;
+	guint i;
+
+	if (!n)
+		return;
+	start = in_turn ? boundary->turn++ : g_rand_int(p->ctx->rand);
+	for (i = 0; i < n && !(in_turn && found); i++) {
+		const struct chn_candidate *candidate;
+
+		candidate =
+			&g_array_index(boundary->candidates,
+				       struct chn_candidate, (start + i) % n);
+		if (!is_admissible(p, candidate->target, 0))
+			continue;
+		if (!found || candidate->target->own_requests <
+				      found->target->own_requests)
+			found = candidate;
+	}
+	if (found)
+		consider(p, boundary, found, TGT_NO_DATA_CENTER, best);
+}
+
+static void choose(const struct planner *p, struct chn_boundary *boundary,
 		   unsigned data_center, struct choice *best)
 {
 	unsigned near = data_center;
 
 	memset(best, 0, sizeof(*best));
+	if (p->query->choice != CHN_BEST) {
+		choose_simply(p, boundary, best);
+		return;
+	}
 	if (near == TGT_NO_DATA_CENTER)
 		near = 0; /* the own one */
 	if (near + 1 < boundary->n_starts)
@@ -232,7 +265,7 @@
 	chain->token_us = 0;
 	chain->score = 0;
 	while (at + 1 < boundaries->len) {
-		const struct chn_boundary *boundary;
+		struct chn_boundary *boundary;
 		struct choice best;
 		unsigned next;
 
@@ -260,7 +293,9 @@
 	unsigned found = 0;
 	unsigned tries;
 
-	for (tries = 0; tries < CHN_TRIES && found < CHN_CHAINS; tries++) {
+	unsigned wanted = p->query->choice == CHN_BEST ? CHN_CHAINS : 1;
+
+	for (tries = 0; tries < CHN_TRIES && found < wanted; tries++) {
 		if (!walk(p, found ? &other : chain))
 			continue;
 		if (found && other.score < chain->score)
--- a/src/sched/chn.h
+++ b/src/sched/chn.h
@@ -5,12 +5,19 @@
 
 #define CHN_MAX_STAGES 32
 
+enum chn_choice {
+	CHN_BEST, /* the better of two random choices */
+	CHN_ROUND_ROBIN,
+	CHN_LEAST, /* fewest own requests */
+};
+
 /* What a chain is wanted for. */
 struct chn_query {
 	const char *model;
 	char **data_centers; /* allowed ones, NULL: all */
 	const tbl_handle *avoid;
 	size_t n_avoid;
+	enum chn_choice choice;
 	bool need_room; /* only targets with a free place */
 	bool is_long;
 	const uint64_t *prefix_hashes;
@@ -71,4 +78,16 @@
 /* Mean time of a token of the model's chains, microseconds. */
 double chn_token_us(struct tgt_targets *targets, const char *model);
 
+/* Mean of observed over expected token times of a model, at least 1. */
+double chn_inflation(struct tgt_targets *targets, const char *model);
+
+/* Notes the observed time of a token over the expected one. */
+void chn_observe(struct tgt_targets *targets, const char *model, double ratio);
+
+/*
+ * Tokens a second that all engines of a model together could run if layers
+ * were spread evenly; an estimate for times without measurements.
+ */
+double chn_nominal_rate(struct tgt_targets *targets, const char *model);
+
 #endif
--- a/src/sched/chn_model.c
+++ b/src/sched/chn_model.c
@@ -29,6 +29,7 @@
 	model->targets = g_ptr_array_new();
 	model->boundaries = new_boundaries();
 	model->stale = true;
+	model->inflation = 1;
 	return model;
 }
 
@@ -78,7 +79,7 @@
 	model->n_layers = 0;
 	while ((target = tbl_next(targets->table, &cursor, NULL))) {
 		if (target->role != WF_ROLE_ENGINE || !target->listed ||
-		    target->leaving || strcmp(target->serves, model->name) != 0)
+		    strcmp(target->serves, model->name) != 0)
 			continue;
 		g_ptr_array_add(model->targets, target);
 		model->n_layers = MAX(model->n_layers, target->n_layers);
@@ -87,6 +88,21 @@
 	model->n_targets = model->targets->len;
 }
 
+static void sum_rates(struct chn_model *model)
+{
+	double layers = 0;
+	guint i;
+
+	for (i = 0; i < model->targets->len; i++) {
+		const struct tgt_target *target = model->targets->pdata[i];
+		unsigned held = target->last_layer - target->first_layer + 1;
+
+		if (!target->leaving)
+			layers += 1e6 * target->slots * held / target->step_us;
+	}
+	model->nominal_rate = layers / MAX(model->n_layers, 1);
+}
+
 /* Marks layer 0 and the end of each range as boundaries. */
 static void collect_boundaries(struct chn_model *model)
 {
@@ -174,6 +190,7 @@
 	model->stale = false;
 	g_array_set_size(model->boundaries, 0);
 	collect_targets(targets, model);
+	sum_rates(model);
 	if (!model->n_layers)
 		return;
 	collect_boundaries(model);
@@ -226,3 +243,32 @@
 
 	return model ? model->token_us : 0;
 }
+
+/* Over how many tokens the model's mean is taken. */
+#define CHN_INFLATION_SMOOTHING 0.005
+
+double chn_inflation(struct tgt_targets *targets, const char *name)
+{
+	struct chn_model *model = chn_get_model(targets, name);
+
+	return model ? model->inflation : 1;
+}
+
+void chn_observe(struct tgt_targets *targets, const char *name, double ratio)
+{
+	struct chn_model *model = chn_get_model(targets, name);
+
+	if (!model)
+		return;
+	ratio = CLAMP(ratio, 0.5, 50);
+	model->inflation +=
+		CHN_INFLATION_SMOOTHING * (ratio - model->inflation);
+	model->inflation = MAX(model->inflation, 1);
+}
+
+double chn_nominal_rate(struct tgt_targets *targets, const char *name)
+{
+	struct chn_model *model = chn_get_model(targets, name);
+
+	return model ? model->nominal_rate : 0;
+}
--- a/src/sched/chn_model.h
+++ b/src/sched/chn_model.h
@@ -16,16 +16,19 @@
 	GArray *candidates; /* of struct chn_candidate, by data centre */
 	guint *starts;	    /* where each data centre begins */
 	unsigned n_starts;
+	guint turn; /* for round-robin */
 };
 
 struct chn_model {
 	char *name;
 	bool stale;
 	unsigned n_layers;
-	GPtrArray *targets; /* all listed that do not leave, borrowed */
+	GPtrArray *targets; /* all listed ones, borrowed */
 	GArray *boundaries; /* of struct chn_boundary, by layer */
 	unsigned n_targets;
 	double own_load; /* steps at once over all targets */
+	double inflation;
+	double nominal_rate;
 	double token_us; /* mean of the chains in use */
 };
 
--- a/src/sched/run.c
+++ b/src/sched/run.c
@@ -6,6 +6,18 @@
 void run_config_init(struct run_config *config)
 {
 	memset(config, 0, sizeof(*config));
+	config->policy = ADM_LATE;
+	config->queue_limit = 2000;
+	config->max_wait = 10 * CLK_SECOND;
+	config->retry_part = 0.1;
+	config->retry_burst = 20;
+	config->use_deadlines = true;
+	config->use_classes = true;
+	config->use_fair_share = true;
+	config->use_recovery = true;
+	config->use_resume = true;
+	config->use_replacement = true;
+	config->use_moves = true;
 }
 
 static void clear_early(gpointer data)
@@ -98,6 +110,10 @@
 
 	(void)ctx;
 	run_release(runs, request);
+	if (request->item.share) {
+		adm_remove(run_queue(runs, request->model), &request->item);
+		runs->n_queued--;
+	}
 	for (i = 0; i < request->ops->len; i++)
 		g_hash_table_remove(runs->ops,
 				    &g_array_index(request->ops, uint64_t, i));
@@ -106,17 +122,17 @@
 
 static enum err_run run_of(const struct run_request *request)
 {
-	if (request->accepted || request->next_position)
+	if (request->ran)
 		return ERR_RUN_YES;
 	return request->touched ? ERR_RUN_UNKNOWN : ERR_RUN_NOT;
 }
 
 void run_fail(struct wf_ctx *ctx, struct run_runs *runs,
 	      struct run_request *request, enum err_code code,
-	      const char *message)
+	      clk_ms retry_after, const char *message)
 {
-	wf_reply_error(ctx, request->call_id, code, run_of(request), 0, "%s",
-		       message);
+	wf_reply_error(ctx, request->call_id, code, run_of(request),
+		       retry_after, "%s", message);
 	ctr_add(ctx->counters, "wf_runs_failed_total", 1);
 	run_cancel_stream(ctx, request);
 	run_finish(ctx, runs, request);
@@ -136,7 +152,8 @@
 	}
 	request = request_new(ctx, call);
 	g_hash_table_insert(runs->requests, &request->call_id, request);
-	run_start(ctx, runs, request);
+	rty_earn(&runs->retries);
+	run_admit(ctx, runs, request);
 }
 
 static void handle_gone(struct wf_ctx *ctx, struct run_runs *runs,
@@ -166,24 +183,33 @@
 	case WF_EV_STREAM:
 		run_handle_stream(ctx, runs, event->stream);
 		break;
+	case WF_EV_TICK:
+		run_check_due(ctx, runs);
+		break;
 	default:
 		break;
 	}
+	if (runs->n_queued && runs->seen_revision != runs->targets->revision)
+		run_pull_all(ctx, runs);
 }
 
 static clk_ms next_wakeup(struct wf_ctx *ctx, struct wf_module *module)
 {
-	(void)ctx;
-	(void)module;
-	return CLK_NEVER;
+	struct run_runs *runs = (struct run_runs *)module;
+
+	if (runs->n_queued && runs->seen_revision != runs->targets->revision)
+		return ctx->now;
+	return runs->next_due;
 }
 
 static void drop(struct wf_module *module)
 {
 	struct run_runs *runs = (struct run_runs *)module;
 
+	g_hash_table_unref(runs->queues);
 	g_hash_table_unref(runs->ops);
 	g_hash_table_unref(runs->requests);
+	adm_history_drop(runs->history);
 	g_free(runs);
 }
 
@@ -207,6 +233,11 @@
 					       NULL, request_free);
 	runs->ops = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  NULL);
+	runs->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     adm_queue_drop);
+	runs->policy = adm_policy_of(config->policy);
+	runs->history = adm_history_new();
+	rty_init(&runs->retries, config->retry_part, config->retry_burst);
 	runs->next_due = CLK_NEVER;
 	return runs;
 }
@@ -220,3 +251,13 @@
 {
 	return g_hash_table_size(runs->requests) == 0;
 }
+
+size_t run_n_queued(const struct run_runs *runs)
+{
+	return runs->n_queued;
+}
+
+size_t run_n_streaming(const struct run_runs *runs)
+{
+	return g_hash_table_size(runs->requests) - runs->n_queued;
+}
--- a/src/sched/run.h
+++ b/src/sched/run.h
@@ -1,7 +1,7 @@
 #ifndef SCHED_RUN_H
 #define SCHED_RUN_H
 
-#include "sched/chn.h"
+#include "sched/adm.h"
 
 #define RUN_MAX_AVOID 8
 
@@ -26,6 +26,7 @@
 };
 
 struct run_request {
+	struct adm_item item;
 	uint64_t call_id;
 	char *org;
 	char *model;
@@ -47,9 +48,23 @@
 	GArray *ops;	/* all operation numbers of the request */
 	uint64_t op;	/* of the present stream, 0: none */
 	unsigned lineage;
-	bool accepted;
-	bool touched; /* a target may have run steps of it */
+	bool accepted; /* the present stream */
+	bool touched;  /* a target may have run steps of it */
+	bool ran;      /* a target has accepted it */
+	bool first;    /* no token of the present stream yet */
 	double token_us;
+	double observed_us; /* between tokens, 0: not known */
+	clk_ms opened;
+	clk_ms last_token;
+	double slowness; /* recent token times over the expected one */
+	unsigned moves;
+	/* recovery, since the last token */
+	unsigned attempts;
+	bool resumed;
+	tbl_handle avoid[RUN_MAX_AVOID];
+	size_t n_avoid;
+	clk_ms retry_at;
+	clk_ms lost_at; /* 0: not recovering */
 	unsigned next_position;
 	GString *delivered;
 	GArray *early; /* of struct run_early_token */
@@ -64,16 +79,45 @@
 	struct tgt_targets *targets;
 	GHashTable *requests; /* call id to struct run_request, owned */
 	GHashTable *ops;      /* operation to struct run_request, borrowed */
+	GHashTable *queues;   /* model to struct adm_queue, owned */
+	const struct adm_policy *policy;
+	struct adm_history *history;
+	struct rty_budget retries;
+	double prefill_us;	/* observed time of a prompt token */
+	uint64_t seen_revision; /* of the target table, at the last pull */
+	size_t n_queued;
 	clk_ms next_due;
 };
 
-/* Plans a chain and opens the first stream of a request. */
-void run_start(struct wf_ctx *ctx, struct run_runs *runs,
+/* The queue of a model; made on first use. */
+struct adm_queue *run_queue(struct run_runs *runs, const char *model);
+
+/* Admits a new request to its queue or refuses it. */
+void run_admit(struct wf_ctx *ctx, struct run_runs *runs,
 	       struct run_request *request);
 
+/* Starts waiting requests while there is room for them. */
+void run_pull(struct wf_ctx *ctx, struct run_runs *runs, const char *model);
+void run_pull_all(struct wf_ctx *ctx, struct run_runs *runs);
+
+/* Puts a request that did not start back to the head of its queue. */
+void run_put_back(struct wf_ctx *ctx, struct run_runs *runs,
+		  struct run_request *request);
+
+/* Fills in a query for chains of the request. */
+void run_query(const struct run_request *request, struct chn_query *query);
+
 /* Takes over a planned chain; all stages start with the prompt. */
-void run_set_chain(struct run_runs *runs, struct run_request *request,
-		   const struct chn_chain *chain);
+void run_set_chain(struct wf_ctx *ctx, struct run_runs *runs,
+		   struct run_request *request, const struct chn_chain *chain);
+
+/*
+ * Replaces one stage of the chain. The others hold their KV state if tokens
+ * have been delivered, otherwise all start with the prompt.
+ */
+void run_replace_stage(struct wf_ctx *ctx, struct run_runs *runs,
+		       struct run_request *request, guint index,
+		       const struct chn_chain *part, enum wf_kv kv);
 
 /* Opens a stream for the present chain and lineage. */
 void run_open(struct wf_ctx *ctx, struct run_runs *runs,
@@ -93,18 +137,43 @@
 /* Reports an error to the caller and ends the request. */
 void run_fail(struct wf_ctx *ctx, struct run_runs *runs,
 	      struct run_request *request, enum err_code code,
-	      const char *message);
+	      clk_ms retry_after, const char *message);
 
-/* Reacts to the failure of the present stream. */
+/*
+ * Reacts to the failure of the present stream in the order of section 4 of
+ * the design page. ERR_IO without a target means silence or a broken
+ * connection to the head.
+ */
 void run_recover(struct wf_ctx *ctx, struct run_runs *runs,
 		 struct run_request *request, enum err_code error,
 		 const char *failed_target);
 
+/* Tries again to find a chain for a request that waits for one. */
+void run_retry(struct wf_ctx *ctx, struct run_runs *runs,
+	       struct run_request *request);
+
+/* Leaves a stage that has become slow, if another holder is better. */
+void run_consider_move(struct wf_ctx *ctx, struct run_runs *runs,
+		       struct run_request *request);
+
 /* Removes the request's load from the target table. */
 void run_release(struct run_runs *runs, struct run_request *request);
 
+/* Sets when the request needs attention next, from its state. */
+void run_set_due(struct run_runs *runs, struct run_request *request);
+
+/* Handles all requests whose gap bound, retry or deadline has come. */
+void run_check_due(struct wf_ctx *ctx, struct run_runs *runs);
+
 /* Whether a token's receipts cover all layers once and in order. */
 bool run_receipts_are_whole(const struct wf_stream_event *event,
 			    unsigned n_layers);
 
+/*
+ * The engine at fault if receipts do not cover the layers, as an id of the
+ * chain; NULL if it cannot be told. Borrowed.
+ */
+const char *run_find_bad_receipt(const struct run_request *request,
+				 const struct wf_stream_event *event);
+
 #endif
--- a/src/sched/run_stream.c
+++ b/src/sched/run_stream.c
@@ -1,13 +1,55 @@
 #include <string.h>
 
 #include "sched/run.h"
+#include "sched/tgt_breaker.h"
+#include "sched/tgt_cache.h"
 #include "sched/tgt_load.h"
 
 /* Tokens kept while one before them is missing. */
 #define RUN_MAX_EARLY 64
+#define RUN_TOKEN_SMOOTHING 0.3
+#define RUN_PREFILL_SMOOTHING 0.1
 
-void run_set_chain(struct run_runs *runs, struct run_request *request,
-		   const struct chn_chain *chain)
+static void make_stage(const struct run_runs *runs,
+		       const struct chn_stage *planned, enum wf_kv kv,
+		       const char *source, struct wf_stage *wire,
+		       struct run_stage *stage)
+{
+	const struct tgt_target *target;
+
+	target = tgt_get(runs->targets, planned->target);
+	memset(wire, 0, sizeof(*wire));
+	wire->target = g_strdup(target->id);
+	wire->address = g_strdup(target->address);
+	wire->first_layer = planned->first_layer;
+	wire->last_layer = planned->last_layer;
+	wire->kv = kv;
+	wire->kv_source = kv == WF_KV_IMPORT ? g_strdup(source) : NULL;
+	stage->target = planned->target;
+	stage->load = planned->load;
+	stage->us = planned->us;
+}
+
+static void charge(struct wf_ctx *ctx, struct run_runs *runs,
+		   struct run_request *request)
+{
+	guint i;
+
+	request->charged = true;
+	for (i = 0; i < request->stages->len; i++) {
+		const struct run_stage *stage;
+		struct tgt_target *target;
+
+		stage = &g_array_index(request->stages, struct run_stage, i);
+		target = tgt_get(runs->targets, stage->target);
+		if (target)
+			tgt_charge(ctx, runs->targets, target, stage->load,
+				   request->is_long);
+	}
+}
+
+void run_set_chain(struct wf_ctx *ctx, struct run_runs *runs,
+		   struct run_request *request, const struct chn_chain *chain)
 {
 	size_t i;
 
@@ -16,23 +58,57 @@
 	g_array_set_size(request->stages, 0);
 	request->token_us = chain->token_us;
 	for (i = 0; i < chain->n; i++) {
-		const struct chn_stage *planned = &chain->stages[i];
-		struct tgt_target *target;
-		struct run_stage stage = {.target = planned->target,
-					  .load = planned->load,
-					  .us = planned->us};
-		struct wf_stage wire = {.first_layer = planned->first_layer,
-					.last_layer = planned->last_layer,
-					.kv = WF_KV_FRESH};
-
-		target = tgt_get(runs->targets, planned->target);
-		wire.target = g_strdup(target->id);
-		wire.address = g_strdup(target->address);
+		struct wf_stage wire;
+		struct run_stage stage;
+
+		make_stage(runs, &chain->stages[i], WF_KV_FRESH, NULL, &wire,
+			   &stage);
 		g_array_append_val(request->chain, wire);
 		g_array_append_val(request->stages, stage);
-		tgt_charge(runs->targets, target, stage.load, request->is_long);
 	}
-	request->charged = true;
+	charge(ctx, runs, request);
+}
+
+static void set_survivors(struct run_request *request, enum wf_kv kv)
+{
+	guint i;
+
+	for (i = 0; i < request->chain->len; i++) {
+		struct wf_stage *stage;
+
+		stage = &g_array_index(request->chain, struct wf_stage, i);
+		stage->kv = kv;
+		g_clear_pointer(&stage->kv_source, g_free);
+	}
+}
+
+void run_replace_stage(struct wf_ctx *ctx, struct run_runs *runs,
+		       struct run_request *request, guint index,
+		       const struct chn_chain *part, enum wf_kv kv)
+{
+	bool held = request->next_position > 0;
+	char *source = g_strdup(
+		g_array_index(request->chain, struct wf_stage, index).target);
+	size_t i;
+
+	run_release(runs, request);
+	request->token_us -=
+		g_array_index(request->stages, struct run_stage, index).us;
+	g_array_remove_index(request->chain, index);
+	g_array_remove_index(request->stages, index);
+	set_survivors(request, held ? WF_KV_HELD : WF_KV_FRESH);
+	for (i = 0; i < part->n; i++) {
+		struct wf_stage wire;
+		struct run_stage stage;
+
+		make_stage(runs, &part->stages[i], held ? kv : WF_KV_FRESH,
+			   source, &wire, &stage);
+		request->token_us += stage.us;
+		g_array_insert_val(request->chain, index + i, wire);
+		g_array_insert_val(request->stages, index + i, stage);
+	}
+	g_free(source);
+	charge(ctx, runs, request);
 }
 
 static void add_op(struct run_runs *runs, struct run_request *request,
@@ -56,7 +132,11 @@
 	request->accepted = false;
 	request->state = RUN_STREAMING;
 	request->touched = true;
+	request->first = true;
+	g_clear_pointer(&request->end_reason, g_free);
+	request->opened = ctx->now;
 	request->last_event = ctx->now;
+	request->slowness = 1;
 	add_op(runs, request, request->op);
 	action.op = request->op;
 	action.call_id = request->call_id;
@@ -68,9 +148,10 @@
 	action.lineage = request->lineage;
 	action.start_position = request->next_position;
 	action.max_tokens = request->max_tokens;
-	action.priority = request->policy.priority;
+	action.priority = 2 * request->policy.priority + request->is_long;
 	action.delivered = g_strdup(request->delivered->str);
 	wf_emit(ctx, &action);
+	run_set_due(runs, request);
 }
 
 void run_cancel_stream(struct wf_ctx *ctx, struct run_request *request)
@@ -90,26 +171,6 @@
 	wf_emit(ctx, &action);
 }
 
-void run_start(struct wf_ctx *ctx, struct run_runs *runs,
-	       struct run_request *request)
-{
-	struct chn_query query = {.model = request->model};
-	struct chn_chain chain;
-
-	query.data_centers = request->policy.data_centers;
-	query.prefix_hashes = request->prefix_hashes;
-	query.n_prefix_hashes = request->n_prefix_hashes;
-	if (chn_plan(ctx, runs->targets, &query, &chain) != CHN_FOUND) {
-		run_fail(ctx, runs, request, ERR_NO_TARGET,
-			 "no usable engines cover the model");
-		return;
-	}
-	request->n_layers = chn_n_layers(runs->targets, request->model);
-	request->lineage++;
-	run_set_chain(runs, request, &chain);
-	run_open(ctx, runs, request);
-}
-
 bool run_receipts_are_whole(const struct wf_stream_event *event,
 			    unsigned n_layers)
 {
@@ -128,6 +189,24 @@
 	return next == n_layers;
 }
 
+const char *run_find_bad_receipt(const struct run_request *request,
+				 const struct wf_stream_event *event)
+{
+	guint i;
+
+	for (i = 0; i < request->chain->len; i++) {
+		const struct wf_stage *stage;
+		const struct wf_receipt *receipt = &event->receipts[i];
+
+		stage = &g_array_index(request->chain, struct wf_stage, i);
+		if (i >= event->n_receipts ||
+		    receipt->first_layer != stage->first_layer ||
+		    receipt->last_layer != stage->last_layer)
+			return stage->target;
+	}
+	return NULL;
+}
+
 static void deliver(struct wf_ctx *ctx, struct run_request *request,
 		    const char *text, size_t len)
 {
@@ -184,9 +263,130 @@
 	action.text = g_strdup(request->end_reason);
 	wf_emit(ctx, &action);
 	ctr_add(ctx->counters, "wf_runs_completed_total", 1);
+	adm_learn(runs->history, request->org, request->model,
+		  request->max_tokens, request->next_position);
 	run_finish(ctx, runs, request);
 }
 
+/* Learns from the time of a token after the first one of a stream. */
+static void observe_token(struct wf_ctx *ctx, struct run_runs *runs,
+			  struct run_request *request)
+{
+	double us = 1000.0 * (double)(ctx->now - request->last_token);
+	double ratio = us / MAX(request->token_us, 1);
+	guint i;
+
+	if (request->observed_us <= 0)
+		request->observed_us = us;
+	request->observed_us +=
+		RUN_TOKEN_SMOOTHING * (us - request->observed_us);
+	request->slowness += RUN_TOKEN_SMOOTHING * (ratio - request->slowness);
+	chn_observe(runs->targets, request->model, ratio);
+	for (i = 0; i < request->stages->len; i++) {
+		const struct run_stage *stage;
+		struct tgt_target *target;
+
+		stage = &g_array_index(request->stages, struct run_stage, i);
+		target = tgt_get(runs->targets, stage->target);
+		if (!target)
+			continue;
+		tgt_observe(runs->targets, target, ratio);
+		tgt_succeeded(ctx, runs->targets, target);
+	}
+}
+
+/* The stages hold the prompt's prefix from now on. */
+static void learn_prefix(struct run_runs *runs,
+			 const struct run_request *request)
+{
+	guint i;
+
+	for (i = 0; i < request->stages->len; i++) {
+		const struct run_stage *stage;
+
+		stage = &g_array_index(request->stages, struct run_stage, i);
+		tgt_cache_learn(runs->targets, stage->target,
+				request->prefix_hashes,
+				request->n_prefix_hashes);
+	}
+}
+
+/* Learns the time of a prompt token from the first token of a request. */
+static void observe_first(struct wf_ctx *ctx, struct run_runs *runs,
+			  struct run_request *request)
+{
+	double us = 1000.0 * (double)(ctx->now - request->opened);
+
+	us = MAX(us - request->token_us, 0) / MAX(request->prompt_tokens, 1);
+	if (runs->prefill_us <= 0)
+		runs->prefill_us = us;
+	else
+		runs->prefill_us +=
+			RUN_PREFILL_SMOOTHING * (us - runs->prefill_us);
+	learn_prefix(runs, request);
+}
+
+/* A request that runs longer than expected counts as long from then on. */
+static void reclassify(struct wf_ctx *ctx, struct run_runs *runs,
+		       struct run_request *request)
+{
+	if (request->is_long || !runs->config.use_classes ||
+	    request->next_position <= adm_long_cost(runs->history))
+		return;
+	run_release(runs, request);
+	request->is_long = true;
+	charge(ctx, runs, request);
+	ctr_add(ctx->counters, "wf_runs_reclassified_total", 1);
+}
+
+static void note_progress(struct wf_ctx *ctx, struct run_runs *runs,
+			  struct run_request *request)
+{
+	if (!request->first)
+		observe_token(ctx, runs, request);
+	else if (!request->next_position)
+		observe_first(ctx, runs, request);
+	request->first = false;
+	request->accepted = true;
+	request->ran = true;
+	request->resumed = false;
+	request->attempts = 0;
+	request->lost_at = 0;
+	request->last_event = ctx->now;
+	request->last_token = ctx->now;
+	adm_note_work(run_queue(runs, request->model), ctx->now, 1);
+	reclassify(ctx, runs, request);
+}
+
+static bool check_receipts(struct wf_ctx *ctx, struct run_runs *runs,
+			   struct run_request *request,
+			   const struct wf_stream_event *event)
+{
+#ifndef WF_GUARD_OFF_RECEIPT_CHECK
+	if (!run_receipts_are_whole(event, request->n_layers)) {
+		ctr_add(ctx->counters, "wf_receipt_violations_total", 1);
+		run_recover(ctx, runs, request, ERR_PROTOCOL,
+			    run_find_bad_receipt(request, event));
+		return false;
+	}
+#else
+	(void)ctx;
+	(void)runs;
+	(void)request;
+	(void)event;
+#endif
+	return true;
+}
+
+/* An end by length before the last token means that tokens were lost. */
+static bool is_complete(const struct run_request *request)
+{
+	if (!request->end_reason || request->early->len)
+		return false;
+	return strcmp(request->end_reason, "length") != 0 ||
+	       request->next_position >= request->max_tokens;
+}
+
 static void handle_token(struct wf_ctx *ctx, struct run_runs *runs,
 			 struct run_request *request,
 			 const struct wf_stream_event *event)
@@ -195,23 +395,21 @@
 		ctr_add(ctx->counters, "wf_tokens_repeated_total", 1);
 		return;
 	}
-#ifndef WF_GUARD_OFF_RECEIPT_CHECK
-	if (!run_receipts_are_whole(event, request->n_layers)) {
-		ctr_add(ctx->counters, "wf_receipt_violations_total", 1);
-		run_recover(ctx, runs, request, ERR_PROTOCOL, NULL);
+	if (!check_receipts(ctx, runs, request, event))
 		return;
-	}
-#endif
 	if (event->position > request->next_position) {
 		keep_early(request, event);
 		return;
 	}
-	request->accepted = true;
-	request->last_event = ctx->now;
+	note_progress(ctx, runs, request);
 	deliver(ctx, request, event->text, event->text_len);
 	deliver_early(ctx, request);
-	if (request->end_reason && !request->early->len)
+	if (is_complete(request)) {
 		finish_stream(ctx, runs, request);
+		return;
+	}
+	run_consider_move(ctx, runs, request);
+	run_set_due(runs, request);
 }
 
 static void handle_end(struct wf_ctx *ctx, struct run_runs *runs,
@@ -220,7 +418,7 @@
 {
 	g_free(request->end_reason);
 	request->end_reason = g_strdup(event->reason ? event->reason : "stop");
-	if (!request->early->len)
+	if (is_complete(request))
 		finish_stream(ctx, runs, request);
 }
 
@@ -233,7 +431,8 @@
 	if (!request)
 		return;
 #ifndef WF_GUARD_OFF_STALE_LINEAGE
-	if (event->lineage != request->lineage) {
+	if (event->lineage != request->lineage &&
+	    event->what != WF_STREAM_FAILED) {
 		ctr_add(ctx->counters, "wf_stale_lineage_total", 1);
 		return;
 	}
@@ -241,7 +440,9 @@
 	switch (event->what) {
 	case WF_STREAM_ACCEPTED:
 		request->accepted = true;
+		request->ran = true;
 		request->last_event = ctx->now;
+		run_set_due(runs, request);
 		break;
 	case WF_STREAM_TOKEN:
 		handle_token(ctx, runs, request, event);
--- /dev/null
+++ b/src/sched/run_timer.c
@@ -0,0 +1,145 @@
+#include "sched/run.h"
+
+/*
+ * Section 4 of the design page: recovery starts after 8 times the expected
+ * time of a token without an event.
+ */
+#define GAP_TOKENS 8
+#define GAP_MIN 200.0
+#define GAP_MAX 2000.0
+/* Within this multiple of its expected time the prompt must be computed. */
+#define GAP_PREFILL_FACTOR 4.0
+#define GAP_PROMPT_PER_TOKEN 16.0
+/*
+ * After more attempts than this the bound doubles each time, because an
+ * engine that is only slow would otherwise be left again and again.
+ */
+#define GAP_PLAIN_ATTEMPTS 2
+/* A resumed stream answers from stored results, so it gets less time. */
+#define GAP_RESUMED_PART 0.5
+/* Waiting requests without a deadline are dropped at this many max_wait. */
+#define QUEUED_WAITS 3
+
+static double prefill_ms(const struct run_runs *runs,
+			 const struct run_request *request)
+{
+	double us = runs->prefill_us;
+
+	if (us <= 0)
+		us = request->token_us / GAP_PROMPT_PER_TOKEN;
+	return us * (request->prompt_tokens + request->next_position) / 1000;
+}
+
+static clk_ms gap_bound(const struct run_runs *runs,
+			const struct run_request *request)
+{
+	double token = MAX(request->token_us, request->observed_us) / 1000;
+	double bound = CLAMP(GAP_TOKENS * token, GAP_MIN, GAP_MAX);
+
+	if (request->resumed)
+		bound = MAX(bound * GAP_RESUMED_PART, GAP_MIN);
+	else if (request->first && request->accepted)
+		bound += GAP_PREFILL_FACTOR * prefill_ms(runs, request);
+	if (request->attempts > GAP_PLAIN_ATTEMPTS)
+		bound = MIN(
+			bound * (1 << (request->attempts - GAP_PLAIN_ATTEMPTS)),
+			MAX(bound, GAP_MAX));
+	return (clk_ms)bound;
+}
+
+void run_set_due(struct run_runs *runs, struct run_request *request)
+{
+	clk_ms due = request->deadline;
+
+	switch (request->state) {
+	case RUN_QUEUED:
+		due = clk_min(due,
+			      request->arrival +
+				      QUEUED_WAITS * runs->config.max_wait);
+		break;
+	case RUN_STREAMING:
+		due = clk_min(due,
+			      request->last_event + gap_bound(runs, request));
+		break;
+	case RUN_WAITING:
+		due = clk_min(due, request->retry_at);
+		break;
+	}
+	request->due = due;
+	runs->next_due = clk_min(runs->next_due, due);
+}
+
+static void handle_due(struct wf_ctx *ctx, struct run_runs *runs,
+		       struct run_request *request)
+{
+	if (ctx->now >= request->deadline) {
+		ctr_add(ctx->counters, "wf_runs_late_total", 1);
+		run_fail(ctx, runs, request, ERR_DEADLINE, 0,
+			 "the deadline has passed");
+		return;
+	}
+	switch (request->state) {
+	case RUN_QUEUED:
+		run_fail(ctx, runs, request, ERR_OVERLOADED, CLK_SECOND,
+			 "no engine became free in time");
+		break;
+	case RUN_STREAMING:
+		ctr_add(ctx->counters, "wf_stream_gaps_total", 1);
+		run_recover(ctx, runs, request, ERR_IO, NULL);
+		break;
+	case RUN_WAITING:
+		run_retry(ctx, runs, request);
+		break;
+	}
+}
+
+static GArray *collect_due(const struct wf_ctx *ctx,
+			   const struct run_runs *runs)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, runs->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run_request *request = value;
+
+		if (request->due <= ctx->now)
+			g_array_append_val(ids, request->call_id);
+	}
+	return ids;
+}
+
+static void find_next_due(struct run_runs *runs)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	runs->next_due = CLK_NEVER;
+	g_hash_table_iter_init(&iter, runs->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct run_request *request = value;
+
+		runs->next_due = clk_min(runs->next_due, request->due);
+	}
+}
+
+void run_check_due(struct wf_ctx *ctx, struct run_runs *runs)
+{
+	GArray *ids;
+	guint i;
+
+	if (ctx->now < runs->next_due)
+		return;
+	ids = collect_due(ctx, runs);
+	for (i = 0; i < ids->len; i++) {
+		struct run_request *request;
+
+		request = g_hash_table_lookup(runs->requests,
+					      &g_array_index(ids, uint64_t, i));
+		if (request && request->due <= ctx->now)
+			handle_due(ctx, runs, request);
+	}
+	g_array_unref(ids);
+	find_next_due(runs);
+}
--- a/src/sched/tgt.c
+++ b/src/sched/tgt.c
@@ -2,7 +2,9 @@
 
 #include "sched/chn.h"
 #include "sched/tgt.h"
+#include "sched/tgt_breaker.h"
 #include "sched/tgt_cache.h"
+#include "sched/tgt_digest.h"
 
 /* An unlisted target is remembered so that a late list cannot revive it. */
 #define TGT_MEMORY (10 * CLK_MINUTE)
@@ -55,9 +57,13 @@
 bool tgt_is_usable(const struct tgt_targets *targets,
 		   const struct tgt_target *target, clk_ms now)
 {
-	(void)targets;
-	(void)now;
-	return target->listed && !target->leaving && target->reachable;
+	if (!target->listed || !target->reachable)
+		return false;
+#ifndef WF_GUARD_OFF_LEAVING_TARGET
+	if (target->leaving)
+		return false;
+#endif
+	return !targets->config.use_breaker || tgt_breaker_admits(target, now);
 }
 
 static void clear_target(struct tgt_target *target)
@@ -108,6 +114,7 @@
 	target->slots = MAX(from->slots, 1);
 	target->step_us = from->step_us > 0 ? from->step_us : 1;
 	target->listed_us = target->step_us;
+	target->planned_us = target->step_us;
 }
 
 /* Starts an incarnation: nothing known of the one before holds any more. */
@@ -176,7 +183,7 @@
 	target->listed = true;
 	target->unlisted_since = 0;
 	if (from->life == WF_LIFE_LEAVING || from->life == WF_LIFE_DEAD)
-		tgt_set_leaving(ctx, targets, target);
+		tgt_set_leaving(ctx, targets, target, false);
 	if (changed)
 		chn_invalidate(targets, target->serves);
 }
@@ -220,13 +227,14 @@
 }
 
 void tgt_set_leaving(struct wf_ctx *ctx, struct tgt_targets *targets,
-		     struct tgt_target *target)
+		     struct tgt_target *target, bool told_by_peer)
 {
 	if (target->leaving)
 		return;
 	target->leaving = true;
 	log_change(ctx->log, ctx->now, target->id, "live", "leaving", NULL);
 	chn_invalidate(targets, target->serves);
+	tgt_spread_leaving(ctx, targets, target, told_by_peer);
 }
 
 static void expire(struct wf_ctx *ctx, struct tgt_targets *targets)
@@ -240,6 +248,15 @@
 			remove_target(targets, target);
 }
 
+static void tick(struct wf_ctx *ctx, struct tgt_targets *targets)
+{
+	if (ctx->now < targets->next_round)
+		return;
+	targets->next_round = ctx->now + targets->config.poll_period;
+	tgt_poll_round(ctx, targets);
+	expire(ctx, targets);
+}
+
 static void handle(struct wf_ctx *ctx, struct wf_module *module,
 		   const struct wf_event *event)
 {
@@ -253,8 +270,14 @@
 	case WF_EV_CACHE:
 		tgt_cache_apply(ctx, targets, event->cache);
 		break;
+	case WF_EV_REPORT:
+		tgt_apply_report(ctx, targets, event->report);
+		break;
+	case WF_EV_PEER:
+		tgt_apply_peer(ctx, targets, event->peer);
+		break;
 	case WF_EV_TICK:
-		expire(ctx, targets);
+		tick(ctx, targets);
 		break;
 	default:
 		break;
@@ -263,9 +286,10 @@
 
 static clk_ms next_wakeup(struct wf_ctx *ctx, struct wf_module *module)
 {
+	struct tgt_targets *targets = (struct tgt_targets *)module;
+
 	(void)ctx;
-	(void)module;
-	return CLK_NEVER;
+	return tbl_count(targets->table) ? targets->next_round : CLK_NEVER;
 }
 
 static void drop(struct wf_module *module)
--- a/src/sched/tgt.h
+++ b/src/sched/tgt.h
@@ -23,15 +23,15 @@
 	uint64_t incarnation;
 	bool listed;
 	bool leaving; /* never goes back within an incarnation */
-	bool told_leaving;
 	clk_ms unlisted_since;
 	clk_ms joined;
 	unsigned n_layers;
 	unsigned first_layer;
 	unsigned last_layer;
 	unsigned slots;
-	double step_us;	  /* over the held range */
-	double listed_us; /* step_us as the list states it */
+	double step_us;	   /* over the held range */
+	double listed_us;  /* step_us as the list states it */
+	double planned_us; /* step_us that the plans were made with */
 	/* own requests in flight; load is in steps at once */
 	unsigned own_requests;
 	double own_load;
@@ -46,6 +46,9 @@
 	unsigned queued;
 	clk_ms next_poll;
 	bool fresh; /* not yet in a digest */
+	bool owned; /* polled by this instance, as of owner_revision */
+	bool owner_known;
+	uint64_t owner_revision;
 	/* evidence from traffic */
 	double inflation; /* observed token time over the expected one */
 	double window;	  /* steps admitted at once per slot */
@@ -56,6 +59,7 @@
 	clk_ms open_span;
 	clk_ms closed_at;
 	unsigned probes; /* own requests while half open */
+	unsigned successes;
 	/* prefix cache */
 	uint64_t cache_seq;
 	uint32_t cache_generation;
@@ -72,8 +76,8 @@
 	GHashTable *models;	 /* name to struct chn_model, owned */
 	struct tgt_cache *cache;
 	uint64_t revision; /* goes up when room may have appeared */
-	clk_ms next_digest;
-	clk_ms next_expiry;
+	clk_ms next_round;
+	size_t n_owned;
 };
 
 /* The number of a data centre's name, given out on first use. */
@@ -96,6 +100,6 @@
 
 /* Notes that a target leaves; spreads it to other instances once. */
 void tgt_set_leaving(struct wf_ctx *ctx, struct tgt_targets *targets,
-		     struct tgt_target *target);
+		     struct tgt_target *target, bool told_by_peer);
 
 #endif
--- /dev/null
+++ b/src/sched/tgt_breaker.c
@@ -0,0 +1,87 @@
+#include <math.h>
+
+#include "sched/tgt_breaker.h"
+
+#define BREAKER_THRESHOLD 3.0
+/* Evidence fades, so that rare failures do not add up over an hour. */
+#define BREAKER_HALF_LIFE 5000.0
+#define BREAKER_OPEN_MAX (30 * CLK_SECOND)
+/* Own requests at once, and successes needed, while half open. */
+#define BREAKER_PROBES 1
+#define BREAKER_SUCCESSES 3
+
+bool tgt_breaker_admits(const struct tgt_target *target, clk_ms now)
+{
+	if (target->breaker == TGT_CLOSED)
+		return true;
+	if (target->breaker == TGT_OPEN && now < target->open_until)
+		return false;
+	return target->probes < BREAKER_PROBES;
+}
+
+/* The span is spread by a quarter, so that instances do not probe at once. */
+static void open_breaker(struct wf_ctx *ctx, struct tgt_targets *targets,
+			 struct tgt_target *target)
+{
+	clk_ms span = target->open_span * 2;
+
+	span = CLAMP(span, targets->config.breaker_open, BREAKER_OPEN_MAX);
+	target->open_span = span;
+	span += g_rand_int_range(ctx->rand, 0, (gint32)span / 4 + 1);
+	target->open_until = ctx->now + span;
+	log_change(ctx->log, ctx->now, target->id,
+		   target->breaker == TGT_CLOSED ? "closed" : "half open",
+		   "open", NULL);
+	target->breaker = TGT_OPEN;
+	target->successes = 0;
+	ctr_add(ctx->counters, "wf_breakers_opened_total", 1);
+}
+
+void tgt_failed(struct wf_ctx *ctx, struct tgt_targets *targets,
+		struct tgt_target *target, double weight)
+{
+	double age = (double)(ctx->now - target->failed_at);
+
+	target->failures =
+		target->failures * exp2(-age / BREAKER_HALF_LIFE) + weight;
+	target->failed_at = ctx->now;
+	if (!targets->config.use_breaker)
+		return;
+	if (target->breaker == TGT_OPEN && ctx->now < target->open_until)
+		return;
+	if (target->breaker != TGT_CLOSED ||
+	    target->failures >= BREAKER_THRESHOLD)
+		open_breaker(ctx, targets, target);
+}
+
+void tgt_succeeded(struct wf_ctx *ctx, struct tgt_targets *targets,
+		   struct tgt_target *target)
+{
+	target->reachable = true;
+	if (target->breaker != TGT_HALF_OPEN)
+		return;
+	if (++target->successes < BREAKER_SUCCESSES)
+		return;
+	log_change(ctx->log, ctx->now, target->id, "half open", "closed", NULL);
+	target->breaker = TGT_CLOSED;
+	target->failures = 0;
+	target->open_span = 0;
+	target->closed_at = ctx->now;
+	targets->revision++;
+}
+
+void tgt_breaker_enter(struct tgt_target *target, clk_ms now)
+{
+	if (target->breaker == TGT_OPEN && now >= target->open_until) {
+		target->breaker = TGT_HALF_OPEN;
+		target->probes = 0;
+	}
+	if (target->breaker == TGT_HALF_OPEN)
+		target->probes++;
+}
+
+void tgt_breaker_leave(struct tgt_target *target)
+{
+	if (target->breaker == TGT_HALF_OPEN && target->probes)
+		target->probes--;
+}
--- a/src/sched/tgt_cache.c
+++ b/src/sched/tgt_cache.c
@@ -137,3 +137,13 @@
 	for (i = 0; i < event->n_removed; i++)
 		forget(targets->cache, event->removed[i], target->handle);
 }
+
+void tgt_cache_learn(struct tgt_targets *targets, tbl_handle handle,
+		     const uint64_t *hashes, size_t n)
+{
+	const struct tgt_target *target = tgt_get(targets, handle);
+	size_t i;
+
+	for (i = 0; target && i < n; i++)
+		remember(targets->cache, hashes[i], target);
+}
--- a/src/sched/tgt_cache.h
+++ b/src/sched/tgt_cache.h
@@ -24,6 +24,10 @@
 void tgt_cache_apply(struct wf_ctx *ctx, struct tgt_targets *targets,
 		     const struct wf_cache_event *event);
 
+/* Notes that a target has computed a prompt and so holds its prefix. */
+void tgt_cache_learn(struct tgt_targets *targets, tbl_handle handle,
+		     const uint64_t *hashes, size_t n);
+
 static inline bool tgt_holders_have(const struct tgt_holders *holders,
 				    tbl_handle handle)
 {
--- /dev/null
+++ b/src/sched/tgt_digest.h
@@ -0,0 +1,27 @@
+#ifndef SCHED_TGT_DIGEST_H
+#define SCHED_TGT_DIGEST_H
+
+#include "sched/tgt.h"
+
+/* Peer message kinds of the target table. */
+enum {
+	TGT_PEER_DIGEST = 80,
+	TGT_PEER_LEAVING = 81,
+};
+
+/* Applies a report that this instance's poll brought. */
+void tgt_apply_report(struct wf_ctx *ctx, struct tgt_targets *targets,
+		      const struct wf_report *report);
+
+/* Applies a message of another instance. */
+void tgt_apply_peer(struct wf_ctx *ctx, struct tgt_targets *targets,
+		    const struct wf_peer_event *event);
+
+/* Polls the owned targets that are due and sends the digest. */
+void tgt_poll_round(struct wf_ctx *ctx, struct tgt_targets *targets);
+
+/* Spreads the news that a target leaves, as far as this is our part. */
+void tgt_spread_leaving(struct wf_ctx *ctx, struct tgt_targets *targets,
+			struct tgt_target *target, bool told_by_peer);
+
+#endif
--- a/src/sched/tgt_load.c
+++ b/src/sched/tgt_load.c
@@ -1,6 +1,7 @@
 #include <math.h>
 
 #include "sched/chn_model.h"
+#include "sched/tgt_breaker.h"
 #include "sched/tgt_load.h"
 
 /* Other instances are taken to act as this one, up to this many of them. */
@@ -67,11 +68,12 @@
 	return used + load <= limit || used <= 0;
 }
 
-void tgt_charge(struct tgt_targets *targets, struct tgt_target *target,
-		double load, bool is_long)
+void tgt_charge(struct wf_ctx *ctx, struct tgt_targets *targets,
+		struct tgt_target *target, double load, bool is_long)
 {
 	struct chn_model *model = chn_get_model(targets, target->serves);
 
+	tgt_breaker_enter(target, ctx->now);
 	target->own_requests++;
 	target->own_load += load;
 	target->started_since_report += load;
@@ -86,6 +88,7 @@
 {
 	struct chn_model *model = chn_get_model(targets, target->serves);
 
+	tgt_breaker_leave(target);
 	if (target->own_requests)
 		target->own_requests--;
 	target->own_load = MAX(target->own_load - load, 0);
@@ -113,3 +116,11 @@
 		target->window += TGT_WINDOW_STEP;
 	target->window = CLAMP(target->window, TGT_WINDOW_MIN, TGT_WINDOW_MAX);
 }
+
+void tgt_set_full(struct tgt_target *target)
+{
+	double full = target->slots * target->window;
+
+	target->foreign_load = MAX(target->foreign_load, full);
+	target->window = MAX(target->window * 0.7, TGT_WINDOW_MIN);
+}
--- a/src/sched/tgt_load.h
+++ b/src/sched/tgt_load.h
@@ -22,11 +22,14 @@
 		  const struct tgt_target *target, double load, bool is_long);
 
 /* Adds (or with a negative load removes) an own request. */
-void tgt_charge(struct tgt_targets *targets, struct tgt_target *target,
-		double load, bool is_long);
+void tgt_charge(struct wf_ctx *ctx, struct tgt_targets *targets,
+		struct tgt_target *target, double load, bool is_long);
 void tgt_release(struct tgt_targets *targets, struct tgt_target *target,
 		 double load, bool is_long);
 
+/* Takes a target that refused for lack of room as full until its report. */
+void tgt_set_full(struct tgt_target *target);
+
 /* Notes the observed time of a token against the expected one. */
 void tgt_observe(struct tgt_targets *targets, struct tgt_target *target,
 		 double ratio);
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <wagtailferry/sched.h>
+#include "support/engine_model.h"
 
 struct fixture {
 	struct wf_ctx *ctx;
@@ -179,6 +179,406 @@
 }
 END_TEST
 
+/* The same against the engine model */
+
+#define N_LAYERS 12
+#define LENGTH 20
+#define PROMPT 64
+/* Of one token: three stages of 10 ms, two hops of 0.2 ms. */
+#define TOKEN_MS 31
+
+static struct emod *new_model(void)
+{
+	static const char *const data_centers[] = {"uppsala"};
+	static const char *const ids[] = {"a1", "a2", "b1", "b2", "c1", "c2"};
+	struct run_config config;
+	struct emod *emod;
+	unsigned i;
+
+	run_config_init(&config);
+	emod = emod_new(1, data_centers, 1, 42, NULL, &config);
+	emod_keep_records(emod);
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		emod_add_engine(emod, ids[i], "uppsala", N_LAYERS, i / 2 * 4,
+				i / 2 * 4 + 3, 4, 10000);
+	emod_publish(emod);
+	emod_run_until(emod, 500);
+	return emod;
+}
+
+static unsigned submit(struct emod *emod)
+{
+	struct emod_call call = {
+		.prompt_tokens = PROMPT, .max_tokens = 64, .length = LENGTH};
+
+	return emod_submit(emod, &call);
+}
+
+/* The engine that runs a stage of the only call. */
+static struct emod_engine *used_engine(struct emod *emod, unsigned stage)
+{
+	struct emod_engine *first = emod_engine_at(emod, 2 * stage);
+
+	return first->streams_opened ? first
+				     : emod_engine_at(emod, 2 * stage + 1);
+}
+
+static void check_answer(struct emod *emod, unsigned index)
+{
+	const struct emod_call *call = emod_call_at(emod, index);
+	char *expected = emod_expected_text(call, call->length);
+
+	ck_assert(call->ended);
+	ck_assert(!call->failed);
+	ck_assert_uint_eq(call->out_of_order, 0);
+	ck_assert_str_eq(call->text->str, expected);
+	ck_assert(run_is_idle(emod_runs(emod, call->router)));
+	g_free(expected);
+}
+
+/*
+ * Each layer ran once for each position, but for the layers of the lost
+ * stage, which may have run a position again at its replacement.
+ */
+static void check_steps(struct emod *emod, unsigned lost_first,
+			unsigned lost_last)
+{
+	unsigned runs[LENGTH][N_LAYERS] = {{0}};
+	const GArray *records = emod_records(emod);
+	unsigned position;
+	unsigned layer;
+	guint i;
+
+	for (i = 0; i < records->len; i++) {
+		const struct emod_record *record;
+
+		record = &g_array_index(records, struct emod_record, i);
+		for (layer = record->first_layer; layer <= record->last_layer;
+		     layer++)
+			runs[record->position][layer]++;
+		if (record->rebuilt) {
+			ck_assert_uint_ge(record->first_layer, lost_first);
+			ck_assert_uint_le(record->last_layer, lost_last);
+		}
+	}
+	for (position = 0; position < LENGTH; position++)
+		for (layer = 0; layer < N_LAYERS; layer++) {
+			bool lost = layer >= lost_first && layer <= lost_last;
+
+			ck_assert_uint_ge(runs[position][layer], 1);
+			ck_assert_uint_le(runs[position][layer], lost ? 2 : 1);
+		}
+}
+
+#define NO_LAYER N_LAYERS
+
+/* Guards against a plain request that misses or repeats a step. */
+START_TEST(plain_request_runs_each_step_once)
+{
+	struct emod *emod = new_model();
+	unsigned call = submit(emod);
+
+	emod_run_until(emod, 5000);
+	check_answer(emod, call);
+	check_steps(emod, NO_LAYER, NO_LAYER);
+	ck_assert_uint_eq(emod_call_at(emod, call)->streams, 1);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Points of death in ms after the start, and the stage that dies. */
+#define N_DEATHS (3 * 24)
+
+/*
+ * Guards against a stage or head that stops at any point of a request: lost
+ * or repeated tokens, and layers that run again although they were not lost.
+ */
+START_TEST(death_of_a_stage_loses_and_repeats_nothing)
+{
+	unsigned stage = (unsigned)_i % 3;
+	clk_ms at = 500 + (clk_ms)(_i / 3) * 7 + 2;
+	struct emod *emod = new_model();
+	unsigned call = submit(emod);
+	unsigned tokens;
+
+	emod_run_until(emod, at);
+	used_engine(emod, stage)->alive = false;
+	tokens = emod_call_at(emod, call)->tokens;
+	emod_run_until(emod, 20000);
+	check_answer(emod, call);
+	if (tokens)
+		check_steps(emod, stage * 4, stage * 4 + 3);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against recovery that takes longer than the objective of 1 s. */
+START_TEST(recovery_takes_less_than_a_second_plus_rebuild)
+{
+	unsigned stage = (unsigned)_i % 3;
+	bool silent = _i >= 3;
+	struct emod *emod = new_model();
+	unsigned call = submit(emod);
+
+	emod_run_until(emod, 800);
+	used_engine(emod, stage)->alive = silent;
+	used_engine(emod, stage)->silent = silent;
+	emod_run_until(emod, 20000);
+	check_answer(emod, call);
+	ck_assert_int_le(emod_call_at(emod, call)->longest_gap,
+			 1000 + TOKEN_MS * PROMPT / 32);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against a stream that goes silent for ever. */
+START_TEST(silent_stage_is_replaced)
+{
+	unsigned stage = (unsigned)_i % 3;
+	clk_ms at = 500 + (clk_ms)(_i / 3) * 40 + 5;
+	struct emod *emod = new_model();
+	unsigned call = submit(emod);
+
+	emod_run_until(emod, at);
+	used_engine(emod, stage)->silent = true;
+	emod_run_until(emod, 20000);
+	check_answer(emod, call);
+	emod_drop(emod);
+}
+END_TEST
+
+static const struct emod_tamper tampers[] = {
+	{.position = 5, .duplicate = true},
+	{.position = 5, .delay = 10},
+	{.position = 5, .delay = 100},
+	{.position = 5, .delay = 1500},
+	{.position = 5, .drop = true},
+	{.position = LENGTH - 1, .drop = true, .delay = 0},
+	{.position = 0, .delay = 700},
+	{.position = 5, .split_shift = 1, .once = true},
+	{.position = 5, .split_shift = -1, .once = true},
+	{.position = 0, .split_shift = 1, .once = true},
+};
+
+/*
+ * Guards against token events that come twice, late, out of order or never,
+ * and against receipts with a missing or repeated layer.
+ */
+START_TEST(disturbed_token_events_do_not_reach_the_caller)
+{
+	struct emod *emod = new_model();
+	struct emod_call spec = {.prompt_tokens = PROMPT,
+				 .max_tokens = LENGTH,
+				 .length = LENGTH};
+	unsigned call;
+
+	emod_set_tamper(emod, &tampers[_i]);
+	call = emod_submit(emod, &spec);
+	emod_run_until(emod, 20000);
+	check_answer(emod, call);
+	if (tampers[_i].split_shift)
+		ck_assert_uint_ge(emod_call_at(emod, call)->streams, 2);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against a token of an abandoned lineage that still arrives. */
+START_TEST(token_of_a_stale_lineage_is_dropped)
+{
+	struct wf_stream_event stream = {.what = WF_STREAM_FAILED,
+					 .lineage = 1,
+					 .error = ERR_TARGET_LOST,
+					 .failed_target = "b"};
+	struct wf_event event = {.type = WF_EV_STREAM, .stream = &stream};
+	struct wf_instance list[] = {engine("a", 0, 5), engine("b", 6, 11),
+				     engine("b2", 6, 11)};
+	struct wf_event listed = {.type = WF_EV_INSTANCES};
+	struct fixture f;
+
+	set_up(&f);
+	stream.op = start_call(&f);
+	send_token(&f, stream.op, 0, 6);
+	listed.instances.list = list;
+	listed.instances.n = G_N_ELEMENTS(list);
+	send(&f, &listed);
+	send(&f, &event);
+	ck_assert_uint_eq(count_tokens(&f), 1);
+	send_token(&f, stream.op, 1, 6);
+	ck_assert_uint_eq(count_tokens(&f), 0);
+	tear_down(&f);
+}
+END_TEST
+
+static const enum err_code refusals[] = {ERR_OVERLOADED, ERR_DRAINING,
+					 ERR_FENCED, ERR_TARGET_REFUSED};
+
+/* Guards against a refused stream that is given up or reported as run. */
+START_TEST(refused_stream_goes_elsewhere)
+{
+	struct emod *emod = new_model();
+	unsigned call;
+	unsigned i;
+
+	for (i = 0; i < 6; i += 2) {
+		emod_engine_at(emod, i)->refuse = refusals[_i];
+		emod_engine_at(emod, i)->n_refuse = 1;
+	}
+	call = submit(emod);
+	emod_run_until(emod, 10000);
+	check_answer(emod, call);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against a held state that is gone when a stage is replaced. */
+START_TEST(missing_kv_state_starts_a_new_chain)
+{
+	struct emod *emod = new_model();
+	unsigned call = submit(emod);
+
+	emod_run_until(emod, 800);
+	used_engine(emod, 0)->forget_kv = true;
+	used_engine(emod, 1)->alive = false;
+	emod_run_until(emod, 10000);
+	check_answer(emod, call);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against running work that is broken off at a leaving target. */
+START_TEST(running_work_completes_at_a_leaving_target)
+{
+	struct emod *emod = new_model();
+	unsigned call = submit(emod);
+
+	emod_run_until(emod, 700);
+	used_engine(emod, 1)->list_leaving = true;
+	emod_publish(emod);
+	emod_run_until(emod, 10000);
+	check_answer(emod, call);
+	ck_assert_uint_eq(emod_call_at(emod, call)->streams, 1);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against staying on a stage whose link degrades until it stops. */
+START_TEST(degraded_stage_is_left_with_its_state)
+{
+	struct emod_call spec = {
+		.prompt_tokens = PROMPT, .max_tokens = 200, .length = 200};
+	struct emod *emod = new_model();
+	unsigned i;
+
+	for (i = 0; i < 8; i++) {
+		spec.length = 30;
+		emod_submit(emod, &spec);
+		emod_run_until(emod, emod_now(emod) + 50);
+	}
+	emod_run_until(emod, 4000);
+	emod_engine(emod, "b1")->link = 800;
+	for (i = 0; i < 6; i++) {
+		spec.length = 200;
+		emod_submit(emod, &spec);
+	}
+	emod_run_until(emod, 60000);
+	for (i = 0; i < emod_n_calls(emod); i++)
+		check_answer(emod, i);
+	ck_assert_int_ge(ctr_get(emod_ctx(emod, 0)->counters, "wf_moves_total"),
+			 1);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against streams that run on without a caller or past a deadline. */
+START_TEST(caller_gone_and_deadline_end_the_stream)
+{
+	struct emod *emod = new_model();
+	struct emod_call spec = {.prompt_tokens = PROMPT,
+				 .max_tokens = 64,
+				 .length = 60,
+				 .deadline = 1200};
+	unsigned gone = submit(emod);
+	unsigned late = emod_submit(emod, &spec);
+
+	emod_run_until(emod, 700);
+	emod_caller_gone(emod, gone);
+	emod_run_until(emod, 1650);
+	ck_assert(!emod_call_at(emod, late)->ended);
+	emod_run_until(emod, 1750);
+	ck_assert(emod_call_at(emod, late)->failed);
+	ck_assert_int_eq(emod_call_at(emod, late)->error, ERR_DEADLINE);
+	ck_assert_int_eq(emod_call_at(emod, late)->run, ERR_RUN_YES);
+	ck_assert(run_is_idle(emod_runs(emod, 0)));
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against requests that a shutdown breaks off or still accepts. */
+START_TEST(drain_completes_running_and_queued_work)
+{
+	struct emod *emod = new_model();
+	unsigned n;
+	unsigned i;
+
+	for (n = 0; n < 40; n++)
+		submit(emod);
+	emod_run_until(emod, 600);
+	ck_assert_uint_gt(run_n_queued(emod_runs(emod, 0)), 0);
+	emod_drain(emod, 0);
+	submit(emod);
+	ck_assert(emod_call_at(emod, n)->failed);
+	ck_assert_int_eq(emod_call_at(emod, n)->run, ERR_RUN_NOT);
+	ck_assert(!run_is_idle(emod_runs(emod, 0)));
+	emod_run_until(emod, 30000);
+	for (i = 0; i < n; i++)
+		check_answer(emod, i);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against retries that multiply the load when all engines refuse. */
+START_TEST(retries_stay_within_the_budget)
+{
+	struct emod *emod = new_model();
+	unsigned i;
+	unsigned opened = 0;
+
+	for (i = 0; i < 6; i++) {
+		emod_engine_at(emod, i)->refuse = ERR_OVERLOADED;
+		emod_engine_at(emod, i)->n_refuse = 100000;
+	}
+	for (i = 0; i < 100; i++) {
+		submit(emod);
+		emod_run_until(emod, 500 + 10 * (clk_ms)i);
+	}
+	for (i = 0; i < 100; i++)
+		opened += emod_call_at(emod, i)->streams;
+	ck_assert_uint_le(opened, 100 + 20 + 10);
+	emod_drop(emod);
+}
+END_TEST
+
+static void add_model_tests(TCase *tcase)
+{
+	tcase_add_test(tcase, plain_request_runs_each_step_once);
+	tcase_add_loop_test(tcase, death_of_a_stage_loses_and_repeats_nothing,
+			    0, N_DEATHS);
+	tcase_add_loop_test(
+		tcase, recovery_takes_less_than_a_second_plus_rebuild, 0, 6);
+	tcase_add_loop_test(tcase, silent_stage_is_replaced, 0, 24);
+	tcase_add_loop_test(tcase,
+			    disturbed_token_events_do_not_reach_the_caller, 0,
+			    G_N_ELEMENTS(tampers));
+	tcase_add_loop_test(tcase, refused_stream_goes_elsewhere, 0,
+			    G_N_ELEMENTS(refusals));
+	tcase_add_test(tcase, missing_kv_state_starts_a_new_chain);
+	tcase_add_test(tcase, running_work_completes_at_a_leaving_target);
+	tcase_add_test(tcase, degraded_stage_is_left_with_its_state);
+	tcase_add_test(tcase, caller_gone_and_deadline_end_the_stream);
+	tcase_add_test(tcase, drain_completes_running_and_queued_work);
+	tcase_add_test(tcase, retries_stay_within_the_budget);
+}
+
 int main(void)
 {
 	Suite *suite = suite_create("run");
@@ -189,6 +589,8 @@
 	tcase_add_test(tcase, tokens_are_delivered_once_and_in_order);
 	tcase_add_test(tcase, tokens_without_whole_receipts_are_not_delivered);
 	tcase_add_test(tcase, end_is_reported_and_leaves_the_runs_idle);
+	tcase_add_test(tcase, token_of_a_stale_lineage_is_dropped);
+	add_model_tests(tcase);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
