--- a/src/daemon/srv_call.c
+++ b/src/daemon/srv_call.c
@@ -254,10 +254,15 @@
 
 /* Life */
 
+/* In the request's memory pool, which tells of its end. */
+struct call_slot {
+	struct srv_call *call;
+};
+
 /* h2o disposes of the request, whether it was answered or cut. */
 static void on_dispose(void *data)
 {
-	struct srv_call *call = *(struct srv_call **)data;
+	struct srv_call *call = ((struct call_slot *)data)->call;
 	struct srv_server *server = call->server;
 	bool gone = !call->finished;
 	uint64_t id = call->id;
@@ -279,10 +284,10 @@
 			      const char *org, enum srv_form form)
 {
 	struct srv_call *call = g_new0(struct srv_call, 1);
-	struct srv_call **slot =
+	struct call_slot *slot =
 		h2o_mem_alloc_shared(&req->pool, sizeof(*slot), on_dispose);
 
-	*slot = call;
+	slot->call = call;
 	call->server = server;
 	call->req = req;
 	call->org = g_strdup(org);
--- /dev/null
+++ b/tests/cli_wire_test.c
@@ -0,0 +1,468 @@
+/* The HTTP client against servers that fail in every way. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/cli.h"
+#include "support/wire/wire.h"
+
+#define TIMEOUT_MS 300
+
+struct probe {
+	struct cli_handler handler;
+	struct cli_result result;
+	GString *data;
+	unsigned done;
+	unsigned dropped;
+	tbl_handle handle;
+	struct cli_client *client;
+	bool refuse_data;
+	bool cancel_in_data;
+};
+
+static bool on_data(struct cli_handler *handler, const char *data, size_t len)
+{
+	struct probe *probe = (struct probe *)handler;
+
+	g_string_append_len(probe->data, data, (gssize)len);
+	if (probe->cancel_in_data)
+		cli_cancel(probe->client, probe->handle);
+	return !probe->refuse_data;
+}
+
+static void on_done(struct cli_handler *handler,
+		    const struct cli_result *result)
+{
+	struct probe *probe = (struct probe *)handler;
+	gsize len = 0;
+	const char *body = NULL;
+
+	probe->done++;
+	probe->result = *result;
+	if (result->body)
+		body = g_bytes_get_data(result->body, &len);
+	if (body)
+		g_string_append_len(probe->data, body, (gssize)len);
+}
+
+static void on_drop(struct cli_handler *handler)
+{
+	((struct probe *)handler)->dropped++;
+}
+
+static const struct cli_handler_ops whole_ops = {NULL, on_done, on_drop};
+static const struct cli_handler_ops stream_ops = {on_data, on_done, on_drop};
+
+static void setup_probe(struct probe *probe, const struct cli_handler_ops *ops)
+{
+	memset(probe, 0, sizeof(*probe));
+	probe->handler.ops = ops;
+	probe->data = g_string_new(NULL);
+}
+
+static bool is_dropped(void *user)
+{
+	return ((struct probe *)user)->dropped > 0;
+}
+
+/* Sends what the script names and then behaves as it says. */
+struct script {
+	const char *answer;
+	bool hang_up;
+};
+
+static void play(struct wire_conn *conn, const char *request, void *user)
+{
+	const struct script *script = user;
+
+	(void)request;
+	if (script->answer)
+		wire_send(conn, script->answer);
+	if (script->hang_up)
+		wire_hang_up(conn);
+}
+
+static const struct {
+	struct script script;
+	bool ok;
+	int status;
+	enum err_code error;
+	const char *data;
+} faults[] = {
+	/* whole answers */
+	{{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false},
+	 true,
+	 200,
+	 0,
+	 "hi"},
+	{{"HTTP/1.1 204 No\r\n\r\n", false}, true, 204, 0, ""},
+	{{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nhi\r\n0\r\n\r\n",
+	  false},
+	 true,
+	 200,
+	 0,
+	 "hi"},
+	/* bytes above the stated length don't belong to the answer */
+	{{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi there", true},
+	 true,
+	 200,
+	 0,
+	 "hi"},
+	{{"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", false},
+	 true,
+	 500,
+	 0,
+	 ""},
+	/* cut before, in the head, in the body, in a chunk */
+	{{NULL, true}, false, 0, ERR_TARGET_LOST, ""},
+	{{"HTTP/1.1 200 OK\r\nConte", true}, false, 200, ERR_TARGET_LOST, ""},
+	{{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", true},
+	 false,
+	 200,
+	 ERR_TARGET_LOST,
+	 ""},
+	{{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi", true},
+	 false,
+	 200,
+	 ERR_TARGET_LOST,
+	 ""},
+	/* the end of the connection as the end of the answer */
+	{{"HTTP/1.1 200 OK\r\n\r\nhi", true}, false, 200, ERR_TARGET_LOST, ""},
+	/* silent from the start and in the middle */
+	{{NULL, false}, false, 0, ERR_DEADLINE, ""},
+	{{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", false},
+	 false,
+	 200,
+	 ERR_DEADLINE,
+	 ""},
+	/* not HTTP, too long, a redirection that is not followed */
+	{{"BOOM\r\n\r\n", true}, false, 0, ERR_PROTOCOL, ""},
+	{{"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n"
+	  "0123456789012345678901234567890123456789012345678901234567890123",
+	  false},
+	 false,
+	 200,
+	 ERR_TOO_LARGE,
+	 ""},
+	{{"HTTP/1.1 302 X\r\nLocation: /b\r\nContent-Length: 0\r\n\r\n", false},
+	 true,
+	 302,
+	 0,
+	 ""},
+};
+
+/* Guards against a fault that is reported as an answer, or as another one. */
+START_TEST(faults_map_to_exact_results)
+{
+	struct wire_loop wire;
+	struct ctr_set *counters = ctr_new();
+	struct cli_client *client;
+	struct wire_server *server;
+	struct probe probe;
+	struct cli_spec spec = {.method = "POST",
+				.path = "/a",
+				.timeout = TIMEOUT_MS,
+				.body_limit = 32};
+
+	wire_open(&wire);
+	client = cli_new(&wire.loop, counters);
+	server = wire_server_new(&wire, play, (void *)&faults[_i].script);
+	setup_probe(&probe, &whole_ops);
+	spec.address = wire_server_address(server);
+	spec.body = g_bytes_new_static("{}", 2);
+	cli_start(client, &spec, &probe.handler);
+	wire_until(&wire, is_dropped, &probe);
+	ck_assert_int_eq(probe.result.ok, faults[_i].ok);
+	ck_assert_int_eq(probe.result.status, faults[_i].status);
+	ck_assert(probe.result.sent);
+	if (!faults[_i].ok)
+		ck_assert_str_eq(err_name(probe.result.error),
+				 err_name(faults[_i].error));
+	ck_assert_str_eq(probe.data->str, faults[_i].data);
+	ck_assert_uint_eq(probe.done, 1);
+	ck_assert_uint_eq(probe.dropped, 1);
+	ck_assert_uint_eq(wire_server_requests(server), 1);
+	g_bytes_unref(spec.body);
+	g_string_free(probe.data, TRUE);
+	cli_drop(client);
+	wire_server_drop(server);
+	wire_close(&wire);
+	ctr_drop(counters);
+}
+END_TEST
+
+struct fixture {
+	struct wire_loop wire;
+	struct ctr_set *counters;
+	struct cli_client *client;
+	struct wire_server *server;
+	struct probe probe;
+	struct cli_spec spec;
+};
+
+static void open_fixture(struct fixture *fixture, wire_handler handler,
+			 void *user, const struct cli_handler_ops *ops)
+{
+	memset(fixture, 0, sizeof(*fixture));
+	wire_open(&fixture->wire);
+	fixture->counters = ctr_new();
+	fixture->client = cli_new(&fixture->wire.loop, fixture->counters);
+	fixture->server = wire_server_new(&fixture->wire, handler, user);
+	setup_probe(&fixture->probe, ops);
+	fixture->spec.method = "GET";
+	fixture->spec.path = "/a";
+	fixture->spec.timeout = 5000;
+	fixture->spec.address = wire_server_address(fixture->server);
+}
+
+static void start(struct fixture *fixture)
+{
+	fixture->probe.done = 0;
+	fixture->probe.dropped = 0;
+	fixture->probe.client = fixture->client;
+	fixture->probe.handle = cli_start(fixture->client, &fixture->spec,
+					  &fixture->probe.handler);
+}
+
+static void run(struct fixture *fixture)
+{
+	start(fixture);
+	wire_until(&fixture->wire, is_dropped, &fixture->probe);
+}
+
+static void close_fixture(struct fixture *fixture)
+{
+	cli_drop(fixture->client);
+	wire_server_drop(fixture->server);
+	wire_close(&fixture->wire);
+	g_string_free(fixture->probe.data, TRUE);
+	ctr_drop(fixture->counters);
+}
+
+/* Guards against a refused connection reported as possibly sent. */
+START_TEST(refused_connection_proves_that_nothing_was_sent)
+{
+	struct fixture fixture;
+	char *address;
+
+	open_fixture(&fixture, play, NULL, &whole_ops);
+	address = wire_refused_address(&fixture.wire);
+	fixture.spec.address = address;
+	run(&fixture);
+	ck_assert(!fixture.probe.result.ok);
+	ck_assert(!fixture.probe.result.sent);
+	ck_assert_int_eq(fixture.probe.result.error, ERR_TARGET_FAILED);
+	g_free(address);
+	close_fixture(&fixture);
+}
+END_TEST
+
+static void answer_headers(struct wire_conn *conn, const char *request,
+			   void *user)
+{
+	(void)request;
+	(void)user;
+	wire_answer(conn, 429, "ETag: \"17\"\r\nRetry-After: 3\r\n", "");
+}
+
+/* Guards against a version or a waiting time that gets lost. */
+START_TEST(headers_are_read)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, answer_headers, NULL, &whole_ops);
+	run(&fixture);
+	ck_assert_uint_eq(fixture.probe.result.etag, 17);
+	ck_assert_int_eq(fixture.probe.result.retry_after, 3 * CLK_SECOND);
+	close_fixture(&fixture);
+}
+END_TEST
+
+static void answer_ok(struct wire_conn *conn, const char *request, void *user)
+{
+	(void)request;
+	(void)user;
+	wire_answer(conn, 200, "", "ok");
+}
+
+/* Guards against bookings on an idle connection that may be dead. */
+START_TEST(fresh_connection_is_never_reused)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, answer_ok, NULL, &whole_ops);
+	run(&fixture);
+	run(&fixture);
+	ck_assert_uint_eq(wire_server_connections(fixture.server), 1);
+	fixture.spec.fresh_connection = true;
+	run(&fixture);
+	ck_assert(fixture.probe.result.ok);
+	ck_assert_uint_eq(wire_server_connections(fixture.server), 2);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Answers the first request and hangs up on each later one unanswered. */
+static void answer_first(struct wire_conn *conn, const char *request,
+			 void *user)
+{
+	unsigned *n = user;
+
+	(void)request;
+	if (++*n == 1)
+		wire_answer(conn, 200, "", "ok");
+	else
+		wire_hang_up(conn);
+}
+
+/*
+ * Guards against libcurl's silent repetition: a request on an idle connection
+ * that dies unanswered may have run.
+ */
+START_TEST(request_that_must_not_run_twice_is_sent_once)
+{
+	struct fixture fixture;
+	unsigned n = 0;
+
+	open_fixture(&fixture, answer_first, &n, &whole_ops);
+	run(&fixture);
+	ck_assert(fixture.probe.result.ok);
+	fixture.spec.method = "PUT";
+	run(&fixture);
+	ck_assert(!fixture.probe.result.ok);
+	ck_assert(fixture.probe.result.sent);
+	ck_assert_int_eq(fixture.probe.result.error, ERR_TARGET_LOST);
+	ck_assert_uint_eq(wire_server_requests(fixture.server), 2);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Goes silent on the first connection; later ones work. */
+static void answer_after_first(struct wire_conn *conn, const char *request,
+			       void *user)
+{
+	unsigned *n = user;
+
+	(void)request;
+	if (++*n != 2)
+		wire_answer(conn, 200, "", "ok");
+}
+
+/* Guards against idle connections to an address where one went silent. */
+START_TEST(address_with_a_silent_connection_gets_new_ones)
+{
+	struct fixture fixture;
+	unsigned n = 0;
+
+	open_fixture(&fixture, answer_after_first, &n, &whole_ops);
+	run(&fixture);
+	fixture.spec.timeout = TIMEOUT_MS;
+	run(&fixture);
+	ck_assert_int_eq(fixture.probe.result.error, ERR_DEADLINE);
+	fixture.spec.timeout = 5000;
+	run(&fixture);
+	ck_assert(fixture.probe.result.ok);
+	run(&fixture);
+	ck_assert(fixture.probe.result.ok);
+	ck_assert_uint_eq(wire_server_connections(fixture.server), 3);
+	close_fixture(&fixture);
+}
+END_TEST
+
+static const struct script endless = {
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
+	false};
+
+static bool has_data(void *user)
+{
+	return ((struct probe *)user)->data->len > 0;
+}
+
+/* Guards against a stream that goes silent and is never given up. */
+START_TEST(silent_stream_is_given_up)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, play, (void *)&endless, &stream_ops);
+	fixture.spec.timeout = 0;
+	fixture.spec.silence_limit = TIMEOUT_MS;
+	start(&fixture);
+	wire_until(&fixture.wire, has_data, &fixture.probe);
+	ck_assert_str_eq(fixture.probe.data->str, "hi");
+	ck_assert_uint_eq(fixture.probe.done, 0);
+	wire_until(&fixture.wire, is_dropped, &fixture.probe);
+	ck_assert_int_eq(fixture.probe.result.error, ERR_DEADLINE);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Guards against use of a request that its own handler cancelled. */
+START_TEST(handler_may_cancel_its_request)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, play, (void *)&endless, &stream_ops);
+	fixture.probe.cancel_in_data = true;
+	run(&fixture);
+	ck_assert_uint_eq(fixture.probe.done, 0);
+	ck_assert_uint_eq(cli_count(fixture.client), 0);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Guards against a handler's refusal that leaves the stream open. */
+START_TEST(refused_data_ends_the_request)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, play, (void *)&endless, &stream_ops);
+	fixture.probe.refuse_data = true;
+	run(&fixture);
+	ck_assert_uint_eq(fixture.probe.done, 1);
+	ck_assert_int_eq(fixture.probe.result.error, ERR_PROTOCOL);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Guards against handlers that leak when the client is dropped. */
+START_TEST(dropped_client_drops_its_handlers)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, play, (void *)&endless, &stream_ops);
+	start(&fixture);
+	wire_until(&fixture.wire, has_data, &fixture.probe);
+	close_fixture(&fixture);
+	ck_assert_uint_eq(fixture.probe.dropped, 1);
+	ck_assert_uint_eq(fixture.probe.done, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("cli_wire");
+	TCase *tcase = tcase_create("cli_wire");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, 30);
+	tcase_add_loop_test(tcase, faults_map_to_exact_results, 0,
+			    G_N_ELEMENTS(faults));
+	tcase_add_test(tcase, refused_connection_proves_that_nothing_was_sent);
+	tcase_add_test(tcase, headers_are_read);
+	tcase_add_test(tcase, fresh_connection_is_never_reused);
+	tcase_add_test(tcase, request_that_must_not_run_twice_is_sent_once);
+	tcase_add_test(tcase, address_with_a_silent_connection_gets_new_ones);
+	tcase_add_test(tcase, silent_stream_is_given_up);
+	tcase_add_test(tcase, handler_may_cancel_its_request);
+	tcase_add_test(tcase, refused_data_ends_the_request);
+	tcase_add_test(tcase, dropped_client_drops_its_handlers);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/support/wire/wire.h
@@ -0,0 +1,112 @@
+#ifndef WAGTAILFERRY_TESTS_WIRE_H
+#define WAGTAILFERRY_TESTS_WIRE_H
+
+/*
+ * Real sockets on loopback for tests: a loop that runs until a condition
+ * holds, a scripted TCP server, a raw TCP client and a fake core.
+ */
+
+#include <uv.h>
+
+#include <wagtailferry/core.h>
+
+#include "daemon/drv.h"
+
+/* Loop */
+
+struct wire_loop {
+	uv_loop_t loop;
+	uv_timer_t watchdog;
+	bool expired;
+};
+
+void wire_open(struct wire_loop *wire);
+
+/* Runs the loop until the condition holds; fails the test after 10 s. */
+void wire_until(struct wire_loop *wire, bool (*condition)(void *user),
+		void *user);
+
+/* Runs until all closed handles are gone; fails the test if some remain. */
+void wire_close(struct wire_loop *wire);
+
+/* Server */
+
+struct wire_server;
+
+struct wire_conn;
+
+/* Receives each whole request (head and body by Content-Length). */
+typedef void (*wire_handler)(struct wire_conn *conn, const char *request,
+			     void *user);
+
+struct wire_server *wire_server_new(struct wire_loop *wire,
+				    wire_handler handler, void *user);
+const char *wire_server_address(const struct wire_server *server);
+unsigned wire_server_requests(const struct wire_server *server);
+unsigned wire_server_connections(const struct wire_server *server);
+/* Cuts all connections and stops listening; wire_close() finishes it. */
+void wire_server_drop(struct wire_server *server);
+
+void wire_send(struct wire_conn *conn, const char *text);
+/* Sends a whole answer with Content-Length. extra: header lines or "". */
+void wire_answer(struct wire_conn *conn, int status, const char *extra,
+		 const char *body);
+/* Ends the connection after what was sent. */
+void wire_hang_up(struct wire_conn *conn);
+
+/* An address on which nothing listens. Free with g_free(). */
+char *wire_refused_address(struct wire_loop *wire);
+
+/* Client */
+
+struct wire_client {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	GString *received;
+	char buffer[65536];
+	bool connected;
+	bool closed; /* by the other side */
+	bool close_requested;
+	const char *awaited; /* of wire_client_await() */
+};
+
+struct wire_client *wire_client_new(struct wire_loop *wire,
+				    const char *address);
+void wire_client_send(struct wire_client *client, const char *text);
+/* Stops and resumes reading. */
+void wire_client_pause(struct wire_client *client);
+void wire_client_resume(struct wire_client *client);
+/* Runs the loop until the text was received. */
+void wire_client_await(struct wire_loop *wire, struct wire_client *client,
+		       const char *text);
+void wire_client_await_close(struct wire_loop *wire,
+			     struct wire_client *client);
+/* Closes; wire_close() releases it. */
+void wire_client_drop(struct wire_client *client);
+
+/* Fake core */
+
+struct fake_core;
+
+/* Decides what the fake does about an event, with fake_core_emit(). */
+typedef void (*fake_core_script)(struct fake_core *core,
+				 const struct wf_event *event);
+
+struct fake_core {
+	struct drv_core base;
+	GQueue *actions;
+	fake_core_script script;
+	void *user;
+	unsigned events[WF_EV_DRAIN + 1]; /* number of each type */
+	uint64_t last_call;		  /* id of the newest call */
+	clk_ms wakeup;
+	clk_ms now;
+	bool ready;
+};
+
+struct fake_core *fake_core_new(fake_core_script script, void *user);
+void fake_core_drop(struct fake_core *core);
+/* Queues an action; takes over what it owns. */
+void fake_core_emit(struct fake_core *core, struct wf_action *action);
+
+#endif
--- /dev/null
+++ b/tests/support/wire/wire_server.c
@@ -0,0 +1,245 @@
+#define _GNU_SOURCE /* strcasestr() */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "wire.h"
+
+struct wire_server {
+	struct wire_loop *wire;
+	uv_tcp_t tcp;
+	wire_handler handler;
+	void *user;
+	char *address;
+	GHashTable *conns;
+	unsigned requests;
+	unsigned connections;
+	bool closed;
+};
+
+struct wire_conn {
+	struct wire_server *server;
+	uv_tcp_t tcp;
+	GString *input;
+	char buffer[65536];
+};
+
+struct write {
+	uv_write_t req;
+	char *text;
+};
+
+static void release(struct wire_server *server)
+{
+	if (!server->closed || g_hash_table_size(server->conns))
+		return;
+	g_hash_table_destroy(server->conns);
+	g_free(server->address);
+	g_free(server);
+}
+
+static void on_conn_closed(uv_handle_t *handle)
+{
+	struct wire_conn *conn = handle->data;
+	struct wire_server *server = conn->server;
+
+	g_hash_table_remove(server->conns, conn);
+	g_string_free(conn->input, TRUE);
+	g_free(conn);
+	release(server);
+}
+
+static void close_conn(struct wire_conn *conn)
+{
+	if (!uv_is_closing((uv_handle_t *)&conn->tcp))
+		uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
+static size_t body_length(const char *head)
+{
+	const char *line = strcasestr(head, "\r\ncontent-length:");
+
+	return line ? strtoul(strchr(line, ':') + 1, NULL, 10) : 0;
+}
+
+/* Takes the first whole request out of the input, or returns NULL. */
+static char *take_request(GString *input)
+{
+	const char *end = strstr(input->str, "\r\n\r\n");
+	char *request;
+	size_t size;
+
+	if (!end)
+		return NULL;
+	size = (size_t)(end - input->str) + 4 + body_length(input->str);
+	if (input->len < size)
+		return NULL;
+	request = g_strndup(input->str, size);
+	g_string_erase(input, 0, (gssize)size);
+	return request;
+}
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	struct wire_conn *conn = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(conn->buffer, sizeof(conn->buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct wire_conn *conn = stream->data;
+	char *request;
+
+	if (n < 0) {
+		close_conn(conn);
+		return;
+	}
+	g_string_append_len(conn->input, buf->base, n);
+	while (!uv_is_closing((uv_handle_t *)stream) &&
+	       (request = take_request(conn->input))) {
+		conn->server->requests++;
+		conn->server->handler(conn, request, conn->server->user);
+		g_free(request);
+	}
+}
+
+static void on_connection(uv_stream_t *stream, int status)
+{
+	struct wire_server *server = stream->data;
+	struct wire_conn *conn = g_new0(struct wire_conn, 1);
+
+	(void)status;
+	conn->server = server;
+	conn->input = g_string_new(NULL);
+	conn->tcp.data = conn;
+	uv_tcp_init(&server->wire->loop, &conn->tcp);
+	g_hash_table_add(server->conns, conn);
+	server->connections++;
+	if (uv_accept(stream, (uv_stream_t *)&conn->tcp))
+		close_conn(conn);
+	else
+		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+static char *listen_on_loopback(uv_tcp_t *tcp, uv_connection_cb callback)
+{
+	struct sockaddr_in address;
+	int size = sizeof(address);
+
+	uv_ip4_addr("127.0.0.1", 0, &address);
+	uv_tcp_bind(tcp, (const struct sockaddr *)&address, 0);
+	if (callback)
+		uv_listen((uv_stream_t *)tcp, 64, callback);
+	uv_tcp_getsockname(tcp, (struct sockaddr *)&address, &size);
+	return g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
+}
+
+struct wire_server *wire_server_new(struct wire_loop *wire,
+				    wire_handler handler, void *user)
+{
+	struct wire_server *server = g_new0(struct wire_server, 1);
+
+	server->wire = wire;
+	server->handler = handler;
+	server->user = user;
+	server->conns = g_hash_table_new(NULL, NULL);
+	uv_tcp_init(&wire->loop, &server->tcp);
+	server->tcp.data = server;
+	server->address = listen_on_loopback(&server->tcp, on_connection);
+	return server;
+}
+
+const char *wire_server_address(const struct wire_server *server)
+{
+	return server->address;
+}
+
+unsigned wire_server_requests(const struct wire_server *server)
+{
+	return server->requests;
+}
+
+unsigned wire_server_connections(const struct wire_server *server)
+{
+	return server->connections;
+}
+
+static void on_server_closed(uv_handle_t *handle)
+{
+	struct wire_server *server = handle->data;
+
+	server->closed = true;
+	release(server);
+}
+
+void wire_server_drop(struct wire_server *server)
+{
+	GHashTableIter iter;
+	gpointer conn;
+
+	g_hash_table_iter_init(&iter, server->conns);
+	while (g_hash_table_iter_next(&iter, &conn, NULL))
+		close_conn(conn);
+	uv_close((uv_handle_t *)&server->tcp, on_server_closed);
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct write *write = (struct write *)req;
+
+	(void)status;
+	g_free(write->text);
+	g_free(write);
+}
+
+void wire_send(struct wire_conn *conn, const char *text)
+{
+	struct write *write = g_new0(struct write, 1);
+	uv_buf_t buf;
+
+	write->text = g_strdup(text);
+	buf = uv_buf_init(write->text, (unsigned)strlen(text));
+	uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, on_written);
+}
+
+void wire_answer(struct wire_conn *conn, int status, const char *extra,
+		 const char *body)
+{
+	char *text = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: %zu\r\n"
+				     "%s\r\n%s",
+				     status, strlen(body), extra, body);
+
+	wire_send(conn, text);
+	g_free(text);
+}
+
+static void on_shut_down(uv_shutdown_t *req, int status)
+{
+	(void)status;
+	close_conn(req->handle->data);
+	g_free(req);
+}
+
+void wire_hang_up(struct wire_conn *conn)
+{
+	uv_shutdown_t *req = g_new0(uv_shutdown_t, 1);
+
+	if (uv_shutdown(req, (uv_stream_t *)&conn->tcp, on_shut_down)) {
+		g_free(req);
+		close_conn(conn);
+	}
+}
+
+/* The port was bound a moment ago and is free again. */
+char *wire_refused_address(struct wire_loop *wire)
+{
+	uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
+	char *address;
+
+	uv_tcp_init(&wire->loop, tcp);
+	address = listen_on_loopback(tcp, NULL);
+	uv_close((uv_handle_t *)tcp, (uv_close_cb)g_free);
+	return address;
+}
