--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 
 $(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(SUPPORT_OBJ) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS)
 
 schema:
 	protoc-c --proto_path=schema --c_out=src/schema schema/*.proto
--- a/tests/fakes/engine_run.c
+++ b/tests/fakes/engine_run.c
@@ -79,10 +79,10 @@
 	return run;
 }
 
-static void run_drop(struct eng_run *run)
+static void run_free(void *data)
 {
-	if (--run->refs > 0)
-		return;
+	struct eng_run *run = data;
+
 	g_free(run->request);
 	g_free(run->model);
 	g_free(run->prompt);
@@ -93,6 +93,13 @@
 	g_free(run);
 }
 
+/* Frees from the loop, because functions above on the stack hold the run. */
+static void run_drop(struct eng_run *run)
+{
+	if (--run->refs == 0)
+		fk_after(fk_loop(run->engine->server), 0, run_free, run);
+}
+
 static struct stage *run_stage_at(struct eng_run *run, unsigned index)
 {
 	return &g_array_index(run->chain, struct stage, index);
