Wait after a change of ownership only, not at a scope's first use

The first call under a concurrency limit was refused for a second, because a new owner always waited for its predecessor's holders. It now waits, and starts with empty buckets, only within takeover_wait of a change of the live instances.

--- a/src/sched/lim_module.c
+++ b/src/sched/lim_module.c
@@ -162,23 +162,24 @@
 	GHashTableIter iter;
 	gpointer value;
 	GPtrArray *scopes = g_ptr_array_new();
+	bool moved = limits->swept_revision != ctx->peers_revision;
 	guint i;
 
 	limits->next_sweep = ctx->now + SWEEP_INTERVAL_MS;
+	limits->swept_revision = ctx->peers_revision;
+	lim_note_peers(ctx, limits);
 	g_hash_table_iter_init(&iter, limits->scopes);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(scopes, value);
 	for (i = 0; i < scopes->len; i++) {
 		struct lim_scope *scope = scopes->pdata[i];
 
-		lim_scope_tick(ctx, limits, scope);
+		lim_scope_tick(ctx, limits, scope, moved);
 		if (is_idle(ctx, limits, scope))
 			g_hash_table_remove(limits->scopes, scope->name);
 	}
 	g_ptr_array_unref(scopes);
-	lim_owner_sweep(ctx, limits,
-			limits->peers_revision != ctx->peers_revision);
-	limits->peers_revision = ctx->peers_revision;
+	lim_owner_sweep(ctx, limits, moved);
 }
 
 static void handle_demand(struct wf_ctx *ctx, struct lim_limits *limits,
@@ -285,6 +286,8 @@
 	limits->module.id = WF_MODULE_LIMITS;
 	limits->config = *config;
 	limits->peers_revision = ctx->peers_revision;
+	limits->swept_revision = ctx->peers_revision;
+	limits->peers_changed = ctx->now - config->takeover_wait;
 	limits->scopes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       lim_scope_free);
 	limits->owned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/sched/lim_owner.c
+++ b/src/sched/lim_owner.c
@@ -10,9 +10,24 @@
 	g_free(owned);
 }
 
+void lim_note_peers(struct wf_ctx *ctx, struct lim_limits *limits)
+{
+	if (limits->peers_revision == ctx->peers_revision)
+		return;
+	limits->peers_revision = ctx->peers_revision;
+	limits->peers_changed = ctx->now;
+}
+
+/* Whether another instance may have owned a scope a moment ago. */
+static bool may_have_moved(const struct wf_ctx *ctx,
+			   const struct lim_limits *limits)
+{
+	return ctx->now - limits->peers_changed < limits->config.takeover_wait;
+}
+
 /*
- * A new owner starts with empty buckets: the former owner may have granted a
- * full burst just before.
+ * After a change of ownership the buckets start empty: the former owner may
+ * have granted a full burst just before.
  */
 static struct lim_owned *add_owned(struct wf_ctx *ctx,
 				   struct lim_limits *limits, const char *scope)
@@ -21,9 +36,10 @@
 
 	owned->holders =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	owned->calls.filled = ctx->now;
-	owned->tokens.filled = ctx->now;
-	owned->taken_over = ctx->now;
+	if (may_have_moved(ctx, limits)) {
+		owned->calls.filled = ctx->now;
+		owned->tokens.filled = ctx->now;
+	}
 	g_hash_table_insert(limits->owned, g_strdup(scope), owned);
 	return owned;
 }
@@ -100,7 +116,7 @@
 
 	if (!limit)
 		return wanted;
-	if (ctx->now - owned->taken_over < limits->config.takeover_wait)
+	if (may_have_moved(ctx, limits))
 		return 0;
 	limit = MAX(1, (unsigned)(limit * visible_share(ctx, limits)));
 	room = limit > owned->slots_used ? limit - owned->slots_used : 0;
@@ -154,6 +170,7 @@
 	struct lim_owned *owned = g_hash_table_lookup(limits->owned, scope);
 	struct lim_holder *holder;
 
+	lim_note_peers(ctx, limits);
 	if (!owned)
 		owned = add_owned(ctx, limits, scope);
 	holder = find_holder(owned, from);
--- a/src/sched/lim_private.h
+++ b/src/sched/lim_private.h
@@ -33,7 +33,6 @@
 	GHashTable *holders; /* instance id to struct lim_holder */
 	unsigned slots_used;
 	uint64_t next_grant;
-	clk_ms taken_over;
 	clk_ms used;
 };
 
@@ -85,6 +84,8 @@
 	GHashTable *owned;  /* name to struct lim_owned */
 	GHashTable *calls;  /* call id to struct lim_call */
 	uint64_t peers_revision;
+	uint64_t swept_revision; /* at the last sweep */
+	clk_ms peers_changed;	 /* time of the last change of the view */
 	clk_ms next_sweep;
 };
 
@@ -93,6 +94,8 @@
 
 /* lim_owner.c */
 void lim_owned_free(gpointer data);
+/* Notes a change of the live instances. */
+void lim_note_peers(struct wf_ctx *ctx, struct lim_limits *limits);
 /* Answers a demand in *grant; grant->scope is borrowed from the demand. */
 void lim_owner_demand(struct wf_ctx *ctx, struct lim_limits *limits,
 		      const char *from, const Wf__LimitDemand *demand,
@@ -118,6 +121,6 @@
 /* Admits one call out of what is granted; false if that is not enough. */
 bool lim_scope_admit(struct lim_scope *scope, unsigned tokens);
 void lim_scope_tick(struct wf_ctx *ctx, struct lim_limits *limits,
-		    struct lim_scope *scope);
+		    struct lim_scope *scope, bool peers_changed);
 
 #endif
--- a/src/sched/lim_scope.c
+++ b/src/sched/lim_scope.c
@@ -260,12 +260,10 @@
 }
 
 void lim_scope_tick(struct wf_ctx *ctx, struct lim_limits *limits,
-		    struct lim_scope *scope)
+		    struct lim_scope *scope, bool peers_changed)
 {
-	bool moved = false;
+	bool moved = peers_changed && owner_moved(ctx, scope);
 
-	if (limits->peers_revision != ctx->peers_revision)
-		moved = owner_moved(ctx, scope);
 	if (moved && scope->asked)
 		lim_scope_ask(ctx, limits, scope, false);
 	else if (scope->asked &&
