--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 
 $(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(SUPPORT_OBJ) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(LIBS)
 
 schema:
 	protoc-c --proto_path=schema --c_out=src/schema schema/*.proto
@@ -95,3 +95,4 @@
 
 .PHONY: all check clean schema print-sources
 .SECONDARY:
+.DELETE_ON_ERROR:
