--- a/src/rules/rul_add.c
+++ b/src/rules/rul_add.c
@@ -138,8 +138,8 @@
 		     uint32_t number)
 {
 	struct rul_set *set = parser->set;
-	char *key = g_strjoin(" ", line->subject, line->names[0], line->version,
-			      NULL);
+	char *key = g_strjoin(" ", line->subject, line->names[0],
+			      line->details->version, NULL);
 	char *copy = rul_arena_copy(&set->arena, key, strlen(key));
 
 	g_free(key);
--- a/src/rules/rul_kinds.c
+++ b/src/rules/rul_kinds.c
@@ -2,33 +2,38 @@
 
 /* The tables of line kinds and attributes; docs/rules.md explains them. */
 
-#define AT(member) offsetof(struct rul_line, member)
+#define IN_LINE(member) true, offsetof(struct rul_line, member)
+#define IN_DETAILS(member) false, offsetof(struct rul_details, member)
 
 const struct rul_attr_info rul_attrs[RUL_N_ATTRS] = {
-	[RUL_ATTR_ORG] = {"org", RUL_TYPE_ANY_LIST, AT(orgs), 0, 0},
-	[RUL_ATTR_MODEL] = {"model", RUL_TYPE_ANY_LIST, AT(names), 0, 0},
-	[RUL_ATTR_SERVICE] = {"service", RUL_TYPE_ANY_LIST, AT(names), 0, 0},
-	[RUL_ATTR_TO] = {"to", RUL_TYPE_NAME, AT(policy.target), 0, 0},
-	[RUL_ATTR_IN] = {"in", RUL_TYPE_LIST, AT(policy.data_centers), 0, 0},
-	[RUL_ATTR_ON] = {"on", RUL_TYPE_LIST, AT(policy.targets), 0, 0},
-	[RUL_ATTR_PRIORITY] = {"priority", RUL_TYPE_COUNT, AT(policy.priority),
-			       0, 9},
+	[RUL_ATTR_ORG] = {"org", RUL_TYPE_ANY_LIST, IN_LINE(orgs), 0, 0},
+	[RUL_ATTR_MODEL] = {"model", RUL_TYPE_ANY_LIST, IN_LINE(names), 0, 0},
+	[RUL_ATTR_SERVICE] = {"service", RUL_TYPE_ANY_LIST, IN_LINE(names), 0,
+			      0},
+	[RUL_ATTR_TO] = {"to", RUL_TYPE_NAME, IN_DETAILS(policy.target), 0, 0},
+	[RUL_ATTR_IN] = {"in", RUL_TYPE_LIST, IN_DETAILS(policy.data_centers),
+			 0, 0},
+	[RUL_ATTR_ON] = {"on", RUL_TYPE_LIST, IN_DETAILS(policy.targets), 0, 0},
+	[RUL_ATTR_PRIORITY] = {"priority", RUL_TYPE_COUNT,
+			       IN_DETAILS(policy.priority), 0, 9},
 	[RUL_ATTR_DEADLINE] = {"deadline", RUL_TYPE_DURATION,
-			       AT(policy.deadline), 1, CLK_HOUR},
-	[RUL_ATTR_RATE] = {"rate", RUL_TYPE_RATE, AT(policy.rate), 1,
+			       IN_DETAILS(policy.deadline), 1, CLK_HOUR},
+	[RUL_ATTR_RATE] = {"rate", RUL_TYPE_RATE, IN_DETAILS(policy.rate), 1,
 			   UINT64_C(1000000000)},
 	[RUL_ATTR_TOKEN_RATE] = {"token_rate", RUL_TYPE_TOKEN_RATE,
-				 AT(policy.token_rate), 1,
+				 IN_DETAILS(policy.token_rate), 1,
 				 UINT64_C(1000000000)},
 	[RUL_ATTR_CONCURRENCY] = {"concurrency", RUL_TYPE_COUNT,
-				  AT(policy.concurrency), 1, 1000000},
-	[RUL_ATTR_WEIGHT] = {"weight", RUL_TYPE_COUNT, AT(policy.weight), 1,
-			     1000},
-	[RUL_ATTR_REPEAT] = {"repeat", RUL_TYPE_FLAG, AT(repeat), 0, 0},
-	[RUL_ATTR_FENCING] = {"fencing", RUL_TYPE_FLAG, AT(fencing), 0, 0},
-	[RUL_ATTR_SENDER] = {"sender", RUL_TYPE_FLAG, AT(sender), 0, 0},
-	[RUL_ATTR_VERSION] = {"version", RUL_TYPE_NAME, AT(version), 0, 0},
-	[RUL_ATTR_WANTED] = {"wanted", RUL_TYPE_FLAG, AT(wanted), 0, 0},
+				  IN_DETAILS(policy.concurrency), 1, 1000000},
+	[RUL_ATTR_WEIGHT] = {"weight", RUL_TYPE_COUNT,
+			     IN_DETAILS(policy.weight), 1, 1000},
+	[RUL_ATTR_REPEAT] = {"repeat", RUL_TYPE_FLAG, IN_DETAILS(repeat), 0, 0},
+	[RUL_ATTR_FENCING] = {"fencing", RUL_TYPE_FLAG, IN_DETAILS(fencing), 0,
+			      0},
+	[RUL_ATTR_SENDER] = {"sender", RUL_TYPE_FLAG, IN_DETAILS(sender), 0, 0},
+	[RUL_ATTR_VERSION] = {"version", RUL_TYPE_NAME, IN_DETAILS(version), 0,
+			      0},
+	[RUL_ATTR_WANTED] = {"wanted", RUL_TYPE_FLAG, IN_DETAILS(wanted), 0, 0},
 };
 
 #define BITS_MATCH                                         \
--- a/src/rules/rul_parse.c
+++ b/src/rules/rul_parse.c
@@ -257,13 +257,14 @@
 	}
 }
 
-static void set_defaults(struct rul_line *line)
+static void set_defaults(struct rul_details *details)
 {
-	line->wanted = true;
-	line->policy.rule_line = line->line;
-	line->policy.priority = RUL_DEFAULT_PRIORITY;
-	line->policy.deadline = RUL_DEFAULT_DEADLINE;
-	line->policy.weight = RUL_DEFAULT_WEIGHT;
+	/* Padding is compared when details are shared. */
+	memset(details, 0, sizeof(*details));
+	details->wanted = true;
+	details->policy.priority = RUL_DEFAULT_PRIORITY;
+	details->policy.deadline = RUL_DEFAULT_DEADLINE;
+	details->policy.weight = RUL_DEFAULT_WEIGHT;
 }
 
 static bool parse_subject(struct rul_parser *parser, struct rul_line *line,
@@ -295,17 +296,19 @@
 	next_word(&rest, &kind_word);
 	if (!parse_kind(parser, kind_word, &line.kind))
 		return;
-	set_defaults(&line);
+	set_defaults(&parser->details);
 	good &= parse_subject(parser, &line, kind_word, &rest);
 	while (next_word(&rest, &word))
 		good &= parse_attribute(parser, &line, word, values);
 	/* A word that was not understood may be the missing one. */
 	if (!good || !check_line(parser, &line, kind_word, values))
 		return;
-	line.policy.repeatable = rul_line_call(&line) == WF_CALL_MODEL;
-	if (line.stated & RUL_BIT(RUL_ATTR_REPEAT))
-		line.policy.repeatable = line.repeat;
-	line.who = rul_arena_copy(&parser->set->arena, who.at, who.len);
+	parser->details.policy.repeatable =
+		line.stated & RUL_BIT(RUL_ATTR_REPEAT)
+			? parser->details.repeat
+			: rul_line_call(&line) == WF_CALL_MODEL;
+	line.details = rul_share_details(parser);
+	line.who = rul_share_text(parser, who);
 	rul_add_line(parser, &line, values);
 }
 
--- a/src/rules/rul_private.h
+++ b/src/rules/rul_private.h
@@ -67,6 +67,19 @@
 	RUL_TYPE_FLAG,	/* bool, written "yes" or "no" */
 };
 
+/*
+ * What a line decides, without its place and match. Equal ones are shared:
+ * most of 31,000 organisations have one of a few sets of limits.
+ */
+struct rul_details {
+	struct wf_policy policy; /* rule_line is 0 */
+	char *version;		 /* of "load" */
+	bool fencing;		 /* of "target" */
+	bool sender;		 /* of "target" */
+	bool wanted;		 /* of "load" */
+	bool repeat;		 /* of "route", if stated */
+};
+
 /* One parsed line. All pointers are into the set's arena. */
 struct rul_line {
 	enum rul_kind kind;
@@ -76,19 +89,15 @@
 	char *subject;	 /* of "target" and "load" */
 	char **orgs;	 /* NULL: any */
 	char **names;	 /* models or services, NULL: any */
-	char *version;	 /* of "load" */
-	bool fencing;	 /* of "target" */
-	bool sender;	 /* of "target" */
-	bool wanted;	 /* of "load" */
-	bool repeat;	 /* of "route", if stated */
-	struct wf_policy policy;
+	const struct rul_details *details; /* NULL in a comment line */
 };
 
-/* How an attribute is written and where struct rul_line stores it. */
+/* How an attribute is written and where it is stored. */
 struct rul_attr_info {
 	const char *name;
 	enum rul_type type;
-	size_t offset;
+	bool in_line;  /* in struct rul_line, else in struct rul_details */
+	size_t offset; /* in that struct */
 	uint64_t min;
 	uint64_t max;
 };
@@ -169,8 +178,20 @@
 	const char *line;    /* start of the present line */
 	size_t line_len;
 	unsigned line_no;
+	struct rul_details details; /* of the present line */
+	GHashTable *strings;	    /* shared strings, to themselves */
+	GHashTable *lists;	    /* text of a list to char ** */
+	GHashTable *shared;	    /* struct rul_details, to themselves */
 };
 
+/* Prepares the tables of shared values; set must be there. */
+void rul_share_init(struct rul_parser *parser);
+void rul_share_clear(struct rul_parser *parser);
+
+/* A copy in the arena that is shared with equal ones. */
+char *rul_share_text(struct rul_parser *parser, struct rul_token text);
+const struct rul_details *rul_share_details(struct rul_parser *parser);
+
 /*
  * Adds a problem at a token of the present line. The suggestion (may be NULL)
  * is copied; the message has printf form.
--- a/src/rules/rul_set.c
+++ b/src/rules/rul_set.c
@@ -73,7 +73,8 @@
 	if (!entry)
 		return false;
 	line = line_at(set, entry->line);
-	*out = line->policy;
+	*out = line->details->policy;
+	out->rule_line = line->line;
 	if (line->kind == RUL_DENY)
 		return false;
 	if (!out->target)
@@ -94,9 +95,9 @@
 	line = line_at(set, number - 1);
 	out->rule_line = line->line;
 	out->states_fencing = line->stated & RUL_BIT(RUL_ATTR_FENCING);
-	out->checks_fencing = line->fencing;
+	out->checks_fencing = line->details->fencing;
 	out->states_sender = line->stated & RUL_BIT(RUL_ATTR_SENDER);
-	out->checks_sender = line->sender;
+	out->checks_sender = line->details->sender;
 	return true;
 }
 
@@ -114,8 +115,8 @@
 		.rule_line = line->line,
 		.target = line->subject,
 		.model = line->names[0],
-		.version = line->version,
-		.wanted = line->wanted,
+		.version = line->details->version,
+		.wanted = line->details->wanted,
 	};
 }
 
@@ -190,7 +191,9 @@
 		problems ? g_ptr_array_ref(problems) : rul_problems_new();
 	parser.first_problem = parser.problems->len;
 	parser.set = rul_set_new();
+	rul_share_init(&parser);
 	parse_lines(&parser, text, len);
+	rul_share_clear(&parser);
 	report_hidden(&parser);
 	if (parser.problems->len > parser.first_problem) {
 		set_error(error, &parser);
--- a/src/rules/rul_value.c
+++ b/src/rules/rul_value.c
@@ -8,9 +8,12 @@
 /* Numbers have at most this many digits, so that they cannot overflow. */
 #define NUMBER_MAX_DIGITS 10
 
-static void *field_of(struct rul_line *line, enum rul_attr attr)
+static void *field_of(struct rul_parser *parser, struct rul_line *line,
+		      enum rul_attr attr)
 {
-	return (char *)line + rul_attrs[attr].offset;
+	if (rul_attrs[attr].in_line)
+		return (char *)line + rul_attrs[attr].offset;
+	return (char *)&parser->details + rul_attrs[attr].offset;
 }
 
 bool rul_check_name(struct rul_parser *parser, struct rul_token name,
@@ -266,14 +269,31 @@
 			   rul_attrs[attr].name);
 		return false;
 	}
-	*out = rul_arena_copy(&parser->set->arena, value.at, value.len);
+	*out = rul_share_text(parser, value);
 	return true;
 }
 
+/* Parses a list that other lines are likely to have, too. */
+static bool parse_shared_list(struct rul_parser *parser, enum rul_attr attr,
+			      struct rul_token value, char ***out)
+{
+	char *text = g_strndup(value.at, value.len);
+	bool good = true;
+
+	*out = g_hash_table_lookup(parser->lists, text);
+	if (!*out)
+		good = parse_list(parser, out, value, rul_attrs[attr].name);
+	if (*out)
+		g_hash_table_insert(parser->lists, text, *out);
+	else
+		g_free(text);
+	return good;
+}
+
 bool rul_parse_value(struct rul_parser *parser, struct rul_line *line,
 		     enum rul_attr attr, struct rul_token value)
 {
-	void *field = field_of(line, attr);
+	void *field = field_of(parser, line, attr);
 
 	switch (rul_attrs[attr].type) {
 	case RUL_TYPE_ANY_LIST:
@@ -281,7 +301,7 @@
 			return true;
 		return parse_list(parser, field, value, rul_attrs[attr].name);
 	case RUL_TYPE_LIST:
-		return parse_list(parser, field, value, rul_attrs[attr].name);
+		return parse_shared_list(parser, attr, value, field);
 	case RUL_TYPE_NAME:
 		return parse_name(parser, attr, value, field);
 	case RUL_TYPE_DURATION:
--- a/src/rules/rul_write.c
+++ b/src/rules/rul_write.c
@@ -45,7 +45,10 @@
 static void write_value(const struct rul_line *line, enum rul_attr attr,
 			GString *out)
 {
-	const void *field = (const char *)line + rul_attrs[attr].offset;
+	const char *base = rul_attrs[attr].in_line
+				   ? (const char *)line
+				   : (const char *)line->details;
+	const void *field = base + rul_attrs[attr].offset;
 	char **list;
 
 	switch (rul_attrs[attr].type) {
