--- /dev/null
+++ b/src/tool/cmd_http.c
@@ -0,0 +1,130 @@
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "cmd.h"
+
+/* Lists of chunks are the largest answers. */
+#define BODY_MAX_BYTES (16U * 1024 * 1024)
+
+struct cmd_http {
+	CURL *curl;
+	int timeout_ms;
+	char problem[CURL_ERROR_SIZE];
+};
+
+struct cmd_http *cmd_http_new(int timeout_ms)
+{
+	struct cmd_http *http = g_new0(struct cmd_http, 1);
+
+	http->curl = curl_easy_init();
+	http->timeout_ms = timeout_ms;
+	return http;
+}
+
+void cmd_http_drop(struct cmd_http *http)
+{
+	if (!http)
+		return;
+	curl_easy_cleanup(http->curl);
+	g_free(http);
+}
+
+static size_t take_body(char *data, size_t size, size_t n, void *user)
+{
+	struct cmd_response *response = user;
+
+	if (response->body->len + size * n > BODY_MAX_BYTES)
+		return 0;
+	g_byte_array_append(response->body, (const guint8 *)data,
+			    (guint)(size * n));
+	return size * n;
+}
+
+/* Reads the version out of ETag: "123". */
+static size_t take_header(char *data, size_t size, size_t n, void *user)
+{
+	struct cmd_response *response = user;
+	char *line = g_strndup(data, size * n);
+
+	if (!g_ascii_strncasecmp(line, "etag:", 5)) {
+		char *value = g_strstrip(line + 5);
+
+		if (*value == '"')
+			response->etag = g_ascii_strtoull(value + 1, NULL, 10);
+	}
+	g_free(line);
+	return size * n;
+}
+
+static void set_body(CURL *curl, const char *method, GBytes *body)
+{
+	gsize len = 0;
+	const char *data = body ? g_bytes_get_data(body, &len) : NULL;
+
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+	if (!body)
+		return;
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)len);
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, data ? data : "");
+}
+
+static void perform(struct cmd_http *http, struct cmd_response *response)
+{
+	CURLcode code = curl_easy_perform(http->curl);
+
+	response->sent = code != CURLE_COULDNT_CONNECT &&
+			 code != CURLE_COULDNT_RESOLVE_HOST &&
+			 code != CURLE_URL_MALFORMAT &&
+			 code != CURLE_UNSUPPORTED_PROTOCOL;
+	if (code == CURLE_OK) {
+		curl_easy_getinfo(http->curl, CURLINFO_RESPONSE_CODE,
+				  &response->status);
+		return;
+	}
+	response->problem = g_strdup(*http->problem ? http->problem
+						    : curl_easy_strerror(code));
+}
+
+void cmd_http_request(struct cmd_http *http, const char *method,
+		      const char *url, const char *condition, GBytes *body,
+		      int extra_ms, struct cmd_response *response)
+{
+	struct curl_slist *headers = NULL;
+	CURL *curl = http->curl;
+
+	memset(response, 0, sizeof(*response));
+	response->body = g_byte_array_new();
+	headers = curl_slist_append(headers, "Expect:");
+	headers = curl_slist_append(headers,
+				    "Content-Type: application/octet-stream");
+	if (condition)
+		headers = curl_slist_append(headers, condition);
+	curl_easy_reset(curl);
+	*http->problem = '\0';
+	curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, http->problem);
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
+			 (long)http->timeout_ms + extra_ms);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)http->timeout_ms);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, response);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, response);
+	set_body(curl, method, body);
+	perform(http, response);
+	curl_slist_free_all(headers);
+}
+
+void cmd_response_clear(struct cmd_response *response)
+{
+	if (response->body)
+		g_byte_array_unref(response->body);
+	g_free(response->problem);
+	memset(response, 0, sizeof(*response));
+}
