Test the operators' command over a loopback object API

The stand-in speaks the object API of docs/interfaces.md over the in-memory store, loses answers and lets a rival publish before the manifest.

--- /dev/null
+++ b/tests/tool_wire_test.c
@@ -0,0 +1,334 @@
+/* The operators' command against an object API on a loopback port. */
+
+#include <check.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <wagtailferry/rules.h>
+
+#include "support/rules_server.h"
+
+static struct rst_store *store;
+static struct rsv_server *server;
+static char *folder;
+static char *out;
+static char *err;
+
+static void setup(void)
+{
+	store = rst_new();
+	server = rsv_new(store);
+	folder = g_dir_make_tmp("wagtailferry-XXXXXX", NULL);
+	g_setenv("WAGTAILFERRY_STORE", rsv_address(server), TRUE);
+}
+
+static char *path_of(const char *name)
+{
+	return g_build_filename(folder, name, NULL);
+}
+
+static void teardown(void)
+{
+	char *path = path_of("rules");
+
+	unlink(path);
+	g_free(path);
+	rmdir(folder);
+	rsv_drop(server);
+	rst_drop(store);
+	g_free(folder);
+	g_free(out);
+	g_free(err);
+}
+
+static char *tool_path(void)
+{
+	const char *build = g_getenv("WF_BUILD");
+
+	return g_build_filename(build ? build : "build", "wagtailferry", NULL);
+}
+
+/* Runs the command with words separated by blanks; gives its exit code. */
+static int run(const char *format, ...) G_GNUC_PRINTF(1, 2);
+
+static int run(const char *format, ...)
+{
+	GError *error = NULL;
+	char *tool = tool_path();
+	char *words;
+	char *line;
+	char **argv;
+	va_list args;
+	int status;
+
+	va_start(args, format);
+	words = g_strdup_vprintf(format, args);
+	va_end(args);
+	line = g_strdup_printf("%s %s", tool, words);
+	argv = g_strsplit(line, " ", 0);
+	g_free(out);
+	g_free(err);
+	ck_assert_msg(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL,
+				   NULL, &out, &err, &status, &error),
+		      "%s", error ? error->message : "");
+	g_strfreev(argv);
+	g_free(line);
+	g_free(words);
+	g_free(tool);
+	ck_assert(WIFEXITED(status));
+	return WEXITSTATUS(status);
+}
+
+static char *write_rules(const char *text)
+{
+	char *path = path_of("rules");
+
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	return path;
+}
+
+static int publish(const char *text, const char *options)
+{
+	char *path = write_rules(text);
+	int code = run("rules publish %s %s%s--author nils", path, options,
+		       *options ? " " : "");
+
+	g_free(path);
+	return code;
+}
+
+static void check_contains(const char *text, const char *part)
+{
+	ck_assert_msg(strstr(text, part) != NULL, "\"%s\" is not in \"%s\"",
+		      part, text);
+}
+
+START_TEST(edit_goes_around_and_is_in_force)
+{
+	json_t *root;
+
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 0"), 0);
+	check_contains(out, "revision 1 accepted: 1 chunks, 25 bytes");
+	ck_assert_int_eq(run("rules show"), 0);
+	ck_assert_str_eq(out, "# base revision 1\ndeny org=a model=b # Ann\n");
+	rsv_lag_status(server, 5);
+	ck_assert_int_eq(publish("# base revision 1\n"
+				 "deny org=a model=c # Bo\n",
+				 "--wait -j -n spring -i 127.0.0.1:1 -i "
+				 "127.0.0.1:1 --wait-timeout 0"),
+			 4);
+	root = json_loads(out, 0, NULL);
+	ck_assert_str_eq(json_string_value(json_object_get(root, "result")),
+			 "accepted");
+	ck_assert_int_eq(json_integer_value(json_object_get(root, "in_force")),
+			 0);
+	json_decref(root);
+	ck_assert_int_eq(run("rules history"), 0);
+	check_contains(out, "revision 2 (from 1)  by nils, requested by Bo  "
+			    "spring\n");
+	check_contains(out, "revision 1 (from 0)  by nils, requested by Ann\n");
+	rst_check_audit(store, 2);
+}
+END_TEST
+
+START_TEST(wait_ends_when_all_instances_have_the_revision)
+{
+	const char *address = rsv_address(server);
+	char *options =
+		g_strdup_printf("-b 0 --wait -i %s -i %s", address, address);
+
+	rsv_lag_status(server, 3);
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", options), 0);
+	check_contains(out, "in force on 2 of 2 instances\n");
+	g_free(options);
+	ck_assert_int_eq(run("status -i %s -i 127.0.0.1:1", address), 4);
+	check_contains(out, "rules revision 1\n");
+	check_contains(out, "does not answer\n");
+	ck_assert_int_eq(run("status -j -i %s", address), 0);
+	check_contains(out, "{\"store_revision\":1,");
+	check_contains(out, "\"status\":{\"rules_revision\":1}");
+}
+END_TEST
+
+/* Guards against a publish without a base that overwrites what is there. */
+START_TEST(conflict_names_the_other_and_exits_with_3)
+{
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", ""), 0);
+	ck_assert_int_eq(publish("deny org=a model=c # Bo\n", ""), 3);
+	check_contains(err, "nils published revision 1 at ");
+	check_contains(err, "-1: deny org=a model=c # Bo\n"
+			    "+1: deny org=a model=b # Ann\n");
+	ck_assert_int_eq(publish("deny org=a model=c # Bo\n", "-j"), 3);
+	check_contains(out, "\"result\":\"conflict\"");
+	check_contains(out, "\"changes_from\":\"file\"");
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 1"), 0);
+	check_contains(out, "revision 1 has this text already");
+	ck_assert_int_eq(publish("deny org=a model=c # Bo\n", "-b latest"), 0);
+	ck_assert_uint_eq(store->records->len, 2);
+}
+END_TEST
+
+static void publish_rival(struct rst_store *to)
+{
+	struct wf_ctx *ctx = wf_ctx_new("rival", "", 1, 1, NULL, NULL);
+	struct rul_publish_config config = {
+		.text = "deny org=a model=rival # Eva\n",
+		.len = strlen("deny org=a model=rival # Eva\n"),
+		.base_revision = RUL_BASE_LATEST,
+		.author = {.name = "eva", .nonce = {7}},
+	};
+	struct rul_publish *other = rul_publish_new(&config, NULL, NULL);
+	struct wf_action action;
+
+	ctx->now = 1;
+	rul_publish_start(ctx, other);
+	while (wf_next_action(ctx, &action)) {
+		struct wf_store_reply reply;
+
+		rst_execute(to, &action, RST_NONE, &reply);
+		rul_publish_handle(ctx, other, &reply);
+		rst_reply_clear(&reply);
+	}
+	ck_assert_int_eq(rul_publish_outcome(other)->result,
+			 RUL_PUBLISH_ACCEPTED);
+	rul_publish_drop(other);
+	wf_ctx_drop(ctx);
+}
+
+START_TEST(lost_race_shows_what_the_rival_changed)
+{
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 0"), 0);
+	rsv_before_manifest(server, publish_rival);
+	ck_assert_int_eq(publish("deny org=a model=c # Bo\n", "-b 1"), 3);
+	check_contains(err, "eva published revision 2 at ");
+	check_contains(err, "what changed against the base of your edit:\n"
+			    "-1: deny org=a model=b # Ann\n"
+			    "+1: deny org=a model=rival # Eva\n");
+	rst_check_records(store);
+}
+END_TEST
+
+START_TEST(lost_answer_is_settled)
+{
+	rsv_fault_puts(server, RUL_MANIFEST_NAME, RST_LOST_REPLY, 2);
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 0"), 0);
+	check_contains(out, "revision 1 accepted");
+	rsv_fault_puts(server, RUL_CHUNK_KIND, RST_UNAVAILABLE, 3);
+	ck_assert_int_eq(publish("deny org=a model=c # Bo\n", "-b 1"), 0);
+	rsv_fault_puts(server, RUL_CHUNK_KIND, RST_REFUSED, 1);
+	ck_assert_int_eq(publish("deny org=a model=d # Bo\n", "-b 2"), 1);
+	check_contains(err, "not published: the store refuses the write");
+	rst_check_audit(store, 2);
+}
+END_TEST
+
+/* Guards against "not published" or "accepted" when neither is known. */
+START_TEST(unknown_outcome_exits_with_5)
+{
+	rsv_silence_after(server, RUL_MANIFEST_NAME);
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 0"), 5);
+	check_contains(err, "outcome unknown: ");
+	ck_assert_int_eq(run("rules show -t 200"), 4);
+	ck_assert_int_eq(run("rules publish %s/rules -b 1 -t 200", folder), 4);
+	check_contains(err, "not published: the store does not answer");
+}
+END_TEST
+
+START_TEST(invalid_rules_are_not_published)
+{
+	ck_assert_int_eq(publish("# base revision 0\n"
+				 "deny org=a modell=b # Ann\n",
+				 ""),
+			 1);
+	check_contains(err, "rules:2:12: unknown attribute in \"deny\": "
+			    "\"modell\"; write \"model\"\n");
+	ck_assert_int_eq(run("rules check %s/rules -j", folder), 1);
+	check_contains(out, "\"valid\":false");
+	check_contains(out, "\"line\":2,\"column\":12");
+	ck_assert_uint_eq(store->n_actions, 0);
+	ck_assert_int_eq(run("rules check %s/absent", folder), 1);
+	ck_assert_int_eq(run("rules check"), 2);
+	ck_assert_int_eq(run("rules check --wrong x"), 2);
+	ck_assert_int_eq(run("rules"), 2);
+	ck_assert_int_eq(run("rules diff --help"), 0);
+	check_contains(out, "--limit=N");
+	ck_assert_int_eq(run("--help"), 0);
+}
+END_TEST
+
+START_TEST(difference_with_the_store_is_shown)
+{
+	char *path;
+
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 0"), 0);
+	path = write_rules("# base revision 1\ndeny org=a model=b # Ann\n"
+			   "deny org=b model=b # Bo\n");
+	ck_assert_int_eq(run("rules diff %s", path), 0);
+	ck_assert_str_eq(out, "+2: deny org=b model=b # Bo\n");
+	ck_assert_int_eq(run("rules diff -j %s %s", path, path), 0);
+	ck_assert_str_eq(out, "{\"changes\":[]}\n");
+	ck_assert_int_eq(run("audit -j -l 1"), 0);
+	check_contains(out, "\"from_revision\":0,\"to_revision\":1");
+	g_free(path);
+}
+END_TEST
+
+/* The watch must see a revision that comes while it waits. */
+START_TEST(watch_prints_each_revision)
+{
+	char *argv[] = {tool_path(), "rules", "watch", "--count", "2", NULL};
+	char line[256];
+	FILE *stream;
+	GPid child;
+	int status;
+	int fd;
+
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 0"), 0);
+	ck_assert(g_spawn_async_with_pipes(
+		NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &child,
+		NULL, &fd, NULL, NULL));
+	stream = fdopen(fd, "r");
+	ck_assert_ptr_nonnull(fgets(line, sizeof(line), stream));
+	check_contains(line, "revision 1  ");
+	rsv_await_watch(server);
+	rsv_run(server, publish_rival);
+	ck_assert_ptr_nonnull(fgets(line, sizeof(line), stream));
+	check_contains(line, "revision 2  ");
+	ck_assert_ptr_null(fgets(line, sizeof(line), stream));
+	fclose(stream);
+	ck_assert_int_eq(waitpid(child, &status, 0), child);
+	ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	g_free(argv[0]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("tool_wire");
+	TCase *tcase = tcase_create("tool");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, edit_goes_around_and_is_in_force);
+	tcase_add_test(tcase, wait_ends_when_all_instances_have_the_revision);
+	tcase_add_test(tcase, conflict_names_the_other_and_exits_with_3);
+	tcase_add_test(tcase, lost_race_shows_what_the_rival_changed);
+	tcase_add_test(tcase, lost_answer_is_settled);
+	tcase_add_test(tcase, unknown_outcome_exits_with_5);
+	tcase_add_test(tcase, invalid_rules_are_not_published);
+	tcase_add_test(tcase, difference_with_the_store_is_shown);
+	tcase_add_test(tcase, watch_prints_each_revision);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
