--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 DAEMON_PKGS := libh2o libuv openssl zlib libzmq libcurl libsodium
 CFLAGS_BASE := -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wvla -Wformat=2 \
-	-fno-omit-frame-pointer -MMD -MP -Iinclude -Isrc \
+	-fno-omit-frame-pointer -MMD -MP -Iinclude -Isrc -Itests \
 	-DH2O_USE_LIBUV=1
 ifdef SANITIZE
 BUILD := build/asan
@@ -37,6 +37,7 @@
 # Servers, clients and a fake core on loopback, for wire tests only.
 WIRE_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/wire/*.c))
 SUPPORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/*.c))
+SUPPORT := $(BUILD)/libsupport.a
 TEST_SRC := $(wildcard tests/*_test.c)
 TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
 BENCH_SRC := $(wildcard tests/bench/*.c)
@@ -60,6 +61,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_BASE) -Wno-error -w -c -o $@ $<
 
+$(SUPPORT): $(SUPPORT_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
 	ar rcs $@ $^
@@ -75,16 +80,16 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
 $(BUILD)/tests/%_wire_test: $(BUILD)/tests/%_wire_test.o $(WIRE_OBJ) \
-		$(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
+		$(SUPPORT) $(NET_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT) $(NET_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
-$(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(SUPPORT_OBJ) $(LIB)
+$(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(SUPPORT) $(NET_OBJ) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
 schema:
 	protoc-c --proto_path=schema --c_out=src/schema schema/*.proto
@@ -102,3 +107,4 @@
 
 .PHONY: all check clean schema print-sources
 .SECONDARY:
+.DELETE_ON_ERROR:
