--- /dev/null
+++ b/tests/adm_test.c
@@ -0,0 +1,299 @@
+/* Admission: lengths, queues, fair shares, deadlines, retry budget. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sched/adm.h"
+#include "support/engine_model.h"
+
+static struct adm_item item(const char *org, double cost)
+{
+	struct adm_item result = {
+		.org = org, .weight = 1, .cost = cost, .deadline = CLK_NEVER};
+
+	return result;
+}
+
+/* Guards against an organisation that fills the queue for all others. */
+START_TEST(organisations_share_by_weight)
+{
+	struct adm_queue *queue = adm_queue_new(1000, true, true);
+	struct adm_item items[300];
+	double served[2] = {0};
+	unsigned i;
+
+	for (i = 0; i < 300; i++) {
+		items[i] = item(i < 200 ? "large" : "small", 1 + i % 7);
+		items[i].weight = i < 200 ? 1 : 2;
+		adm_put(queue, &items[i]);
+	}
+	for (i = 0; i < 120; i++) {
+		struct adm_item *next = adm_peek(queue);
+
+		served[next->org[0] == 's'] += next->cost;
+		adm_serve(queue, next);
+	}
+	ck_assert_double_ge(served[1] / served[0], 1.8);
+	ck_assert_double_le(served[1] / served[0], 2.2);
+	adm_queue_drop(queue);
+}
+END_TEST
+
+/* Guards against requests of one organisation that overtake each other. */
+START_TEST(order_within_an_organisation_is_kept)
+{
+	struct adm_queue *queue = adm_queue_new(1000, true, true);
+	struct adm_item items[40];
+	unsigned next[2] = {0, 20};
+	unsigned i;
+
+	for (i = 0; i < 40; i++) {
+		items[i] = item(i < 20 ? "a" : "b", 1 + i % 5);
+		adm_put(queue, &items[i]);
+	}
+	for (i = 0; i < 40; i++) {
+		struct adm_item *served = adm_peek(queue);
+		unsigned org = served->org[0] == 'b';
+
+		ck_assert_ptr_eq(served, &items[next[org]++]);
+		adm_serve(queue, served);
+	}
+	ck_assert_ptr_null(adm_peek(queue));
+	adm_queue_drop(queue);
+}
+END_TEST
+
+/* Guards against long requests that hold up short ones, or starve. */
+START_TEST(long_requests_get_a_bounded_share)
+{
+	struct adm_queue *queue = adm_queue_new(1000, true, true);
+	struct adm_item items[400];
+	double served[2] = {0};
+	unsigned i;
+
+	for (i = 0; i < 400; i++) {
+		items[i] = item("a", i < 50 ? 200 : 10);
+		items[i].is_long = i < 50;
+		adm_put(queue, &items[i]);
+	}
+	for (i = 0; i < 200; i++) {
+		struct adm_item *next = adm_peek(queue);
+
+		served[next->is_long] += next->cost;
+		adm_serve(queue, next);
+	}
+	ck_assert_double_ge(served[1] / (served[0] + served[1]), 0.05);
+	ck_assert_double_le(served[1] / (served[0] + served[1]), 0.2);
+	adm_queue_drop(queue);
+}
+END_TEST
+
+/* Guards against a priority that is not served first. */
+START_TEST(higher_priority_is_served_first)
+{
+	struct adm_queue *queue = adm_queue_new(1000, true, true);
+	struct adm_item low = item("a", 1);
+	struct adm_item high = item("a", 100);
+
+	low.priority = 1;
+	adm_put(queue, &low);
+	adm_put(queue, &high);
+	ck_assert_ptr_eq(adm_peek(queue), &high);
+	adm_remove(queue, &high);
+	ck_assert_ptr_eq(adm_peek(queue), &low);
+	adm_remove(queue, &low);
+	ck_assert_uint_eq(queue->length, 0);
+	adm_queue_drop(queue);
+}
+END_TEST
+
+/* Guards against lengths that are not learned from an organisation's past. */
+START_TEST(expected_length_follows_the_history)
+{
+	struct adm_history *history = adm_history_new();
+	unsigned i;
+
+	ck_assert_double_eq(adm_expect(history, "a", "swan", 200), 100);
+	for (i = 0; i < 50; i++)
+		adm_learn(history, "a", "swan", 200, 20 + i % 3);
+	ck_assert_double_le(adm_expect(history, "a", "swan", 200), 30);
+	ck_assert_double_eq(adm_expect(history, "b", "swan", 200), 100);
+	ck_assert_double_le(adm_expect(history, "a", "swan", 200), 200);
+	adm_history_drop(history);
+}
+END_TEST
+
+static struct emod *new_model(const struct run_config *config)
+{
+	static const char *const data_centers[] = {"uppsala"};
+	struct emod *emod = emod_new(1, data_centers, 1, 5, NULL, config);
+
+	emod_add_engine(emod, "a", "uppsala", 12, 0, 5, 4, 10000);
+	emod_add_engine(emod, "b", "uppsala", 12, 6, 11, 4, 10000);
+	emod_publish(emod);
+	emod_run_until(emod, 500);
+	return emod;
+}
+
+/*
+ * Guards against overload refusals that come late, that are not "not run" or
+ * that come without a time to retry, and against admitted requests that then
+ * miss their deadline.
+ */
+START_TEST(overload_is_refused_on_arrival)
+{
+	struct emod_call call = {.prompt_tokens = 16,
+				 .max_tokens = 30,
+				 .length = 15,
+				 .deadline = 3000};
+	struct run_config config;
+	struct emod *emod;
+	unsigned refused = 0;
+	unsigned late = 0;
+	unsigned i;
+
+	run_config_init(&config);
+	emod = new_model(&config);
+	for (i = 0; i < 600; i++) {
+		emod_submit(emod, &call);
+		emod_run_until(emod, emod_now(emod) + 10);
+	}
+	emod_run_until(emod, 20000);
+	for (i = 0; i < 600; i++) {
+		const struct emod_call *done = emod_call_at(emod, i);
+
+		ck_assert(done->ended);
+		if (!done->failed)
+			continue;
+		if (done->run != ERR_RUN_NOT) {
+			late++;
+			continue;
+		}
+		refused++;
+		ck_assert_int_le(done->end - done->arrival, 100);
+	}
+	ck_assert_uint_ge(refused, 200);
+	ck_assert_uint_le(late, 6);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against a deadline that even an empty system cannot meet. */
+START_TEST(impossible_deadline_is_refused_as_not_run)
+{
+	struct emod_call call = {.prompt_tokens = 16,
+				 .max_tokens = 100,
+				 .length = 100,
+				 .deadline = 300};
+	struct run_config config;
+	struct emod *emod;
+
+	run_config_init(&config);
+	emod = new_model(&config);
+	emod_submit(emod, &call);
+	ck_assert(emod_call_at(emod, 0)->failed);
+	ck_assert_int_eq(emod_call_at(emod, 0)->error, ERR_DEADLINE);
+	ck_assert_int_eq(emod_call_at(emod, 0)->run, ERR_RUN_NOT);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against a queue that grows without bound. */
+START_TEST(queue_is_bounded)
+{
+	struct emod_call call = {
+		.prompt_tokens = 16, .max_tokens = 30, .length = 30};
+	struct run_config config;
+	struct emod *emod;
+	unsigned i;
+
+	run_config_init(&config);
+	config.queue_limit = 20;
+	config.max_wait = CLK_HOUR;
+	emod = new_model(&config);
+	for (i = 0; i < 200; i++)
+		emod_submit(emod, &call);
+	ck_assert_uint_eq(run_n_queued(emod_runs(emod, 0)), 20);
+	ck_assert_int_eq(emod_call_at(emod, 199)->error, ERR_OVERLOADED);
+	ck_assert_int_eq(emod_call_at(emod, 199)->run, ERR_RUN_NOT);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against late binding that fills the engines' own queues. */
+START_TEST(late_binding_keeps_engine_queues_short)
+{
+	struct emod_call call = {
+		.prompt_tokens = 16, .max_tokens = 30, .length = 30};
+	struct run_config config;
+	enum adm_policy_kind kind;
+	unsigned queued[2];
+
+	for (kind = ADM_LATE; kind <= ADM_EARLY; kind++) {
+		struct emod *emod;
+		unsigned i;
+
+		run_config_init(&config);
+		config.policy = kind;
+		config.max_wait = CLK_HOUR;
+		emod = new_model(&config);
+		for (i = 0; i < 100; i++)
+			emod_submit(emod, &call);
+		emod_run_until(emod, 1500);
+		queued[kind] = emod_engine(emod, "a")->queued +
+			       emod_engine(emod, "b")->queued;
+		emod_drop(emod);
+	}
+	ck_assert_uint_le(queued[ADM_LATE], 16);
+	ck_assert_uint_ge(queued[ADM_EARLY], 60);
+}
+END_TEST
+
+/* Guards against a retry budget that never empties, and wild hedging. */
+START_TEST(retry_budget_is_a_tenth_of_requests)
+{
+	struct rty_budget budget;
+	unsigned taken = 0;
+	unsigned i;
+
+	rty_init(&budget, 0.1, 5);
+	for (i = 0; i < 1000; i++) {
+		rty_earn(&budget);
+		taken += rty_take(&budget);
+	}
+	ck_assert_uint_ge(taken, 100);
+	ck_assert_uint_le(taken, 106);
+	ck_assert(!rty_may_hedge(&budget, true, 1, 500, 100));
+	rty_init(&budget, 0.1, 5);
+	ck_assert(!rty_may_hedge(&budget, false, 1, 500, 100));
+	ck_assert(!rty_may_hedge(&budget, true, 2, 500, 100));
+	ck_assert(!rty_may_hedge(&budget, true, 1, 50, 100));
+	ck_assert(rty_may_hedge(&budget, true, 1, 500, 100));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("adm");
+	TCase *tcase = tcase_create("adm");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, organisations_share_by_weight);
+	tcase_add_test(tcase, order_within_an_organisation_is_kept);
+	tcase_add_test(tcase, long_requests_get_a_bounded_share);
+	tcase_add_test(tcase, higher_priority_is_served_first);
+	tcase_add_test(tcase, expected_length_follows_the_history);
+	tcase_add_test(tcase, overload_is_refused_on_arrival);
+	tcase_add_test(tcase, impossible_deadline_is_refused_as_not_run);
+	tcase_add_test(tcase, queue_is_bounded);
+	tcase_add_test(tcase, late_binding_keeps_engine_queues_short);
+	tcase_add_test(tcase, retry_budget_is_a_tenth_of_requests);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
