Let a stage end before its range does; add sched_bench

Engines that hold the first layers were busy 0.99 of the time while engines with overlapping ranges idled, because a stage always ran to the end of its engine's range. Planning now compares the ends of a stage by prices from each boundary to the end, recomputed with each round of polls from the present load.

--- a/src/sched/chn.c
+++ b/src/sched/chn.c
@@ -13,13 +13,10 @@
 /* Chains planned of which the best is taken, and tries if none is found. */
 #define CHN_CHAINS 2
 #define CHN_TRIES 4
-/*
- * Of two targets without queue the less loaded one is preferred by this part
- * of its step time, so that load spreads before it has to wait.
- */
-#define CHN_LOAD_WEIGHT 0.5
-/* Preference for a holder of the prompt's prefix, in parts of a step. */
-#define CHN_LOCALITY_WEIGHT 1.0
+/* A holder of the prompt's prefix counts as cheaper by this factor. */
+#define CHN_LOCALITY_FACTOR 0.5
+/* Ends of a stage that are compared, at most. */
+#define CHN_MAX_ENDS 6
 
 struct planner {
 	struct wf_ctx *ctx;
@@ -38,7 +35,8 @@
 	unsigned last_layer;
 	size_t next;
 	double us;
-	double score;
+	double cost;  /* of the stage and the hop to it */
+	double score; /* cost and price of the rest */
 };
 
 static uint64_t allowed_mask(struct tgt_targets *targets, char **names)
@@ -63,67 +61,91 @@
 }
 
 static bool is_admissible(const struct planner *p,
-			  const struct tgt_target *target, double load)
+			  const struct tgt_target *target)
 {
 	if (!(p->allowed >> (target->data_center_number & 63) & 1))
 		return false;
 	if (!tgt_is_usable(p->targets, target, p->ctx->now))
 		return false;
-	if (p->query->n_avoid && is_avoided(p->query, target->handle))
-		return false;
-	return !p->need_room || tgt_has_room(p->ctx, p->targets, target, load,
-					     p->query->is_long);
+	return !p->query->n_avoid || !is_avoided(p->query, target->handle);
+}
+
+static bool has_room(const struct planner *p, const struct tgt_target *target,
+		     double us)
+{
+	return !p->need_room ||
+	       tgt_has_room(p->ctx, p->targets, target, us / p->token_us,
+			    p->query->is_long);
+}
+
+static double hop_us(const struct tgt_config *config, unsigned from,
+		     unsigned to)
+{
+	if (from == TGT_NO_DATA_CENTER)
+		return 0;
+	return from == to ? config->link_us : config->far_link_us;
+}
+
+/* What a microsecond at the target costs, less for holders of the prefix. */
+static double factor_of(const struct planner *p,
+			const struct tgt_target *target)
+{
+	double factor = chn_factor(p->ctx, p->targets, p->model, target);
+	double load;
+
+	if (!tgt_holders_have(&p->holders, target->handle))
+		return factor;
+	load = tgt_load(p->ctx, p->targets, target);
+	if (load > TGT_LOCALITY_EXCESS * p->mean_load + 1)
+		return factor;
+	return factor * CHN_LOCALITY_FACTOR;
 }
 
-/* The expected time at the target, with what waits there, and the hop. */
-static double score_target(const struct planner *p,
-			   const struct tgt_target *target, double us,
-			   unsigned data_center)
+static struct chn_boundary *boundary_at(const struct planner *p, size_t index)
 {
-	const struct tgt_config *config = &p->targets->config;
-	double load = tgt_load(p->ctx, p->targets, target);
-	double use = load / tgt_places(p->ctx, p->targets, target);
-	double score = us * MAX(1, use) + us * CHN_LOAD_WEIGHT * use;
-
-	if (config->use_inflation)
-		score *= target->inflation;
-	if (tgt_holders_have(&p->holders, target->handle) &&
-	    load <= TGT_LOCALITY_EXCESS * p->mean_load + 1)
-		score -= us * CHN_LOCALITY_WEIGHT;
-	if (data_center == TGT_NO_DATA_CENTER)
-		return score;
-	return score + (target->data_center_number == data_center
-				? config->link_us
-				: config->far_link_us);
+	return &g_array_index(p->model->boundaries, struct chn_boundary, index);
 }
 
-static void consider(const struct planner *p,
-		     const struct chn_boundary *boundary,
-		     const struct chn_candidate *candidate,
+/*
+ * Compares the ways to use a candidate: up to each boundary in its range. A
+ * stage may end before its range does if other engines are cheaper from there
+ * on, so that scarce ranges are not spent on layers that others hold.
+ */
+static void consider(const struct planner *p, size_t at,
+		     struct tgt_target *target, size_t last,
 		     unsigned data_center, struct choice *best)
 {
-	struct tgt_target *target = candidate->target;
-	const struct chn_boundary *next;
-	double us = tgt_stage_us(target, boundary->layer, target->last_layer);
-	double score;
-
-	next = &g_array_index(p->model->boundaries, struct chn_boundary,
-			      candidate->next);
-	score = score_target(p, target, us, data_center) + next->to_go;
-	if (best->target && score >= best->score)
-		return;
-	best->target = target;
-	best->last_layer = target->last_layer;
-	best->next = candidate->next;
-	best->us = us;
-	best->score = score;
+	unsigned first_layer = boundary_at(p, at)->layer;
+	double factor = factor_of(p, target);
+	double hop = hop_us(&p->targets->config, data_center,
+			    target->data_center_number);
+	size_t step = 1 + (last - at - 1) / CHN_MAX_ENDS;
+	size_t end;
+
+	for (end = last; end > at; end = end > at + step ? end - step : at) {
+		const struct chn_boundary *next = boundary_at(p, end);
+		double us = tgt_stage_us(target, first_layer, next->layer - 1);
+		double score = us * factor + hop + next->price;
+
+		if (isinf(next->to_go) ||
+		    (best->target && score >= best->score))
+			continue;
+		if (!has_room(p, target, us))
+			continue;
+		best->target = target;
+		best->last_layer = next->layer - 1;
+		best->next = end;
+		best->us = us;
+		best->cost = us * factor + hop;
+		best->score = score;
+	}
 }
 
 /* Samples two admissible candidates out of a part of a boundary's list. */
-static void sample(const struct planner *p, const struct chn_boundary *boundary,
-		   guint low, guint high, unsigned data_center,
-		   struct choice *best)
+static void sample(const struct planner *p, size_t at, guint low, guint high,
+		   unsigned data_center, struct choice *best)
 {
+	const struct chn_boundary *boundary = boundary_at(p, at);
 	guint n = high - low;
 	guint start;
 	guint i;
@@ -134,54 +156,59 @@
 	start = g_rand_int(p->ctx->rand) % n;
 	for (i = 0; i < MIN(n, CHN_SCAN) && found < CHN_SAMPLES; i++) {
 		const struct chn_candidate *candidate;
+		unsigned next;
 		double us;
 
 		candidate = &g_array_index(boundary->candidates,
 					   struct chn_candidate,
 					   low + (start + i) % n);
-		us = tgt_stage_us(candidate->target, boundary->layer,
-				  candidate->target->last_layer);
-		if (!is_admissible(p, candidate->target, us / p->token_us))
+		if (!is_admissible(p, candidate->target))
+			continue;
+		next = boundary_at(p, at + 1)->layer;
+		us = tgt_stage_us(candidate->target, boundary->layer, next - 1);
+		if (!has_room(p, candidate->target, us))
 			continue;
-		consider(p, boundary, candidate, data_center, best);
+		consider(p, at, candidate->target, candidate->next, data_center,
+			 best);
 		found++;
 	}
 }
 
+static size_t find_end(const struct planner *p, unsigned layer)
+{
+	size_t i = 0;
+
+	while (boundary_at(p, i)->layer < layer)
+		i++;
+	return i;
+}
+
 /* Considers the holders of the prompt's prefix besides the samples. */
-static void sample_holders(const struct planner *p,
-			   const struct chn_boundary *boundary,
+static void sample_holders(const struct planner *p, size_t at,
 			   unsigned data_center, struct choice *best)
 {
-	guint i;
-	size_t k;
+	unsigned layer = boundary_at(p, at)->layer;
+	size_t i;
 
-	if (!p->holders.n)
-		return;
-	for (i = 0; i < boundary->candidates->len; i++) {
-		const struct chn_candidate *candidate;
+	for (i = 0; i < p->holders.n; i++) {
+		struct tgt_target *target;
 
-		candidate = &g_array_index(boundary->candidates,
-					   struct chn_candidate, i);
-		for (k = 0; k < p->holders.n; k++) {
-			double us;
-
-			if (p->holders.handles[k] != candidate->target->handle)
-				continue;
-			us = tgt_stage_us(candidate->target, boundary->layer,
-					  candidate->target->last_layer);
-			if (is_admissible(p, candidate->target,
-					  us / p->token_us))
-				consider(p, boundary, candidate, data_center,
-					 best);
-		}
+		target = tgt_get(p->targets, p->holders.handles[i]);
+		if (!target || target->first_layer > layer ||
+		    target->last_layer < layer ||
+		    strcmp(target->serves, p->model->name) != 0 ||
+		    !is_admissible(p, target))
+			continue;
+		consider(p, at, target, find_end(p, target->last_layer + 1),
+			 data_center, best);
 	}
 }
 
 /* The baselines: in turn, or fewest own requests, with a random start. */
-static void choose_simply(const struct planner *p,
-			  struct chn_boundary *boundary, struct choice *best)
+static void choose_simply(const struct planner *p, size_t at,
+			  struct choice *best)
 {
+	struct chn_boundary *boundary = boundary_at(p, at);
 	guint n = boundary->candidates->len;
 	bool in_turn = p->query->choice == CHN_ROUND_ROBIN;
 	const struct chn_candidate *found = NULL;
@@ -197,41 +224,39 @@
 		candidate =
 			&g_array_index(boundary->candidates,
 				       struct chn_candidate, (start + i) % n);
-		if (!is_admissible(p, candidate->target, 0))
+		if (!is_admissible(p, candidate->target))
 			continue;
 		if (!found || candidate->target->own_requests <
 				      found->target->own_requests)
 			found = candidate;
 	}
-	if (found)
-		consider(p, boundary, found, TGT_NO_DATA_CENTER, best);
+	if (!found)
+		return;
+	best->target = found->target;
+	best->last_layer = found->target->last_layer;
+	best->next = found->next;
+	best->us =
+		tgt_stage_us(found->target, boundary->layer, best->last_layer);
 }
 
-static void choose(const struct planner *p, struct chn_boundary *boundary,
-		   unsigned data_center, struct choice *best)
+static void choose(const struct planner *p, size_t at, unsigned data_center,
+		   struct choice *best)
 {
+	const struct chn_boundary *boundary = boundary_at(p, at);
 	unsigned near = data_center;
 
 	memset(best, 0, sizeof(*best));
 	if (p->query->choice != CHN_BEST) {
-		choose_simply(p, boundary, best);
+		choose_simply(p, at, best);
 		return;
 	}
 	if (near == TGT_NO_DATA_CENTER)
 		near = 0; /* the own one */
 	if (near + 1 < boundary->n_starts)
-		sample(p, boundary, boundary->starts[near],
+		sample(p, at, boundary->starts[near],
 		       boundary->starts[near + 1], data_center, best);
-	sample(p, boundary, 0, boundary->candidates->len, data_center, best);
-	sample_holders(p, boundary, data_center, best);
-}
-
-static double hop_us(const struct tgt_config *config, unsigned from,
-		     unsigned to)
-{
-	if (from == TGT_NO_DATA_CENTER)
-		return 0;
-	return from == to ? config->link_us : config->far_link_us;
+	sample(p, at, 0, boundary->candidates->len, data_center, best);
+	sample_holders(p, at, data_center, best);
 }
 
 static void add_stage(struct chn_chain *chain, const struct choice *choice,
@@ -257,29 +282,26 @@
 /* Walks from layer 0 to the end, one choice at each boundary. */
 static bool walk(const struct planner *p, struct chn_chain *chain)
 {
-	GArray *boundaries = p->model->boundaries;
 	unsigned data_center = TGT_NO_DATA_CENTER;
 	size_t at = 0;
 
-	memset(chain, 0, offsetof(struct chn_chain, stages));
+	chain->n = 0;
 	chain->token_us = 0;
 	chain->score = 0;
-	while (at + 1 < boundaries->len) {
-		struct chn_boundary *boundary;
+	while (at + 1 < p->model->boundaries->len) {
 		struct choice best;
 		unsigned next;
 
-		boundary = &g_array_index(boundaries, struct chn_boundary, at);
-		choose(p, boundary, data_center, &best);
+		choose(p, at, data_center, &best);
 		if (!best.target || chain->n == CHN_MAX_STAGES)
 			return false;
 		next = best.target->data_center_number;
-		add_stage(chain, &best, boundary->layer, best.last_layer);
+		add_stage(chain, &best, boundary_at(p, at)->layer,
+			  best.last_layer);
 		chain->token_us += best.us;
 		chain->token_us +=
 			hop_us(&p->targets->config, data_center, next);
-		chain->score +=
-			score_target(p, best.target, best.us, data_center);
+		chain->score += best.cost;
 		data_center = next;
 		at = best.next;
 	}
@@ -366,9 +388,11 @@
 		if (target->first_layer > first || target->last_layer < first)
 			continue;
 		us = tgt_stage_us(target, first, end);
-		if (!is_admissible(p, target, us / p->token_us))
+		if (!is_admissible(p, target) || !has_room(p, target, us))
 			continue;
-		score = score_target(p, target, us, data_center);
+		score = us * factor_of(p, target) +
+			hop_us(&p->targets->config, data_center,
+			       target->data_center_number);
 		if (best->target &&
 		    (best->last_layer > end ||
 		     (best->last_layer == end && best->score <= score)))
--- a/src/sched/chn.h
+++ b/src/sched/chn.h
@@ -58,6 +58,12 @@
 /* Brings all segments that are out of date up to date. */
 void chn_refresh(struct tgt_targets *targets);
 
+/*
+ * Recomputes the cost from each boundary to the end under the present load,
+ * for all models. Called with each round of polls, not for each decision.
+ */
+void chn_reprice(struct wf_ctx *ctx, struct tgt_targets *targets);
+
 /* Plans a chain for a whole model. */
 enum chn_result chn_plan(struct wf_ctx *ctx, struct tgt_targets *targets,
 			 const struct chn_query *query,
--- a/src/sched/chn_model.c
+++ b/src/sched/chn_model.c
@@ -103,7 +103,7 @@
 	model->nominal_rate = layers / MAX(model->n_layers, 1);
 }
 
-/* Marks layer 0 and the end of each range as boundaries. */
+/* Marks the ends of the model and of each range as boundaries. */
 static void collect_boundaries(struct chn_model *model)
 {
 	gboolean *marked = g_new0(gboolean, model->n_layers + 1);
@@ -115,6 +115,7 @@
 	for (i = 0; i < model->targets->len; i++) {
 		struct tgt_target *target = model->targets->pdata[i];
 
+		marked[target->first_layer] = TRUE;
 		marked[target->last_layer + 1] = TRUE;
 	}
 	for (layer = 0; layer <= model->n_layers; layer++) {
@@ -143,28 +144,39 @@
 			boundary->candidates->len;
 }
 
+static struct chn_boundary *boundary_at(const struct chn_model *model,
+					size_t index)
+{
+	return &g_array_index(model->boundaries, struct chn_boundary, index);
+}
+
 /* Adds a target if the rest of the model can be reached through it. */
-static void add_candidate(struct chn_model *model,
-			  struct chn_boundary *boundary,
+static void add_candidate(struct chn_model *model, size_t at,
 			  struct tgt_target *target, double link_us)
 {
 	struct chn_candidate candidate = {.target = target};
-	const struct chn_boundary *next;
-	double us;
+	struct chn_boundary *boundary = boundary_at(model, at);
+	double best = INFINITY;
+	size_t end;
 
 	candidate.next = find_boundary(model, target->last_layer + 1);
-	next = &g_array_index(model->boundaries, struct chn_boundary,
-			      candidate.next);
-	if (isinf(next->to_go))
+	for (end = at + 1; end <= candidate.next; end++) {
+		const struct chn_boundary *next = boundary_at(model, end);
+		double us;
+
+		us = tgt_stage_us(target, boundary->layer, next->layer - 1);
+		best = MIN(best, us + link_us + next->to_go);
+	}
+	if (isinf(best))
 		return;
+	boundary->to_go = MIN(boundary->to_go, best);
 	g_array_append_val(boundary->candidates, candidate);
-	us = tgt_stage_us(target, boundary->layer, target->last_layer);
-	boundary->to_go = MIN(boundary->to_go, us + link_us + next->to_go);
 }
 
 static void fill_boundary(struct tgt_targets *targets, struct chn_model *model,
-			  struct chn_boundary *boundary)
+			  size_t at)
 {
+	struct chn_boundary *boundary = boundary_at(model, at);
 	guint i;
 
 	boundary->candidates =
@@ -177,7 +189,7 @@
 		mark_start(boundary, target->data_center_number);
 		if (target->first_layer <= boundary->layer &&
 		    target->last_layer >= boundary->layer)
-			add_candidate(model, boundary, target,
+			add_candidate(model, at, target,
 				      targets->config.link_us);
 	}
 	mark_start(boundary, targets->data_centers->len);
@@ -194,10 +206,10 @@
 	if (!model->n_layers)
 		return;
 	collect_boundaries(model);
-	for (i = model->boundaries->len; i-- > 0;)
-		fill_boundary(targets, model,
-			      &g_array_index(model->boundaries,
-					     struct chn_boundary, i));
+	for (i = model->boundaries->len; i-- > 0;) {
+		fill_boundary(targets, model, i);
+		boundary_at(model, i)->price = boundary_at(model, i)->to_go;
+	}
 	if (model->token_us <= 0)
 		model->token_us =
 			g_array_index(model->boundaries, struct chn_boundary, 0)
--- a/src/sched/chn_model.h
+++ b/src/sched/chn_model.h
@@ -6,13 +6,14 @@
 /* A target that can run the layers from a boundary on. */
 struct chn_candidate {
 	struct tgt_target *target;
-	size_t next; /* index of the boundary after its range */
+	size_t next; /* index of the boundary after its whole range */
 };
 
 /* A layer at which a stage can begin; the last one is the model's end. */
 struct chn_boundary {
 	unsigned layer;
 	double to_go;	    /* least time from here to the end, us */
+	double price;	    /* the same under the present load */
 	GArray *candidates; /* of struct chn_candidate, by data centre */
 	guint *starts;	    /* where each data centre begins */
 	unsigned n_starts;
@@ -32,6 +33,14 @@
 	double token_us; /* mean of the chains in use */
 };
 
+/*
+ * What a microsecond of a target's time costs under its present load: more
+ * than 1 if requests wait there or its tokens come late.
+ */
+double chn_factor(const struct wf_ctx *ctx, const struct tgt_targets *targets,
+		  const struct chn_model *model,
+		  const struct tgt_target *target);
+
 /* The model of that name with segments up to date, or NULL. Borrowed. */
 struct chn_model *chn_get_model(struct tgt_targets *targets, const char *name);
 
--- a/src/sched/tgt.c
+++ b/src/sched/tgt.c
@@ -254,6 +254,7 @@
 		return;
 	targets->next_round = ctx->now + targets->config.poll_period;
 	tgt_poll_round(ctx, targets);
+	chn_reprice(ctx, targets);
 	expire(ctx, targets);
 }
 
--- /dev/null
+++ b/tests/bench/sched_bench.c
@@ -0,0 +1,775 @@
+/*
+ * Measurements of routing and execution of model requests in virtual time.
+ * Usage: sched_bench [--json] [--seed N] throughput|recovery|crest|hol|decision
+ * Prints one line a figure: name, value, unit, objective, baselines, seed.
+ */
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "../support/sched_load.h"
+
+struct options {
+	bool json;
+	unsigned seed;
+};
+
+static void print_figure(const struct options *options, const char *user,
+			 const char *name, double value, const char *unit,
+			 const char *objective, const GString *baselines)
+{
+	const char *others = baselines && baselines->len ? baselines->str : "-";
+
+	printf(options->json
+		       ? "{\"name\":\"%s.%s\",\"value\":%.4g,\"unit\":\"%s\","
+			 "\"objective\":\"%s\",\"baselines\":\"%s\","
+			 "\"seed\":%u}\n"
+		       : "%s.%s %.4g %s objective:%s baselines:%s seed:%u\n",
+	       user, name, value, unit, objective, others, options->seed);
+	fflush(stdout);
+}
+
+static void add_baseline(GString *text, const char *name, double value)
+{
+	g_string_append_printf(text, "%s%s=%.4g", text->len ? "," : "", name,
+			       value);
+}
+
+/* Throughput */
+
+#define WARM_UP 5000
+#define CALM_END 20000
+#define THROUGHPUT_END 45000
+
+static void kill_engine(struct emod *emod, void *user)
+{
+	(void)user;
+	emod_engine_at(emod, 7)->alive = false;
+}
+
+static void degrade_link(struct emod *emod, void *user)
+{
+	(void)user;
+	emod_engine_at(emod, 14)->link = 200;
+}
+
+static void start_leaving(struct emod *emod, void *user)
+{
+	(void)user;
+	emod_engine_at(emod, 28)->leaving = true;
+}
+
+static void plan_faults(struct emod *emod, clk_ms at)
+{
+	emod_at(emod, at, kill_engine, NULL);
+	emod_at(emod, at + 5000, degrade_link, NULL);
+	emod_at(emod, at + 10000, start_leaving, NULL);
+}
+
+/* Mean load of 1.6 times the capacity, with bursts of 4 times. */
+static void run_bursts(struct sload *load, clk_ms until)
+{
+	while (emod_now(load->emod) < until) {
+		clk_ms now = emod_now(load->emod);
+		bool burst = now / 1000 % 6 == 0;
+
+		sload_run(load, burst ? 4 : 1.2, MIN(now + 1000, until));
+	}
+}
+
+struct throughput {
+	double calm;   /* ratio to the bound without faults */
+	double faulty; /* the same with faults */
+};
+
+static struct throughput run_throughput(const struct options *options,
+					const struct sload_user *user,
+					const struct sload_variant *variant)
+{
+	struct throughput result = {0, 0};
+	struct sload load;
+	double start;
+	double calm;
+	double bound = 0;
+	clk_ms at;
+
+	sload_start(&load, user, variant, options->seed, CLK_HOUR);
+	load.deadlines = false;
+	plan_faults(load.emod, CALM_END + 3000);
+	run_bursts(&load, WARM_UP);
+	start = sload_work(&load);
+	run_bursts(&load, CALM_END);
+	calm = sload_work(&load);
+	for (at = CALM_END + 1000; at <= THROUGHPUT_END; at += 1000) {
+		bound += sload_bound(&load);
+		run_bursts(&load, at);
+	}
+	result.calm =
+		(calm - start) / (load.capacity * (CALM_END - WARM_UP) / 1000);
+	result.faulty = (sload_work(&load) - calm) / bound;
+	sload_stop(&load);
+	return result;
+}
+
+static const struct sload_variant chosen = {.name = "chosen"};
+
+static const struct sload_variant baselines[] = {
+	{.name = "round_robin", .policy = ADM_ROUND_ROBIN},
+	{.name = "least_outstanding", .policy = ADM_LEAST_OUTSTANDING},
+	{.name = "early", .policy = ADM_EARLY},
+	{.name = "no_inflation", .no_inflation = true},
+	{.name = "no_breaker", .no_breaker = true},
+	{.name = "no_moves", .no_moves = true},
+	{.name = "no_classes", .no_classes = true},
+	{.name = "no_fair_share", .no_fair_share = true},
+};
+
+static void measure_throughput(const struct options *options)
+{
+	size_t u;
+	size_t i;
+
+	for (u = 0; u < SLOAD_N_USERS; u++) {
+		const struct sload_user *user = &sload_users[u];
+		GString *calm = g_string_new(NULL);
+		GString *faulty = g_string_new(NULL);
+		struct throughput result;
+
+		for (i = 0; i < G_N_ELEMENTS(baselines); i++) {
+			result = run_throughput(options, user, &baselines[i]);
+			add_baseline(calm, baselines[i].name, result.calm);
+			add_baseline(faulty, baselines[i].name, result.faulty);
+		}
+		result = run_throughput(options, user, &chosen);
+		print_figure(options, user->name, "throughput", result.calm,
+			     "of_bound", ">=0.95", calm);
+		print_figure(options, user->name, "throughput_with_faults",
+			     result.faulty, "of_bound", ">=0.95", faulty);
+		g_string_free(calm, TRUE);
+		g_string_free(faulty, TRUE);
+	}
+}
+
+/* Recovery */
+
+#define FAULT_AT 10000
+#define RECOVERY_END 30000
+
+enum fault {
+	FAULT_DEATH,
+	FAULT_SILENT,
+	FAULT_DEGRADED,
+};
+
+struct recovery {
+	double worst; /* longest gap less the rebuild, ms */
+	double lost;  /* part of the calls in flight that failed */
+};
+
+static void apply_fault(struct sload *load, unsigned index, enum fault fault)
+{
+	struct emod_engine *engine = emod_engine_at(load->emod, index);
+
+	engine->alive = fault != FAULT_DEATH;
+	engine->silent = fault == FAULT_SILENT;
+	if (fault == FAULT_DEGRADED)
+		engine->link = 200;
+}
+
+/*
+ * Time to compute a prompt and the tokens so far again: on the lost range,
+ * here 20 to 30 of 60 layers, on the slowest kind.
+ */
+static double rebuild_ms(const struct emod_call *call)
+{
+	return (call->prompt_tokens + call->tokens) / EMOD_PREFILL_TOKENS * 30;
+}
+
+static struct recovery run_recovery(const struct options *options,
+				    const struct sload_user *user,
+				    const struct sload_variant *variant,
+				    unsigned engine, enum fault fault)
+{
+	struct recovery result = {0, 0};
+	unsigned in_flight = 0;
+	struct sload load;
+	unsigned i;
+	unsigned n;
+
+	sload_start(&load, user, variant, options->seed, 0);
+	sload_run(&load, 0.5, FAULT_AT);
+	n = emod_n_calls(load.emod);
+	apply_fault(&load, engine, fault);
+	sload_run(&load, 0.5, RECOVERY_END);
+	for (i = 0; i < n; i++) {
+		const struct emod_call *call = emod_call_at(load.emod, i);
+
+		if (call->ended && call->end < FAULT_AT)
+			continue;
+		in_flight++;
+		result.lost += call->failed;
+		result.worst = MAX(result.worst, (double)call->longest_gap -
+							 rebuild_ms(call));
+	}
+	result.lost /= MAX(in_flight, 1);
+	sload_stop(&load);
+	return result;
+}
+
+static const struct sload_variant recovery_baselines[] = {
+	{.name = "no_recovery", .no_recovery = true},
+	{.name = "no_replacement", .no_replacement = true},
+	{.name = "no_resume", .no_resume = true},
+	{.name = "no_breaker", .no_breaker = true},
+	{.name = "no_moves", .no_moves = true},
+	{.name = "round_robin", .policy = ADM_ROUND_ROBIN},
+};
+
+static const struct {
+	const char *name;
+	unsigned engine;
+	enum fault fault;
+} faults[] = {
+	{"stage_death", 7, FAULT_DEATH},       {"head_death", 6, FAULT_DEATH},
+	{"stage_silent", 1, FAULT_SILENT},     {"head_silent", 6, FAULT_SILENT},
+	{"link_degraded", 14, FAULT_DEGRADED},
+};
+
+static void measure_fault(const struct options *options,
+			  const struct sload_user *user, size_t f)
+{
+	GString *worst = g_string_new(NULL);
+	GString *lost = g_string_new(NULL);
+	char *name = g_strdup_printf("recovery.%s", faults[f].name);
+	char *lost_name = g_strdup_printf("lost.%s", faults[f].name);
+	struct recovery result;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(recovery_baselines); i++) {
+		result = run_recovery(options, user, &recovery_baselines[i],
+				      faults[f].engine, faults[f].fault);
+		add_baseline(worst, recovery_baselines[i].name, result.worst);
+		add_baseline(lost, recovery_baselines[i].name, result.lost);
+	}
+	result = run_recovery(options, user, &chosen, faults[f].engine,
+			      faults[f].fault);
+	print_figure(options, user->name, name, result.worst, "ms", "<=1000",
+		     worst);
+	print_figure(options, user->name, lost_name, result.lost,
+		     "of_in_flight", "0", lost);
+	g_string_free(worst, TRUE);
+	g_string_free(lost, TRUE);
+	g_free(name);
+	g_free(lost_name);
+}
+
+static void measure_recovery(const struct options *options)
+{
+	size_t u;
+	size_t f;
+
+	for (u = 0; u < SLOAD_N_USERS; u++)
+		for (f = 0; f < G_N_ELEMENTS(faults); f++)
+			measure_fault(options, &sload_users[u], f);
+}
+
+/* Crest of demand */
+
+#define CREST_START 10000
+#define CREST_END 25000
+#define CREST_DRAIN 400000
+
+struct crest {
+	double goodput; /* tokens a second of calls that arrived in the crest */
+	double refusal; /* longest time until a refusal, ms */
+	double late;	/* part of the admitted calls that were not in time */
+	double least;	/* worst organisation's part of its fair goodput */
+};
+
+static bool in_time(const struct emod_call *call)
+{
+	return call->ended && !call->failed &&
+	       call->end - call->arrival <= call->deadline;
+}
+
+/* Work of completed calls by the time at which they ended. */
+static double work_between(const struct sload *load, clk_ms from, clk_ms to)
+{
+	double sum = 0;
+	unsigned i;
+
+	for (i = 0; i < emod_n_calls(load->emod); i++) {
+		const struct emod_call *call = emod_call_at(load->emod, i);
+
+		if (in_time(call) && call->end >= from && call->end < to)
+			sum += call->tokens +
+			       call->prompt_tokens / EMOD_PREFILL_TOKENS;
+	}
+	return 1000 * sum / (double)(to - from);
+}
+
+static void count_outcomes(const struct sload *load, struct crest *result)
+{
+	unsigned admitted = 0;
+	unsigned late = 0;
+	unsigned i;
+
+	for (i = 0; i < emod_n_calls(load->emod); i++) {
+		const struct emod_call *call = emod_call_at(load->emod, i);
+
+		if (call->failed && call->run == ERR_RUN_NOT) {
+			result->refusal =
+				MAX(result->refusal,
+				    (double)(call->end - call->arrival));
+			continue;
+		}
+		admitted++;
+		late += !in_time(call);
+	}
+	result->late = (double)late / MAX(admitted, 1);
+}
+
+static struct crest run_crest(const struct options *options,
+			      const struct sload_user *user,
+			      const struct sload_variant *variant,
+			      double factor, bool with_faults)
+{
+	struct crest result = {0};
+	struct sload load;
+
+	sload_start(&load, user, variant, options->seed, 0);
+	sload_run(&load, 0.7, CREST_START);
+	if (with_faults)
+		plan_faults(load.emod, CREST_START + 2000);
+	sload_run(&load, factor, CREST_END);
+	sload_run(&load, 0.5, CREST_END + 10000);
+	emod_run_until(load.emod, CREST_DRAIN);
+	result.goodput =
+		work_between(&load, CREST_START + 2000, CREST_END + 2000) /
+		load.capacity;
+	count_outcomes(&load, &result);
+	sload_stop(&load);
+	return result;
+}
+
+static const struct sload_variant crest_baselines[] = {
+	{.name = "round_robin", .policy = ADM_ROUND_ROBIN},
+	{.name = "least_outstanding", .policy = ADM_LEAST_OUTSTANDING},
+	{.name = "early", .policy = ADM_EARLY},
+	{.name = "no_deadlines", .no_deadlines = true},
+	{.name = "no_classes", .no_classes = true},
+	{.name = "no_fair_share", .no_fair_share = true},
+};
+
+static void print_crest(const struct options *options,
+			const struct sload_user *user, bool with_faults)
+{
+	GString *text[3] = {g_string_new(NULL), g_string_new(NULL),
+			    g_string_new(NULL)};
+	double base = run_crest(options, user, &chosen, 1, with_faults).goodput;
+	const char *suffix = with_faults ? "_with_faults" : "";
+	char *name[3] = {g_strdup_printf("crest.goodput%s", suffix),
+			 g_strdup_printf("crest.refusal%s", suffix),
+			 g_strdup_printf("crest.late%s", suffix)};
+	struct crest result;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(crest_baselines); i++) {
+		result = run_crest(options, user, &crest_baselines[i], 3,
+				   with_faults);
+		add_baseline(text[0], crest_baselines[i].name,
+			     result.goodput / base);
+		add_baseline(text[1], crest_baselines[i].name, result.refusal);
+		add_baseline(text[2], crest_baselines[i].name, result.late);
+	}
+	result = run_crest(options, user, &chosen, 3, with_faults);
+	print_figure(options, user->name, name[0], result.goodput / base,
+		     "of_goodput_at_capacity", ">=0.95", text[0]);
+	print_figure(options, user->name, name[1], result.refusal, "ms",
+		     "<=100", text[1]);
+	print_figure(options, user->name, name[2], result.late, "of_admitted",
+		     "-", text[2]);
+	print_figure(options, user->name, "crest.goodput_at_capacity", base,
+		     "of_bound", "-", NULL);
+	for (i = 0; i < 3; i++) {
+		g_string_free(text[i], TRUE);
+		g_free(name[i]);
+	}
+}
+
+static void measure_crest(const struct options *options)
+{
+	size_t u;
+
+	for (u = 0; u < SLOAD_N_USERS; u++) {
+		print_crest(options, &sload_users[u], false);
+		print_crest(options, &sload_users[u], true);
+	}
+}
+
+/* Head-of-line blocking */
+
+#define HOL_START 15000
+#define HOL_END 45000
+#define HOL_SHORT 0.3
+
+struct hol {
+	double wait;  /* p99 until the stream is opened, ms */
+	double first; /* p99 until the first token, ms */
+};
+
+/* Long calls at more than the capacity from the start, or none. */
+static void run_mix(struct sload *load, bool with_long, clk_ms until)
+{
+	double per_long = load->per_call * SLOAD_LONG_FACTOR;
+	double debt = 0;
+
+	load->long_part = 0;
+	while (emod_now(load->emod) < until) {
+		sload_run(load, HOL_SHORT, emod_now(load->emod) + 100);
+		debt += with_long ? load->capacity * 0.1 / per_long : 0;
+		for (; debt >= 1; debt -= 1)
+			sload_submit(load, true);
+	}
+}
+
+static struct hol run_hol(const struct options *options,
+			  const struct sload_user *user,
+			  const struct sload_variant *variant, bool with_long)
+{
+	GArray *waits = g_array_new(FALSE, FALSE, sizeof(double));
+	GArray *firsts = g_array_new(FALSE, FALSE, sizeof(double));
+	struct hol result;
+	struct sload load;
+	unsigned i;
+
+	sload_start(&load, user, variant, options->seed, CLK_HOUR);
+	load.deadlines = false;
+	load.per_call /= 1 + load.long_part * (SLOAD_LONG_FACTOR - 1);
+	run_mix(&load, with_long, HOL_END);
+	emod_run_until(load.emod, HOL_END + 30000);
+	for (i = 0; i < emod_n_calls(load.emod); i++) {
+		const struct emod_call *call = emod_call_at(load.emod, i);
+		clk_ms now = emod_now(load.emod);
+		double wait;
+		double first;
+
+		if (call->tagged || call->arrival < HOL_START ||
+		    call->arrival >= HOL_END)
+			continue;
+		wait = (double)((call->opened < 0 ? now : call->opened) -
+				call->arrival);
+		first = (double)((call->tokens ? call->first_token : now) -
+				 call->arrival);
+		g_array_append_val(waits, wait);
+		g_array_append_val(firsts, first);
+	}
+	result.wait = sload_quantile(waits, 0.99);
+	result.first = sload_quantile(firsts, 0.99);
+	g_array_unref(waits);
+	g_array_unref(firsts);
+	sload_stop(&load);
+	return result;
+}
+
+static const struct sload_variant hol_baselines[] = {
+	{.name = "round_robin", .policy = ADM_ROUND_ROBIN},
+	{.name = "least_outstanding", .policy = ADM_LEAST_OUTSTANDING},
+	{.name = "early", .policy = ADM_EARLY},
+	{.name = "no_classes", .no_classes = true},
+};
+
+static void measure_hol(const struct options *options)
+{
+	size_t u;
+	size_t i;
+
+	for (u = 0; u < SLOAD_N_USERS; u++) {
+		const struct sload_user *user = &sload_users[u];
+		struct hol without = run_hol(options, user, &chosen, false);
+		GString *text = g_string_new(NULL);
+		GString *waits = g_string_new(NULL);
+		struct hol with;
+
+		for (i = 0; i < G_N_ELEMENTS(hol_baselines); i++) {
+			with = run_hol(options, user, &hol_baselines[i], true);
+			add_baseline(text, hol_baselines[i].name,
+				     with.first / without.first);
+			add_baseline(waits, hol_baselines[i].name, with.wait);
+		}
+		with = run_hol(options, user, &chosen, true);
+		print_figure(options, user->name, "hol.first_token_ratio",
+			     with.first / without.first, "of_wait_without_long",
+			     "<=1.2", text);
+		print_figure(options, user->name, "hol.queue_wait_p99",
+			     with.wait, "ms", "-", waits);
+		print_figure(options, user->name, "hol.first_token_p99",
+			     with.first, "ms", "-", NULL);
+		print_figure(options, user->name,
+			     "hol.first_token_p99_without_long", without.first,
+			     "ms", "-", NULL);
+		g_string_free(text, TRUE);
+		g_string_free(waits, TRUE);
+	}
+}
+
+/* Decisions */
+
+#define N_DECISIONS 20000
+#define N_MODELS 3
+#define N_DATA_CENTERS 9
+
+struct size {
+	const char *name;
+	unsigned workers;
+	unsigned instances;
+	unsigned orgs;
+};
+
+static const struct size sizes[] = {
+	{"today", 40, 5, 10},
+	{"middle", 400, 100, 8000},
+	{"two_years", 1500, 390, 31000},
+};
+
+static double cpu_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return 1e6 * (double)now.tv_sec + (double)now.tv_nsec / 1000;
+}
+
+static void add_peers(struct wf_ctx *ctx, const struct size *size)
+{
+	struct wf_peer *peers = g_new0(struct wf_peer, size->instances);
+	unsigned i;
+
+	for (i = 0; i < size->instances; i++) {
+		peers[i].id = g_strdup_printf("entry-%u", i);
+		peers[i].data_center =
+			g_strdup_printf("dc-%u", i % N_DATA_CENTERS);
+	}
+	wf_set_peers(ctx, peers, size->instances);
+	for (i = 0; i < size->instances; i++) {
+		g_free(peers[i].id);
+		g_free(peers[i].data_center);
+	}
+	g_free(peers);
+}
+
+/* Each model in four stages; accelerators are behind the slots. */
+static void list_workers(struct wf_ctx *ctx, struct wf_module *targets,
+			 const struct size *size)
+{
+	struct wf_instance *list = g_new0(struct wf_instance, size->workers);
+	struct wf_event event = {.type = WF_EV_INSTANCES};
+	GStringChunk *names = g_string_chunk_new(4096);
+	unsigned i;
+
+	for (i = 0; i < size->workers; i++) {
+		char name[32];
+
+		g_snprintf(name, sizeof(name), "worker-%u", i);
+		list[i].id = g_string_chunk_insert(names, name);
+		list[i].role = WF_ROLE_ENGINE;
+		list[i].address = "127.0.0.1:9101";
+		g_snprintf(name, sizeof(name), "dc-%u",
+			   i / 12 % N_DATA_CENTERS);
+		list[i].data_center = g_string_chunk_insert(names, name);
+		list[i].incarnation = 1;
+		g_snprintf(name, sizeof(name), "model-%u", i % N_MODELS);
+		list[i].serves = g_string_chunk_insert(names, name);
+		list[i].n_layers = 80;
+		list[i].first_layer = i / N_MODELS % 4 * 20;
+		list[i].last_layer = list[i].first_layer + 19;
+		list[i].slots = 32;
+		list[i].step_us = 9000 + i % 8 * 1000;
+	}
+	event.instances.list = list;
+	event.instances.n = size->workers;
+	targets->ops->handle(ctx, targets, &event);
+	g_free(list);
+	g_string_chunk_free(names);
+}
+
+struct decisions {
+	struct wf_ctx *ctx;
+	struct wf_module *targets;
+	struct wf_module *runs;
+	uint64_t n_calls;
+};
+
+static uint64_t decide(struct decisions *d, const struct size *size)
+{
+	uint64_t id = ++d->n_calls;
+	char org[24];
+	char model[16];
+	uint64_t hashes[4] = {id % 500 + 1, id % 1000 + 1001, id + 9000, id};
+	struct wf_call call = {.id = id,
+			       .kind = WF_CALL_MODEL,
+			       .org = org,
+			       .name = model,
+			       .prompt_tokens = 400,
+			       .max_tokens = 300,
+			       .prefix_hashes = hashes,
+			       .n_prefix_hashes = 4};
+	struct wf_event event = {.type = WF_EV_CALL, .call = &call};
+
+	g_snprintf(org, sizeof(org), "org-%u", (unsigned)(id % size->orgs));
+	g_snprintf(model, sizeof(model), "model-%u", (unsigned)(id % N_MODELS));
+	call.policy.weight = 1;
+	d->runs->ops->handle(d->ctx, d->runs, &event);
+	return id;
+}
+
+/* Takes the actions; answers an opened stream so that it ends. */
+static uint64_t drain_actions(struct decisions *d, unsigned *lineage)
+{
+	struct wf_action action;
+	uint64_t op = 0;
+
+	while (wf_next_action(d->ctx, &action)) {
+		if (action.type == WF_ACT_STREAM_OPEN) {
+			op = action.op;
+			*lineage = action.lineage;
+		}
+		wf_action_clear(&action);
+	}
+	return op;
+}
+
+static void end_call(struct decisions *d, uint64_t op, unsigned lineage)
+{
+	struct wf_stream_event end = {.op = op,
+				      .what = WF_STREAM_END,
+				      .lineage = lineage,
+				      .reason = "stop"};
+	struct wf_event event = {.type = WF_EV_STREAM, .stream = &end};
+	unsigned unused;
+
+	d->runs->ops->handle(d->ctx, d->runs, &event);
+	drain_actions(d, &unused);
+}
+
+/* Keeps about 100 calls in flight and measures the handling of new ones. */
+static void run_decisions(struct decisions *d, const struct size *size,
+			  GArray *times)
+{
+	uint64_t ops[100] = {0};
+	unsigned lineages[100] = {0};
+	unsigned i;
+
+	for (i = 0; i < N_DECISIONS; i++) {
+		unsigned slot = i % 100;
+		double start;
+
+		if (ops[slot])
+			end_call(d, ops[slot], lineages[slot]);
+		d->ctx->now += 1;
+		start = cpu_us();
+		decide(d, size);
+		start = cpu_us() - start;
+		g_array_append_val(times, start);
+		ops[slot] = drain_actions(d, &lineages[slot]);
+	}
+}
+
+static double mean_of(const GArray *values)
+{
+	double sum = 0;
+	guint i;
+
+	for (i = 0; i < values->len; i++)
+		sum += g_array_index(values, double, i);
+	return sum / MAX(values->len, 1);
+}
+
+static void measure_size(const struct options *options, const struct size *size)
+{
+	size_t before = mallinfo2().uordblks;
+	struct decisions d = {.n_calls = 0};
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(double));
+	struct run_config config;
+	struct tgt_targets *targets;
+	double first;
+	double memory;
+	double listing;
+
+	d.ctx = wf_ctx_new("entry-0", "dc-0", 1, options->seed, NULL, NULL);
+	d.ctx->now = 1000;
+	targets = tgt_new(d.ctx, NULL);
+	d.targets = tgt_module(targets);
+	run_config_init(&config);
+	config.targets = targets;
+	d.runs = run_module(run_new(d.ctx, &config));
+	add_peers(d.ctx, size);
+	listing = cpu_us();
+	list_workers(d.ctx, d.targets, size);
+	listing = cpu_us() - listing;
+	run_decisions(&d, size, times);
+	first = (double)(mallinfo2().uordblks - before) / 1e6;
+	g_array_set_size(times, 0);
+	run_decisions(&d, size, times);
+	memory = (double)(mallinfo2().uordblks - before) / 1e6;
+	print_figure(options, size->name, "decision.mean", mean_of(times), "us",
+		     "<20", NULL);
+	print_figure(options, size->name, "decision.p99",
+		     sload_quantile(times, 0.99), "us", "<20", NULL);
+	print_figure(options, size->name, "decision.memory_first", first, "MB",
+		     "<32", NULL);
+	print_figure(options, size->name, "decision.memory_second", memory,
+		     "MB", "<32", NULL);
+	print_figure(options, size->name, "decision.list_applied", listing,
+		     "us", "-", NULL);
+	d.runs->ops->drop(d.runs);
+	d.targets->ops->drop(d.targets);
+	wf_ctx_drop(d.ctx);
+	g_array_unref(times);
+}
+
+static void measure_decision(const struct options *options)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
+		measure_size(options, &sizes[i]);
+}
+
+static const struct {
+	const char *name;
+	void (*measure)(const struct options *options);
+} measurements[] = {
+	{"throughput", measure_throughput}, {"recovery", measure_recovery},
+	{"crest", measure_crest},	    {"hol", measure_hol},
+	{"decision", measure_decision},
+};
+
+int main(int argc, char **argv)
+{
+	struct options options = {.seed = 1};
+	const char *name = "";
+	size_t k;
+	int i;
+
+	for (i = 1; i < argc; i++) {
+		if (!strcmp(argv[i], "--json"))
+			options.json = true;
+		else if (!strcmp(argv[i], "--seed") && i + 1 < argc)
+			options.seed = (unsigned)strtoul(argv[++i], NULL, 10);
+		else
+			name = argv[i];
+	}
+	for (k = 0; k < G_N_ELEMENTS(measurements); k++) {
+		if (strcmp(name, measurements[k].name) != 0)
+			continue;
+		measurements[k].measure(&options);
+		return EXIT_SUCCESS;
+	}
+	fprintf(stderr, "usage: sched_bench [--json] [--seed N] "
+			"throughput|recovery|crest|hol|decision\n");
+	return 2;
+}
