Choose among near-best candidates; tell congestion from slowness

Two random choices over all holders seldom met the few free ones. Candidates whose price is within 1.25 of the least are kept at each round of polls and sampled first. The window of a target follows the reported queue, which all instances see alike.

--- a/src/sched/chn.c
+++ b/src/sched/chn.c
@@ -90,7 +90,7 @@
 static double factor_of(const struct planner *p,
 			const struct tgt_target *target)
 {
-	double factor = chn_factor(p->ctx, p->targets, p->model, target);
+	double factor = chn_factor(p->ctx, p->targets, target);
 	double load;
 
 	if (!tgt_holders_have(&p->holders, target->handle))
@@ -141,37 +141,60 @@
 	}
 }
 
-/* Samples two admissible candidates out of a part of a boundary's list. */
+/* Considers one candidate; false if it cannot take the request now. */
+static bool try_candidate(const struct planner *p, size_t at, guint index,
+			  unsigned data_center, struct choice *best)
+{
+	const struct chn_boundary *boundary = boundary_at(p, at);
+	const struct chn_candidate *candidate;
+	double us;
+
+	candidate = &g_array_index(boundary->candidates, struct chn_candidate,
+				   index);
+	if (!is_admissible(p, candidate->target))
+		return false;
+	us = tgt_stage_us(candidate->target, boundary->layer,
+			  boundary_at(p, at + 1)->layer - 1);
+	if (!has_room(p, candidate->target, us))
+		return false;
+	consider(p, at, candidate->target, candidate->next, data_center, best);
+	return true;
+}
+
+/* Samples two candidates out of a part of a boundary's list. */
 static void sample(const struct planner *p, size_t at, guint low, guint high,
 		   unsigned data_center, struct choice *best)
 {
-	const struct chn_boundary *boundary = boundary_at(p, at);
 	guint n = high - low;
+	unsigned found = 0;
 	guint start;
 	guint i;
-	unsigned found = 0;
 
 	if (!n)
 		return;
 	start = g_rand_int(p->ctx->rand) % n;
-	for (i = 0; i < MIN(n, CHN_SCAN) && found < CHN_SAMPLES; i++) {
-		const struct chn_candidate *candidate;
-		unsigned next;
-		double us;
+	for (i = 0; i < MIN(n, CHN_SCAN) && found < CHN_SAMPLES; i++)
+		found += try_candidate(p, at, low + (start + i) % n,
+				       data_center, best);
+}
 
-		candidate = &g_array_index(boundary->candidates,
-					   struct chn_candidate,
-					   low + (start + i) % n);
-		if (!is_admissible(p, candidate->target))
-			continue;
-		next = boundary_at(p, at + 1)->layer;
-		us = tgt_stage_us(candidate->target, boundary->layer, next - 1);
-		if (!has_room(p, candidate->target, us))
-			continue;
-		consider(p, at, candidate->target, candidate->next, data_center,
-			 best);
-		found++;
-	}
+/* Samples two candidates whose price was near the best one. */
+static void sample_near(const struct planner *p, size_t at,
+			unsigned data_center, struct choice *best)
+{
+	const GArray *near = boundary_at(p, at)->near;
+	unsigned found = 0;
+	guint start;
+	guint i;
+
+	if (!near->len)
+		return;
+	start = g_rand_int(p->ctx->rand) % near->len;
+	for (i = 0; i < MIN(near->len, CHN_SCAN) && found < CHN_SAMPLES; i++)
+		found += try_candidate(
+			p, at,
+			g_array_index(near, guint, (start + i) % near->len),
+			data_center, best);
 }
 
 static size_t find_end(const struct planner *p, unsigned layer)
@@ -255,7 +278,9 @@
 	if (near + 1 < boundary->n_starts)
 		sample(p, at, boundary->starts[near],
 		       boundary->starts[near + 1], data_center, best);
-	sample(p, at, 0, boundary->candidates->len, data_center, best);
+	sample_near(p, at, data_center, best);
+	if (!best->target)
+		sample(p, at, 0, boundary->candidates->len, data_center, best);
 	sample_holders(p, at, data_center, best);
 }
 
--- a/src/sched/chn_model.c
+++ b/src/sched/chn_model.c
@@ -9,6 +9,8 @@
 
 	if (boundary->candidates)
 		g_array_unref(boundary->candidates);
+	if (boundary->near)
+		g_array_unref(boundary->near);
 	g_free(boundary->starts);
 }
 
@@ -181,6 +183,7 @@
 
 	boundary->candidates =
 		g_array_new(FALSE, FALSE, sizeof(struct chn_candidate));
+	boundary->near = g_array_new(FALSE, FALSE, sizeof(guint));
 	boundary->starts = g_new0(guint, targets->data_centers->len + 1);
 	boundary->to_go = boundary->layer == model->n_layers ? 0 : INFINITY;
 	for (i = 0; i < model->targets->len; i++) {
--- a/src/sched/chn_model.h
+++ b/src/sched/chn_model.h
@@ -15,6 +15,7 @@
 	double to_go;	    /* least time from here to the end, us */
 	double price;	    /* the same under the present load */
 	GArray *candidates; /* of struct chn_candidate, by data centre */
+	GArray *near;	    /* of guint: candidates with near-best price */
 	guint *starts;	    /* where each data centre begins */
 	unsigned n_starts;
 	guint turn; /* for round-robin */
@@ -38,7 +39,6 @@
  * than 1 if requests wait there or its tokens come late.
  */
 double chn_factor(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct chn_model *model,
 		  const struct tgt_target *target);
 
 /* The model of that name with segments up to date, or NULL. Borrowed. */
--- a/src/sched/chn_price.c
+++ b/src/sched/chn_price.c
@@ -10,7 +10,6 @@
 #define CHN_LOAD_WEIGHT 0.5
 
 double chn_factor(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct chn_model *model,
 		  const struct tgt_target *target)
 {
 	double use = tgt_load(ctx, targets, target) /
@@ -18,7 +17,7 @@
 	double factor = MAX(1, use) + CHN_LOAD_WEIGHT * use;
 
 	if (targets->config.use_inflation)
-		factor *= MAX(target->inflation / model->inflation, 1);
+		factor *= target->inflation;
 	return factor;
 }
 
@@ -36,7 +35,7 @@
 			      const struct chn_candidate *candidate)
 {
 	const struct tgt_target *target = candidate->target;
-	double factor = chn_factor(ctx, targets, model, target);
+	double factor = chn_factor(ctx, targets, target);
 	double best = INFINITY;
 	size_t end;
 
@@ -53,37 +52,74 @@
 	return best;
 }
 
-/*
- * A mean that leans to the low prices (power mean of exponent -4): a single
- * free target does not make a crowded boundary cheap.
- */
-static double mean_price(const struct wf_ctx *ctx,
-			 const struct tgt_targets *targets,
-			 const struct chn_model *model, size_t at)
+/* Candidates within this factor of the least price are near the best. */
+#define CHN_NEAR_FACTOR 1.25
+/* At least so many are kept, so that instances do not choose alike. */
+#define CHN_NEAR_LEAST 3
+
+struct priced {
+	double price;
+	guint index;
+};
+
+static gint compare_prices(gconstpointer a, gconstpointer b)
+{
+	const struct priced *left = a;
+	const struct priced *right = b;
+
+	if (left->price != right->price)
+		return left->price < right->price ? -1 : 1;
+	return left->index < right->index ? -1 : left->index > right->index;
+}
+
+static void price_all(const struct wf_ctx *ctx,
+		      const struct tgt_targets *targets,
+		      const struct chn_model *model, size_t at, GArray *priced)
 {
 	const struct chn_boundary *boundary = boundary_at(model, at);
-	double sum = 0;
-	guint n = 0;
 	guint i;
 
+	g_array_set_size(priced, 0);
 	for (i = 0; i < boundary->candidates->len; i++) {
-		double price;
+		struct priced entry = {.index = i};
+
+		entry.price = candidate_price(
+			ctx, targets, model, boundary, at,
+			&g_array_index(boundary->candidates,
+				       struct chn_candidate, i));
+		if (!isinf(entry.price))
+			g_array_append_val(priced, entry);
+	}
+	g_array_sort(priced, compare_prices);
+}
 
-		price = candidate_price(ctx, targets, model, boundary, at,
-					&g_array_index(boundary->candidates,
-						       struct chn_candidate,
-						       i));
-		if (isinf(price))
-			continue;
-		sum += 1 / (price * price * price * price);
-		n++;
+/* Keeps the near-best candidates; their mean is the boundary's price. */
+static void keep_near(struct chn_boundary *boundary, const GArray *priced)
+{
+	double sum = 0;
+	guint i;
+
+	g_array_set_size(boundary->near, 0);
+	for (i = 0; i < priced->len; i++) {
+		const struct priced *entry;
+
+		entry = &g_array_index(priced, struct priced, i);
+		if (i >= CHN_NEAR_LEAST &&
+		    entry->price >
+			    CHN_NEAR_FACTOR *
+				    g_array_index(priced, struct priced, 0)
+					    .price)
+			break;
+		g_array_append_val(boundary->near, entry->index);
+		sum += entry->price;
 	}
-	return n ? pow(sum / n, -0.25) : boundary->to_go;
+	boundary->price = i ? sum / i : boundary->to_go;
 }
 
 static void reprice(struct wf_ctx *ctx, struct tgt_targets *targets,
 		    struct chn_model *model)
 {
+	GArray *priced = g_array_new(FALSE, FALSE, sizeof(struct priced));
 	size_t at;
 
 	for (at = model->boundaries->len; at-- > 0;) {
@@ -92,10 +128,11 @@
 		boundary = &g_array_index(model->boundaries,
 					  struct chn_boundary, at);
 		if (boundary->layer == model->n_layers)
-			boundary->price = 0;
-		else
-			boundary->price = mean_price(ctx, targets, model, at);
+			continue;
+		price_all(ctx, targets, model, at, priced);
+		keep_near(boundary, priced);
 	}
+	g_array_unref(priced);
 }
 
 void chn_reprice(struct wf_ctx *ctx, struct tgt_targets *targets)
--- a/src/sched/run.h
+++ b/src/sched/run.h
@@ -159,6 +159,13 @@
 /* Removes the request's load from the target table. */
 void run_release(struct run_runs *runs, struct run_request *request);
 
+/*
+ * Expected time of a token with what waits at the stages according to their
+ * reports, microseconds.
+ */
+double run_expected_us(const struct run_runs *runs,
+		       const struct run_request *request);
+
 /* Sets when the request needs attention next, from its state. */
 void run_set_due(struct run_runs *runs, struct run_request *request);
 
--- a/src/sched/run_stream.c
+++ b/src/sched/run_stream.c
@@ -273,7 +273,7 @@
 			  struct run_request *request)
 {
 	double us = 1000.0 * (double)(ctx->now - request->last_token);
-	double ratio = us / MAX(request->token_us, 1);
+	double ratio = us / MAX(run_expected_us(runs, request), 1);
 	guint i;
 
 	if (request->observed_us <= 0)
@@ -281,7 +281,8 @@
 	request->observed_us +=
 		RUN_TOKEN_SMOOTHING * (us - request->observed_us);
 	request->slowness += RUN_TOKEN_SMOOTHING * (ratio - request->slowness);
-	chn_observe(runs->targets, request->model, ratio);
+	chn_observe(runs->targets, request->model,
+		    us / MAX(request->token_us, 1));
 	for (i = 0; i < request->stages->len; i++) {
 		const struct run_stage *stage;
 		struct tgt_target *target;
--- a/src/sched/run_timer.c
+++ b/src/sched/run_timer.c
@@ -20,6 +20,37 @@
 /* Waiting requests without a deadline are dropped at this many max_wait. */
 #define QUEUED_WAITS 3
 
+/*
+ * Long requests have a lower priority at the engines, so that they wait for
+ * more than their share of a queue.
+ */
+#define LONG_WAIT_FACTOR 2.0
+
+double run_expected_us(const struct run_runs *runs,
+		       const struct run_request *request)
+{
+	double sum = request->token_us;
+	guint i;
+
+	for (i = 0; i < request->stages->len; i++) {
+		const struct run_stage *stage;
+		const struct tgt_target *target;
+		double use;
+
+		stage = &g_array_index(request->stages, struct run_stage, i);
+		target = tgt_get(runs->targets, stage->target);
+		if (!target)
+			continue;
+		use = (double)(target->running + target->queued) /
+		      target->slots;
+		if (request->is_long)
+			use *= LONG_WAIT_FACTOR;
+		if (use > 1)
+			sum += stage->us * (use - 1);
+	}
+	return sum;
+}
+
 static double prefill_ms(const struct run_runs *runs,
 			 const struct run_request *request)
 {
@@ -33,7 +64,8 @@
 static clk_ms gap_bound(const struct run_runs *runs,
 			const struct run_request *request)
 {
-	double token = MAX(request->token_us, request->observed_us) / 1000;
+	double expected = run_expected_us(runs, request);
+	double token = MAX(expected, request->observed_us) / 1000;
 	double bound = CLAMP(GAP_TOKENS * token, GAP_MIN, GAP_MAX);
 
 	if (request->resumed)
--- a/src/sched/tgt.c
+++ b/src/sched/tgt.c
@@ -5,6 +5,7 @@
 #include "sched/tgt_breaker.h"
 #include "sched/tgt_cache.h"
 #include "sched/tgt_digest.h"
+#include "sched/tgt_load.h"
 
 /* An unlisted target is remembered so that a late list cannot revive it. */
 #define TGT_MEMORY (10 * CLK_MINUTE)
@@ -138,7 +139,7 @@
 	target->joined = targets->revision ? ctx->now : 0;
 	target->reachable = true;
 	target->inflation = 1;
-	target->window = 1;
+	target->window = TGT_WINDOW_START;
 	copy_instance(targets, target, from);
 }
 
--- a/src/sched/tgt.h
+++ b/src/sched/tgt.h
@@ -50,7 +50,7 @@
 	bool owner_known;
 	uint64_t owner_revision;
 	/* evidence from traffic */
-	double inflation; /* observed token time over the expected one */
+	double inflation; /* token time that load does not explain */
 	double window;	  /* steps admitted at once per slot */
 	enum tgt_breaker breaker;
 	double failures;
--- a/src/sched/tgt_digest.c
+++ b/src/sched/tgt_digest.c
@@ -4,6 +4,7 @@
 #include "schema/targets.pb-c.h"
 #include "sched/chn.h"
 #include "sched/tgt_digest.h"
+#include "sched/tgt_load.h"
 
 /*
  * A node may spend 22 KB/s on control traffic in all; digests get about a
@@ -56,6 +57,7 @@
 	target->foreign_load = MAX(running + queued - target->own_load, 0);
 	target->started_since_report = 0;
 	target->reported_at = at;
+	tgt_adapt_window(target);
 }
 
 void tgt_apply_report(struct wf_ctx *ctx, struct tgt_targets *targets,
--- a/src/sched/tgt_load.c
+++ b/src/sched/tgt_load.c
@@ -9,15 +9,18 @@
 #define TGT_HERD_PART 0.5
 /* Least part of the slots that a new or recovered target gets. */
 #define TGT_LEAST_SHARE 0.1
+#define TGT_SHORT_SHARE 0.9
 /* Long requests may use at most this part of a target's places. */
 #define TGT_LONG_SHARE 0.6
-/* Limits of the steps admitted at once for each slot. */
-#define TGT_WINDOW_MIN 0.8
-#define TGT_WINDOW_MAX 3.0
-#define TGT_WINDOW_STEP 0.01
-/* Observed over expected time of a token that narrows the window. */
-#define TGT_WAIT_HIGH 2.0
-#define TGT_WAIT_LOW 1.6
+/*
+ * Steps admitted at once for each slot. A chain spends part of its time at
+ * each stage, so that more than one request a slot is needed to keep it busy.
+ */
+#define TGT_WINDOW_MIN 1.0
+#define TGT_WINDOW_MAX 4.0
+/* The window moves so that reports show this many waiting steps a slot. */
+#define TGT_WINDOW_QUEUE 0.5
+#define TGT_WINDOW_STEP 0.2
 #define TGT_INFLATION_SMOOTHING 0.05
 
 /*
@@ -56,16 +59,36 @@
 	return MAX(target->slots * share, 1);
 }
 
+/*
+ * Engines serve short requests first. Where long ones run, short ones get no
+ * more than this part of the slots, so that the long ones do not starve.
+ */
+static bool leaves_long_share(const struct tgt_target *target, double places,
+			      double used, double load)
+{
+	double part;
+
+	if (target->own_long_load <= 0 || target->own_load <= 0)
+		return true;
+	part = 1 - target->own_long_load / target->own_load;
+	return used * part + load <= TGT_SHORT_SHARE * places;
+}
+
 bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		  const struct tgt_target *target, double load, bool is_long)
 {
-	double limit = tgt_places(ctx, targets, target) * target->window;
+	double places = tgt_places(ctx, targets, target);
+	double limit = places * target->window;
 	double used = tgt_load(ctx, targets, target);
+	double share = limit / MAX(ctx->peers->len, 1);
 
 	if (is_long &&
 	    target->own_long_load + load > MAX(TGT_LONG_SHARE * limit, load))
 		return false;
-	return used + load <= limit || used <= 0;
+	if (!is_long && !leaves_long_share(target, places, used, load))
+		return false;
+	return used + load <= limit || target->own_load + load <= share ||
+	       used <= 0;
 }
 
 void tgt_charge(struct wf_ctx *ctx, struct tgt_targets *targets,
@@ -110,11 +133,18 @@
 	target->inflation +=
 		TGT_INFLATION_SMOOTHING * (ratio - target->inflation);
 	target->inflation = MAX(target->inflation, 1);
-	if (ratio > TGT_WAIT_HIGH)
-		target->window -= TGT_WINDOW_STEP;
-	else if (ratio < TGT_WAIT_LOW)
-		target->window += TGT_WINDOW_STEP;
-	target->window = CLAMP(target->window, TGT_WINDOW_MIN, TGT_WINDOW_MAX);
+}
+
+void tgt_adapt_window(struct tgt_target *target)
+{
+	double queue = (double)target->queued / target->slots;
+	double change = TGT_WINDOW_STEP * (TGT_WINDOW_QUEUE - queue);
+
+	if (target->running < target->slots)
+		change = TGT_WINDOW_STEP * (TGT_WINDOW_START - target->window);
+	change = CLAMP(change, -TGT_WINDOW_STEP, TGT_WINDOW_STEP);
+	target->window =
+		CLAMP(target->window + change, TGT_WINDOW_MIN, TGT_WINDOW_MAX);
 }
 
 void tgt_set_full(struct tgt_target *target)
--- a/src/sched/tgt_load.h
+++ b/src/sched/tgt_load.h
@@ -9,6 +9,8 @@
  */
 #define TGT_LOCALITY_EXCESS 1.25
 
+#define TGT_WINDOW_START 2.0
+
 /* Estimated steps at once at the target, own and of other instances. */
 double tgt_load(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		const struct tgt_target *target);
@@ -30,6 +32,9 @@
 /* Takes a target that refused for lack of room as full until its report. */
 void tgt_set_full(struct tgt_target *target);
 
+/* Throttles new requests by the waiting steps of the last report. */
+void tgt_adapt_window(struct tgt_target *target);
+
 /* Notes the observed time of a token against the expected one. */
 void tgt_observe(struct tgt_targets *targets, struct tgt_target *target,
 		 double ratio);
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -520,7 +520,7 @@
 	unsigned n;
 	unsigned i;
 
-	for (n = 0; n < 40; n++)
+	for (n = 0; n < 80; n++)
 		submit(emod);
 	emod_run_until(emod, 600);
 	ck_assert_uint_gt(run_n_queued(emod_runs(emod, 0)), 0);
