Test the platform adapters against scripted servers

72 checks of the exact event for each answer, cut, silence and malformed document; a timeout or cut on a write is unknown, 503 and 429 unavailable.

--- /dev/null
+++ b/tests/plat_wire_test.c
@@ -0,0 +1,744 @@
+/* The platform adapters: exact results of the protocols in interfaces.md. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon/plat.h"
+#include "support/wire/wire.h"
+
+#define TIMEOUT_MS 300
+#define OP UINT64_C(0x0300000000000007)
+
+/* Records events as lines of text. */
+struct recorder {
+	struct plat_sink sink;
+	GString *text;
+	unsigned events;
+	unsigned awaited;
+	struct plat *plat;
+	bool cancel_at_token;
+};
+
+struct fixture {
+	struct wire_loop wire;
+	struct ctr_set *counters;
+	struct cli_client *client;
+	struct wire_server *server;
+	struct recorder recorder;
+	GString *requests; /* what the server received */
+	const char *answer;
+	bool hang_up;
+	char *addresses[2];
+	size_t n_addresses;
+};
+
+static void record_store(GString *text, const struct wf_store_reply *reply)
+{
+	static const char *const names[] = {
+		"ok",	   "conflict",	  "not_found",
+		"refused", "unavailable", "unknown",
+	};
+	gsize len = 0;
+	size_t i;
+
+	ck_assert(reply->op == OP);
+	g_string_append_printf(text, "%s %d", names[reply->result],
+			       (int)reply->version);
+	if (reply->value) {
+		const char *data = g_bytes_get_data(reply->value, &len);
+
+		g_string_append_printf(text, " value=%.*s", (int)len,
+				       data ? data : "");
+	}
+	for (i = 0; i < reply->n_entries; i++)
+		g_string_append_printf(text, " %s@%d", reply->entries[i].name,
+				       (int)reply->entries[i].version);
+}
+
+static void record_stream(struct recorder *recorder,
+			  const struct wf_stream_event *event)
+{
+	GString *text = recorder->text;
+	struct wf_action cancel = {.type = WF_ACT_STREAM_CANCEL, .op = OP};
+	size_t i;
+
+	ck_assert(event->op == OP);
+	g_string_append_printf(text, "%d/%u", (int)event->what, event->lineage);
+	if (event->what == WF_STREAM_TOKEN)
+		g_string_append_printf(text, " %u \"%s\"", event->position,
+				       event->text);
+	for (i = 0; i < event->n_receipts; i++)
+		g_string_append_printf(text, " %s:%u-%u:%d",
+				       event->receipts[i].target,
+				       event->receipts[i].first_layer,
+				       event->receipts[i].last_layer,
+				       (int)event->receipts[i].kind);
+	if (event->what == WF_STREAM_END)
+		g_string_append_printf(text, " %s", event->reason);
+	if (event->what == WF_STREAM_FAILED)
+		g_string_append_printf(
+			text, " %s %s %d", err_name(event->error),
+			event->failed_target ? event->failed_target : "-",
+			(int)event->retry_after);
+	if (event->what == WF_STREAM_TOKEN && recorder->cancel_at_token)
+		recorder->plat->ops->run(recorder->plat, &cancel, NULL);
+}
+
+static void record_body(GString *text, GBytes *body)
+{
+	gsize len = 0;
+	const char *data = body ? g_bytes_get_data(body, &len) : NULL;
+
+	if (data)
+		g_string_append_printf(text, " %.*s", (int)len, data);
+}
+
+static void record_cache(GString *text, const struct wf_cache_event *cache)
+{
+	size_t i;
+
+	g_string_append_printf(text, "%s seq=%d", cache->target,
+			       (int)cache->seq);
+	for (i = 0; i < cache->n_added; i++)
+		g_string_append_printf(text, " +%" G_GINT64_MODIFIER "x",
+				       cache->added[i]);
+	for (i = 0; i < cache->n_removed; i++)
+		g_string_append_printf(text, " -%" G_GINT64_MODIFIER "x",
+				       cache->removed[i]);
+}
+
+static void record_instances(GString *text, const struct wf_event *event)
+{
+	size_t i;
+
+	g_string_append_printf(text, "revision %d",
+			       (int)event->instances.revision);
+	for (i = 0; i < event->instances.n; i++) {
+		const struct wf_instance *item = &event->instances.list[i];
+
+		g_string_append_printf(text, " %s/%d/%d/%u-%u/%s", item->id,
+				       (int)item->role, (int)item->life,
+				       item->first_layer, item->last_layer,
+				       item->serves);
+	}
+}
+
+static void record(struct plat_sink *sink, const struct wf_event *event)
+{
+	struct recorder *recorder = (struct recorder *)sink;
+	GString *text = recorder->text;
+
+	recorder->events++;
+	switch (event->type) {
+	case WF_EV_STORE_REPLY:
+		record_store(text, event->store);
+		break;
+	case WF_EV_STREAM:
+		record_stream(recorder, event->stream);
+		break;
+	case WF_EV_SERVICE_REPLY:
+		g_string_append_printf(
+			text, "ok=%d sent=%d %d %s", event->service->ok,
+			event->service->sent, event->service->status,
+			event->service->ok ? ""
+					   : err_name(event->service->error));
+		record_body(text, event->service->body);
+		break;
+	case WF_EV_STATUS_REPLY:
+		g_string_append_printf(text, "%d %d",
+				       (int)event->status->status,
+				       event->status->http_status);
+		record_body(text, event->status->body);
+		break;
+	case WF_EV_REPORT:
+		g_string_append_printf(
+			text, "%s reachable=%d leaving=%d %u %u %u",
+			event->report->target, event->report->reachable,
+			event->report->leaving, event->report->running,
+			event->report->queued, event->report->slots);
+		break;
+	case WF_EV_CACHE:
+		record_cache(text, event->cache);
+		break;
+	case WF_EV_ORDER_REPLY:
+		g_string_append_printf(
+			text, "ok=%d %s", event->order->ok,
+			event->order->ok ? "" : err_name(event->order->error));
+		break;
+	case WF_EV_INSTANCES:
+		record_instances(text, event);
+		break;
+	default:
+		ck_abort_msg("unexpected event");
+	}
+	g_string_append_c(text, '\n');
+}
+
+static const struct plat_sink_ops recorder_ops = {record};
+
+static void play(struct wire_conn *conn, const char *request, void *user)
+{
+	struct fixture *fixture = user;
+
+	g_string_append(fixture->requests, request);
+	if (fixture->answer)
+		wire_send(conn, fixture->answer);
+	if (fixture->hang_up)
+		wire_hang_up(conn);
+}
+
+static void open_plat(struct fixture *fixture)
+{
+	struct plat_config config = {
+		.client = fixture->client,
+		.sink = &fixture->recorder.sink,
+		.counters = fixture->counters,
+		.self = "entry-1",
+		.incarnation = 5,
+		.object_api = fixture->addresses,
+		.n_object_api = fixture->n_addresses,
+		.instance_list = wire_server_address(fixture->server),
+	};
+
+	fixture->recorder.plat = plat_http_new(&config);
+}
+
+static void open_fixture(struct fixture *fixture, const char *answer,
+			 bool hang_up)
+{
+	memset(fixture, 0, sizeof(*fixture));
+	wire_open(&fixture->wire);
+	fixture->counters = ctr_new();
+	fixture->client = cli_new(&fixture->wire.loop, fixture->counters);
+	fixture->server = wire_server_new(&fixture->wire, play, fixture);
+	fixture->requests = g_string_new(NULL);
+	fixture->answer = answer;
+	fixture->hang_up = hang_up;
+	fixture->recorder.sink.ops = &recorder_ops;
+	fixture->recorder.text = g_string_new(NULL);
+	fixture->addresses[0] = g_strdup(wire_server_address(fixture->server));
+	fixture->n_addresses = 1;
+}
+
+static void close_fixture(struct fixture *fixture)
+{
+	cli_drop(fixture->client);
+	fixture->recorder.plat->ops->drop(fixture->recorder.plat);
+	wire_server_drop(fixture->server);
+	wire_close(&fixture->wire);
+	g_string_free(fixture->recorder.text, TRUE);
+	g_string_free(fixture->requests, TRUE);
+	g_free(fixture->addresses[0]);
+	g_free(fixture->addresses[1]);
+	ctr_drop(fixture->counters);
+}
+
+static bool has_events(void *user)
+{
+	struct recorder *recorder = user;
+
+	return recorder->events >= recorder->awaited;
+}
+
+static void run(struct fixture *fixture, struct wf_action *action,
+		const char *operation, unsigned events)
+{
+	struct recorder *recorder = &fixture->recorder;
+
+	recorder->awaited = recorder->events + events;
+	recorder->plat->ops->run(recorder->plat, action, operation);
+	wire_until(&fixture->wire, has_events, recorder);
+}
+
+#define HEAD(status, extra, len) \
+	"HTTP/1.1 " status " X\r\n" extra "Content-Length: " len "\r\n\r\n"
+
+static const struct {
+	enum wf_action_type type;
+	uint64_t version;
+	const char *answer;
+	bool hang_up;
+	const char *request; /* beginning of what the store must see */
+	const char *condition;
+	const char *event;
+} exchanges[] = {
+	{WF_ACT_STORE_GET, 0, HEAD("200", "ETag: \"9\"\r\n", "2") "hi", false,
+	 "GET /v1/objects/rules/manifest HTTP/1.1", "", "ok 9 value=hi\n"},
+	{WF_ACT_STORE_GET, 0, HEAD("404", "", "0"), false, "GET ", "",
+	 "not_found 0\n"},
+	{WF_ACT_STORE_GET, 0, HEAD("200", "", "2") "hi", false, "GET ", "",
+	 "unavailable 0\n"},
+	{WF_ACT_STORE_GET, 0, HEAD("500", "", "0"), false, "GET ", "",
+	 "unavailable 0\n"},
+	{WF_ACT_STORE_GET, 0, HEAD("200", "ETag: \"9\"\r\n", "9") "hi", true,
+	 "GET ", "", "unavailable 0\n"},
+	{WF_ACT_STORE_GET, 0, NULL, false, "GET ", "", "unavailable 0\n"},
+	{WF_ACT_STORE_PUT, 0, HEAD("200", "", "13") "{\"version\":5}", false,
+	 "PUT /v1/objects/rules/manifest HTTP/1.1", "If-None-Match: *\r\n",
+	 "ok 5\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("200", "", "13") "{\"version\":5}", false,
+	 "PUT ", "If-Match: \"4\"\r\n", "ok 5\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("412", "ETag: \"8\"\r\n", "0"), false,
+	 "PUT ", "If-Match: \"4\"\r\n", "conflict 8\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("412", "", "0"), false, "PUT ", "",
+	 "conflict 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("413", "", "0"), false, "PUT ", "",
+	 "refused 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("428", "", "0"), false, "PUT ", "",
+	 "refused 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("503", "", "0"), false, "PUT ", "",
+	 "unavailable 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("429", "Retry-After: 1\r\n", "0"), false,
+	 "PUT ", "", "unavailable 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("500", "", "0"), false, "PUT ", "",
+	 "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("502", "", "0"), false, "PUT ", "",
+	 "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("302", "", "0"), false, "PUT ", "",
+	 "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("200", "", "2") "{}", false, "PUT ", "",
+	 "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, HEAD("200", "", "13") "{\"versi", true, "PUT ",
+	 "", "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, NULL, true, "PUT ", "", "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, NULL, false, "PUT ", "", "unknown 0\n"},
+	{WF_ACT_STORE_DELETE, 4, HEAD("200", "", "13") "{\"version\":6}", false,
+	 "DELETE /v1/objects/rules/manifest HTTP/1.1", "If-Match: \"4\"\r\n",
+	 "ok 6\n"},
+	{WF_ACT_STORE_DELETE, 4, HEAD("404", "", "0"), false, "DELETE ", "",
+	 "not_found 0\n"},
+	{WF_ACT_STORE_DELETE, 4, NULL, true, "DELETE ", "", "unknown 0\n"},
+	{WF_ACT_STORE_LIST, 0,
+	 HEAD("200", "", "51") "{\"revision\":7,\"objects\":["
+			       "{\"name\":\"a\",\"version\":3}]}",
+	 false, "GET /v1/objects/rules?prefix=manifest HTTP/1.1", "",
+	 "ok 7 a@3\n"},
+	{WF_ACT_STORE_LIST, 0, HEAD("200", "", "2") "[]", false, "GET ", "",
+	 "unavailable 0\n"},
+	{WF_ACT_STORE_WATCH, 6,
+	 HEAD("200", "",
+	      "66") "{\"revision\":8,\"objects\":[{\"name\":\"a\",\"version\":"
+		    "8,\"deleted\":true}]}",
+	 false,
+	 "GET /v1/watch/rules?prefix=manifest&after=6&timeout_ms=300 HTTP/1.1",
+	 "", "ok 8 a@0\n"},
+};
+
+/*
+ * Guards against a write whose outcome is reported as proved when it is not,
+ * or the other way round.
+ */
+START_TEST(store_results_are_exact)
+{
+	struct fixture fixture;
+	struct wf_action action = {.type = exchanges[_i].type,
+				   .op = OP,
+				   .name = g_strdup("rules/manifest"),
+				   .version = exchanges[_i].version,
+				   .timeout = TIMEOUT_MS};
+
+	open_fixture(&fixture, exchanges[_i].answer, exchanges[_i].hang_up);
+	open_plat(&fixture);
+	if (action.type == WF_ACT_STORE_PUT)
+		action.body = g_bytes_new("text", 4);
+	run(&fixture, &action, NULL, 1);
+	ck_assert_str_eq(fixture.recorder.text->str, exchanges[_i].event);
+	ck_assert_msg(
+		g_str_has_prefix(fixture.requests->str, exchanges[_i].request),
+		"%s", fixture.requests->str);
+	ck_assert_ptr_nonnull(
+		strstr(fixture.requests->str, exchanges[_i].condition));
+	ck_assert_uint_eq(wire_server_requests(fixture.server), 1);
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Guards against a write given up while another server would take it. */
+START_TEST(refused_store_server_is_passed_over)
+{
+	struct fixture fixture;
+	struct wf_action action = {.type = WF_ACT_STORE_PUT,
+				   .op = OP,
+				   .name = g_strdup("lease/a"),
+				   .timeout = 2000};
+
+	open_fixture(&fixture, HEAD("200", "", "13") "{\"version\":5}", false);
+	fixture.addresses[1] = fixture.addresses[0];
+	fixture.addresses[0] = wire_refused_address(&fixture.wire);
+	fixture.n_addresses = 2;
+	open_plat(&fixture);
+	run(&fixture, &action, NULL, 1);
+	ck_assert_str_eq(fixture.recorder.text->str, "ok 5\n");
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Guards against "unknown" where no byte can have reached the store. */
+START_TEST(refused_write_is_proved_not_executed)
+{
+	struct fixture fixture;
+	struct wf_action action = {.type = WF_ACT_STORE_PUT,
+				   .op = OP,
+				   .name = g_strdup("lease/a"),
+				   .timeout = 2000};
+
+	open_fixture(&fixture, NULL, false);
+	g_free(fixture.addresses[0]);
+	fixture.addresses[0] = wire_refused_address(&fixture.wire);
+	open_plat(&fixture);
+	run(&fixture, &action, NULL, 1);
+	ck_assert_str_eq(fixture.recorder.text->str, "unavailable 0\n");
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+static const char *const bad_names[] = {
+	"", "rules", "rules/", "/a", "rules/a/b", "rules/a b", "rules/a?b=c",
+};
+
+/* Guards against a name that changes the meaning of the path. */
+START_TEST(bad_object_names_are_refused)
+{
+	struct fixture fixture;
+	struct wf_action action = {.type = WF_ACT_STORE_GET,
+				   .op = OP,
+				   .name = g_strdup(bad_names[_i])};
+
+	open_fixture(&fixture, NULL, false);
+	open_plat(&fixture);
+	run(&fixture, &action, NULL, 1);
+	ck_assert_str_eq(fixture.recorder.text->str, "refused 0\n");
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+#define SSE_HEAD                                                 \
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" \
+	"Connection: close\r\n\r\n"
+#define ACCEPTED "event: accepted\ndata: {\"lineage\":1}\n\n"
+#define TOKEN                                                                \
+	"event: token\ndata: {\"lineage\":1,\"position\":0,\"text\":\"A \"," \
+	"\"receipts\":[{\"target\":\"engine-1\",\"first_layer\":0,"          \
+	"\"last_layer\":19,\"kind\":\"run\"}]}\n\n"
+#define END "event: end\ndata: {\"lineage\":1,\"reason\":\"stop\"}\n\n"
+
+static const struct {
+	const char *answer;
+	bool hang_up;
+	unsigned n;
+	const char *events;
+} streams[] = {
+	{SSE_HEAD ACCEPTED TOKEN END, true, 3,
+	 "0/1\n1/1 0 \"A \" engine-1:0-19:0\n2/1 stop\n"},
+	/* nothing counts after the end */
+	{SSE_HEAD ACCEPTED END TOKEN, true, 2, "0/1\n2/1 stop\n"},
+	/* cut or silent before the end */
+	{SSE_HEAD ACCEPTED, true, 2, "0/1\n3/1 target_lost engine-1 0\n"},
+	{SSE_HEAD ACCEPTED, false, 2, "0/1\n3/1 deadline engine-1 0\n"},
+	{NULL, true, 1, "3/1 target_lost engine-1 0\n"},
+	{NULL, false, 1, "3/1 deadline engine-1 0\n"},
+	/* errors that the engine reports */
+	{SSE_HEAD "event: error\ndata: {\"lineage\":1,\"type\":\"stage_lost\","
+		  "\"target\":\"engine-2\"}\n\n",
+	 true, 1, "3/1 target_lost engine-2 0\n"},
+	{HEAD("409", "", "27") "{\"error\":{\"type\":\"fenced\"}}", false, 1,
+	 "3/1 fenced engine-1 0\n"},
+	{HEAD("503", "Retry-After: 2\r\n",
+	      "31") "{\"error\":{\"type\":\"overloaded\"}}",
+	 false, 1, "3/1 overloaded engine-1 2000\n"},
+	{HEAD("503", "", "0"), false, 1, "3/1 target_refused engine-1 0\n"},
+	/* malformed events */
+	{SSE_HEAD "event: token\ndata: {\n\n", false, 1,
+	 "3/1 protocol engine-1 0\n"},
+	{SSE_HEAD "event: token\ndata: {\"lineage\":1,\"position\":-1,"
+		  "\"text\":\"a\",\"receipts\":[]}\n\n",
+	 false, 1, "3/1 protocol engine-1 0\n"},
+	{SSE_HEAD "event: token\ndata: {\"lineage\":1,\"position\":0,"
+		  "\"text\":\"a\",\"receipts\":[{\"target\":\"e\","
+		  "\"first_layer\":0,\"last_layer\":1,\"kind\":\"odd\"}]}\n\n",
+	 false, 1, "3/1 protocol engine-1 0\n"},
+	{SSE_HEAD "event: end\ndata: {\"lineage\":1}\n\n", false, 1,
+	 "3/1 protocol engine-1 0\n"},
+	/* events of a later protocol version */
+	{SSE_HEAD "event: news\ndata: {\"lineage\":1}\n\n" END, true, 1,
+	 "2/1 stop\n"},
+};
+
+static void set_stream(struct wf_action *action, struct fixture *fixture)
+{
+	struct wf_stage stage = {.target = g_strdup("engine-1"),
+				 .last_layer = 19};
+
+	memset(action, 0, sizeof(*action));
+	action->type = WF_ACT_STREAM_OPEN;
+	action->op = OP;
+	action->call_id = 42;
+	action->target = g_strdup("engine-1");
+	action->address = g_strdup(wire_server_address(fixture->server));
+	action->timeout = TIMEOUT_MS;
+	action->lineage = 1;
+	action->model = g_strdup("swan-70b");
+	action->max_tokens = 4;
+	action->body = g_bytes_new("hi", 2);
+	action->chain = wf_chain_new();
+	stage.address = g_strdup(action->address);
+	g_array_append_val(action->chain, stage);
+}
+
+/* Guards against a token, an end or a failure that is lost or invented. */
+START_TEST(engine_streams_become_exact_events)
+{
+	struct fixture fixture;
+	struct wf_action action;
+
+	open_fixture(&fixture, streams[_i].answer, streams[_i].hang_up);
+	open_plat(&fixture);
+	set_stream(&action, &fixture);
+	run(&fixture, &action, NULL, streams[_i].n);
+	ck_assert_str_eq(fixture.recorder.text->str, streams[_i].events);
+	ck_assert_ptr_nonnull(
+		strstr(fixture.requests->str, "POST /v1/generate HTTP/1.1"));
+	ck_assert_ptr_nonnull(
+		strstr(fixture.requests->str,
+		       "{\"request\":\"entry-1/5/42\",\"lineage\":1,"
+		       "\"model\":\"swan-70b\",\"prompt\":\"hi\","
+		       "\"max_tokens\":4,\"priority\":0,\"start_position\":0,"
+		       "\"delivered\":\"\",\"chain\":[{\"target\":\"engine-1\","
+		       "\"address\":\"127.0.0.1:"));
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+	ck_assert_uint_eq(fixture.recorder.events, streams[_i].n);
+}
+END_TEST
+
+static bool saw_cancel(void *user)
+{
+	return strstr(((struct fixture *)user)->requests->str,
+		      "POST /v1/cancel") != NULL;
+}
+
+/*
+ * Guards against use of a stream that the core cancels from inside one of
+ * its events, and against an engine that goes on working for nobody.
+ */
+START_TEST(cancel_inside_a_token_event_stops_the_stream)
+{
+	struct fixture fixture;
+	struct wf_action action;
+
+	open_fixture(&fixture, SSE_HEAD TOKEN TOKEN END, false);
+	open_plat(&fixture);
+	fixture.recorder.cancel_at_token = true;
+	set_stream(&action, &fixture);
+	run(&fixture, &action, NULL, 1);
+	wire_until(&fixture.wire, saw_cancel, &fixture);
+	ck_assert_str_eq(fixture.recorder.text->str,
+			 "1/1 0 \"A \" engine-1:0-19:0\n");
+	ck_assert_ptr_nonnull(
+		strstr(fixture.requests->str,
+		       "{\"request\":\"entry-1/5/42\",\"lineage\":1}"));
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+static const struct {
+	enum wf_action_type type;
+	const char *answer;
+	bool hang_up;
+	unsigned n;
+	const char *request;
+	const char *events;
+} calls[] = {
+	{WF_ACT_SERVICE_CALL, HEAD("201", "", "2") "ok", false, 1,
+	 "POST /call/book HTTP/1.1", "ok=1 sent=1 201  ok\n"},
+	{WF_ACT_SERVICE_CALL, HEAD("500", "", "2") "no", false, 1, "POST ",
+	 "ok=1 sent=1 500  no\n"},
+	{WF_ACT_SERVICE_CALL, NULL, true, 1, "POST ",
+	 "ok=0 sent=1 0 target_lost\n"},
+	{WF_ACT_SERVICE_CALL, NULL, false, 1, "POST ",
+	 "ok=0 sent=1 0 deadline\n"},
+	{WF_ACT_SERVICE_CALL, HEAD("200", "", "9") "ok", true, 1, "POST ",
+	 "ok=0 sent=1 0 target_lost\n"},
+	{WF_ACT_STATUS_QUERY,
+	 HEAD("200", "",
+	      "41") "{\"state\":\"done\",\"status\":201,\"body\":\"ok\"}",
+	 false, 1, "GET /status/k%2F1 HTTP/1.1", "0 201 ok\n"},
+	{WF_ACT_STATUS_QUERY, HEAD("200", "", "19") "{\"state\":\"running\"}",
+	 false, 1, "GET ", "2 0\n"},
+	{WF_ACT_STATUS_QUERY,
+	 HEAD("404", "", "27") "{\"error\":{\"type\":\"absent\"}}", false, 1,
+	 "GET ", "1 0\n"},
+	{WF_ACT_STATUS_QUERY, HEAD("404", "", "0"), false, 1, "GET ", "3 0\n"},
+	{WF_ACT_STATUS_QUERY, HEAD("200", "", "16") "{\"state\":\"done\"}",
+	 false, 1, "GET ", "3 0\n"},
+	{WF_ACT_STATUS_QUERY, NULL, true, 1, "GET ", "3 0\n"},
+	{WF_ACT_ORDER, HEAD("200", "", "2") "{}", false, 1,
+	 "POST /v1/orders HTTP/1.1", "ok=1 \n"},
+	{WF_ACT_ORDER,
+	 HEAD("409", "", "27") "{\"error\":{\"type\":\"fenced\"}}", false, 1,
+	 "POST ", "ok=0 fenced\n"},
+	{WF_ACT_ORDER,
+	 HEAD("403", "", "31") "{\"error\":{\"type\":\"bad_sender\"}}", false,
+	 1, "POST ", "ok=0 forbidden\n"},
+	{WF_ACT_ORDER, HEAD("500", "", "0"), false, 1, "POST ",
+	 "ok=0 outcome_unknown\n"},
+	{WF_ACT_ORDER, NULL, true, 1, "POST ", "ok=0 outcome_unknown\n"},
+	{WF_ACT_FETCH_INSTANCES,
+	 HEAD("200", "",
+	      "211") "{\"revision\":4,\"instances\":[{\"id\":\"engine-7\","
+		     "\"role\":\"engine\",\"state\":\"leaving\",\"serves\":"
+		     "\"swan-70b\",\"first_layer\":3,\"last_layer\":9},"
+		     "{\"id\":\"x\",\"role\":\"odd\",\"state\":\"live\"},"
+		     "{\"id\":\"b\",\"role\":\"entry\",\"state\":\"live\"}]}"
+		     "",
+	 false, 1, "GET /v1/instances?after=0 HTTP/1.1",
+	 "revision 4 engine-7/1/2/3-9/swan-70b b/0/0/0-0/\n"},
+	{WF_ACT_POLL_TARGET, HEAD("404", "", "0"), false, 1, "GET ",
+	 "t reachable=0 leaving=0 0 0 0\n"},
+};
+
+/* Guards against service, status, order and list answers read loosely. */
+START_TEST(calls_map_to_exact_events)
+{
+	struct fixture fixture;
+	struct wf_action action = {.type = calls[_i].type,
+				   .op = OP,
+				   .target = g_strdup("t"),
+				   .timeout = TIMEOUT_MS,
+				   .key = g_strdup("k/1"),
+				   .fence = 9,
+				   .order = g_strdup("load"),
+				   .text = g_strdup("swan-70b")};
+
+	open_fixture(&fixture, calls[_i].answer, calls[_i].hang_up);
+	open_plat(&fixture);
+	action.address = g_strdup(wire_server_address(fixture.server));
+	run(&fixture, &action, "book", calls[_i].n);
+	ck_assert_str_eq(fixture.recorder.text->str, calls[_i].events);
+	ck_assert_msg(
+		g_str_has_prefix(fixture.requests->str, calls[_i].request),
+		"%s", fixture.requests->str);
+	if (action.type == WF_ACT_SERVICE_CALL)
+		ck_assert_ptr_nonnull(strstr(fixture.requests->str,
+					     "Idempotency-Key: k/1\r\n"));
+	if (action.type == WF_ACT_ORDER)
+		ck_assert_ptr_nonnull(
+			strstr(fixture.requests->str,
+			       "{\"fence\":9,\"sender\":\"entry-1\",\"order\":"
+			       "\"load\",\"argument\":\"swan-70b\"}"));
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+/* Guards against "may have been sent" where the connection was refused. */
+START_TEST(refused_service_call_is_proved_not_sent)
+{
+	struct fixture fixture;
+	struct wf_action action = {.type = WF_ACT_SERVICE_CALL,
+				   .op = OP,
+				   .fresh_connection = true};
+
+	open_fixture(&fixture, NULL, false);
+	open_plat(&fixture);
+	action.address = wire_refused_address(&fixture.wire);
+	run(&fixture, &action, "book", 1);
+	ck_assert_str_eq(fixture.recorder.text->str,
+			 "ok=0 sent=0 0 target_failed\n");
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+static void answer_poll(struct wire_conn *conn, const char *request, void *user)
+{
+	struct fixture *fixture = user;
+
+	g_string_append(fixture->requests, request);
+	if (g_str_has_prefix(request, "GET /v1/load"))
+		wire_answer(conn, 200, "",
+			    "{\"running\":2,\"queued\":1,\"slots\":8,"
+			    "\"step_us\":2400.5,\"leaving\":true}");
+	else
+		wire_answer(conn, 200, "",
+			    "{\"seq\":6,\"first\":5,\"events\":[{\"seq\":5,"
+			    "\"added\":[\"00000000000000ff\"],\"removed\":[]},"
+			    "{\"seq\":6,\"added\":[],\"removed\":"
+			    "[\"0000000000000abc\"]},"
+			    "{\"seq\":7,\"added\":[\"xyz\"]}]}");
+}
+
+static bool has_both(void *user)
+{
+	return ((struct recorder *)user)->events >= 3;
+}
+
+/* Guards against reports and cache news that are lost or asked for again. */
+START_TEST(poll_brings_load_and_cache_events)
+{
+	struct fixture fixture;
+	struct wf_action action = {.type = WF_ACT_POLL_TARGET, .op = OP};
+	const char *text;
+
+	open_fixture(&fixture, NULL, false);
+	wire_server_drop(fixture.server);
+	fixture.server = wire_server_new(&fixture.wire, answer_poll, &fixture);
+	open_plat(&fixture);
+	action.target = g_strdup("engine-1");
+	action.address = g_strdup(wire_server_address(fixture.server));
+	fixture.recorder.plat->ops->run(fixture.recorder.plat, &action, NULL);
+	wire_until(&fixture.wire, has_both, &fixture.recorder);
+	text = fixture.recorder.text->str;
+	ck_assert_ptr_nonnull(
+		strstr(text, "engine-1 reachable=1 leaving=1 2 1 8\n"));
+	ck_assert_ptr_nonnull(
+		strstr(text, "engine-1 seq=5 +ff\nengine-1 seq=6 -abc\n"));
+	ck_assert_int_eq(ctr_get(fixture.counters, "wf_cache_bad_events_total"),
+			 1);
+	run(&fixture, &action, NULL, 3);
+	ck_assert_ptr_nonnull(
+		strstr(fixture.requests->str, "/v1/cache-events?after=6 "));
+	wf_action_clear(&action);
+	close_fixture(&fixture);
+}
+END_TEST
+
+static void add_tests(TCase *tcase)
+{
+	tcase_add_loop_test(tcase, store_results_are_exact, 0,
+			    G_N_ELEMENTS(exchanges));
+	tcase_add_test(tcase, refused_store_server_is_passed_over);
+	tcase_add_test(tcase, refused_write_is_proved_not_executed);
+	tcase_add_loop_test(tcase, bad_object_names_are_refused, 0,
+			    G_N_ELEMENTS(bad_names));
+	tcase_add_loop_test(tcase, engine_streams_become_exact_events, 0,
+			    G_N_ELEMENTS(streams));
+	tcase_add_test(tcase, cancel_inside_a_token_event_stops_the_stream);
+	tcase_add_loop_test(tcase, calls_map_to_exact_events, 0,
+			    G_N_ELEMENTS(calls));
+	tcase_add_test(tcase, refused_service_call_is_proved_not_sent);
+	tcase_add_test(tcase, poll_brings_load_and_cache_events);
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("plat_wire");
+	TCase *tcase = tcase_create("plat_wire");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, 30);
+	add_tests(tcase);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
