--- a/src/daemon/srv.c
+++ b/src/daemon/srv.c
@@ -35,9 +35,15 @@
  */
 static void dispose_when_idle(struct srv_server *server)
 {
+	h2o_timeout_entry_t *goodbye =
+		&server->context.http2._graceful_shutdown_timeout;
+
 	if (!server->dropped || server->open_handles ||
 	    g_hash_table_size(server->sockets))
 		return;
+	/* Left by srv_announce_end(); h2o's disposal takes it for an error. */
+	if (h2o_timeout_is_linked(goodbye))
+		h2o_timeout_unlink(goodbye);
 	h2o_context_dispose(&server->context);
 	h2o_config_dispose(&server->config);
 	g_hash_table_destroy(server->sockets);
--- a/src/daemon/srv_error.c
+++ b/src/daemon/srv_error.c
@@ -47,6 +47,7 @@
 {
 	req->res.status = status;
 	req->res.reason = reason_of(status);
+	req->res.content_length = len;
 	add_header(req, "content-type", type);
 	h2o_send_inline(req, body, len);
 }
