--- a/Makefile
+++ b/Makefile
@@ -43,10 +43,11 @@
 FAKES := $(FAKE_SRC:tests/fakes/%.c=$(BUILD)/fakes/%)
 FAKE_OBJ := $(patsubst %.c,$(BUILD)/%.o,\
 	$(filter-out $(FAKE_SRC),$(wildcard tests/fakes/*.c)))
+LOAD_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/load/*.c))
 PROGRAMS := $(if $(DAEMON_OBJ),$(BUILD)/wagtailferryd) \
 	$(if $(TOOL_OBJ),$(BUILD)/wagtailferry)
 
-all: $(LIB) $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES)
+all: $(LIB) $(PROGRAMS) $(FAKES) $(BUILD)/load_driver $(TESTS) $(BENCHES)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -71,6 +72,9 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
+$(BUILD)/load_driver: $(LOAD_OBJ) $(BUILD)/tests/fakes/http_client.o
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
+
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
--- a/tests/fakes/server.c
+++ b/tests/fakes/server.c
@@ -214,6 +214,13 @@
 	poptFreeContext(context);
 }
 
+const struct poptOption *fk_no_options(void)
+{
+	static const struct poptOption none[] = {POPT_TABLEEND};
+
+	return none;
+}
+
 struct fk_server *fk_server_new(int argc, const char **argv,
 				const struct poptOption *options,
 				const struct fk_route *routes, void *user)
--- a/tests/fakes/server.h
+++ b/tests/fakes/server.h
@@ -48,9 +48,11 @@
 	struct fk_stream *stream;
 };
 
-/* Command line entries that all fakes have are added to the fake's own. */
 struct poptOption;
 
+/* An empty table, for fakes without options of their own. */
+const struct poptOption *fk_no_options(void);
+
 /*
  * Parses the command line with the given popt table (ended by POPT_TABLEEND),
  * listens and prints "listening on IP:PORT". Exits on a bad command line.
@@ -99,7 +101,10 @@
 /* Starts a stream of server-sent events. */
 void fk_stream_start(struct fk_call *call);
 
-/* Sends one event; takes over the reference. */
+/*
+ * Sends one event; takes over the reference. event may be NULL for no name,
+ * data NULL for "[DONE]", which ends a stream in the OpenAI format.
+ */
 void fk_stream_event(struct fk_call *call, const char *event, json_t *data);
 
 /* Ends the stream; the call's last event. */
--- a/tests/fakes/stream.c
+++ b/tests/fakes/stream.c
@@ -117,9 +117,11 @@
 static GString *format_event(const char *event, json_t *data)
 {
 	GString *text = g_string_new(NULL);
-	char *json = json_dumps(data, JSON_COMPACT);
+	char *json = data ? json_dumps(data, JSON_COMPACT) : NULL;
 
-	g_string_printf(text, "event: %s\ndata: %s\n\n", event, json);
+	if (event)
+		g_string_append_printf(text, "event: %s\n", event);
+	g_string_append_printf(text, "data: %s\n\n", json ? json : "[DONE]");
 	free(json);
 	json_decref(data);
 	return text;
