--- a/tests/contract_engine_wire_test.c
+++ b/tests/contract_engine_wire_test.c
@@ -972,8 +972,8 @@
 START_TEST(test_cache_events)
 {
 	static const char *const options[] = {"--cache-blocks", "3", NULL};
-	char *one = g_strnfill(130, 'a');
-	char *two = g_strnfill(130, 'b');
+	char *one = g_strnfill(520, 'a');
+	char *two = g_strnfill(520, 'b');
 	json_t *json;
 
 	start_with(options);
--- a/tests/fakes/engine.h
+++ b/tests/fakes/engine.h
@@ -11,7 +11,7 @@
 #include "server.h"
 
 /* Prompt bytes in one block of the prefix cache. */
-#define ENG_PROMPT_BLOCK 64
+#define ENG_PROMPT_BLOCK 256
 
 /* Positions in one block of KV memory. */
 #define ENG_KV_BLOCK 16
--- a/tests/fakes/entry_fake.c
+++ b/tests/fakes/entry_fake.c
@@ -29,15 +29,15 @@
 	json_t *json = fk_json_body(call);
 	const json_t *message =
 		json_array_get(json_object_get(json, "messages"), 0);
-	const char *prompt =
+	const char *content =
 		json_string_value(json_object_get(message, "content"));
+	char *prompt = g_strdup_printf("user: %s\nassistant: ",
+				       content ? content : "");
 	json_int_t n = json_integer_value(json_object_get(json, "max_tokens"));
 	unsigned i;
 
-	if (!json)
-		return;
 	fk_stream_start(call);
-	for (i = 0; prompt && i < n; i++) {
+	for (i = 0; i < n; i++) {
 		char *text = token_text(prompt, N_LAYERS, i, i + 1);
 
 		fk_stream_event(call, NULL, chunk_json(text, NULL));
@@ -47,6 +47,7 @@
 	fk_stream_event(call, NULL, NULL);
 	fk_stream_end(call);
 	json_decref(json);
+	g_free(prompt);
 }
 
 static void handle_booking(struct fk_call *call)
--- a/tests/load/load_driver.c
+++ b/tests/load/load_driver.c
@@ -67,7 +67,7 @@
 	{"n-layers", 0, POPT_ARG_INT, &driver.config.n_layers, 0,
 	 "layers of the model, for the expected text", "N"},
 	{"prompt-prefix", 0, POPT_ARG_STRING, &driver.config.prompt_prefix, 0,
-	 "text that the instance puts before a message", "TEXT"},
+	 "text that the instance puts before a message (user: )", "TEXT"},
 	{"prompt-suffix", 0, POPT_ARG_STRING, &driver.config.prompt_suffix, 0,
 	 "text that the instance puts behind a message", "TEXT"},
 	{"timeout-ms", 0, POPT_ARG_INT, &driver.config.timeout_ms, 0,
@@ -135,8 +135,9 @@
 	token_list = or_default(token_list, "load");
 	config->model = or_default(config->model, "swan-70b");
 	config->service = or_default(config->service, "booking");
-	config->prompt_prefix = or_default(config->prompt_prefix, "");
-	config->prompt_suffix = or_default(config->prompt_suffix, "");
+	config->prompt_prefix = or_default(config->prompt_prefix, "user: ");
+	config->prompt_suffix =
+		or_default(config->prompt_suffix, "\nassistant: ");
 	config->targets = g_strsplit(target_list, ",", -1);
 	config->tokens = g_strsplit(token_list, ",", -1);
 }
