--- a/Makefile
+++ b/Makefile
@@ -46,11 +46,12 @@
 FAKES := $(FAKE_SRC:tests/fakes/%.c=$(BUILD)/fakes/%)
 FAKE_OBJ := $(patsubst %.c,$(BUILD)/%.o,\
 	$(filter-out $(FAKE_SRC),$(wildcard tests/fakes/*.c)))
+LOAD_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/load/*.c))
 # The daemon's main program needs the core's facade.
 PROGRAMS := $(if $(wildcard src/core/core.c),$(BUILD)/wagtailferryd) \
 	$(if $(TOOL_OBJ),$(BUILD)/wagtailferry)
 
-all: $(LIB) $(PROGRAMS) $(FAKES) $(TESTS) $(BENCHES)
+all: $(LIB) $(PROGRAMS) $(FAKES) $(BUILD)/load_driver $(TESTS) $(BENCHES)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -79,6 +80,9 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
+$(BUILD)/load_driver: $(LOAD_OBJ) $(BUILD)/tests/fakes/http_client.o
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
+
 $(BUILD)/tests/%_wire_test: $(BUILD)/tests/%_wire_test.o $(WIRE_OBJ) \
 		$(SUPPORT) $(NET_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
