--- /dev/null
+++ b/src/state/clm_held.c
@@ -0,0 +1,132 @@
+#include "state/clm_private.h"
+
+/* Between two polls of a claim's holder; doubled up to the maximum. */
+#define POLL_MIN_MS 20
+#define POLL_MAX_SHIFT 4
+/* Polls after which a silent holder's targets are asked as well. */
+#define SILENT_POLLS 4
+/* Every so many polls the store is read again. */
+#define STORE_POLL_PERIOD 4
+
+static bool is_self(const struct wf_ctx *ctx, const struct clm_entry *entry)
+{
+	return !g_strcmp0(entry->instance, ctx->self) &&
+	       entry->incarnation == ctx->incarnation;
+}
+
+/* Whether the instance that made the claim may still act on it. */
+static bool holder_lives(const struct wf_ctx *ctx, struct clm_claims *claims,
+			 const struct clm_entry *entry)
+{
+	const struct wf_peer *peer;
+
+	if (is_self(ctx, entry))
+		return clm_run_find(claims, entry->nonce);
+	peer = wf_find_peer(ctx, entry->instance);
+	return peer && peer->life != WF_LIFE_DEAD &&
+	       peer->incarnation == entry->incarnation;
+}
+
+static void hold(struct wf_ctx *ctx, struct clm_claims *claims,
+		 struct clm_run *run, const struct clm_entry *entry)
+{
+	struct clm_entry *copy = clm_entry_copy(entry);
+
+	clm_entry_free(run->held);
+	run->held = copy;
+	run->holder_gone = entry->state != CLM_CLAIMED ||
+			   !holder_lives(ctx, claims, entry);
+	if (run->phase == CLM_PHASE_CLAIMING) {
+		run->phase = CLM_PHASE_HELD;
+		run->owner_limit = CLK_NEVER;
+		run->next_poll = ctx->now;
+		ctr_add(ctx->counters, "wf_claims_held_total", 1);
+	}
+}
+
+/* The holder has closed its claim; ours may take its place. */
+static void reclaim(struct wf_ctx *ctx, struct clm_claims *claims,
+		    struct clm_run *run)
+{
+	run->refresh = true;
+	run->fallback |= run->polls > STORE_POLL_PERIOD;
+	clm_send_claim(ctx, claims, run);
+	run->owner_limit = CLK_NEVER;
+}
+
+void clm_run_held(struct wf_ctx *ctx, struct clm_claims *claims,
+		  struct clm_run *run, const struct clm_entry *entry)
+{
+	if (!clm_hash_equal(&entry->body, &run->body_hash)) {
+		clm_run_fail(ctx, claims, run, ERR_KEY_REUSED, ERR_RUN_NOT);
+		return;
+	}
+	if (entry->state == CLM_DONE && entry->answer) {
+		clm_entry_free(run->held);
+		run->held = clm_entry_copy(entry);
+		clm_run_answer(ctx, claims, run, entry->status, entry->answer);
+		return;
+	}
+#ifdef WF_GUARD_OFF_CLAIM_OWN_ONLY
+	if (entry->state == CLM_CLAIMED && !holder_lives(ctx, claims, entry)) {
+		clm_run_dispatch(ctx, claims, run);
+		return;
+	}
+#endif
+	hold(ctx, claims, run, entry);
+	if (entry->state == CLM_NOT_RUN && run->next_poll > ctx->now)
+		run->next_poll = ctx->now + POLL_MIN_MS;
+}
+
+/* A call of this instance under another nonce holds the key. */
+static void ask_self(struct wf_ctx *ctx, struct clm_claims *claims,
+		     struct clm_run *run)
+{
+	struct clm_run *other = clm_run_find(claims, run->held->nonce);
+	struct clm_entry *entry;
+
+	if (!other)
+		return;
+	entry = clm_run_entry(ctx, other);
+	if (entry->state == CLM_NOT_RUN && !other->completion) {
+		clm_run_complete(ctx, claims, other, entry, CLM_NOT_RUN);
+		clm_run_schedule(claims, other);
+	}
+	clm_run_held(ctx, claims, run, entry);
+	clm_entry_free(entry);
+}
+
+static void ask_holder(struct wf_ctx *ctx, struct clm_claims *claims,
+		       struct clm_run *run)
+{
+	if (is_self(ctx, run->held))
+		ask_self(ctx, claims, run);
+	else
+		clm_send_query(ctx, run);
+}
+
+void clm_held_tick(struct wf_ctx *ctx, struct clm_claims *claims,
+		   struct clm_run *run)
+{
+	unsigned polls = run->polls++;
+	unsigned shift = MIN(polls, POLL_MAX_SHIFT);
+	enum clm_state state = run->held->state;
+	bool lives = holder_lives(ctx, claims, run->held);
+
+	run->next_poll = ctx->now + ((clk_ms)POLL_MIN_MS << shift);
+	run->holder_gone = state != CLM_CLAIMED || !lives;
+	if (state == CLM_NOT_RUN ||
+	    polls % STORE_POLL_PERIOD == STORE_POLL_PERIOD - 1 ||
+	    (!polls && state == CLM_CLAIMED && !lives))
+		reclaim(ctx, claims, run);
+	else if (state == CLM_CLAIMED && lives)
+		ask_holder(ctx, claims, run);
+	if (run->phase != CLM_PHASE_HELD || state == CLM_NOT_RUN)
+		return;
+	if ((run->holder_gone && polls) || state == CLM_DONE ||
+	    state == CLM_UNKNOWN)
+		clm_run_query_status(ctx, claims, run);
+	else if (polls >= SILENT_POLLS &&
+		 clm_target_with_status(claims, &run->policy, NULL, 0))
+		clm_run_query_status(ctx, claims, run);
+}
--- /dev/null
+++ b/src/state/clm_private.h
@@ -0,0 +1,459 @@
+#ifndef CLM_PRIVATE_H
+#define CLM_PRIVATE_H
+
+/* Declarations shared by the sources of the claims module. */
+
+#include <string.h>
+
+#include <wagtailferry/state.h>
+
+#include "schema/claims.pb-c.h"
+
+#define CLM_HASH_SIZE 16
+#define CLM_KIND_CLAIM 40
+#define CLM_KIND_CLAIM_RESPONSE 41
+#define CLM_KIND_COMPLETE 42
+#define CLM_KIND_COMPLETE_RESPONSE 43
+#define CLM_KIND_QUERY 44
+#define CLM_KIND_QUERY_RESPONSE 45
+#define CLM_KIND_HANDOVER 46
+
+struct clm_hash {
+	uint8_t bytes[CLM_HASH_SIZE];
+};
+
+/* Hash functions for tables keyed by struct clm_hash. */
+guint clm_hash_value(gconstpointer key);
+gboolean clm_hash_equal(gconstpointer a, gconstpointer b);
+
+enum clm_state {
+	CLM_NONE,
+	CLM_CLAIMED,
+	CLM_DONE,
+	CLM_NOT_RUN,
+	CLM_UNKNOWN,
+};
+
+/* One claim as it is stored. */
+struct clm_entry {
+	struct clm_hash key;
+	struct clm_hash body;
+	uint64_t nonce;
+	char *instance;
+	uint64_t incarnation;
+	enum clm_state state;
+	clk_ms claimed_at;
+	clk_ms done_at;
+	char *target; /* the target planned for the call */
+	int status;
+	GBytes *answer; /* DONE; NULL: only the digest was kept */
+	struct clm_hash digest;
+};
+
+struct clm_entry *clm_entry_copy(const struct clm_entry *entry);
+void clm_entry_free(struct clm_entry *entry);
+
+/* Bytes of the entry in an object, an upper bound. */
+size_t clm_entry_size(const struct clm_entry *entry);
+
+/* Sets DONE with the answer, or with its digest only if it is over max. */
+void clm_entry_set_answer(struct clm_entry *entry, int status, GBytes *answer,
+			  size_t max);
+
+/* Fills in a message that borrows from the entry. */
+void clm_entry_to_message(const struct clm_entry *entry, Wf__ClaimEntry *out);
+
+/* A copy of a message, NULL if it is malformed. */
+struct clm_entry *clm_entry_from_message(const Wf__ClaimEntry *message);
+
+/* Hashes of keys, bodies and answers (SHA-256, truncated). */
+struct clm_hash clm_hash_key(const char *org, const char *key);
+struct clm_hash clm_hash_bytes(GBytes *bytes);
+
+/* Timers: a heap with lazy removal */
+
+enum clm_timer_kind {
+	CLM_TIMER_RUN,
+	CLM_TIMER_OBJECT,
+	CLM_TIMER_DIRECT,
+};
+
+/* wake is when the owner wants to run; queued when the heap will look. */
+struct clm_timer {
+	enum clm_timer_kind kind;
+	uint64_t id;
+	clk_ms wake;
+	clk_ms queued;
+};
+
+struct clm_heap;
+
+struct clm_heap *clm_heap_new(void);
+void clm_heap_free(struct clm_heap *heap);
+void clm_timer_set(struct clm_heap *heap, struct clm_timer *timer, clk_ms when);
+clk_ms clm_heap_next(const struct clm_heap *heap);
+/* Takes the first due item; false if none is due. */
+bool clm_heap_pop(struct clm_heap *heap, clk_ms now, enum clm_timer_kind *kind,
+		  uint64_t *id);
+
+/* Objects: cache and writer */
+
+enum clm_item_kind {
+	CLM_ITEM_CLAIM,
+	CLM_ITEM_COMPLETE,
+};
+
+enum clm_result {
+	CLM_RESULT_NONE,
+	CLM_RESULT_CLAIMED,
+	CLM_RESULT_HELD,
+	CLM_RESULT_STORED,
+	CLM_RESULT_STORE_DOWN,
+	CLM_RESULT_FULL,
+	CLM_RESULT_MOVED,
+};
+
+/* A claim or completion that waits for an object. */
+struct clm_item {
+	enum clm_item_kind kind;
+	struct clm_entry *entry;
+	char *from; /* asking instance, NULL: this one */
+	clk_ms queued_at;
+	clk_ms expires;
+	bool refresh; /* the answer must come from a new read */
+	bool fresh;   /* the object was read since the item came */
+};
+
+enum clm_object_op {
+	CLM_OBJECT_IDLE,
+	CLM_OBJECT_GET,
+	CLM_OBJECT_PUT,
+};
+
+struct clm_object {
+	uint64_t id;
+	uint64_t window;
+	unsigned shard;
+	char *name;
+	bool known; /* entries are the value at version */
+	uint64_t version;
+	GHashTable *entries; /* struct clm_entry by key, owned */
+	size_t bytes;
+	GQueue pending;	     /* struct clm_item, owned */
+	GQueue batch;	     /* items of the write in flight, owned */
+	GHashTable *overlay; /* entries that the write changes */
+	enum clm_object_op doing;
+	bool must_read;
+	uint64_t op;
+	clk_ms op_limit;
+	clk_ms not_before; /* no store call earlier */
+	clk_ms last_write;
+	unsigned failures;
+	clk_ms last_used;
+	unsigned busy; /* callers on the stack that use the object */
+	struct clm_timer timer;
+};
+
+/* What the store said of an item. entry may be NULL; borrowed. */
+struct clm_verdict {
+	enum clm_result result;
+	const struct clm_entry *entry;
+	clk_ms retry_after;
+};
+
+/* Targets of service calls */
+
+struct clm_target {
+	char *id;
+	char *address;
+	char *serves;
+	char *data_center;
+	uint64_t incarnation;
+	bool live;
+	bool leaving;
+	bool has_status;
+	unsigned in_flight;
+	clk_ms avoid_until; /* after a failure to connect */
+	bool listed;
+};
+
+/* Calls */
+
+enum clm_phase {
+	CLM_PHASE_CLAIMING,   /* our claim is not known to be stored */
+	CLM_PHASE_HELD,	      /* another claim holds the key */
+	CLM_PHASE_DISPATCHED, /* sent, or about to be */
+	CLM_PHASE_STATUS,     /* the answer was lost */
+	CLM_PHASE_FINISHED,
+};
+
+/* A caller that waits for a run. */
+struct clm_caller {
+	uint64_t call_id;
+	clk_ms deadline;
+	bool gone;
+};
+
+/* One key at this instance under one nonce. */
+struct clm_run {
+	uint64_t nonce;
+	struct clm_hash key;
+	struct clm_hash body_hash;
+	uint64_t window;
+	unsigned shard;
+	char *org;
+	char *key_text;
+	char *operation;
+	struct wf_policy policy;
+	GBytes *body;
+	GArray *callers; /* of struct clm_caller */
+	uint64_t first_call;
+	enum clm_phase phase;
+	bool claim_sent;	/* the store may hold our claim */
+	bool fallback;		/* this instance writes the object itself */
+	bool refresh;		/* the owner must read the object again */
+	bool dispatched;	/* bytes may have left, for ever true */
+	bool holder_gone;	/* nobody may act on the claim held */
+	bool store_down;	/* the last news was that the store is down */
+	clk_ms owner_limit;	/* when the owner counts as unreachable */
+	clk_ms retry_at;	/* earliest new request to the owner */
+	struct clm_entry *held; /* the claim of another run */
+	unsigned polls;
+	unsigned status_polls;
+	clk_ms next_poll;
+	char *target; /* planned or used */
+	uint64_t call_op;
+	clk_ms call_limit;
+	uint64_t status_op;
+	clk_ms status_limit;
+	unsigned next_status_target;
+	/* the end */
+	enum clm_state outcome;
+	enum err_code error;
+	int status;
+	GBytes *answer;
+	bool answered;
+	clk_ms finished_at;
+	/* storing the outcome */
+	struct clm_entry *completion;
+	bool completion_fallback;
+	clk_ms completion_due;
+	clk_ms completion_limit;
+	clk_ms completion_backoff;
+	struct clm_timer timer;
+};
+
+/* A call that may be repeated. */
+struct clm_direct {
+	uint64_t id;
+	struct clm_caller caller;
+	char *target_key;
+	char *operation;
+	struct wf_policy policy;
+	GBytes *body;
+	unsigned attempts;
+	bool any_sent;
+	char *target;
+	uint64_t op;
+	clk_ms op_limit;
+	clk_ms retry_at;
+	enum err_code last_error;
+	struct clm_timer timer;
+};
+
+enum clm_op_kind {
+	CLM_OP_OBJECT,
+	CLM_OP_CALL,
+	CLM_OP_STATUS,
+	CLM_OP_DIRECT,
+	CLM_OP_SWEEP,
+	CLM_OP_DELETE,
+};
+
+struct clm_op {
+	uint64_t op;
+	enum clm_op_kind kind;
+	uint64_t id;
+};
+
+struct clm_sweep {
+	uint64_t next_group; /* newest group not listed yet */
+	uint64_t back_group; /* older groups, after an outage */
+	clk_ms wake;
+	uint64_t op;
+	clk_ms op_limit;
+	GQueue victims; /* struct clm_victim */
+};
+
+struct clm_claims {
+	struct wf_module module;
+	struct clm_config config;
+	uint64_t counter;
+	GHashTable *ops;     /* struct clm_op by op */
+	GHashTable *objects; /* struct clm_object by name */
+	GHashTable *objects_by_id;
+	uint64_t next_id;
+	GHashTable *runs;	  /* struct clm_run by nonce, owned */
+	GHashTable *by_key;	  /* current run of a key */
+	GQueue finished;	  /* nonces, oldest first */
+	GHashTable *calls;	  /* call id to nonce, waiting callers */
+	GHashTable *direct;	  /* struct clm_direct by id, owned */
+	GHashTable *direct_calls; /* call id to struct clm_direct */
+	GPtrArray *targets;	  /* struct clm_target */
+	struct clm_heap *heap;
+	double retry_tokens;
+	unsigned n_active; /* runs before FINISHED */
+	unsigned n_completions;
+	clk_ms store_retry_at; /* after a failure; 0: the store answers */
+	size_t bytes_held;     /* bodies and answers of runs */
+	struct clm_sweep sweep;
+	bool handed_over;
+};
+
+/* clm.c */
+struct clm_op *clm_op_new(struct wf_ctx *ctx, struct clm_claims *claims,
+			  enum clm_op_kind kind, uint64_t id);
+
+/* clm_shard.c */
+struct clm_object *clm_object_get(struct wf_ctx *ctx, struct clm_claims *claims,
+				  uint64_t window, unsigned shard);
+void clm_object_free(struct clm_object *object);
+char *clm_object_name(uint64_t window, unsigned shard);
+uint64_t clm_object_hash(uint64_t window, unsigned shard);
+/* Queues an item; takes it over. */
+void clm_object_submit(struct wf_ctx *ctx, struct clm_claims *claims,
+		       struct clm_object *object, struct clm_item *item);
+void clm_object_work(struct wf_ctx *ctx, struct clm_claims *claims,
+		     struct clm_object *object);
+void clm_object_reply(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_object *object,
+		      const struct wf_store_reply *reply);
+void clm_object_cancel(struct clm_object *object, uint64_t nonce);
+void clm_item_free(struct clm_item *item);
+void clm_objects_evict(struct wf_ctx *ctx, struct clm_claims *claims);
+bool clm_window_expired(const struct wf_ctx *ctx,
+			const struct clm_config *config, uint64_t window);
+
+/* clm_batch.c */
+GBytes *clm_object_encode(const struct clm_object *object);
+bool clm_object_decode(struct clm_object *object, GBytes *value);
+const struct clm_entry *clm_object_find(const struct clm_object *object,
+					const struct clm_hash *key);
+/* Judges an item; CLM_RESULT_NONE: the object must change first. */
+struct clm_verdict clm_item_judge(const struct clm_item *item,
+				  const struct clm_entry *entry);
+/* Adds the item's change to the overlay; false if the object is full. */
+bool clm_object_stage(const struct clm_config *config,
+		      struct clm_object *object, const struct clm_item *item);
+/* Makes the overlay the object's value, or forgets it. */
+void clm_object_apply(struct clm_object *object);
+void clm_object_unstage(struct clm_object *object);
+
+/* clm_peer.c */
+void clm_send_claim(struct wf_ctx *ctx, struct clm_claims *claims,
+		    struct clm_run *run);
+void clm_send_completion(struct wf_ctx *ctx, struct clm_claims *claims,
+			 struct clm_run *run);
+void clm_send_query(struct wf_ctx *ctx, const struct clm_run *run);
+void clm_send_verdict(struct wf_ctx *ctx, const struct clm_item *item,
+		      const struct clm_verdict *verdict);
+void clm_handle_peer(struct wf_ctx *ctx, struct clm_claims *claims,
+		     const struct wf_peer_event *event);
+void clm_hand_over(struct wf_ctx *ctx, struct clm_claims *claims);
+
+/* clm_run.c */
+void clm_run_call(struct wf_ctx *ctx, struct clm_claims *claims,
+		  const struct wf_call *call);
+void clm_run_gone(struct wf_ctx *ctx, struct clm_claims *claims,
+		  uint64_t call_id);
+void clm_run_verdict(struct wf_ctx *ctx, struct clm_claims *claims,
+		     const struct clm_hash *key, uint64_t nonce,
+		     const struct clm_verdict *verdict);
+void clm_run_stored(struct clm_claims *claims, const struct clm_hash *key,
+		    uint64_t nonce);
+/* What this run knows of its claim; NULL if nothing. Owned by the caller. */
+struct clm_entry *clm_run_entry(const struct wf_ctx *ctx,
+				const struct clm_run *run);
+void clm_run_tick(struct wf_ctx *ctx, struct clm_claims *claims,
+		  struct clm_run *run);
+void clm_run_free(struct clm_run *run);
+struct clm_run *clm_run_find(struct clm_claims *claims, uint64_t nonce);
+void clm_run_schedule(struct clm_claims *claims, struct clm_run *run);
+
+/* clm_finish.c */
+void clm_run_answer(struct wf_ctx *ctx, struct clm_claims *claims,
+		    struct clm_run *run, int status, GBytes *body);
+void clm_run_close(struct wf_ctx *ctx, struct clm_claims *claims,
+		   struct clm_run *run, enum err_code code);
+void clm_run_fail(struct wf_ctx *ctx, struct clm_claims *claims,
+		  struct clm_run *run, enum err_code code, enum err_run ran);
+/* Stores how a claim, the run's own or the one held, ended. */
+void clm_run_complete(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_run *run, const struct clm_entry *claim,
+		      enum clm_state state);
+/* Answers the callers whose deadline is at most the given time. */
+void clm_run_check_deadlines(struct wf_ctx *ctx, struct clm_claims *claims,
+			     struct clm_run *run, clk_ms until);
+void clm_run_reply_error(struct wf_ctx *ctx, struct clm_claims *claims,
+			 struct clm_run *run, enum err_code code,
+			 enum err_run ran);
+void clm_run_remove(struct clm_claims *claims, struct clm_run *run);
+void clm_runs_evict(struct clm_claims *claims);
+clk_ms clm_run_deadline(const struct clm_run *run);
+
+/* clm_dispatch.c */
+void clm_run_dispatch(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_run *run);
+void clm_run_service_reply(struct wf_ctx *ctx, struct clm_claims *claims,
+			   struct clm_run *run,
+			   const struct wf_service_reply *reply);
+void clm_run_query_status(struct wf_ctx *ctx, struct clm_claims *claims,
+			  struct clm_run *run);
+void clm_run_status_reply(struct wf_ctx *ctx, struct clm_claims *claims,
+			  struct clm_run *run,
+			  const struct wf_status_reply *reply);
+
+/* clm_held.c */
+void clm_run_held(struct wf_ctx *ctx, struct clm_claims *claims,
+		  struct clm_run *run, const struct clm_entry *entry);
+void clm_held_tick(struct wf_ctx *ctx, struct clm_claims *claims,
+		   struct clm_run *run);
+
+/* clm_direct.c */
+void clm_direct_call(struct wf_ctx *ctx, struct clm_claims *claims,
+		     const struct wf_call *call);
+void clm_direct_tick(struct wf_ctx *ctx, struct clm_claims *claims,
+		     struct clm_direct *direct);
+void clm_direct_reply(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_direct *direct,
+		      const struct wf_service_reply *reply);
+void clm_direct_gone(struct clm_claims *claims, uint64_t call_id);
+void clm_direct_free(struct clm_direct *direct);
+
+/* clm_target.c */
+void clm_targets_update(struct clm_claims *claims,
+			const struct wf_instance *list, size_t n);
+void clm_targets_report(struct clm_claims *claims,
+			const struct wf_report *report);
+void clm_target_free(struct clm_target *target);
+struct clm_target *clm_target_find(const struct clm_claims *claims,
+				   const char *id);
+/* A live target of the policy with the least in flight, or NULL. */
+struct clm_target *clm_target_choose(struct wf_ctx *ctx,
+				     const struct clm_claims *claims,
+				     const struct wf_policy *policy,
+				     const char *avoid);
+void clm_target_done(const struct clm_claims *claims, const char *id);
+/* The n-th target that answers status queries, the preferred one first. */
+struct clm_target *clm_target_with_status(const struct clm_claims *claims,
+					  const struct wf_policy *policy,
+					  const char *preferred, unsigned n);
+
+/* clm_sweep.c */
+void clm_sweep_start(struct wf_ctx *ctx, struct clm_claims *claims);
+void clm_sweep_tick(struct wf_ctx *ctx, struct clm_claims *claims);
+void clm_sweep_reply(struct wf_ctx *ctx, struct clm_claims *claims,
+		     const struct wf_store_reply *reply);
+void clm_sweep_clear(struct clm_claims *claims);
+
+#endif
--- /dev/null
+++ b/src/state/clm_shard.c
@@ -0,0 +1,600 @@
+#include <inttypes.h>
+
+#include "state/clm_private.h"
+
+/* Backoff after a failed store call. */
+#define BACKOFF_MIN_MS 50
+#define BACKOFF_MAX_MS 2000
+#define BACKOFF_MAX_SHIFT 6
+/* A reply that is later than this many timeouts counts as lost. */
+#define REPLY_LOST_FACTOR 2
+/* Objects unused for this long may leave the cache. */
+#define CACHE_IDLE_MS (30 * CLK_SECOND)
+/* Windows this young are taken as absent without a read. */
+#define YOUNG_WINDOWS 2
+
+struct answer {
+	struct clm_item *item;
+	struct clm_verdict verdict;
+};
+
+char *clm_object_name(uint64_t window, unsigned shard)
+{
+	return g_strdup_printf("claims/%" PRIu64 "-%u", window, shard);
+}
+
+uint64_t clm_object_hash(uint64_t window, unsigned shard)
+{
+	uint64_t parts[2] = {window, shard};
+
+	return wf_hash(parts, sizeof(parts), 0);
+}
+
+bool clm_window_expired(const struct wf_ctx *ctx,
+			const struct clm_config *config, uint64_t window)
+{
+	clk_ms end = (clk_ms)(window + 1) * config->window;
+
+	return end < ctx->now - config->retention + config->skew;
+}
+
+void clm_item_free(struct clm_item *item)
+{
+	if (!item)
+		return;
+	clm_entry_free(item->entry);
+	g_free(item->from);
+	g_free(item);
+}
+
+static void free_item(gpointer data)
+{
+	clm_item_free(data);
+}
+
+static void free_entry(gpointer data)
+{
+	clm_entry_free(data);
+}
+
+void clm_object_free(struct clm_object *object)
+{
+	g_queue_clear_full(&object->pending, free_item);
+	g_queue_clear_full(&object->batch, free_item);
+	g_hash_table_unref(object->entries);
+	g_hash_table_unref(object->overlay);
+	g_free(object->name);
+	g_free(object);
+}
+
+static bool is_idle(const struct clm_object *object)
+{
+	return object->doing == CLM_OBJECT_IDLE && !object->busy &&
+	       g_queue_is_empty((GQueue *)&object->pending);
+}
+
+static void remove_object(struct clm_claims *claims, struct clm_object *object)
+{
+	g_hash_table_remove(claims->objects_by_id, &object->id);
+	g_hash_table_remove(claims->objects, object->name);
+}
+
+void clm_objects_evict(struct wf_ctx *ctx, struct clm_claims *claims)
+{
+	struct clm_object *oldest = NULL;
+	size_t bytes = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, claims->objects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct clm_object *object = value;
+
+		if (is_idle(object) &&
+		    object->last_used + CACHE_IDLE_MS < ctx->now) {
+			g_hash_table_remove(claims->objects_by_id, &object->id);
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		bytes += object->bytes;
+		if (is_idle(object) &&
+		    (!oldest || object->last_used < oldest->last_used ||
+		     (object->last_used == oldest->last_used &&
+		      object->id < oldest->id)))
+			oldest = object;
+	}
+	if (!oldest)
+		return;
+	if (g_hash_table_size(claims->objects) >= claims->config.max_objects ||
+	    bytes > claims->config.max_cached)
+		remove_object(claims, oldest);
+}
+
+static struct clm_object *new_object(struct wf_ctx *ctx,
+				     struct clm_claims *claims, char *name,
+				     uint64_t window, unsigned shard)
+{
+	struct clm_object *object = g_new0(struct clm_object, 1);
+	clk_ms end = (clk_ms)(window + YOUNG_WINDOWS) * claims->config.window;
+
+	object->id = ++claims->next_id;
+	object->window = window;
+	object->shard = shard;
+	object->name = name;
+	/* A wrong guess costs a conflict, a right one saves the read. */
+	object->known = end > ctx->now;
+	object->entries = g_hash_table_new_full(clm_hash_value, clm_hash_equal,
+						NULL, free_entry);
+	object->overlay = g_hash_table_new_full(clm_hash_value, clm_hash_equal,
+						NULL, free_entry);
+	object->not_before = claims->store_retry_at;
+	object->last_write = ctx->now - claims->config.commit_interval;
+	object->timer.kind = CLM_TIMER_OBJECT;
+	object->timer.id = object->id;
+	object->timer.wake = CLK_NEVER;
+	object->timer.queued = CLK_NEVER;
+	g_hash_table_insert(claims->objects, object->name, object);
+	g_hash_table_insert(claims->objects_by_id, &object->id, object);
+	return object;
+}
+
+struct clm_object *clm_object_get(struct wf_ctx *ctx, struct clm_claims *claims,
+				  uint64_t window, unsigned shard)
+{
+	char *name = clm_object_name(window, shard);
+	struct clm_object *object = g_hash_table_lookup(claims->objects, name);
+
+	if (object) {
+		g_free(name);
+		object->last_used = ctx->now;
+		return object;
+	}
+	clm_objects_evict(ctx, claims);
+	if (g_hash_table_size(claims->objects) >= claims->config.max_objects) {
+		g_free(name);
+		return NULL;
+	}
+	object = new_object(ctx, claims, name, window, shard);
+	object->last_used = ctx->now;
+	return object;
+}
+
+static void deliver(struct wf_ctx *ctx, struct clm_claims *claims,
+		    const struct clm_item *item,
+		    const struct clm_verdict *verdict)
+{
+	if (item->from)
+		clm_send_verdict(ctx, item, verdict);
+	else if (item->kind == CLM_ITEM_COMPLETE)
+		clm_run_stored(claims, &item->entry->key, item->entry->nonce);
+	else
+		clm_run_verdict(ctx, claims, &item->entry->key,
+				item->entry->nonce, verdict);
+}
+
+static void deliver_all(struct wf_ctx *ctx, struct clm_claims *claims,
+			GArray *answers)
+{
+	guint i;
+
+	for (i = 0; i < answers->len; i++) {
+		struct answer *answer;
+
+		answer = &g_array_index(answers, struct answer, i);
+		if (answer->verdict.result != CLM_RESULT_NONE)
+			deliver(ctx, claims, answer->item, &answer->verdict);
+		clm_item_free(answer->item);
+	}
+	g_array_unref(answers);
+}
+
+static bool is_own_entry(const struct clm_item *item,
+			 const struct clm_entry *entry)
+{
+	return entry && entry->nonce == item->entry->nonce;
+}
+
+/* Whether a verdict from the cache must be confirmed by a read. */
+static bool needs_read(const struct clm_item *item,
+		       const struct clm_verdict *verdict)
+{
+	if (item->fresh)
+		return false;
+	if (item->kind == CLM_ITEM_CLAIM)
+		return item->refresh && verdict->result == CLM_RESULT_HELD;
+	return verdict->result == CLM_RESULT_STORED &&
+	       !is_own_entry(item, verdict->entry);
+}
+
+/*
+ * Takes out of the queue what the object's present value answers. Claims
+ * whose caller has given up are dropped without an answer.
+ */
+static GArray *collect_answers(struct wf_ctx *ctx,
+			       const struct clm_config *config,
+			       struct clm_object *object)
+{
+	GArray *answers = g_array_new(FALSE, FALSE, sizeof(struct answer));
+	bool expired = clm_window_expired(ctx, config, object->window);
+	GList *link = object->pending.head;
+
+	while (link) {
+		GList *next = link->next;
+		struct answer answer = {.item = link->data};
+
+		if (ctx->now < answer.item->expires && !expired) {
+			answer.verdict = clm_item_judge(
+				answer.item,
+				clm_object_find(object,
+						&answer.item->entry->key));
+			if (needs_read(answer.item, &answer.verdict)) {
+				object->must_read = true;
+				link = next;
+				continue;
+			}
+			if (answer.verdict.result == CLM_RESULT_NONE) {
+				link = next;
+				continue;
+			}
+		}
+		g_queue_delete_link(&object->pending, link);
+		g_array_append_val(answers, answer);
+		link = next;
+	}
+	return answers;
+}
+
+static void start_op(struct wf_ctx *ctx, struct clm_claims *claims,
+		     struct clm_object *object, struct wf_action *action)
+{
+	struct clm_op *op;
+
+	op = clm_op_new(ctx, claims, CLM_OP_OBJECT, object->id);
+	object->op = op->op;
+	object->op_limit =
+		ctx->now + REPLY_LOST_FACTOR * claims->config.store_timeout;
+	action->op = op->op;
+	action->name = g_strdup(object->name);
+	action->timeout = claims->config.store_timeout;
+	clm_timer_set(claims->heap, &object->timer, object->op_limit);
+	wf_emit(ctx, action);
+}
+
+static void start_get(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_object *object)
+{
+	struct wf_action action = {.type = WF_ACT_STORE_GET};
+
+	object->doing = CLM_OBJECT_GET;
+	ctr_add(ctx->counters, "wf_claims_store_gets_total", 1);
+	start_op(ctx, claims, object, &action);
+}
+
+/* Returns the items for which the object has no room. */
+static GArray *stage_batch(struct clm_claims *claims, struct clm_object *object)
+{
+	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct answer));
+	struct answer answer = {.verdict.result = CLM_RESULT_FULL};
+
+	while ((answer.item = g_queue_pop_head(&object->pending))) {
+		const struct clm_entry *entry;
+		struct clm_verdict verdict;
+
+		entry = clm_object_find(object, &answer.item->entry->key);
+		verdict = clm_item_judge(answer.item, entry);
+		if (verdict.result != CLM_RESULT_NONE ||
+		    clm_object_stage(&claims->config, object, answer.item))
+			g_queue_push_tail(&object->batch, answer.item);
+		else
+			g_array_append_val(refused, answer);
+	}
+	return refused;
+}
+
+static void start_put(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_object *object)
+{
+	struct wf_action action = {.type = WF_ACT_STORE_PUT};
+	GArray *refused = stage_batch(claims, object);
+
+	if (!g_queue_is_empty(&object->batch)) {
+		object->doing = CLM_OBJECT_PUT;
+		object->last_write = ctx->now;
+		action.version = object->version;
+		action.body = clm_object_encode(object);
+		ctr_add(ctx->counters, "wf_claims_store_puts_total", 1);
+		ctr_add(ctx->counters, "wf_claims_store_put_bytes_total",
+			g_bytes_get_size(action.body));
+		start_op(ctx, claims, object, &action);
+	}
+	ctr_add(ctx->counters, "wf_claims_object_full_total", refused->len);
+	deliver_all(ctx, claims, refused);
+}
+
+/* When the pending items are to be written. */
+static clk_ms write_due(const struct wf_ctx *ctx,
+			const struct clm_config *config,
+			const struct clm_object *object)
+{
+	clk_ms earliest = object->last_write + config->commit_interval;
+	clk_ms due = CLK_NEVER;
+	GList *link;
+
+	if (ctx->draining)
+		return ctx->now;
+	for (link = object->pending.head; link; link = link->next) {
+		const struct clm_item *item = link->data;
+		clk_ms wait = item->kind == CLM_ITEM_COMPLETE
+				      ? config->completion_interval
+				      : 0;
+
+		due = clk_min(due, item->queued_at + wait);
+	}
+	return MAX(due, earliest);
+}
+
+static void work_once(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_object *object)
+{
+	clk_ms due;
+
+	if (object->doing != CLM_OBJECT_IDLE)
+		return;
+	if (object->known)
+		deliver_all(ctx, claims,
+			    collect_answers(ctx, &claims->config, object));
+	if (object->doing != CLM_OBJECT_IDLE)
+		return;
+	if (g_queue_is_empty(&object->pending)) {
+		object->must_read = false;
+		clm_timer_set(claims->heap, &object->timer, CLK_NEVER);
+		return;
+	}
+	if (ctx->now < object->not_before) {
+		clm_timer_set(claims->heap, &object->timer, object->not_before);
+		return;
+	}
+	if (!object->known || object->must_read) {
+		start_get(ctx, claims, object);
+		return;
+	}
+	due = write_due(ctx, &claims->config, object);
+	if (due > ctx->now)
+		clm_timer_set(claims->heap, &object->timer, due);
+	else
+		start_put(ctx, claims, object);
+}
+
+void clm_object_work(struct wf_ctx *ctx, struct clm_claims *claims,
+		     struct clm_object *object)
+{
+	object->busy++;
+	object->last_used = ctx->now;
+	work_once(ctx, claims, object);
+	object->busy--;
+}
+
+static void return_batch(struct clm_object *object)
+{
+	struct clm_item *item;
+
+	while ((item = g_queue_pop_tail(&object->batch)))
+		g_queue_push_head(&object->pending, item);
+}
+
+static void back_off(struct wf_ctx *ctx, struct clm_claims *claims,
+		     struct clm_object *object)
+{
+	unsigned shift = MIN(object->failures, BACKOFF_MAX_SHIFT);
+	clk_ms span = MIN((clk_ms)BACKOFF_MIN_MS << shift, BACKOFF_MAX_MS);
+
+	object->failures++;
+	object->not_before = ctx->now + span / 2 +
+			     g_rand_int_range(ctx->rand, 0, (gint32)span);
+	claims->store_retry_at = object->not_before;
+}
+
+/* Tells every waiting claim that the store gives no answer for now. */
+static void report_store_down(struct wf_ctx *ctx, struct clm_claims *claims,
+			      struct clm_object *object)
+{
+	struct clm_verdict verdict = {
+		.result = CLM_RESULT_STORE_DOWN,
+		.retry_after = object->not_before - ctx->now,
+	};
+	GPtrArray *waiting = g_ptr_array_new_with_free_func(free_item);
+	GList *link;
+	guint i;
+
+	for (link = object->pending.head; link; link = link->next) {
+		const struct clm_item *item = link->data;
+		struct clm_item *copy;
+
+		if (item->kind != CLM_ITEM_CLAIM)
+			continue;
+		copy = g_new(struct clm_item, 1);
+		*copy = *item;
+		copy->entry = clm_entry_copy(item->entry);
+		copy->from = g_strdup(item->from);
+		g_ptr_array_add(waiting, copy);
+	}
+	for (i = 0; i < waiting->len; i++)
+		deliver(ctx, claims, waiting->pdata[i], &verdict);
+	g_ptr_array_unref(waiting);
+}
+
+/* The items of a write that the store refuses cannot be stored. */
+static void refuse_batch(struct wf_ctx *ctx, struct clm_claims *claims,
+			 struct clm_object *object)
+{
+	GArray *refused = g_array_new(FALSE, FALSE, sizeof(struct answer));
+	struct answer answer = {.verdict.result = CLM_RESULT_FULL};
+
+	while ((answer.item = g_queue_pop_head(&object->batch)))
+		g_array_append_val(refused, answer);
+	ctr_add(ctx->counters, "wf_claims_object_full_total", refused->len);
+	deliver_all(ctx, claims, refused);
+}
+
+static void handle_put(struct wf_ctx *ctx, struct clm_claims *claims,
+		       struct clm_object *object, enum wf_store_result result,
+		       uint64_t version)
+{
+	switch (result) {
+	case WF_STORE_OK:
+		clm_object_apply(object);
+		object->version = version;
+		object->failures = 0;
+		claims->store_retry_at = 0;
+		break;
+	case WF_STORE_UNAVAILABLE:
+		clm_object_unstage(object);
+		back_off(ctx, claims, object);
+		break;
+	case WF_STORE_REFUSED:
+		clm_object_unstage(object);
+		refuse_batch(ctx, claims, object);
+		break;
+	case WF_STORE_CONFLICT:
+	case WF_STORE_NOT_FOUND:
+		clm_object_unstage(object);
+		object->known = false;
+		ctr_add(ctx->counters, "wf_claims_conflicts_total", 1);
+		break;
+	case WF_STORE_UNKNOWN:
+#ifdef WF_GUARD_OFF_CLAIM_READBACK
+		clm_object_apply(object);
+		return_batch(object);
+		deliver_all(ctx, claims,
+			    collect_answers(ctx, &claims->config, object));
+#else
+		clm_object_unstage(object);
+#endif
+		object->known = false;
+		ctr_add(ctx->counters, "wf_claims_readbacks_total", 1);
+		break;
+	}
+	return_batch(object);
+}
+
+static void mark_fresh(struct clm_object *object)
+{
+	GList *link;
+
+	for (link = object->pending.head; link; link = link->next)
+		((struct clm_item *)link->data)->fresh = true;
+	object->must_read = false;
+	object->known = true;
+}
+
+static void handle_get(struct wf_ctx *ctx, struct clm_claims *claims,
+		       struct clm_object *object,
+		       const struct wf_store_reply *reply)
+{
+	if (reply->result == WF_STORE_NOT_FOUND) {
+		g_hash_table_remove_all(object->entries);
+		object->bytes = 0;
+		object->version = WF_VERSION_ABSENT;
+		object->failures = 0;
+		claims->store_retry_at = 0;
+		mark_fresh(object);
+		return;
+	}
+	if (reply->result != WF_STORE_OK) {
+		back_off(ctx, claims, object);
+		return;
+	}
+	if (!reply->value || !clm_object_decode(object, reply->value)) {
+		ctr_add(ctx->counters, "wf_claims_bad_objects_total", 1);
+		object->known = false;
+		back_off(ctx, claims, object);
+		return;
+	}
+	object->version = reply->version;
+	object->failures = 0;
+	claims->store_retry_at = 0;
+	mark_fresh(object);
+}
+
+void clm_object_reply(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_object *object,
+		      const struct wf_store_reply *reply)
+{
+	enum clm_object_op doing = object->doing;
+
+	object->busy++;
+	object->doing = CLM_OBJECT_IDLE;
+	object->op = 0;
+	if (doing == CLM_OBJECT_PUT)
+		handle_put(ctx, claims, object, reply->result, reply->version);
+	else
+		handle_get(ctx, claims, object, reply);
+	if (ctx->now < object->not_before)
+		report_store_down(ctx, claims, object);
+	clm_object_work(ctx, claims, object);
+	object->busy--;
+}
+
+void clm_object_cancel(struct clm_object *object, uint64_t nonce)
+{
+	GList *link = object->pending.head;
+
+	while (link) {
+		GList *next = link->next;
+		struct clm_item *item = link->data;
+
+		if (item->kind == CLM_ITEM_CLAIM &&
+		    item->entry->nonce == nonce) {
+			clm_item_free(item);
+			g_queue_delete_link(&object->pending, link);
+		}
+		link = next;
+	}
+}
+
+/* A repeated request takes the place of the one that waits already. */
+static bool is_repeat(struct clm_object *object, const struct clm_item *item)
+{
+	GList *link;
+
+	for (link = object->pending.head; link; link = link->next) {
+		struct clm_item *other = link->data;
+
+		if (other->kind != item->kind ||
+		    other->entry->nonce != item->entry->nonce ||
+		    g_strcmp0(other->from, item->from))
+			continue;
+		other->refresh |= item->refresh;
+		other->expires = MAX(other->expires, item->expires);
+		clm_entry_free(other->entry);
+		other->entry = clm_entry_copy(item->entry);
+		return true;
+	}
+	return false;
+}
+
+void clm_object_submit(struct wf_ctx *ctx, struct clm_claims *claims,
+		       struct clm_object *object, struct clm_item *item)
+{
+	struct clm_verdict full = {.result = CLM_RESULT_FULL};
+	struct clm_verdict down = {
+		.result = CLM_RESULT_STORE_DOWN,
+		.retry_after = object->not_before - ctx->now,
+	};
+
+	item->queued_at = ctx->now;
+	if (is_repeat(object, item)) {
+		clm_item_free(item);
+		return;
+	}
+	if (object->pending.length >= claims->config.max_pending) {
+		deliver(ctx, claims, item, &full);
+		clm_item_free(item);
+		return;
+	}
+	/* A caller that cannot wait that long is refused now. */
+	if (item->kind == CLM_ITEM_CLAIM && down.retry_after > 0)
+		deliver(ctx, claims, item, &down);
+	g_queue_push_tail(&object->pending, item);
+	clm_object_work(ctx, claims, object);
+}
--- /dev/null
+++ b/src/state/clm_sweep.c
@@ -0,0 +1,171 @@
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "state/clm_private.h"
+
+/*
+ * Windows are listed in groups that share all digits but the last, so that
+ * one list call finds the objects of ten windows.
+ */
+#define GROUP_WINDOWS 10
+/* Groups looked at again after an outage: those of this long. */
+#define BACKLOG_MS (48 * CLK_HOUR)
+/* One group of the backlog is listed in this many steps. */
+#define REPLY_LOST_FACTOR 2
+#define MAX_VICTIMS 1024
+
+struct victim {
+	char *name;
+	uint64_t version;
+};
+
+static void free_victim(gpointer data)
+{
+	struct victim *victim = data;
+
+	g_free(victim->name);
+	g_free(victim);
+}
+
+void clm_sweep_clear(struct clm_claims *claims)
+{
+	g_queue_clear_full(&claims->sweep.victims, free_victim);
+}
+
+/* The newest group whose windows are all past retention. */
+static uint64_t newest_expired(const struct wf_ctx *ctx,
+			       const struct clm_config *config)
+{
+	clk_ms limit = ctx->now - config->retention - config->skew;
+	clk_ms span = config->window * GROUP_WINDOWS;
+
+	return limit < span ? 0 : (uint64_t)(limit / span) - 1;
+}
+
+void clm_sweep_start(struct wf_ctx *ctx, struct clm_claims *claims)
+{
+	uint64_t newest = newest_expired(ctx, &claims->config);
+	clk_ms span = claims->config.window * GROUP_WINDOWS;
+	uint64_t backlog = (uint64_t)(BACKLOG_MS / span);
+
+	claims->sweep.next_group = newest;
+	claims->sweep.back_group = newest > backlog ? newest - backlog : 0;
+	claims->sweep.wake = ctx->now + claims->config.sweep_interval;
+}
+
+static bool owns_group(const struct wf_ctx *ctx, uint64_t group)
+{
+	return wf_owns(ctx, wf_hash(&group, sizeof(group), 0), NULL);
+}
+
+static void list_group(struct wf_ctx *ctx, struct clm_claims *claims,
+		       uint64_t group)
+{
+	struct wf_action action = {.type = WF_ACT_STORE_LIST};
+
+	claims->sweep.op = clm_op_new(ctx, claims, CLM_OP_SWEEP, 0)->op;
+	claims->sweep.op_limit =
+		ctx->now + REPLY_LOST_FACTOR * claims->config.store_timeout;
+	action.op = claims->sweep.op;
+	action.name = g_strdup_printf("claims/%" PRIu64, group);
+	action.timeout = claims->config.store_timeout;
+	ctr_add(ctx->counters, "wf_claims_sweep_lists_total", 1);
+	wf_emit(ctx, &action);
+}
+
+/* The next group that this instance has to list; false if there is none. */
+static bool next_group(struct wf_ctx *ctx, struct clm_claims *claims,
+		       uint64_t *group)
+{
+	struct clm_sweep *sweep = &claims->sweep;
+	uint64_t newest = newest_expired(ctx, &claims->config);
+
+	while (sweep->next_group <= newest) {
+		*group = sweep->next_group++;
+		if (owns_group(ctx, *group))
+			return true;
+	}
+	while (sweep->back_group < newest) {
+		*group = sweep->back_group++;
+		if (owns_group(ctx, *group))
+			return true;
+	}
+	return false;
+}
+
+static void delete_some(struct wf_ctx *ctx, struct clm_claims *claims)
+{
+	unsigned left = claims->config.sweep_deletes;
+	struct victim *victim;
+
+	while (left-- && (victim = g_queue_pop_head(&claims->sweep.victims))) {
+		struct wf_action action = {.type = WF_ACT_STORE_DELETE};
+
+		action.op = clm_op_new(ctx, claims, CLM_OP_DELETE, 0)->op;
+		action.name = g_strdup(victim->name);
+		action.version = victim->version;
+		action.timeout = claims->config.store_timeout;
+		ctr_add(ctx->counters, "wf_claims_sweep_deletes_total", 1);
+		wf_emit(ctx, &action);
+		free_victim(victim);
+	}
+}
+
+void clm_sweep_tick(struct wf_ctx *ctx, struct clm_claims *claims)
+{
+	struct clm_sweep *sweep = &claims->sweep;
+	uint64_t group;
+
+	if (ctx->now < sweep->wake)
+		return;
+	sweep->wake = ctx->now + claims->config.sweep_interval;
+	if (ctx->draining)
+		return;
+	if (sweep->op && ctx->now >= sweep->op_limit)
+		sweep->op = 0;
+	if (!g_queue_is_empty(&sweep->victims))
+		delete_some(ctx, claims);
+	else if (!sweep->op && next_group(ctx, claims, &group))
+		list_group(ctx, claims, group);
+}
+
+/* Names have the form "<window>-<shard>", with or without the kind. */
+static bool is_expired_name(const struct wf_ctx *ctx,
+			    const struct clm_config *config, const char *name)
+{
+	const char *slash = strchr(name, '/');
+	const char *digits = slash ? slash + 1 : name;
+	char *end;
+	uint64_t window = g_ascii_strtoull(digits, &end, 10);
+	clk_ms limit = ctx->now - config->retention - config->skew;
+
+	if (end == digits || *end != '-' ||
+	    window > (uint64_t)(INT64_MAX / config->window) - 1)
+		return false;
+	return (clk_ms)(window + 1) * config->window < limit;
+}
+
+void clm_sweep_reply(struct wf_ctx *ctx, struct clm_claims *claims,
+		     const struct wf_store_reply *reply)
+{
+	size_t i;
+
+	claims->sweep.op = 0;
+	if (reply->result != WF_STORE_OK)
+		return;
+	for (i = 0;
+	     i < reply->n_entries && claims->sweep.victims.length < MAX_VICTIMS;
+	     i++) {
+		const char *name = reply->entries[i].name;
+		struct victim *victim;
+
+		if (!is_expired_name(ctx, &claims->config, name))
+			continue;
+		victim = g_new(struct victim, 1);
+		victim->name = strchr(name, '/')
+				       ? g_strdup(name)
+				       : g_strdup_printf("claims/%s", name);
+		victim->version = reply->entries[i].version;
+		g_queue_push_tail(&claims->sweep.victims, victim);
+	}
+}
