--- a/src/state/clm_held.c
+++ b/src/state/clm_held.c
@@ -27,6 +27,15 @@
 	       peer->incarnation == entry->incarnation;
 }
 
+/* Whether nobody can still change the entry except by a status query. */
+static bool is_final(const struct wf_ctx *ctx, struct clm_claims *claims,
+		     const struct clm_entry *entry)
+{
+	if (entry->state == CLM_CLAIMED)
+		return !holder_lives(ctx, claims, entry);
+	return entry->state != CLM_NOT_RUN;
+}
+
 static void hold(struct wf_ctx *ctx, struct clm_claims *claims,
 		 struct clm_run *run, const struct clm_entry *entry)
 {
@@ -34,8 +43,7 @@
 
 	clm_entry_free(run->held);
 	run->held = copy;
-	run->holder_gone = entry->state != CLM_CLAIMED ||
-			   !holder_lives(ctx, claims, entry);
+	run->holder_gone = is_final(ctx, claims, entry);
 	if (run->phase == CLM_PHASE_CLAIMING) {
 		run->phase = CLM_PHASE_HELD;
 		run->owner_limit = CLK_NEVER;
@@ -105,26 +113,32 @@
 		clm_send_query(ctx, run);
 }
 
+/* Asks whoever may know more about the claim that holds the key. */
+static void poll(struct wf_ctx *ctx, struct clm_claims *claims,
+		 struct clm_run *run, unsigned polls)
+{
+	bool turn = polls % STORE_POLL_PERIOD == STORE_POLL_PERIOD - 1;
+	enum clm_state state = run->held->state;
+
+	if (state == CLM_NOT_RUN || turn ||
+	    (!polls && run->holder_gone && state == CLM_CLAIMED))
+		reclaim(ctx, claims, run);
+	else if (state == CLM_CLAIMED && !run->holder_gone)
+		ask_holder(ctx, claims, run);
+}
+
 void clm_held_tick(struct wf_ctx *ctx, struct clm_claims *claims,
 		   struct clm_run *run)
 {
 	unsigned polls = run->polls++;
 	unsigned shift = MIN(polls, POLL_MAX_SHIFT);
-	enum clm_state state = run->held->state;
-	bool lives = holder_lives(ctx, claims, run->held);
 
 	run->next_poll = ctx->now + ((clk_ms)POLL_MIN_MS << shift);
-	run->holder_gone = state != CLM_CLAIMED || !lives;
-	if (state == CLM_NOT_RUN ||
-	    polls % STORE_POLL_PERIOD == STORE_POLL_PERIOD - 1 ||
-	    (!polls && state == CLM_CLAIMED && !lives))
-		reclaim(ctx, claims, run);
-	else if (state == CLM_CLAIMED && lives)
-		ask_holder(ctx, claims, run);
-	if (run->phase != CLM_PHASE_HELD || state == CLM_NOT_RUN)
+	run->holder_gone = is_final(ctx, claims, run->held);
+	poll(ctx, claims, run, polls);
+	if (run->phase != CLM_PHASE_HELD || run->held->state == CLM_NOT_RUN)
 		return;
-	if ((run->holder_gone && polls) || state == CLM_DONE ||
-	    state == CLM_UNKNOWN)
+	if (run->holder_gone && (polls || run->held->state != CLM_CLAIMED))
 		clm_run_query_status(ctx, claims, run);
 	else if (polls >= SILENT_POLLS &&
 		 clm_target_with_status(claims, &run->policy, NULL, 0))
--- a/src/state/clm_shard.c
+++ b/src/state/clm_shard.c
@@ -311,6 +311,13 @@
 	deliver_all(ctx, claims, refused);
 }
 
+/* A closed claim keeps the next claim of its key waiting. */
+static bool may_wait(const struct clm_item *item)
+{
+	return item->kind == CLM_ITEM_COMPLETE &&
+	       item->entry->state != CLM_NOT_RUN;
+}
+
 /* When the pending items are to be written. */
 static clk_ms write_due(const struct wf_ctx *ctx,
 			const struct clm_config *config,
@@ -324,9 +331,7 @@
 		return ctx->now;
 	for (link = object->pending.head; link; link = link->next) {
 		const struct clm_item *item = link->data;
-		clk_ms wait = item->kind == CLM_ITEM_COMPLETE
-				      ? config->completion_interval
-				      : 0;
+		clk_ms wait = may_wait(item) ? config->completion_interval : 0;
 
 		due = clk_min(due, item->queued_at + wait);
 	}
--- a/tests/claims_random_test.c
+++ b/tests/claims_random_test.c
@@ -141,6 +141,33 @@
 	config->max_skew = profile >= 5 ? 4 * CLK_SECOND : 0;
 }
 
+static void print_records(const struct sim *sim)
+{
+	guint i;
+
+	for (i = 0; i < sim->calls->len; i++) {
+		const struct sim_call *call = sim->calls->pdata[i];
+
+		printf("call %d %s at %lld to %lld on %u.%u%s%s: %u answers, "
+		       "%s %s at %lld\n",
+		       (int)call->id, call->key,
+		       (long long)(call->arrived - SIM_START),
+		       (long long)(call->deadline - SIM_START), call->instance,
+		       call->generation, call->gone ? " gone" : "",
+		       call->repeatable ? " repeatable" : "", call->n_answers,
+		       call->refused ? err_name(call->error) : "answer",
+		       call->refused ? err_run_name(call->run) : "",
+		       (long long)(call->answered_at - SIM_START));
+	}
+	for (i = 0; i < sim->runs->len; i++) {
+		const struct sim_run *run = sim->runs->pdata[i];
+
+		printf("run for call %d sent %lld at %lld\n", (int)run->call_id,
+		       (long long)(run->dispatched_at - SIM_START),
+		       (long long)(run->at - SIM_START));
+	}
+}
+
 static char *run_history(uint64_t seed, unsigned *answers)
 {
 	unsigned profile = (unsigned)(seed % N_PROFILES);
@@ -155,6 +182,7 @@
 	claims.target_timeout = 3 * CLK_SECOND;
 	sim_config_init(&config);
 	config.seed = seed;
+	config.trace = getenv("WF_TRACE");
 	config.n_instances = 2 + (unsigned)(seed / N_PROFILES % 4);
 	config.targets_have_status = seed / 3 % 4 != 0;
 	config.make[0] = claims_make;
@@ -169,6 +197,8 @@
 		       NULL);
 	sim_run_until(sim, SIM_START + END_MS);
 	problem = claims_check(sim);
+	if (getenv("WF_SEED"))
+		print_records(sim);
 	for (i = 0; i < sim->calls->len; i++) {
 		const struct sim_call *call = sim->calls->pdata[i];
 
--- a/tests/support/claims_check.c
+++ b/tests/support/claims_check.c
@@ -67,7 +67,8 @@
 
 	if (run->call_id == call->id)
 		return true;
-	if (!cause || run->instance != call->instance ||
+	/* Repeatable calls never share a run. */
+	if (!cause || cause->repeatable || run->instance != call->instance ||
 	    run->generation != call->generation)
 		return false;
 	return is_run_of(run, call->org, call->key) &&
