--- a/src/tool/cmd_publish.c
+++ b/src/tool/cmd_publish.c
@@ -131,7 +131,7 @@
 				     const struct rul_publish_outcome *outcome)
 {
 	const struct cmd_env *env = attempt->env;
-	bool waits = env->wait && env->instances;
+	bool waits = env->wait;
 	unsigned n_all = waits ? g_strv_length(env->instances) : 0;
 	unsigned n;
 
@@ -318,8 +318,13 @@
 	enum cmd_exit result = CMD_USAGE;
 	GError *error = NULL;
 	uint64_t base;
-	GBytes *file = cmd_read_file(env->args[0], &error);
+	GBytes *file;
 
+	if (env->wait && !env->instances) {
+		cmd_fail(env, ERR_BAD_REQUEST, "--wait needs --instance");
+		return CMD_USAGE;
+	}
+	file = cmd_read_file(env->args[0], &error);
 	if (!file)
 		return cmd_report(env, error);
 	attempt.text = cmd_strip_base(file, &base);
--- a/tests/tool_wire_test.c
+++ b/tests/tool_wire_test.c
@@ -255,6 +255,7 @@
 	ck_assert_int_eq(run("rules check"), 2);
 	ck_assert_int_eq(run("rules check --wrong x"), 2);
 	ck_assert_int_eq(run("rules"), 2);
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "--wait"), 2);
 	ck_assert_int_eq(run("rules diff --help"), 0);
 	check_contains(out, "--limit=N");
 	ck_assert_int_eq(run("--help"), 0);
