Bound the share of long requests at engines while short ones come

Long requests held up to 1.5 of the slots by their window, so that short ones waited for their steps. Their nominal load is limited to half of the slots while short requests come. A resumed stream gets 3 expected tokens, and 150 ms to be accepted, before the next step of recovery.

--- a/src/sched/chn_model.h
+++ b/src/sched/chn_model.h
@@ -28,7 +28,8 @@
 	GPtrArray *targets; /* all listed ones, borrowed */
 	GArray *boundaries; /* of struct chn_boundary, by layer */
 	unsigned n_targets;
-	double own_load; /* steps at once over all targets */
+	double own_load;   /* steps at once over all targets */
+	clk_ms last_short; /* when a short request started last */
 	double inflation;
 	double nominal_rate;
 	double token_us; /* mean of the chains in use */
--- a/src/sched/run_timer.c
+++ b/src/sched/run_timer.c
@@ -15,8 +15,12 @@
  * engine that is only slow would otherwise be left again and again.
  */
 #define GAP_PLAIN_ATTEMPTS 2
-/* A resumed stream answers from stored results, so it gets less time. */
-#define GAP_RESUMED_PART 0.5
+/*
+ * A resumed stream answers at once that it is accepted and sends stored
+ * results or the next token, so it gets less time.
+ */
+#define GAP_RESUMED_TOKENS 3
+#define GAP_RESUMED_MIN 150.0
 /* Waiting requests without a deadline are dropped at this many max_wait. */
 #define QUEUED_WAITS 3
 
@@ -68,8 +72,11 @@
 	double token = MAX(expected, request->observed_us) / 1000;
 	double bound = CLAMP(GAP_TOKENS * token, GAP_MIN, GAP_MAX);
 
-	if (request->resumed)
-		bound = MAX(bound * GAP_RESUMED_PART, GAP_MIN);
+	if (request->resumed && !request->accepted)
+		bound = GAP_RESUMED_MIN;
+	else if (request->resumed)
+		bound = CLAMP(GAP_RESUMED_TOKENS * token, GAP_RESUMED_MIN,
+			      GAP_MAX);
 	else if (request->first && request->accepted)
 		bound += GAP_PREFILL_FACTOR * prefill_ms(runs, request);
 	if (request->attempts > GAP_PLAIN_ATTEMPTS)
--- a/src/sched/tgt_load.c
+++ b/src/sched/tgt_load.c
@@ -10,8 +10,8 @@
 /* Least part of the slots that a new or recovered target gets. */
 #define TGT_LEAST_SHARE 0.1
 #define TGT_SHORT_SHARE 0.9
-/* Long requests may use at most this part of a target's places. */
-#define TGT_LONG_SHARE 0.6
+#define TGT_LONG_SHARE 0.5
+#define TGT_SHORT_MEMORY (5 * CLK_SECOND)
 /*
  * Steps admitted at once for each slot. A chain spends part of its time at
  * each stage, so that more than one request a slot is needed to keep it busy.
@@ -74,6 +74,23 @@
 	return used * part + load <= TGT_SHORT_SHARE * places;
 }
 
+/* While short requests come, long ones leave them a part of the slots. */
+static bool leaves_short_share(const struct wf_ctx *ctx,
+			       const struct tgt_targets *targets,
+			       const struct tgt_target *target, double places,
+			       double used, double load)
+{
+	const struct chn_model *model =
+		g_hash_table_lookup(targets->models, target->serves);
+	double part;
+
+	if (!model || ctx->now - model->last_short > TGT_SHORT_MEMORY ||
+	    target->own_load <= 0)
+		return true;
+	part = target->own_long_load / target->own_load;
+	return used * part + load <= MAX(TGT_LONG_SHARE * places, load);
+}
+
 bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		  const struct tgt_target *target, double load, bool is_long)
 {
@@ -83,7 +100,7 @@
 	double share = limit / MAX(ctx->peers->len, 1);
 
 	if (is_long &&
-	    target->own_long_load + load > MAX(TGT_LONG_SHARE * limit, load))
+	    !leaves_short_share(ctx, targets, target, places, used, load))
 		return false;
 	if (!is_long && !leaves_long_share(target, places, used, load))
 		return false;
@@ -104,6 +121,8 @@
 		target->own_long_load += load;
 	if (model)
 		model->own_load += load;
+	if (model && !is_long)
+		model->last_short = ctx->now;
 }
 
 void tgt_release(struct tgt_targets *targets, struct tgt_target *target,
