Bound HTTP/2 callers without a window and links that only send

A caller on HTTP/2 that grants no window is cancelled at the bound and its connection is cut when nothing on it moves.

--- a/src/daemon/drv.c
+++ b/src/daemon/drv.c
@@ -9,6 +9,8 @@
 /* For callers to take the end of their answers after WF_ACT_EXIT. */
 #define EXIT_LIMIT_MS (5 * CLK_SECOND)
 #define EXIT_CHECK_MS 10
+/* Service calls whose caller left and whose operation is remembered. */
+#define MAX_LEFT_CALLS 4096
 
 struct drv_driver {
 	struct srv_sink callers;
@@ -28,7 +30,9 @@
 	unsigned open_timers;
 	clk_ms exit_limit; /* when answers that are still leaving are cut */
 	GHashTable *operations; /* call id to operation of a service call */
+	GQueue *left; /* ids in operations whose caller left, by age */
 	bool executing;
+	bool draining;
 	bool exiting;
 	bool done;
 	bool dropped;
@@ -41,6 +45,26 @@
 	g_hash_table_remove(driver->operations, &call_id);
 }
 
+/*
+ * A call may still be dispatched after its caller left, so its operation is
+ * kept for as long as newer ones leave room.
+ */
+static void keep_for_later(struct drv_driver *driver, uint64_t call_id)
+{
+	uint64_t *id;
+
+	if (!g_hash_table_contains(driver->operations, &call_id))
+		return;
+	id = g_new(uint64_t, 1);
+	*id = call_id;
+	g_queue_push_tail(driver->left, id);
+	if (g_queue_get_length(driver->left) <= MAX_LEFT_CALLS)
+		return;
+	id = g_queue_pop_head(driver->left);
+	end_call(driver, *id);
+	g_free(id);
+}
+
 static void log_ready(struct drv_driver *driver, bool ready)
 {
 	log_change(driver->log, drv_clock_now(&driver->clock), "instance",
@@ -218,6 +242,7 @@
 	struct drv_driver *driver = of_callers(sink);
 	struct wf_event event = {.type = WF_EV_CALLER_GONE, .call_id = call_id};
 
+	keep_for_later(driver, call_id);
 	deliver(driver, &event);
 }
 
@@ -357,6 +382,7 @@
 	driver->log = log_keep(config->log);
 	driver->operations = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   g_free, g_free);
+	driver->left = g_queue_new();
 	uv_timer_init(driver->loop, &driver->wakeup);
 	driver->wakeup.data = driver;
 	uv_timer_init(driver->loop, &driver->exit_timer);
@@ -399,6 +425,7 @@
 	cli_drop(driver->client);
 	driver->plat->ops->drop(driver->plat);
 	g_hash_table_destroy(driver->operations);
+	g_queue_free_full(driver->left, g_free);
 	ctr_drop(driver->counters);
 	log_drop(driver->log);
 	uv_close((uv_handle_t *)&driver->wakeup, on_closed);
@@ -407,6 +434,9 @@
 
 void drv_drain(struct drv_driver *driver)
 {
+	if (driver->draining)
+		return;
+	driver->draining = true;
 	srv_announce_end(driver->server);
 	deliver_type(driver, WF_EV_DRAIN);
 }
--- a/src/daemon/drv.h
+++ b/src/daemon/drv.h
@@ -61,7 +61,7 @@
 /* Closes everything. The memory is released by the loop, which must run. */
 void drv_drop(struct drv_driver *driver);
 
-/* Sends WF_EV_DRAIN. */
+/* Sends WF_EV_DRAIN, once. */
 void drv_drain(struct drv_driver *driver);
 
 /* Whether the core asked to exit. The loop is stopped then. */
--- a/src/daemon/peer.c
+++ b/src/daemon/peer.c
@@ -9,6 +9,8 @@
 #define RECEIVE_QUEUE_MESSAGES 1024
 /* Above the largest value of the store with its envelope. */
 #define MAX_MESSAGE_BYTES (2 << 20)
+/* On a link that only sends: handshakes and heartbeats come back. */
+#define MAX_COMMAND_BYTES 4096
 #define HEARTBEAT_MS 1000
 #define HEARTBEAT_TIMEOUT_MS 3000
 #define HANDSHAKE_TIMEOUT_MS 5000
@@ -62,11 +64,13 @@
 static void *open_socket(struct peer_links *links, int type)
 {
 	void *socket = zmq_socket(links->context, type);
-	int64_t max_size = MAX_MESSAGE_BYTES;
+	bool receives = type == ZMQ_ROUTER;
+	int64_t max_size = receives ? MAX_MESSAGE_BYTES : MAX_COMMAND_BYTES;
 
 	set_int(socket, ZMQ_LINGER, LINGER_MS);
 	set_int(socket, ZMQ_SNDHWM, SEND_QUEUE_MESSAGES);
-	set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
+	/* A link that sends is never read, so it must not queue. */
+	set_int(socket, ZMQ_RCVHWM, receives ? RECEIVE_QUEUE_MESSAGES : 1);
 	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
 	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
 	set_int(socket, ZMQ_HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS);
--- a/src/daemon/plat_service.c
+++ b/src/daemon/plat_service.c
@@ -36,12 +36,12 @@
 	return copy;
 }
 
-void plat_service_call(struct plat_http *http, const struct wf_action *action,
-		       const char *operation)
+static void send_call(struct plat_http *http, const struct wf_action *action,
+		      const char *operation)
 {
 	struct plat_request *request =
 		plat_request_new(http, action, &call_ops);
-	char *escaped = escape(operation ? operation : "");
+	char *escaped = escape(operation);
 	char *path = g_strconcat("/call/", escaped, NULL);
 	char *key = g_strdup_printf("Idempotency-Key: %s",
 				    action->key ? action->key : "");
@@ -67,6 +67,26 @@
 	g_free(escaped);
 }
 
+/* A call whose operation is not known must not run any other. */
+static void refuse_call(struct plat_http *http, const struct wf_action *action)
+{
+	struct wf_service_reply reply = {.op = action->op,
+					 .error = ERR_INTERNAL};
+	struct wf_event event = {.type = WF_EV_SERVICE_REPLY,
+				 .service = &reply};
+
+	plat_emit(http, &event);
+}
+
+void plat_service_call(struct plat_http *http, const struct wf_action *action,
+		       const char *operation)
+{
+	if (operation)
+		send_call(http, action, operation);
+	else
+		refuse_call(http, action);
+}
+
 static bool read_done(const json_t *document, struct wf_status_reply *reply)
 {
 	const json_t *body = json_object_get(document, "body");
--- a/src/daemon/plat_stream.c
+++ b/src/daemon/plat_stream.c
@@ -8,6 +8,8 @@
 /* Layers of a model bound the receipts of a token. */
 #define MAX_RECEIPTS 1024
 #define CANCEL_TIMEOUT_MS 2000
+/* For a stream without a bound of its own, and for its end. */
+#define SILENCE_LIMIT_MS 60000
 
 struct plat_stream {
 	struct plat_request base;
@@ -336,7 +338,7 @@
 	struct cli_spec spec = {
 		.path = "/v1/generate",
 		.address = head_address(action),
-		.silence_limit = action->timeout,
+		.silence_limit = plat_timeout(action, SILENCE_LIMIT_MS),
 		.fresh_connection = action->fresh_connection,
 		.may_resend = true,
 	};
--- a/src/daemon/srv_call.c
+++ b/src/daemon/srv_call.c
@@ -151,18 +151,38 @@
 			"the caller reads too slowly for its stream");
 }
 
-void srv_call_check_stall(struct srv_call *call)
+static bool is_stalled(const struct srv_call *call)
 {
 	uint64_t now = uv_now(call->server->loop);
+
+	return call->is_sending &&
+	       now - call->sent_at >= (uint64_t)call->server->stall_limit;
+}
+
+/* Whether nothing moves on a connection that may carry several calls. */
+static bool is_connection_stalled(struct srv_server *server,
+				  const h2o_conn_t *conn)
+{
+	GHashTableIter iter;
+	gpointer call;
+
+	g_hash_table_iter_init(&iter, server->open);
+	while (g_hash_table_iter_next(&iter, &call, NULL))
+		if (((struct srv_call *)call)->req->conn == conn &&
+		    !is_stalled(call))
+			return false;
+	return true;
+}
+
+void srv_call_check_stall(struct srv_call *call)
+{
 	h2o_conn_t *conn = call->req->conn;
 
-	if (!call->is_sending ||
-	    now - call->sent_at < (uint64_t)call->server->stall_limit)
+	if (!is_stalled(call))
 		return;
 	if (!call->finished)
 		cancel_slow_caller(call);
-	/* On HTTP/2 the connection carries other requests. */
-	if (call->req->version < HTTP2_VERSION)
+	if (is_connection_stalled(call->server, conn))
 		shutdown(h2o_socket_get_fd(conn->callbacks->get_socket(conn)),
 			 SHUT_RDWR);
 }
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -371,6 +371,49 @@
 }
 END_TEST
 
+/*
+ * Leaves the first request unanswered. Its answer would come before that of
+ * the second one if both used one connection.
+ */
+struct late {
+	struct wire_server *server;
+	bool has_first;
+};
+
+static void answer_late(struct wire_conn *conn, const char *request, void *user)
+{
+	struct late *late = user;
+
+	(void)request;
+	if (!late->has_first) {
+		late->has_first = true;
+		return;
+	}
+	if (wire_server_connections(late->server) == 1)
+		wire_answer(conn, 200, "", "late");
+	wire_answer(conn, 200, "", "own");
+}
+
+/* Guards against a late answer that is taken for that of the next request. */
+START_TEST(late_answer_is_not_given_to_the_next_request)
+{
+	struct fixture fixture;
+	struct late late = {NULL, false};
+
+	open_fixture(&fixture, answer_late, &late, &whole_ops);
+	late.server = fixture.server;
+	fixture.spec.timeout = TIMEOUT_MS;
+	run(&fixture);
+	ck_assert_int_eq(fixture.probe.result.error, ERR_DEADLINE);
+	ck_assert(fixture.probe.result.sent);
+	fixture.spec.timeout = 5000;
+	run(&fixture);
+	ck_assert(fixture.probe.result.ok);
+	ck_assert_str_eq(fixture.probe.data->str, "own");
+	close_fixture(&fixture);
+}
+END_TEST
+
 static const struct script endless = {
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n",
 	false};
@@ -455,6 +498,7 @@
 	tcase_add_test(tcase, fresh_connection_is_never_reused);
 	tcase_add_test(tcase, request_that_must_not_run_twice_is_sent_once);
 	tcase_add_test(tcase, address_with_a_silent_connection_gets_new_ones);
+	tcase_add_test(tcase, late_answer_is_not_given_to_the_next_request);
 	tcase_add_test(tcase, silent_stream_is_given_up);
 	tcase_add_test(tcase, handler_may_cancel_its_request);
 	tcase_add_test(tcase, refused_data_ends_the_request);
--- a/tests/peer_wire_test.c
+++ b/tests/peer_wire_test.c
@@ -46,9 +46,10 @@
 
 static const struct peer_sink_ops inbox_ops = {record};
 
-static struct peer_links *open_links(struct fixture *fixture, const char *self,
-				     const char *secret, const char *public,
-				     struct ctr_set *counters)
+static struct peer_links *try_links(struct fixture *fixture,
+				    const char *address, const char *self,
+				    const char *secret, const char *public,
+				    struct ctr_set *counters, GError **error)
 {
 	struct peer_key keys[] = {{"a", fixture->a_public},
 				  {"b", fixture->b_public}};
@@ -58,14 +59,23 @@
 		.counters = counters,
 		.self = self,
 		.incarnation = 7,
-		.address = "127.0.0.1:0",
+		.address = address,
 		.secret_key = secret,
 		.public_key = public,
 		.keys = keys,
 		.n_keys = G_N_ELEMENTS(keys),
 	};
+
+	return peer_new(&config, error);
+}
+
+static struct peer_links *open_links(struct fixture *fixture, const char *self,
+				     const char *secret, const char *public,
+				     struct ctr_set *counters)
+{
 	GError *error = NULL;
-	struct peer_links *links = peer_new(&config, &error);
+	struct peer_links *links = try_links(fixture, "127.0.0.1:0", self,
+					     secret, public, counters, &error);
 
 	ck_assert_msg(links != NULL, "%s", error ? error->message : "");
 	return links;
@@ -172,6 +182,66 @@
 }
 END_TEST
 
+/* A restart of a at its old address while b goes on sending. */
+struct restart {
+	struct fixture *fixture;
+	struct peer_links *b;
+	uv_timer_t resend;
+	char *address;
+};
+
+#define RESEND_MS 50
+
+static bool has_reopened(void *user)
+{
+	struct restart *restart = user;
+	struct fixture *fixture = restart->fixture;
+
+	fixture->a =
+		try_links(fixture, restart->address, "a", fixture->a_secret,
+			  fixture->a_public, fixture->counters, NULL);
+	return fixture->a != NULL;
+}
+
+/* What was sent into the old connection is lost, so the sender repeats. */
+static void on_resend(uv_timer_t *timer)
+{
+	struct restart *restart = timer->data;
+
+	peer_send(restart->b, "a", restart->address, 2, "y", 1);
+}
+
+static void start_resending(struct restart *restart)
+{
+	uv_timer_init(&restart->fixture->wire.loop, &restart->resend);
+	restart->resend.data = restart;
+	uv_timer_start(&restart->resend, on_resend, 0, RESEND_MS);
+}
+
+/* Guards against a link that stays dead after the other side restarted. */
+START_TEST(link_recovers_when_the_instance_restarts)
+{
+	struct fixture fixture;
+	struct restart restart = {.fixture = &fixture};
+
+	open_fixture(&fixture);
+	restart.address = g_strdup(peer_address(fixture.a));
+	restart.b = open_b(&fixture);
+	ck_assert(peer_send(restart.b, "a", restart.address, 1, "x", 1));
+	until_received(&fixture, 1);
+	peer_drop(fixture.a);
+	start_resending(&restart);
+	wire_until(&fixture.wire, has_reopened, &restart);
+	g_string_truncate(fixture.inbox.text, 0);
+	until_received(&fixture, fixture.inbox.messages + 1);
+	ck_assert_ptr_nonnull(strstr(fixture.inbox.text->str, "b/7 kind 2: y"));
+	uv_close((uv_handle_t *)&restart.resend, NULL);
+	peer_drop(restart.b);
+	close_fixture(&fixture);
+	g_free(restart.address);
+}
+END_TEST
+
 /* Guards against an instance whose key is not in the settings. */
 START_TEST(unknown_key_is_refused)
 {
@@ -325,6 +395,7 @@
 	tcase_set_timeout(tcase, 30);
 	tcase_add_test(tcase, message_arrives_with_its_authenticated_sender);
 	tcase_add_test(tcase, burst_is_received_to_the_last_message);
+	tcase_add_test(tcase, link_recovers_when_the_instance_restarts);
 	tcase_add_test(tcase, unknown_key_is_refused);
 	tcase_add_test(tcase, sender_must_be_the_owner_of_the_key);
 	tcase_add_test(tcase, instance_without_a_key_is_not_sent_to);
--- a/tests/srv_wire_test.c
+++ b/tests/srv_wire_test.c
@@ -771,6 +771,62 @@
 }
 END_TEST
 
+/* Appends a frame of HTTP/2 on stream 1, or 0 for settings (type 4). */
+static void append_frame(GByteArray *out, guint8 type, guint8 flags,
+			 const void *payload, size_t len)
+{
+	guint8 head[9] = {0, (guint8)(len >> 8), (guint8)len, type, flags};
+
+	head[8] = type != 4;
+	g_byte_array_append(out, head, sizeof(head));
+	g_byte_array_append(out, payload, (guint)len);
+}
+
+/* Headers without Huffman coding: indexed and literal fields. */
+#define HTTP2_HEADERS                  \
+	"\x83\x86"                     \
+	"\x01\x01x"                    \
+	"\x04\x14/v1/chat/completions" \
+	"\x0f\x08\x0f"                 \
+	"Bearer secret-a"
+
+/* A caller on HTTP/2 that grants no window for the answer. */
+static void send_without_window(struct wire_client *client)
+{
+	static const char preface[] = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+	static const guint8 settings[] = {0, 4, 0, 0, 0, 0};
+	GByteArray *out = g_byte_array_new();
+
+	g_byte_array_append(out, (const guint8 *)preface, strlen(preface));
+	append_frame(out, 4, 0, settings, sizeof(settings));
+	append_frame(out, 1, 4, HTTP2_HEADERS, strlen(HTTP2_HEADERS));
+	append_frame(out, 0, 1, CHAT_STREAM, strlen(CHAT_STREAM));
+	wire_client_send_bytes(client, out->data, out->len);
+	g_byte_array_unref(out);
+}
+
+/* Guards against an HTTP/2 caller without a window for whom memory grows. */
+START_TEST(http2_caller_without_window_is_bounded_and_cut)
+{
+	struct fixture fixture;
+	unsigned n = 0;
+
+	open_fixture(&fixture, give_token);
+	send_without_window(fixture.client);
+	wire_until(&fixture.wire, has_call, &fixture);
+	while (!fixture.n_gone && n < 1000) {
+		reply_token(&fixture, "0123456789");
+		uv_run(&fixture.wire.loop, UV_RUN_NOWAIT);
+		n++;
+	}
+	ck_assert_uint_eq(fixture.n_gone, 1);
+	ck_assert_uint_lt(n, 1000);
+	ck_assert_uint_eq(srv_count_open(fixture.server), 1);
+	wire_until(&fixture.wire, has_nothing_open, &fixture);
+	close_fixture(&fixture);
+}
+END_TEST
+
 static EVP_PKEY *write_key(const char *path)
 {
 	EVP_PKEY *key = EVP_EC_gen("P-256");
@@ -883,6 +939,7 @@
 	tcase_add_test(tcase, http2_streams_like_http1);
 	tcase_add_test(tcase, http2_refusals_are_typed);
 	tcase_add_test(tcase, http2_caller_that_leaves_is_gone);
+	tcase_add_test(tcase, http2_caller_without_window_is_bounded_and_cut);
 	tcase_add_test(tcase, tls_callers_get_http2);
 	tcase_add_test(tcase, unusable_tls_files_are_bad_settings);
 }
--- a/tests/support/wire/wire.h
+++ b/tests/support/wire/wire.h
@@ -73,6 +73,8 @@
 struct wire_client *wire_client_new(struct wire_loop *wire,
 				    const char *address);
 void wire_client_send(struct wire_client *client, const char *text);
+void wire_client_send_bytes(struct wire_client *client, const void *data,
+			    size_t len);
 /* Stops and resumes reading. */
 void wire_client_pause(struct wire_client *client);
 void wire_client_resume(struct wire_client *client);
--- a/tests/support/wire/wire_client.c
+++ b/tests/support/wire/wire_client.c
@@ -67,16 +67,22 @@
 }
 
 /* libuv queues what is written before the connection stands. */
-void wire_client_send(struct wire_client *client, const char *text)
+void wire_client_send_bytes(struct wire_client *client, const void *data,
+			    size_t len)
 {
 	struct write *write = g_new0(struct write, 1);
 	uv_buf_t buf;
 
-	write->text = g_strdup(text);
-	buf = uv_buf_init(write->text, (unsigned)strlen(text));
+	write->text = g_memdup2(data, len);
+	buf = uv_buf_init(write->text, (unsigned)len);
 	uv_write(&write->req, (uv_stream_t *)&client->tcp, &buf, 1, on_written);
 }
 
+void wire_client_send(struct wire_client *client, const char *text)
+{
+	wire_client_send_bytes(client, text, strlen(text));
+}
+
 void wire_client_pause(struct wire_client *client)
 {
 	uv_read_stop((uv_stream_t *)&client->tcp);
