--- a/src/daemon/peer.c
+++ b/src/daemon/peer.c
@@ -60,6 +60,12 @@
 	zmq_setsockopt(socket, option, &value, sizeof(value));
 }
 
+/* An IPv4 address on an IPv6 socket would be reported in another form. */
+static bool is_ipv6(const char *address)
+{
+	return *address == '[';
+}
+
 /* Options that both directions have in common. */
 static void *open_socket(struct peer_links *links, int type)
 {
@@ -75,7 +81,6 @@
 	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
 	set_int(socket, ZMQ_HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS);
 	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
-	set_int(socket, ZMQ_IPV6, 1);
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_size, sizeof(max_size));
 	zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, links->secret_key,
 		       strlen(links->secret_key) + 1);
@@ -156,6 +161,7 @@
 
 	link->socket = open_socket(links, ZMQ_DEALER);
 	link->address = g_strdup(address);
+	set_int(link->socket, ZMQ_IPV6, is_ipv6(address));
 	set_int(link->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_int(link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	zmq_setsockopt(link->socket, ZMQ_CURVE_SERVERKEY, key, strlen(key) + 1);
@@ -314,6 +320,7 @@
 	size_t size = sizeof(bound);
 	bool ok;
 
+	set_int(socket, ZMQ_IPV6, is_ipv6(address));
 	set_int(socket, ZMQ_CURVE_SERVER, 1);
 	ok = !zmq_bind(socket, endpoint) &&
 	     !zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, bound, &size);
