Share the event recorder; print the bound addresses on standard output

Whoever starts the daemon with port 0 learns its addresses from one line. The wire tests' link rule is a static pattern: make chose the general rule when an object of the wire support did not exist yet.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 SUPPORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/*.c))
 TEST_SRC := $(wildcard tests/*_test.c)
 TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+WIRE_TESTS := $(filter %_wire_test,$(TESTS))
 BENCH_SRC := $(wildcard tests/bench/*.c)
 BENCHES := $(BENCH_SRC:tests/bench/%.c=$(BUILD)/bench/%)
 FAKE_SRC := $(wildcard tests/fakes/*_fake.c)
@@ -74,11 +75,15 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
-$(BUILD)/tests/%_wire_test: $(BUILD)/tests/%_wire_test.o $(WIRE_OBJ) \
+# Static pattern rules: of two implicit ones make would take that whose
+# prerequisites happen to exist.
+$(WIRE_TESTS): $(BUILD)/tests/%: $(BUILD)/tests/%.o $(WIRE_OBJ) \
 		$(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
+	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
+$(filter-out $(WIRE_TESTS),$(TESTS)): $(BUILD)/tests/%: \
+		$(BUILD)/tests/%.o $(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -113,6 +113,11 @@
 		   "starting", "serving", "callers %s, operators %s, peers %s",
 		   drv_caller_address(driver), drv_operator_address(driver),
 		   drv_peer_address(driver));
+	/* For whoever starts the process with a port of the system's choice. */
+	printf("listening on %s for callers, %s for operators, %s for peers\n",
+	       drv_caller_address(driver), drv_operator_address(driver),
+	       drv_peer_address(driver));
+	fflush(stdout);
 	if (!drv_is_done(driver))
 		uv_run(config->loop, UV_RUN_DEFAULT);
 	log_change(config->log, drv_clock_now(&config->clock), "instance",
--- a/tests/plat_wire_test.c
+++ b/tests/plat_wire_test.c
@@ -6,26 +6,17 @@
 
 #include "daemon/plat.h"
 #include "support/wire/wire.h"
+#include "support/wire/wire_recorder.h"
 
 #define TIMEOUT_MS 300
-#define OP UINT64_C(0x0300000000000007)
-
-/* Records events as lines of text. */
-struct recorder {
-	struct plat_sink sink;
-	GString *text;
-	unsigned events;
-	unsigned awaited;
-	struct plat *plat;
-	bool cancel_at_token;
-};
+#define OP WIRE_OP
 
 struct fixture {
 	struct wire_loop wire;
 	struct ctr_set *counters;
 	struct cli_client *client;
 	struct wire_server *server;
-	struct recorder recorder;
+	struct wire_recorder recorder;
 	GString *requests; /* what the server received */
 	const char *answer;
 	bool hang_up;
@@ -33,150 +24,6 @@
 	size_t n_addresses;
 };
 
-static void record_store(GString *text, const struct wf_store_reply *reply)
-{
-	static const char *const names[] = {
-		"ok",	   "conflict",	  "not_found",
-		"refused", "unavailable", "unknown",
-	};
-	gsize len = 0;
-	size_t i;
-
-	ck_assert(reply->op == OP);
-	g_string_append_printf(text, "%s %d", names[reply->result],
-			       (int)reply->version);
-	if (reply->value) {
-		const char *data = g_bytes_get_data(reply->value, &len);
-
-		g_string_append_printf(text, " value=%.*s", (int)len,
-				       data ? data : "");
-	}
-	for (i = 0; i < reply->n_entries; i++)
-		g_string_append_printf(text, " %s@%d", reply->entries[i].name,
-				       (int)reply->entries[i].version);
-}
-
-static void record_stream(struct recorder *recorder,
-			  const struct wf_stream_event *event)
-{
-	GString *text = recorder->text;
-	struct wf_action cancel = {.type = WF_ACT_STREAM_CANCEL, .op = OP};
-	size_t i;
-
-	ck_assert(event->op == OP);
-	g_string_append_printf(text, "%d/%u", (int)event->what, event->lineage);
-	if (event->what == WF_STREAM_TOKEN)
-		g_string_append_printf(text, " %u \"%s\"", event->position,
-				       event->text);
-	for (i = 0; i < event->n_receipts; i++)
-		g_string_append_printf(text, " %s:%u-%u:%d",
-				       event->receipts[i].target,
-				       event->receipts[i].first_layer,
-				       event->receipts[i].last_layer,
-				       (int)event->receipts[i].kind);
-	if (event->what == WF_STREAM_END)
-		g_string_append_printf(text, " %s", event->reason);
-	if (event->what == WF_STREAM_FAILED)
-		g_string_append_printf(
-			text, " %s %s %d", err_name(event->error),
-			event->failed_target ? event->failed_target : "-",
-			(int)event->retry_after);
-	if (event->what == WF_STREAM_TOKEN && recorder->cancel_at_token)
-		recorder->plat->ops->run(recorder->plat, &cancel, NULL);
-}
-
-static void record_body(GString *text, GBytes *body)
-{
-	gsize len = 0;
-	const char *data = body ? g_bytes_get_data(body, &len) : NULL;
-
-	if (data)
-		g_string_append_printf(text, " %.*s", (int)len, data);
-}
-
-static void record_cache(GString *text, const struct wf_cache_event *cache)
-{
-	size_t i;
-
-	g_string_append_printf(text, "%s seq=%d", cache->target,
-			       (int)cache->seq);
-	for (i = 0; i < cache->n_added; i++)
-		g_string_append_printf(text, " +%" G_GINT64_MODIFIER "x",
-				       cache->added[i]);
-	for (i = 0; i < cache->n_removed; i++)
-		g_string_append_printf(text, " -%" G_GINT64_MODIFIER "x",
-				       cache->removed[i]);
-}
-
-static void record_instances(GString *text, const struct wf_event *event)
-{
-	size_t i;
-
-	g_string_append_printf(text, "revision %d",
-			       (int)event->instances.revision);
-	for (i = 0; i < event->instances.n; i++) {
-		const struct wf_instance *item = &event->instances.list[i];
-
-		g_string_append_printf(text, " %s/%d/%d/%u-%u/%s", item->id,
-				       (int)item->role, (int)item->life,
-				       item->first_layer, item->last_layer,
-				       item->serves);
-	}
-}
-
-static void record(struct plat_sink *sink, const struct wf_event *event)
-{
-	struct recorder *recorder = (struct recorder *)sink;
-	GString *text = recorder->text;
-
-	recorder->events++;
-	switch (event->type) {
-	case WF_EV_STORE_REPLY:
-		record_store(text, event->store);
-		break;
-	case WF_EV_STREAM:
-		record_stream(recorder, event->stream);
-		break;
-	case WF_EV_SERVICE_REPLY:
-		g_string_append_printf(
-			text, "ok=%d sent=%d %d %s", event->service->ok,
-			event->service->sent, event->service->status,
-			event->service->ok ? ""
-					   : err_name(event->service->error));
-		record_body(text, event->service->body);
-		break;
-	case WF_EV_STATUS_REPLY:
-		g_string_append_printf(text, "%d %d",
-				       (int)event->status->status,
-				       event->status->http_status);
-		record_body(text, event->status->body);
-		break;
-	case WF_EV_REPORT:
-		g_string_append_printf(
-			text, "%s reachable=%d leaving=%d %u %u %u",
-			event->report->target, event->report->reachable,
-			event->report->leaving, event->report->running,
-			event->report->queued, event->report->slots);
-		break;
-	case WF_EV_CACHE:
-		record_cache(text, event->cache);
-		break;
-	case WF_EV_ORDER_REPLY:
-		g_string_append_printf(
-			text, "ok=%d %s", event->order->ok,
-			event->order->ok ? "" : err_name(event->order->error));
-		break;
-	case WF_EV_INSTANCES:
-		record_instances(text, event);
-		break;
-	default:
-		ck_abort_msg("unexpected event");
-	}
-	g_string_append_c(text, '\n');
-}
-
-static const struct plat_sink_ops recorder_ops = {record};
-
 static void play(struct wire_conn *conn, const char *request, void *user)
 {
 	struct fixture *fixture = user;
@@ -215,8 +62,7 @@
 	fixture->requests = g_string_new(NULL);
 	fixture->answer = answer;
 	fixture->hang_up = hang_up;
-	fixture->recorder.sink.ops = &recorder_ops;
-	fixture->recorder.text = g_string_new(NULL);
+	wire_recorder_open(&fixture->recorder);
 	fixture->addresses[0] = g_strdup(wire_server_address(fixture->server));
 	fixture->n_addresses = 1;
 }
@@ -227,28 +73,18 @@
 	fixture->recorder.plat->ops->drop(fixture->recorder.plat);
 	wire_server_drop(fixture->server);
 	wire_close(&fixture->wire);
-	g_string_free(fixture->recorder.text, TRUE);
+	wire_recorder_close(&fixture->recorder);
 	g_string_free(fixture->requests, TRUE);
 	g_free(fixture->addresses[0]);
 	g_free(fixture->addresses[1]);
 	ctr_drop(fixture->counters);
 }
 
-static bool has_events(void *user)
-{
-	struct recorder *recorder = user;
-
-	return recorder->events >= recorder->awaited;
-}
-
 static void run(struct fixture *fixture, struct wf_action *action,
 		const char *operation, unsigned events)
 {
-	struct recorder *recorder = &fixture->recorder;
-
-	recorder->awaited = recorder->events + events;
-	recorder->plat->ops->run(recorder->plat, action, operation);
-	wire_until(&fixture->wire, has_events, recorder);
+	wire_record(&fixture->wire, &fixture->recorder, action, operation,
+		    events);
 }
 
 #define HEAD(status, extra, len) \
@@ -676,7 +512,7 @@
 
 static bool has_both(void *user)
 {
-	return ((struct recorder *)user)->events >= 3;
+	return ((struct wire_recorder *)user)->events >= 3;
 }
 
 /* Guards against reports and cache news that are lost or asked for again. */
