--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 SUPPORT := $(BUILD)/libsupport.a
 TEST_SRC := $(wildcard tests/*_test.c)
 TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+WIRE_TESTS := $(filter %_wire_test,$(TESTS))
 BENCH_SRC := $(wildcard tests/bench/*.c)
 BENCHES := $(BENCH_SRC:tests/bench/%.c=$(BUILD)/bench/%)
 FAKE_SRC := $(wildcard tests/fakes/*_fake.c)
@@ -83,11 +84,15 @@
 $(BUILD)/load_driver: $(LOAD_OBJ) $(BUILD)/tests/fakes/http_client.o
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
-$(BUILD)/tests/%_wire_test: $(BUILD)/tests/%_wire_test.o $(WIRE_OBJ) \
+# Static pattern rules: of two implicit ones make would take that whose
+# prerequisites happen to exist.
+$(WIRE_TESTS): $(BUILD)/tests/%: $(BUILD)/tests/%.o $(WIRE_OBJ) \
 		$(SUPPORT) $(NET_OBJ) $(LIB)
+	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT) $(NET_OBJ) $(LIB)
+$(filter-out $(WIRE_TESTS),$(TESTS)): $(BUILD)/tests/%: \
+		$(BUILD)/tests/%.o $(SUPPORT) $(NET_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
--- a/src/daemon/peer.c
+++ b/src/daemon/peer.c
@@ -9,6 +9,8 @@
 #define RECEIVE_QUEUE_MESSAGES 1024
 /* Above the largest value of the store with its envelope. */
 #define MAX_MESSAGE_BYTES (2 << 20)
+/* On a link that only sends: handshakes and heartbeats come back. */
+#define MAX_COMMAND_BYTES 4096
 #define HEARTBEAT_MS 1000
 #define HEARTBEAT_TIMEOUT_MS 3000
 #define HANDSHAKE_TIMEOUT_MS 5000
@@ -58,20 +60,27 @@
 	zmq_setsockopt(socket, option, &value, sizeof(value));
 }
 
+/* An IPv4 address on an IPv6 socket would be reported in another form. */
+static bool is_ipv6(const char *address)
+{
+	return *address == '[';
+}
+
 /* Options that both directions have in common. */
 static void *open_socket(struct peer_links *links, int type)
 {
 	void *socket = zmq_socket(links->context, type);
-	int64_t max_size = MAX_MESSAGE_BYTES;
+	bool receives = type == ZMQ_ROUTER;
+	int64_t max_size = receives ? MAX_MESSAGE_BYTES : MAX_COMMAND_BYTES;
 
 	set_int(socket, ZMQ_LINGER, LINGER_MS);
 	set_int(socket, ZMQ_SNDHWM, SEND_QUEUE_MESSAGES);
-	set_int(socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
+	/* A link that sends is never read, so it must not queue. */
+	set_int(socket, ZMQ_RCVHWM, receives ? RECEIVE_QUEUE_MESSAGES : 1);
 	set_int(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
 	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
 	set_int(socket, ZMQ_HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS);
 	set_int(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
-	set_int(socket, ZMQ_IPV6, 1);
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_size, sizeof(max_size));
 	zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, links->secret_key,
 		       strlen(links->secret_key) + 1);
@@ -152,6 +161,7 @@
 
 	link->socket = open_socket(links, ZMQ_DEALER);
 	link->address = g_strdup(address);
+	set_int(link->socket, ZMQ_IPV6, is_ipv6(address));
 	set_int(link->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_int(link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	zmq_setsockopt(link->socket, ZMQ_CURVE_SERVERKEY, key, strlen(key) + 1);
@@ -310,6 +320,7 @@
 	size_t size = sizeof(bound);
 	bool ok;
 
+	set_int(socket, ZMQ_IPV6, is_ipv6(address));
 	set_int(socket, ZMQ_CURVE_SERVER, 1);
 	ok = !zmq_bind(socket, endpoint) &&
 	     !zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, bound, &size);
