--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,8 @@
 PROGRAMS := $(if $(wildcard src/core/core.c),$(BUILD)/wagtailferryd) \
 	$(if $(TOOL_OBJ),$(BUILD)/wagtailferry)
 
-all: $(LIB) $(PROGRAMS) $(FAKES) $(BUILD)/load_driver $(TESTS) $(BENCHES)
+all: $(LIB) $(PROGRAMS) $(FAKES) $(BUILD)/load_driver $(BUILD)/curve_keypair \
+	$(TESTS) $(BENCHES)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -78,6 +79,9 @@
 $(BUILD)/load_driver: $(LOAD_OBJ) $(BUILD)/tests/fakes/http_client.o
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
+$(BUILD)/curve_keypair: $(BUILD)/tests/tools/curve_keypair.o
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
+
 $(BUILD)/tests/%_wire_test: $(BUILD)/tests/%_wire_test.o $(WIRE_OBJ) \
 		$(SUPPORT_OBJ) $(NET_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
