--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,8 @@
 PROGRAMS := $(if $(wildcard src/core/core.c),$(BUILD)/wagtailferryd) \
 	$(if $(TOOL_OBJ),$(BUILD)/wagtailferry)
 
-all: $(LIB) $(PROGRAMS) $(FAKES) $(BUILD)/load_driver $(TESTS) $(BENCHES)
+all: $(LIB) $(PROGRAMS) $(FAKES) $(BUILD)/load_driver $(BUILD)/curve_keypair \
+	$(TESTS) $(BENCHES)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -84,6 +85,9 @@
 $(BUILD)/load_driver: $(LOAD_OBJ) $(BUILD)/tests/fakes/http_client.o
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
+$(BUILD)/curve_keypair: $(BUILD)/tests/tools/curve_keypair.o
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
+
 # Static pattern rules: of two implicit ones make would take that whose
 # prerequisites happen to exist.
 $(WIRE_TESTS): $(BUILD)/tests/%: $(BUILD)/tests/%.o $(WIRE_OBJ) \
