--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -14,6 +14,7 @@
 	config->store_latency = 4;
 	config->call_time = 20;
 	config->view_delay = 200;
+	config->n_data_centers = 1;
 	config->plan_pause = SIM_PAUSE_LONG;
 	config->plan_delay = 3 * CLK_SECOND;
 }
@@ -323,6 +324,9 @@
 	for (i = 0; i < sim->config.n_instances; i++)
 		if (!strcmp(sim->instances[i].id, action->target))
 			to = &sim->instances[i];
+	if (to && to->other_side != instance->other_side &&
+	    sim->now < sim->partition_until)
+		return;
 	if (!to || !to->alive || sim->now < instance->peers_cut_until ||
 	    sim->now < to->peers_cut_until ||
 	    sim_chance(sim, faults->peer_drop))
@@ -484,6 +488,20 @@
 	}
 }
 
+static void list_entry(const struct sim_instance *instance, GArray *list)
+{
+	struct wf_instance entry = {.id = instance->id};
+
+	entry.role = WF_ROLE_ENTRY;
+	entry.life = instance->leaving ? WF_LIFE_LEAVING : WF_LIFE_LIVE;
+	entry.address = instance->id;
+	entry.peer_address = instance->id;
+	entry.data_center = instance->data_center;
+	entry.incarnation = instance->ctx ? instance->ctx->incarnation : 0;
+	entry.serves = "";
+	g_array_append_val(list, entry);
+}
+
 /* What each instance is told about peers and targets, after a delay. */
 static void send_views(struct sim *sim, struct sim_instance *instance)
 {
@@ -498,11 +516,13 @@
 
 		if (!other->alive && other != instance)
 			continue;
-		peer.data_center = (char *)"dc";
+		peer.data_center = other->data_center;
 		peer.address = other->id;
 		peer.incarnation = other->ctx ? other->ctx->incarnation : 0;
 		peer.life = other->leaving ? WF_LIFE_LEAVING : WF_LIFE_LIVE;
 		g_array_append_val(peers, peer);
+		if (sim->config.modules_set_peers)
+			list_entry(other, list);
 	}
 	for (i = 0; i < sim->n_targets; i++) {
 		struct sim_target *target = &sim->targets[i];
@@ -518,7 +538,8 @@
 		entry.has_status = sim->config.targets_have_status;
 		g_array_append_val(list, entry);
 	}
-	wf_set_peers(instance->ctx, (void *)peers->data, peers->len);
+	if (!sim->config.modules_set_peers)
+		wf_set_peers(instance->ctx, (void *)peers->data, peers->len);
 	event.instances.list = (void *)list->data;
 	event.instances.n = list->len;
 	event.instances.revision = ++sim->revision;
@@ -560,14 +581,17 @@
 	struct wf_event event = {.type = WF_EV_START};
 	unsigned i;
 
+	g_snprintf(instance->data_center, sizeof(instance->data_center),
+		   "dc-%u", instance->index % sim->config.n_data_centers);
 	instance->generation++;
 	instance->alive = true;
 	instance->leaving = false;
 	instance->paused_until = 0;
 	instance->tick_at = CLK_NEVER;
 	instance->last_tick = 0;
-	instance->ctx = wf_ctx_new(instance->id, "dc", ++sim->next_incarnation,
-				   sim->config.seed, NULL, NULL);
+	instance->ctx = wf_ctx_new(instance->id, instance->data_center,
+				   ++sim->next_incarnation, sim->config.seed,
+				   NULL, NULL);
 	instance->ctx->now = sim->now + instance->skew;
 	instance->modules = g_ptr_array_new();
 	for (i = 0; i < sim->config.n_modules; i++)
@@ -685,6 +709,26 @@
 	sim->instances[index].peers_cut_until = sim->now + span;
 }
 
+void sim_settle(struct sim *sim, unsigned index)
+{
+	struct sim_instance *instance = &sim->instances[index];
+
+	if (!instance->alive)
+		return;
+	drain_actions(sim, instance);
+	if (instance->alive)
+		schedule_tick(sim, instance);
+}
+
+void sim_partition(struct sim *sim, unsigned n, clk_ms span)
+{
+	unsigned i;
+
+	for (i = 0; i < sim->config.n_instances; i++)
+		sim->instances[i].other_side = i < n;
+	sim->partition_until = sim->now + span;
+}
+
 void sim_cut_store(struct sim *sim, unsigned index, clk_ms span)
 {
 	sim->instances[index].store_cut_until = sim->now + span;
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -82,7 +82,9 @@
 	clk_ms max_skew;      /* clocks differ by at most this */
 	clk_ms plan_pause;
 	clk_ms plan_delay;
-	bool trace; /* steps to stderr */
+	bool modules_set_peers;	 /* a membership module sets the peers */
+	unsigned n_data_centers; /* instances are spread over them in turn */
+	bool trace;		 /* steps to stderr */
 };
 
 void sim_config_init(struct sim_config *config);
@@ -151,6 +153,8 @@
 	clk_ms skew;
 	clk_ms store_cut_until;
 	clk_ms peers_cut_until;
+	bool other_side; /* of a partition */
+	char data_center[16];
 	clk_ms tick_at;
 	clk_ms last_tick;
 	struct wf_ctx *ctx;
@@ -191,6 +195,7 @@
 	GHashTable *objects; /* name to struct sim_object */
 	uint64_t revision;
 	GPtrArray *watches;
+	clk_ms partition_until;
 	clk_ms store_down_until;
 	clk_ms store_slow_until;
 	GPtrArray *calls;  /* struct sim_call */
@@ -237,12 +242,21 @@
 void sim_cut_peers(struct sim *sim, unsigned instance, clk_ms span);
 void sim_cut_store(struct sim *sim, unsigned instance, clk_ms span);
 
+/* Parts the first n instances from the others for a time. */
+void sim_partition(struct sim *sim, unsigned n, clk_ms span);
+
 /* The store refuses everything with UNAVAILABLE for a time. */
 void sim_store_outage(struct sim *sim, clk_ms span);
 
 void sim_target_leave(struct sim *sim, const char *id);
 void sim_target_down(struct sim *sim, const char *id, bool down);
 
+/* Stores a value without condition or delay, as an outside writer does. */
+void sim_store_set(struct sim *sim, const char *name, GBytes *value);
+
+/* Carries out what a direct call into an instance's modules has emitted. */
+void sim_settle(struct sim *sim, unsigned instance);
+
 /* A random span from 0 to the given one, inclusive, and a random chance. */
 clk_ms sim_span(struct sim *sim, clk_ms max);
 bool sim_chance(struct sim *sim, double probability);
--- a/tests/support/sim_store.c
+++ b/tests/support/sim_store.c
@@ -106,6 +106,21 @@
 	}
 }
 
+void sim_store_set(struct sim *sim, const char *name, GBytes *value)
+{
+	struct sim_object *object = g_hash_table_lookup(sim->objects, name);
+
+	if (!object) {
+		object = g_new0(struct sim_object, 1);
+		g_hash_table_insert(sim->objects, g_strdup(name), object);
+	} else {
+		g_bytes_unref(object->value);
+	}
+	object->value = g_bytes_ref(value);
+	object->version = ++sim->revision;
+	notify(sim, name, object->version);
+}
+
 static void put(struct sim *sim, const struct pending *pending,
 		struct sim_delivery *reply)
 {
@@ -126,17 +141,8 @@
 		reply->version = object ? object->version : 0;
 		return;
 	}
-	if (!object) {
-		object = g_new0(struct sim_object, 1);
-		g_hash_table_insert(sim->objects, g_strdup(pending->name),
-				    object);
-	} else {
-		g_bytes_unref(object->value);
-	}
-	object->value = g_bytes_ref(pending->body);
-	object->version = ++sim->revision;
-	reply->version = object->version;
-	notify(sim, pending->name, object->version);
+	sim_store_set(sim, pending->name, pending->body);
+	reply->version = sim->revision;
 }
 
 static void delete (struct sim *sim, const struct pending *pending,
