--- /dev/null
+++ b/src/core/core_private.h
@@ -0,0 +1,81 @@
+#ifndef CORE_PRIVATE_H
+#define CORE_PRIVATE_H
+
+#include <wagtailferry/core.h>
+#include <wagtailferry/distribution.h>
+#include <wagtailferry/limits.h>
+#include <wagtailferry/member.h>
+#include <wagtailferry/rules.h>
+#include <wagtailferry/sched.h>
+#include <wagtailferry/state.h>
+
+/* A call from its arrival to its last reply. */
+struct core_call {
+	struct wf_call call; /* owned copy */
+	uint64_t *prefix;
+	unsigned tokens; /* delivered */
+	clk_ms deadline;
+	bool dispatched;
+};
+
+enum core_phase {
+	CORE_STARTING,
+	CORE_READY,
+	CORE_GRACE, /* draining, calls are still accepted */
+	CORE_DRAINING,
+	CORE_DONE,
+};
+
+struct wf_core {
+	struct wf_ctx *ctx;
+	struct wf_core_config config;
+	struct mem_members *members;
+	struct dst_distribution *distribution;
+	struct lim_limits *limits;
+	struct clm_claims *claims;
+	struct tgt_targets *targets;
+	struct run_runs *runs;
+	GPtrArray *modules;	 /* of struct wf_module, in order of delivery */
+	GHashTable *calls;	 /* id to struct core_call */
+	GArray *instances;	 /* latest list, of struct wf_instance, owned */
+	GHashTable *target_news; /* id to struct core_news */
+	uint64_t list_revision;
+	bool list_changed; /* instances differ from what modules saw */
+	enum core_phase phase;
+	clk_ms grace_ends;
+	clk_ms drain_ends;
+};
+
+/* The newest statement about a target that overrides the list. */
+struct core_news {
+	uint64_t incarnation;
+	enum wf_life life;
+};
+
+/* core_calls.c */
+void core_call_free(gpointer data);
+void core_handle_call(struct wf_core *core, struct wf_call *call);
+void core_caller_gone(struct wf_core *core, uint64_t call_id);
+/* Sees every action on its way out, to end calls at their last reply. */
+void core_watch_action(struct wf_core *core, const struct wf_action *action);
+/* The limits module's decision about a call. */
+void core_limit_decided(struct wf_ctx *ctx, void *user, uint64_t call_id,
+			bool admitted, clk_ms retry_after);
+
+/* core_targets.c */
+void core_instances_free(GArray *instances);
+void core_set_instances(struct wf_core *core, const struct wf_instance *list,
+			size_t n, uint64_t revision);
+/* Delivers the list with what is known from other sources. */
+void core_deliver_instances(struct wf_core *core);
+void core_heard_target(struct wf_ctx *ctx, void *user, const char *target,
+		       uint64_t incarnation, enum wf_life life);
+/* A target itself said that it is leaving. */
+void core_target_leaving(struct wf_core *core, const char *target);
+
+/* core.c */
+void core_broadcast(struct wf_core *core, const struct wf_event *event);
+void core_deliver(struct wf_core *core, enum wf_module_id id,
+		  const struct wf_event *event);
+
+#endif
