--- a/include/wagtailferry/member.h
+++ b/include/wagtailferry/member.h
@@ -39,7 +39,7 @@
 	clk_ms tombstone;	  /* how long a dead entry is remembered */
 	clk_ms list_interval;	  /* shortest time between list fetches */
 	clk_ms list_interval_per_peer; /* added for each known instance */
-	unsigned fanout;	       /* peers told of news at once, beyond ln(n) */
+	unsigned fanout; /* peers told of news at once, beyond ln(n) */
 	struct mem_hooks hooks;
 };
 
--- a/src/sched/lim_private.h
+++ b/src/sched/lim_private.h
@@ -23,7 +23,7 @@
 	unsigned reported; /* slots it says it holds */
 	unsigned pending;  /* granted, and the grant not yet confirmed */
 	uint64_t pending_grant;
-	uint64_t number;    /* of the newest message */
+	uint64_t number; /* of the newest message */
 	clk_ms heard;
 };
 
@@ -54,10 +54,10 @@
 	unsigned held_slots;
 	unsigned returned_calls;
 	int64_t returned_tokens;
-	uint64_t number; /* of the last message to the owner */
+	uint64_t number;    /* of the last message to the owner */
 	bool slots_changed; /* since that message */
-	GQueue waiting;	 /* of struct lim_waiting */
-	bool asked;	 /* a demand is unanswered */
+	GQueue waiting;	    /* of struct lim_waiting */
+	bool asked;	    /* a demand is unanswered */
 	uint64_t sequence;
 	uint64_t last_grant;
 	clk_ms asked_at;
