--- a/tests/bench/rules_bench.c
+++ b/tests/bench/rules_bench.c
@@ -13,6 +13,7 @@
 #define N_ORGS 31000
 #define N_LOOKUPS 2000000
 #define N_EDITS 200
+#define N_REVISIONS 300
 
 /* Each organisation has a rule for models and one for bookings. */
 static GString *make_text(void)
@@ -137,17 +138,38 @@
 	g_rand_free(rand);
 }
 
+/* The manifest at first, and after a day's peak of one edit in 30 s. */
 static void measure_manifest(const GString *text)
 {
-	struct rul_author author = {.name = "ann", .nonce = {1}};
+	struct rul_author author = {
+		.name = "ann", .requested_by = "operator 7", .nonce = {1}};
+	GString *edited = g_string_new_len(text->str, (gssize)text->len);
+	GRand *rand = g_rand_new_with_seed(3);
 	struct rul_manifest *manifest;
 	GBytes *value;
+	unsigned i;
 
 	manifest = rul_manifest_new(NULL, text->str, text->len, &author, 1);
 	value = rul_manifest_encode(manifest, NULL);
-	printf("manifest %zu bytes\n", g_bytes_get_size(value));
+	printf("manifest %zu bytes", g_bytes_get_size(value));
+	g_bytes_unref(value);
+	for (i = 0; i < N_REVISIONS; i++) {
+		struct rul_manifest *next;
+		int at = g_rand_int_range(rand, 0, (int)text->len - 400);
+
+		strstr(edited->str + at, "weight=")[7] = (char)('1' + i % 9);
+		next = rul_manifest_new(manifest, edited->str, edited->len,
+					&author, 1 + i * 30 * CLK_SECOND);
+		rul_manifest_free(manifest);
+		manifest = next;
+	}
+	value = rul_manifest_encode(manifest, NULL);
+	printf(", %zu bytes after %d edits\n", g_bytes_get_size(value),
+	       N_REVISIONS);
 	g_bytes_unref(value);
 	rul_manifest_free(manifest);
+	g_string_free(edited, TRUE);
+	g_rand_free(rand);
 }
 
 static void measure_diff(const GString *text)
--- a/tests/rules_publish_test.c
+++ b/tests/rules_publish_test.c
@@ -413,6 +413,32 @@
 }
 END_TEST
 
+/* Guards against "not published" when the list of revisions is too short. */
+START_TEST(outcome_too_old_to_tell_is_unknown)
+{
+	const enum rst_fault faults[] = {RST_LOST, RST_LOST_REPLY};
+	struct rst_store *store = rst_new();
+	struct rul_operator ann;
+	struct rul_operator bo;
+	char *text = make_text(20, 3);
+	unsigned i;
+
+	operator_init(&ann, "ann");
+	operator_init(&bo, "bo");
+	operator_publish(&ann, text, strlen(text), 0);
+	operator_prepare(&ann, store);
+	operator_step(&ann, store, faults[_i]);
+	for (i = 0; i <= RUL_MAX_RECENT; i++)
+		publish_good(&bo, store, 20, 4 + i);
+	operator_finish(&ann, store);
+	ck_assert_int_eq(result_of(&ann), RUL_PUBLISH_UNKNOWN);
+	g_free(text);
+	operator_clear(&ann);
+	operator_clear(&bo);
+	rst_drop(store);
+}
+END_TEST
+
 #define N_OPERATORS 4
 #define RACE_STEPS 400
 
@@ -673,6 +699,7 @@
 			    G_N_ELEMENTS(fault_cases));
 	tcase_add_test(tcase, lost_reply_to_the_manifest_is_settled);
 	tcase_add_test(tcase, lost_reply_and_store_down_is_unknown);
+	tcase_add_loop_test(tcase, outcome_too_old_to_tell_is_unknown, 0, 2);
 	tcase_add_loop_test(tcase, racing_operators_lose_nothing, 0, 300);
 	tcase_add_test(tcase,
 		       chunks_are_collected_an_hour_after_their_last_use);
