--- a/src/state/clm_run.c
+++ b/src/state/clm_run.c
@@ -195,6 +195,11 @@
 {
 	struct clm_run *run;
 
+	if (ctx->draining) {
+		wf_reply_error(ctx, call->id, ERR_DRAINING, ERR_RUN_NOT,
+			       CLK_SECOND, "the instance is shutting down");
+		return;
+	}
 	clm_runs_evict(claims);
 	if (g_hash_table_size(claims->runs) >= claims->config.max_runs ||
 	    claims->bytes_held > MAX_BYTES_HELD) {
@@ -262,11 +267,6 @@
 
 	if (!check_key(ctx, &claims->config, call, &time))
 		return;
-	if (ctx->draining) {
-		wf_reply_error(ctx, call->id, ERR_DRAINING, ERR_RUN_NOT,
-			       CLK_SECOND, "the instance is shutting down");
-		return;
-	}
 	key = clm_hash_key(call->org, call->key);
 	run = g_hash_table_lookup(claims->by_key, &key);
 	if (run && join_run(ctx, claims, run, call))
