Add leases and duties

A duty is held under lease/<duty>; the version is the fencing number. Orders are recorded in the lease before they are sent, so that none is sent twice for one attempt, whoever holds the lease.

--- a/include/wagtailferry/core.h
+++ b/include/wagtailferry/core.h
@@ -336,7 +336,8 @@
 	unsigned kind;
 	/* orders */
 	uint64_t fence;
-	char *order; /* "load", "unload", "role", "layers" */
+	char *order;	/* "load", "unload", "role", "layers" */
+	char *argument; /* of the order, such as a model's name */
 	bool ready;
 };
 
--- a/include/wagtailferry/state.h
+++ b/include/wagtailferry/state.h
@@ -80,4 +80,131 @@
  */
 void clm_target_key(const char *org, const char *key, char *out);
 
+/* Leases: one holder of a duty at a time */
+
+struct lse_config {
+	clk_ms ttl;	     /* validity from the sending of a renewal */
+	clk_ms renew;	     /* between renewals, less jitter */
+	clk_ms pause_margin; /* no order this close to the end */
+	clk_ms fence_wait;   /* for targets that ignore fencing numbers */
+	clk_ms store_timeout;
+};
+
+/* Fills in the defaults. */
+void lse_config_init(struct lse_config *config);
+
+/*
+ * A lease on a duty. It belongs to one module, which passes on store replies
+ * and ticks. The object is lease/<duty>; its version is the fencing number.
+ */
+struct lse_lease;
+
+/* The configuration is copied. Operations belong to the module given. */
+struct lse_lease *lse_new(const struct lse_config *config, const char *duty,
+			  enum wf_module_id module);
+void lse_free(struct lse_lease *lease);
+
+/*
+ * Renews, reads or acquires what is due. wanted says whether this instance
+ * has a use for the duty; only the first two instances in rendezvous order
+ * try to acquire it.
+ */
+void lse_tick(struct wf_ctx *ctx, struct lse_lease *lease, bool wanted);
+
+/* Returns false if the reply is not the lease's. */
+bool lse_reply(struct wf_ctx *ctx, struct lse_lease *lease,
+	       const struct wf_store_reply *reply);
+
+/* When lse_tick() has to be called next. */
+clk_ms lse_next_wakeup(const struct lse_lease *lease);
+
+/*
+ * Whether an order may be sent at ctx->now. Check it in the event that
+ * triggers the order. A target that ignores fencing numbers gets no order
+ * while a former holder may still send.
+ */
+bool lse_may_send(const struct wf_ctx *ctx, const struct lse_lease *lease,
+		  bool checks_fencing);
+
+/* Whether this instance believes to hold the lease, valid or not. */
+bool lse_is_held(const struct lse_lease *lease);
+
+/* The fencing number; 0 if the lease is not held. */
+uint64_t lse_fence(const struct lse_lease *lease);
+
+/* A target has refused our fencing number; the lease is given up. */
+void lse_fenced(struct wf_ctx *ctx, struct lse_lease *lease);
+
+/* Gives the lease up in the store, so that a successor need not wait. */
+void lse_release(struct wf_ctx *ctx, struct lse_lease *lease);
+
+/* What the holder keeps in the object; NULL if empty. Borrowed. */
+GBytes *lse_payload(const struct lse_lease *lease);
+
+/*
+ * Has a new payload written; returns a number. The payload is stored when
+ * lse_stored() has reached the number while the lease is held.
+ */
+uint64_t lse_store(struct wf_ctx *ctx, struct lse_lease *lease,
+		   GBytes *payload);
+uint64_t lse_stored(const struct lse_lease *lease);
+
+/* Duties: orders to targets under a lease */
+
+/* One order for the audit trail. */
+struct aud_entry {
+	clk_ms time;
+	const char *actor;   /* instance id */
+	const char *action;  /* "order" or "order_reply" */
+	const char *subject; /* target id */
+	const char *detail;  /* order and argument; outcome of a reply */
+	uint64_t fence;
+};
+
+/* Receives audit entries; the entry is borrowed for the call. */
+struct aud_sink {
+	void (*record)(struct wf_ctx *ctx, struct aud_sink *sink,
+		       const struct aud_entry *entry);
+};
+
+struct dut_config {
+	struct lse_config lease;
+	const char *duty;	 /* name of the lease, static */
+	double loads_per_minute; /* rate of the weight store */
+	clk_ms order_timeout;
+	clk_ms keep_records;   /* of orders that are no longer wanted */
+	unsigned max_records;  /* orders remembered in the lease */
+	struct aud_sink *sink; /* borrowed; may be NULL */
+};
+
+/* Fills in the defaults. */
+void dut_config_init(struct dut_config *config);
+
+/*
+ * An order that is wanted. It is sent at most once for each attempt, by
+ * whatever instance; whoever wants it again raises the attempt.
+ */
+struct dut_wanted {
+	const char *target;
+	const char *order; /* "load", "unload", "role", "layers" */
+	const char *argument;
+	unsigned attempt;
+};
+
+struct dut_duties;
+
+/* A duties module; as clm_new(). */
+struct dut_duties *dut_new(struct wf_ctx *ctx, const struct dut_config *config);
+struct wf_module *dut_module(struct dut_duties *duties);
+
+/* Replaces the list of wanted orders, which is copied. */
+void dut_set_wanted(struct wf_ctx *ctx, struct dut_duties *duties,
+		    const struct dut_wanted *list, size_t n);
+
+/* The weight store has stated its rate. */
+void dut_set_rate(struct dut_duties *duties, double loads_per_minute);
+
+/* Whether no order is in flight and the lease is not held. */
+bool dut_is_idle(const struct dut_duties *duties);
+
 #endif
--- a/src/core/value.c
+++ b/src/core/value.c
@@ -12,6 +12,7 @@
 	g_free(action->delivered);
 	g_free(action->key);
 	g_free(action->order);
+	g_free(action->argument);
 	if (action->body)
 		g_bytes_unref(action->body);
 	if (action->chain)
--- a/tests/support/sim_target.c
+++ b/tests/support/sim_target.c
@@ -43,7 +43,7 @@
 	request->action.target = g_strdup(action->target);
 	request->action.key = g_strdup(action->key);
 	request->action.order = g_strdup(action->order);
-	request->action.text = g_strdup(action->text);
+	request->action.argument = g_strdup(action->argument);
 	request->action.fence = action->fence;
 	request->action.body = action->body ? g_bytes_ref(action->body) : NULL;
 	request->sent_at = sim->now;
@@ -215,7 +215,7 @@
 
 	order->target = g_strdup(request->action.target);
 	order->order = g_strdup(request->action.order);
-	order->argument = g_strdup(request->action.text);
+	order->argument = g_strdup(request->action.argument);
 	order->fence = request->action.fence;
 	order->instance = request->index;
 	order->generation = request->generation;
