Price short and long requests apart; chunk prompts in the engine model

Short requests were kept off the fast engines by the load and the surcharge of long ones, which engines serve after them. Boundaries have a price for each class, and room for short requests no longer counts long ones. The limit between short and long is learned from short requests, because many long ones used to move it above themselves. The engine model computes prompts in parts, as engines with continuous batching do; before, one long prompt held a slot for seconds.

--- a/src/sched/adm_history.c
+++ b/src/sched/adm_history.c
@@ -12,6 +12,11 @@
 #define LONG_FACTOR 5.0
 #define LONG_SMOOTHING 0.02
 #define LONG_START 256.0
+/*
+ * Long requests move the limit this much less, otherwise many of them would
+ * soon count as short.
+ */
+#define LONG_CAUTION 20.0
 
 struct slot {
 	uint64_t key; /* 0: free */
@@ -90,9 +95,12 @@
 {
 	double value = log(MAX(cost, 1));
 
-	if (history->log_cost == 0)
-		history->log_cost = value;
-	else
-		history->log_cost +=
-			LONG_SMOOTHING * (value - history->log_cost);
+	double smoothing = LONG_SMOOTHING;
+
+	if (history->log_cost == 0) {
+		history->log_cost = log(LONG_START / LONG_FACTOR);
+	} else if (cost > adm_long_cost(history)) {
+		smoothing /= LONG_CAUTION;
+	}
+	history->log_cost += smoothing * (value - history->log_cost);
 }
--- a/src/sched/chn.c
+++ b/src/sched/chn.c
@@ -90,7 +90,8 @@
 static double factor_of(const struct planner *p,
 			const struct tgt_target *target)
 {
-	double factor = chn_factor(p->ctx, p->targets, target);
+	double factor =
+		chn_factor(p->ctx, p->targets, target, p->query->is_long);
 	double load;
 
 	if (!tgt_holders_have(&p->holders, target->handle))
@@ -125,7 +126,8 @@
 	for (end = last; end > at; end = end > at + step ? end - step : at) {
 		const struct chn_boundary *next = boundary_at(p, end);
 		double us = tgt_stage_us(target, first_layer, next->layer - 1);
-		double score = us * factor + hop + next->price;
+		double score =
+			us * factor + hop + next->price[p->query->is_long];
 
 		if (isinf(next->to_go) ||
 		    (best->target && score >= best->score))
@@ -182,7 +184,7 @@
 static void sample_near(const struct planner *p, size_t at,
 			unsigned data_center, struct choice *best)
 {
-	const GArray *near = boundary_at(p, at)->near;
+	const GArray *near = boundary_at(p, at)->near[p->query->is_long];
 	unsigned found = 0;
 	guint start;
 	guint i;
--- a/src/sched/chn_model.c
+++ b/src/sched/chn_model.c
@@ -9,8 +9,10 @@
 
 	if (boundary->candidates)
 		g_array_unref(boundary->candidates);
-	if (boundary->near)
-		g_array_unref(boundary->near);
+	if (boundary->near[0])
+		g_array_unref(boundary->near[0]);
+	if (boundary->near[1])
+		g_array_unref(boundary->near[1]);
 	g_free(boundary->starts);
 }
 
@@ -183,7 +185,8 @@
 
 	boundary->candidates =
 		g_array_new(FALSE, FALSE, sizeof(struct chn_candidate));
-	boundary->near = g_array_new(FALSE, FALSE, sizeof(guint));
+	boundary->near[0] = g_array_new(FALSE, FALSE, sizeof(guint));
+	boundary->near[1] = g_array_new(FALSE, FALSE, sizeof(guint));
 	boundary->starts = g_new0(guint, targets->data_centers->len + 1);
 	boundary->to_go = boundary->layer == model->n_layers ? 0 : INFINITY;
 	for (i = 0; i < model->targets->len; i++) {
@@ -211,7 +214,8 @@
 	collect_boundaries(model);
 	for (i = model->boundaries->len; i-- > 0;) {
 		fill_boundary(targets, model, i);
-		boundary_at(model, i)->price = boundary_at(model, i)->to_go;
+		boundary_at(model, i)->price[0] = boundary_at(model, i)->to_go;
+		boundary_at(model, i)->price[1] = boundary_at(model, i)->to_go;
 	}
 	if (model->token_us <= 0)
 		model->token_us =
--- a/src/sched/chn_model.h
+++ b/src/sched/chn_model.h
@@ -13,9 +13,9 @@
 struct chn_boundary {
 	unsigned layer;
 	double to_go;	    /* least time from here to the end, us */
-	double price;	    /* the same under the present load */
+	double price[2];    /* the same under load, for short and long */
 	GArray *candidates; /* of struct chn_candidate, by data centre */
-	GArray *near;	    /* of guint: candidates with near-best price */
+	GArray *near[2];    /* of guint: candidates with near-best price */
 	guint *starts;	    /* where each data centre begins */
 	unsigned n_starts;
 	guint turn; /* for round-robin */
@@ -28,7 +28,8 @@
 	GPtrArray *targets; /* all listed ones, borrowed */
 	GArray *boundaries; /* of struct chn_boundary, by layer */
 	unsigned n_targets;
-	double own_load;   /* steps at once over all targets */
+	double own_load; /* steps at once over all targets */
+	double own_long_load;
 	clk_ms last_short; /* when a short request started last */
 	double inflation;
 	double nominal_rate;
@@ -40,7 +41,7 @@
  * than 1 if requests wait there or its tokens come late.
  */
 double chn_factor(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct tgt_target *target);
+		  const struct tgt_target *target, bool is_long);
 
 /* The model of that name with segments up to date, or NULL. Borrowed. */
 struct chn_model *chn_get_model(struct tgt_targets *targets, const char *name);
--- a/src/sched/chn_price.c
+++ b/src/sched/chn_price.c
@@ -48,13 +48,25 @@
 	}
 }
 
+/* Engines serve short requests first, so that long ones delay them little. */
+#define CHN_LONG_DELAY 0.3
+
 double chn_factor(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct tgt_target *target)
+		  const struct tgt_target *target, bool is_long)
 {
 	double use = use_of(ctx, targets, target);
-	double factor = MAX(1, use) + CHN_LOAD_WEIGHT * use;
+	double scarcity = target->scarcity;
+	double factor;
+
+	if (!is_long && use > 0) {
+		double part = tgt_long_load(ctx, targets, target) /
+			      tgt_load(ctx, targets, target);
 
-	factor *= 1 + target->scarcity;
+		use *= 1 - (1 - CHN_LONG_DELAY) * part;
+		scarcity *= 1 - part;
+	}
+	factor = MAX(1, use) + CHN_LOAD_WEIGHT * use;
+	factor *= 1 + scarcity;
 
 	if (targets->config.use_inflation)
 		factor *= target->inflation;
@@ -72,10 +84,11 @@
 			      const struct tgt_targets *targets,
 			      const struct chn_model *model,
 			      const struct chn_boundary *boundary, size_t at,
-			      const struct chn_candidate *candidate)
+			      const struct chn_candidate *candidate,
+			      bool is_long)
 {
 	const struct tgt_target *target = candidate->target;
-	double factor = chn_factor(ctx, targets, target);
+	double factor = chn_factor(ctx, targets, target, is_long);
 	double best = INFINITY;
 	size_t end;
 
@@ -86,8 +99,8 @@
 		double us;
 
 		us = tgt_stage_us(target, boundary->layer, next->layer - 1);
-		best = MIN(best,
-			   us * factor + targets->config.link_us + next->price);
+		best = MIN(best, us * factor + targets->config.link_us +
+					 next->price[is_long]);
 	}
 	return best;
 }
@@ -114,7 +127,8 @@
 
 static void price_all(const struct wf_ctx *ctx,
 		      const struct tgt_targets *targets,
-		      const struct chn_model *model, size_t at, GArray *priced)
+		      const struct chn_model *model, size_t at, bool is_long,
+		      GArray *priced)
 {
 	const struct chn_boundary *boundary = boundary_at(model, at);
 	guint i;
@@ -123,10 +137,11 @@
 	for (i = 0; i < boundary->candidates->len; i++) {
 		struct priced entry = {.index = i};
 
-		entry.price = candidate_price(
-			ctx, targets, model, boundary, at,
-			&g_array_index(boundary->candidates,
-				       struct chn_candidate, i));
+		entry.price =
+			candidate_price(ctx, targets, model, boundary, at,
+					&g_array_index(boundary->candidates,
+						       struct chn_candidate, i),
+					is_long);
 		if (!isinf(entry.price))
 			g_array_append_val(priced, entry);
 	}
@@ -134,12 +149,13 @@
 }
 
 /* Keeps the near-best candidates; their mean is the boundary's price. */
-static void keep_near(struct chn_boundary *boundary, const GArray *priced)
+static void keep_near(struct chn_boundary *boundary, bool is_long,
+		      const GArray *priced)
 {
 	double sum = 0;
 	guint i;
 
-	g_array_set_size(boundary->near, 0);
+	g_array_set_size(boundary->near[is_long], 0);
 	for (i = 0; i < priced->len; i++) {
 		const struct priced *entry;
 
@@ -150,16 +166,17 @@
 				    g_array_index(priced, struct priced, 0)
 					    .price)
 			break;
-		g_array_append_val(boundary->near, entry->index);
+		g_array_append_val(boundary->near[is_long], entry->index);
 		sum += entry->price;
 	}
-	boundary->price = i ? sum / i : boundary->to_go;
+	boundary->price[is_long] = i ? sum / i : boundary->to_go;
 }
 
 static void reprice(struct wf_ctx *ctx, struct tgt_targets *targets,
 		    struct chn_model *model)
 {
 	GArray *priced = g_array_new(FALSE, FALSE, sizeof(struct priced));
+	int is_long;
 	size_t at;
 
 	adapt_scarcity(ctx, targets, model);
@@ -170,8 +187,10 @@
 					  struct chn_boundary, at);
 		if (boundary->layer == model->n_layers)
 			continue;
-		price_all(ctx, targets, model, at, priced);
-		keep_near(boundary, priced);
+		for (is_long = 0; is_long < 2; is_long++) {
+			price_all(ctx, targets, model, at, is_long, priced);
+			keep_near(boundary, is_long, priced);
+		}
 	}
 	g_array_unref(priced);
 }
--- a/src/sched/tgt_load.c
+++ b/src/sched/tgt_load.c
@@ -59,36 +59,55 @@
 	return MAX(target->slots * share, 1);
 }
 
-/*
- * Engines serve short requests first. Where long ones run, short ones get no
- * more than this part of the slots, so that the long ones do not starve.
- */
-static bool leaves_long_share(const struct tgt_target *target, double places,
-			      double used, double load)
+static struct chn_model *model_of(const struct tgt_targets *targets,
+				  const struct tgt_target *target)
 {
-	double part;
+	return g_hash_table_lookup(targets->models, target->serves);
+}
 
-	if (target->own_long_load <= 0 || target->own_load <= 0)
-		return true;
-	part = 1 - target->own_long_load / target->own_load;
-	return used * part + load <= TGT_SHORT_SHARE * places;
+double tgt_long_load(const struct wf_ctx *ctx,
+		     const struct tgt_targets *targets,
+		     const struct tgt_target *target)
+{
+	const struct chn_model *model = model_of(targets, target);
+	double foreign = tgt_load(ctx, targets, target) - target->own_load;
+
+	if (!model || model->own_load <= 0)
+		return target->own_long_load;
+	return target->own_long_load +
+	       foreign * model->own_long_load / model->own_load;
 }
 
 /* While short requests come, long ones leave them a part of the slots. */
-static bool leaves_short_share(const struct wf_ctx *ctx,
-			       const struct tgt_targets *targets,
-			       const struct tgt_target *target, double places,
-			       double used, double load)
+static bool long_has_room(const struct wf_ctx *ctx,
+			  const struct tgt_targets *targets,
+			  const struct tgt_target *target, double places,
+			  double load)
 {
-	const struct chn_model *model =
-		g_hash_table_lookup(targets->models, target->serves);
-	double part;
+	const struct chn_model *model = model_of(targets, target);
+	double used = tgt_long_load(ctx, targets, target);
 
-	if (!model || ctx->now - model->last_short > TGT_SHORT_MEMORY ||
-	    target->own_load <= 0)
+	if (!model || ctx->now - model->last_short > TGT_SHORT_MEMORY)
 		return true;
-	part = target->own_long_load / target->own_load;
-	return used * part + load <= MAX(TGT_LONG_SHARE * places, load);
+	return used + load <= TGT_LONG_SHARE * places || used <= 0;
+}
+
+/*
+ * Engines serve short requests first, so that long ones take no room from
+ * them. Where long ones run, short ones get no more than a part of the slots,
+ * so that the long ones do not starve.
+ */
+static bool short_has_room(const struct wf_ctx *ctx,
+			   const struct tgt_targets *targets,
+			   const struct tgt_target *target, double places,
+			   double load)
+{
+	double used = tgt_load(ctx, targets, target);
+	double long_load = tgt_long_load(ctx, targets, target);
+
+	if (long_load > 0)
+		return used - long_load + load <= TGT_SHORT_SHARE * places;
+	return used + load <= places * target->window;
 }
 
 bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
@@ -99,13 +118,13 @@
 	double used = tgt_load(ctx, targets, target);
 	double share = limit / MAX(ctx->peers->len, 1);
 
-	if (is_long &&
-	    !leaves_short_share(ctx, targets, target, places, used, load))
-		return false;
-	if (!is_long && !leaves_long_share(target, places, used, load))
-		return false;
-	return used + load <= limit || target->own_load + load <= share ||
-	       used <= 0;
+	if (used <= 0)
+		return true;
+	if (!is_long)
+		return short_has_room(ctx, targets, target, places, load) ||
+		       target->own_load + load <= share;
+	return long_has_room(ctx, targets, target, places, load) &&
+	       (used + load <= limit || target->own_load + load <= share);
 }
 
 void tgt_charge(struct wf_ctx *ctx, struct tgt_targets *targets,
@@ -119,9 +138,12 @@
 	target->started_since_report += load;
 	if (is_long)
 		target->own_long_load += load;
-	if (model)
-		model->own_load += load;
-	if (model && !is_long)
+	if (!model)
+		return;
+	model->own_load += load;
+	if (is_long)
+		model->own_long_load += load;
+	else
 		model->last_short = ctx->now;
 }
 
@@ -139,6 +161,8 @@
 		target->own_long_load = MAX(target->own_long_load - load, 0);
 	if (model)
 		model->own_load = MAX(model->own_load - load, 0);
+	if (model && is_long)
+		model->own_long_load = MAX(model->own_long_load - load, 0);
 	if (!target->own_requests)
 		target->own_load = target->own_long_load = 0;
 	targets->revision++;
--- a/src/sched/tgt_load.h
+++ b/src/sched/tgt_load.h
@@ -15,6 +15,14 @@
 double tgt_load(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		const struct tgt_target *target);
 
+/*
+ * The part of tgt_load() that is long requests. Reports do not tell; other
+ * instances are taken to have the same mix as this one.
+ */
+double tgt_long_load(const struct wf_ctx *ctx,
+		     const struct tgt_targets *targets,
+		     const struct tgt_target *target);
+
 /* Slots that count now: fewer during slow start and half-open recovery. */
 double tgt_places(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		  const struct tgt_target *target);
--- a/tests/bench/sched_bench.c
+++ b/tests/bench/sched_bench.c
@@ -438,6 +438,7 @@
 
 #define HOL_START 15000
 #define HOL_END 45000
+#define HOL_RAMP 10000
 #define HOL_SHORT 0.3
 
 struct hol {
@@ -445,7 +446,10 @@
 	double first; /* p99 until the first token, ms */
 };
 
-/* Long calls at more than the capacity from the start, or none. */
+/*
+ * Long calls at the capacity besides the short ones, or none. Four times as
+ * many in the first seconds, because they take minutes to add up.
+ */
 static void run_mix(struct sload *load, bool with_long, clk_ms until)
 {
 	double per_long = load->per_call * SLOAD_LONG_FACTOR;
@@ -454,7 +458,9 @@
 	load->long_part = 0;
 	while (emod_now(load->emod) < until) {
 		sload_run(load, HOL_SHORT, emod_now(load->emod) + 100);
-		debt += with_long ? load->capacity * 0.1 / per_long : 0;
+		if (with_long)
+			debt += load->capacity * 0.1 / per_long *
+				(emod_now(load->emod) < HOL_RAMP ? 4 : 1);
 		for (; debt >= 1; debt -= 1)
 			sload_submit(load, true);
 	}
--- a/tests/support/engine_model.c
+++ b/tests/support/engine_model.c
@@ -7,6 +7,8 @@
 #define CALLER_US 1000
 #define EXPORT_US 5000
 #define BUSY_US 200
+/* A prompt is computed in parts, with other steps in between. */
+#define CHUNK_TOKENS 8.0
 #define MAX_PREFIXES 64
 #define CACHED_PART 0.8
 
@@ -47,6 +49,7 @@
 	struct wf_action *action;
 	struct wf_report report;
 	struct emod_record record;
+	double left; /* work of the step in tokens, 0: not begun */
 	void (*call)(struct emod *, void *);
 	void *user;
 };
@@ -354,11 +357,19 @@
 			     1000 * emod->detect_head);
 }
 
+static void queue_step(struct emod_engine *engine, const struct timer *timer)
+{
+	unsigned priority = MIN(timer->stream->priority, EMOD_PRIORITIES - 1);
+
+	g_queue_push_tail(&engine->queue[priority],
+			  g_memdup2(timer, sizeof(*timer)));
+	engine->queued++;
+}
+
 static void arrive(struct emod *emod, const struct timer *timer)
 {
 	struct stream *stream = timer->stream;
 	struct emod_engine *engine = timer->engine;
-	struct timer *step;
 
 	if (timer->turn != stream->turn)
 		return;
@@ -383,11 +394,7 @@
 		push(emod, *timer, BUSY_US);
 		return;
 	}
-	step = g_memdup2(timer, sizeof(*timer));
-	g_queue_push_tail(
-		&engine->queue[MIN(stream->priority, EMOD_PRIORITIES - 1)],
-		step);
-	engine->queued++;
+	queue_step(engine, timer);
 	start_steps(emod, engine);
 }
 
@@ -417,13 +424,18 @@
 	record.first_layer = at->first_layer;
 	record.last_layer = at->last_layer;
 	layers = at->last_layer - at->first_layer + 1;
-	us = 1 + extra_tokens(emod, stream, step->stage, engine, &record);
+	if (step->left <= 0) {
+		step->left = 1 + extra_tokens(emod, stream, step->stage, engine,
+					      &record);
+		step->record = record;
+	}
+	us = MIN(step->left, CHUNK_TOKENS);
+	step->left -= us;
 	us *= engine->step_us * engine->slow * layers /
 	      (engine->last_layer - engine->first_layer + 1);
 	engine->busy_us += us;
-	if (at->kv == WF_KV_IMPORT && stream->first_pass)
+	if (at->kv == WF_KV_IMPORT && stream->first_pass && step->left <= 0)
 		us += EXPORT_US;
-	step->record = record;
 	set_busy(engine, stream->call_id, stream->position + 1);
 	engine->running++;
 	step->type = TIMER_DONE;
@@ -454,7 +466,14 @@
 			lose_stage(emod, stream, timer->stage, engine);
 		return;
 	}
+	if (timer->left > 0 && timer->turn == stream->turn) {
+		queue_step(engine, timer);
+		start_steps(emod, engine);
+		return;
+	}
 	start_steps(emod, engine);
+	if (timer->left > 0)
+		return;
 	if (emod->keep_records)
 		g_array_append_val(emod->records, timer->record);
 	if (kv_done(engine, stream->call_id) <= timer->record.position)
