--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -275,6 +275,16 @@
 	say "five entry instances start"
 }
 
+# Whether an instance knows the engines already.
+is_serving()
+{
+	curl -sS -f -o /dev/null -m 5 -H "Authorization: Bearer $token" \
+		-H 'Content-Type: application/json' -d "{\"model\":\"$model\",
+		\"max_tokens\":1,\"messages\":[{\"role\":\"user\",
+		\"content\":\"Are you there?\"}]}" \
+		"http://$(caller_address "$1")/v1/chat/completions" 2>/dev/null
+}
+
 send_model_request()
 {
 	say "a streamed model request at entry-1:"
@@ -330,6 +340,11 @@
 	wait_for "entry-$n" is_ready $n
 done
 say "all five entry instances are ready"
+for n in 1 2 3 4 5
+do
+	wait_for "an answer of entry-$n" is_serving $n
+done
+say "all five entry instances serve model requests"
 
 send_model_request
 send_bookings
