--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -15,6 +15,7 @@
 	config->call_time = 20;
 	config->view_delay = 200;
 	config->plan_pause = SIM_PAUSE_LONG;
+	config->plan_action_pause = SIM_PAUSE_LONG;
 	config->plan_delay = 3 * CLK_SECOND;
 }
 
@@ -450,7 +451,7 @@
 	if (fault == SIM_FAULT_KILL)
 		sim_kill(sim, instance->index);
 	else if (fault == SIM_FAULT_PAUSE)
-		sim_pause(sim, instance->index, sim->config.plan_pause);
+		sim_pause(sim, instance->index, sim->config.plan_action_pause);
 	if (!instance->alive)
 		return;
 	if (fault == SIM_FAULT_DELAY)
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -75,12 +75,13 @@
 	unsigned n_modules;
 	void *user;
 	struct sim_faults faults;
-	clk_ms peer_latency;  /* largest, one way */
-	clk_ms store_latency; /* largest, one way */
-	clk_ms call_time;     /* largest run time of a call */
-	clk_ms view_delay;    /* largest age of views of instances */
-	clk_ms max_skew;      /* clocks differ by at most this */
-	clk_ms plan_pause;
+	clk_ms peer_latency;	  /* largest, one way */
+	clk_ms store_latency;	  /* largest, one way */
+	clk_ms call_time;	  /* largest run time of a call */
+	clk_ms view_delay;	  /* largest age of views of instances */
+	clk_ms max_skew;	  /* clocks differ by at most this */
+	clk_ms plan_pause;	  /* at events */
+	clk_ms plan_action_pause; /* between a decision and its action */
 	clk_ms plan_delay;
 	bool trace; /* steps to stderr */
 };
