--- a/src/state/clm_private.h
+++ b/src/state/clm_private.h
@@ -279,6 +279,7 @@
 struct clm_sweep {
 	uint64_t next_group; /* newest group not listed yet */
 	uint64_t back_group; /* older groups, after an outage */
+	unsigned steps;
 	clk_ms wake;
 	uint64_t op;
 	clk_ms op_limit;
--- a/src/state/clm_sweep.c
+++ b/src/state/clm_sweep.c
@@ -10,7 +10,9 @@
 #define GROUP_WINDOWS 10
 /* Groups looked at again after an outage: those of this long. */
 #define BACKLOG_MS (48 * CLK_HOUR)
-/* One group of the backlog is listed in this many steps. */
+/* The backlog is listed once in this many steps. */
+#define BACKLOG_STEPS 10
+/* A reply later than this many timeouts counts as lost. */
 #define REPLY_LOST_FACTOR 2
 #define MAX_VICTIMS 1024
 
@@ -85,6 +87,8 @@
 		if (owns_group(ctx, *group))
 			return true;
 	}
+	if (sweep->steps++ % BACKLOG_STEPS)
+		return false;
 	while (sweep->back_group < newest) {
 		*group = sweep->back_group++;
 		if (owns_group(ctx, *group))
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include "sim.h"
 
@@ -108,10 +109,19 @@
 static void drain_actions(struct sim *sim, struct sim_instance *instance);
 static void schedule_tick(struct sim *sim, struct sim_instance *instance);
 
+static uint64_t real_time_ns(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000000000 + (uint64_t)now.tv_nsec;
+}
+
 static void handle(struct sim *sim, struct sim_instance *instance,
 		   const struct wf_event *event, uint64_t op)
 {
 	unsigned generation = instance->generation;
+	uint64_t start = sim->config.measure ? real_time_ns() : 0;
 	guint i;
 
 	instance->ctx->now = sim->now + instance->skew;
@@ -121,6 +131,9 @@
 		if (!op || wf_op_module(op) == module->id)
 			module->ops->handle(instance->ctx, module, event);
 	}
+	if (sim->config.measure)
+		sim->counts.handle_ns += real_time_ns() - start;
+	sim->counts.events++;
 	drain_actions(sim, instance);
 	if (sim_find_instance(sim, instance->index, generation))
 		schedule_tick(sim, instance);
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -83,7 +83,8 @@
 	clk_ms plan_pause;	  /* at events */
 	clk_ms plan_action_pause; /* between a decision and its action */
 	clk_ms plan_delay;
-	bool trace; /* steps to stderr */
+	bool trace;   /* steps to stderr */
+	bool measure; /* real time spent in the modules */
 };
 
 void sim_config_init(struct sim_config *config);
@@ -178,6 +179,8 @@
 	uint64_t peer_frames;
 	uint64_t peer_bytes;
 	size_t largest_value;
+	uint64_t handle_ns; /* real time in the modules, if measured */
+	uint64_t events;
 };
 
 struct sim {
