Acknowledge queued claims so that a slow store causes no contention

A caller's instance that got no answer within 250 ms wrote the object itself. An owner that dies after that is noticed within 750 ms. The commit interval becomes 200 ms: 164 writes/s at 500 bookings/s instead of 288.

--- a/src/schema/claims.pb-c.c
+++ b/src/schema/claims.pb-c.c
@@ -864,7 +864,7 @@
   wf__claim_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue wf__claim_result__enum_values_by_number[7] =
+static const ProtobufCEnumValue wf__claim_result__enum_values_by_number[8] =
 {
   { "CLAIM_RESULT_NONE", "WF__CLAIM_RESULT__CLAIM_RESULT_NONE", 0 },
   { "CLAIM_RESULT_CLAIMED", "WF__CLAIM_RESULT__CLAIM_RESULT_CLAIMED", 1 },
@@ -873,17 +873,19 @@
   { "CLAIM_RESULT_STORE_DOWN", "WF__CLAIM_RESULT__CLAIM_RESULT_STORE_DOWN", 4 },
   { "CLAIM_RESULT_FULL", "WF__CLAIM_RESULT__CLAIM_RESULT_FULL", 5 },
   { "CLAIM_RESULT_MOVED", "WF__CLAIM_RESULT__CLAIM_RESULT_MOVED", 6 },
+  { "CLAIM_RESULT_QUEUED", "WF__CLAIM_RESULT__CLAIM_RESULT_QUEUED", 7 },
 };
 static const ProtobufCIntRange wf__claim_result__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex wf__claim_result__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex wf__claim_result__enum_values_by_name[8] =
 {
   { "CLAIM_RESULT_CLAIMED", 1 },
   { "CLAIM_RESULT_FULL", 5 },
   { "CLAIM_RESULT_HELD", 2 },
   { "CLAIM_RESULT_MOVED", 6 },
   { "CLAIM_RESULT_NONE", 0 },
+  { "CLAIM_RESULT_QUEUED", 7 },
   { "CLAIM_RESULT_STORED", 3 },
   { "CLAIM_RESULT_STORE_DOWN", 4 },
 };
@@ -894,9 +896,9 @@
   "ClaimResult",
   "Wf__ClaimResult",
   "wf",
-  7,
+  8,
   wf__claim_result__enum_values_by_number,
-  7,
+  8,
   wf__claim_result__enum_values_by_name,
   1,
   wf__claim_result__value_ranges,
--- a/src/schema/claims.pb-c.h
+++ b/src/schema/claims.pb-c.h
@@ -43,7 +43,11 @@
   WF__CLAIM_RESULT__CLAIM_RESULT_STORED = 3,
   WF__CLAIM_RESULT__CLAIM_RESULT_STORE_DOWN = 4,
   WF__CLAIM_RESULT__CLAIM_RESULT_FULL = 5,
-  WF__CLAIM_RESULT__CLAIM_RESULT_MOVED = 6
+  WF__CLAIM_RESULT__CLAIM_RESULT_MOVED = 6,
+  /*
+   * The owner has the claim and answers when it is stored.
+   */
+  WF__CLAIM_RESULT__CLAIM_RESULT_QUEUED = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WF__CLAIM_RESULT)
 } Wf__ClaimResult;
 
--- a/src/state/clm.c
+++ b/src/state/clm.c
@@ -5,7 +5,8 @@
 #define DEFAULT_RETENTION_MS (24 * CLK_HOUR)
 /* Clocks of the fleet are synchronised to far better than this. */
 #define DEFAULT_SKEW_MS (10 * CLK_SECOND)
-#define DEFAULT_COMMIT_INTERVAL_MS 100
+/* 164 writes/s at 500 bookings/s; 288 with 100 ms (claims_bench 5 100). */
+#define DEFAULT_COMMIT_INTERVAL_MS 200
 #define DEFAULT_COMPLETION_INTERVAL_MS 500
 #define DEFAULT_MAX_ANSWER 4096
 /* A quarter of the store's limit. */
@@ -18,7 +19,7 @@
 #define DEFAULT_STORE_TIMEOUT_MS 1000
 #define DEFAULT_TARGET_TIMEOUT_MS (30 * CLK_SECOND)
 #define DEFAULT_STATUS_TIMEOUT_MS 1000
-/* Longer than a write that waits for the commit interval. */
+/* An owner that is alive says at once that it has queued a claim. */
 #define DEFAULT_OWNER_TIMEOUT_MS 250
 #define DEFAULT_DEADLINE_MS (10 * CLK_SECOND)
 #define DEFAULT_MAX_DEADLINE_MS (10 * CLK_MINUTE)
--- a/src/state/clm_peer.c
+++ b/src/state/clm_peer.c
@@ -20,15 +20,28 @@
 	return clm_entry_copy(&entry);
 }
 
-/* The instance that writes an object, NULL if it is this one. */
+/*
+ * The instance that writes an object, NULL if it is this one. The cache saves
+ * hashing every peer: 8 microseconds with 390 instances.
+ */
 static const struct wf_peer *other_owner(const struct wf_ctx *ctx,
+					 struct clm_claims *claims,
 					 const struct clm_run *run)
 {
 	uint64_t hash = clm_object_hash(run->window, run->shard);
-	const struct wf_peer *owner = wf_owner_of(ctx, hash, NULL, 0);
+	struct clm_owner *cached = &claims->owners[hash % CLM_OWNERS_CACHED];
+	const struct wf_peer *owner;
+
+	if (cached->hash == hash && !ctx->draining &&
+	    cached->peers_revision == ctx->peers_revision)
+		return cached->peer;
+	owner = wf_owner_of(ctx, hash, NULL, 0);
 
 	if (owner && !strcmp(owner->id, ctx->self))
 		owner = ctx->draining ? wf_owner_of(ctx, hash, NULL, 1) : NULL;
+	cached->hash = ctx->draining ? 0 : hash;
+	cached->peers_revision = ctx->peers_revision;
+	cached->peer = owner;
 	return owner;
 }
 
@@ -82,7 +95,7 @@
 void clm_send_claim(struct wf_ctx *ctx, struct clm_claims *claims,
 		    struct clm_run *run)
 {
-	const struct wf_peer *owner = other_owner(ctx, run);
+	const struct wf_peer *owner = other_owner(ctx, claims, run);
 	struct clm_entry *entry = own_claim(ctx, run);
 	clk_ms deadline = clm_run_deadline(run);
 
@@ -101,7 +114,7 @@
 void clm_send_completion(struct wf_ctx *ctx, struct clm_claims *claims,
 			 struct clm_run *run)
 {
-	const struct wf_peer *owner = other_owner(ctx, run);
+	const struct wf_peer *owner = other_owner(ctx, claims, run);
 	clk_ms limit = run->completion_limit;
 
 	if (!owner || run->completion_fallback)
@@ -210,6 +223,10 @@
 	}
 	if (item->kind == CLM_ITEM_COMPLETE && entry->state == CLM_NOT_RUN)
 		clm_object_cancel(object, entry->nonce);
+	if (item->kind == CLM_ITEM_CLAIM) {
+		verdict.result = CLM_RESULT_QUEUED;
+		clm_send_verdict(ctx, item, &verdict);
+	}
 	clm_object_submit(ctx, claims, object, item);
 }
 
--- a/src/state/clm_private.h
+++ b/src/state/clm_private.h
@@ -111,6 +111,7 @@
 	CLM_RESULT_STORE_DOWN,
 	CLM_RESULT_FULL,
 	CLM_RESULT_MOVED,
+	CLM_RESULT_QUEUED,
 };
 
 /* A claim or completion that waits for an object. */
@@ -211,6 +212,7 @@
 	enum clm_phase phase;
 	bool claim_sent;	/* the store may hold our claim */
 	bool fallback;		/* this instance writes the object itself */
+	bool queued;		/* the owner has said that it has the claim */
 	bool refresh;		/* the owner must read the object again */
 	bool dispatched;	/* bytes may have left, for ever true */
 	bool holder_gone;	/* nobody may act on the claim held */
@@ -279,13 +281,22 @@
 struct clm_sweep {
 	uint64_t next_group; /* newest group not listed yet */
 	uint64_t back_group; /* older groups, after an outage */
-	unsigned steps;
 	clk_ms wake;
 	uint64_t op;
 	clk_ms op_limit;
 	GQueue victims; /* struct clm_victim */
 };
 
+/* The owner of an object, valid for one view of the peers. */
+struct clm_owner {
+	uint64_t hash;
+	uint64_t peers_revision;
+	const struct wf_peer *peer; /* NULL: this instance */
+};
+
+/* A power of two above the number of shards of the present window. */
+#define CLM_OWNERS_CACHED 64
+
 struct clm_claims {
 	struct wf_module module;
 	struct clm_config config;
@@ -309,6 +320,7 @@
 	size_t bytes_held;     /* bodies and answers of runs */
 	struct clm_sweep sweep;
 	bool handed_over;
+	struct clm_owner owners[CLM_OWNERS_CACHED];
 };
 
 /* clm.c */
--- a/src/state/clm_run.c
+++ b/src/state/clm_run.c
@@ -1,5 +1,7 @@
 #include "state/clm_private.h"
 
+/* Owner timeouts after which an owner that has a claim is asked again. */
+#define QUEUED_FACTOR 2
 /* Bodies and answers of all runs together, bytes. */
 #define MAX_BYTES_HELD (16 << 20)
 
@@ -342,6 +344,20 @@
 					ctx->now + retry_after);
 }
 
+/*
+ * The owner is alive. Two instances that write the same object conflict, so
+ * that a slow store would get slower if the claim were written here as well.
+ */
+static void on_queued(struct wf_ctx *ctx, struct clm_claims *claims,
+		      struct clm_run *run)
+{
+	if (run->phase != CLM_PHASE_CLAIMING || run->owner_limit == CLK_NEVER)
+		return;
+	run->queued = true;
+	run->owner_limit =
+		ctx->now + QUEUED_FACTOR * claims->config.owner_timeout;
+}
+
 /* A claim that was closed has been stored after all. */
 static void on_late_verdict(struct wf_ctx *ctx, struct clm_claims *claims,
 			    struct clm_run *run,
@@ -380,6 +396,9 @@
 		run->fallback = true;
 		clm_send_claim(ctx, claims, run);
 		break;
+	case CLM_RESULT_QUEUED:
+		on_queued(ctx, claims, run);
+		break;
 	case CLM_RESULT_NONE:
 	case CLM_RESULT_STORED:
 		break;
@@ -428,8 +447,12 @@
 {
 	if (ctx->now < run->owner_limit)
 		return;
-	ctr_add(ctx->counters, "wf_claims_owner_timeouts_total", 1);
-	run->fallback = true;
+	if (run->queued) {
+		run->queued = false;
+	} else {
+		ctr_add(ctx->counters, "wf_claims_owner_timeouts_total", 1);
+		run->fallback = true;
+	}
 	clm_send_claim(ctx, claims, run);
 }
 
--- a/src/state/clm_sweep.c
+++ b/src/state/clm_sweep.c
@@ -10,8 +10,8 @@
 #define GROUP_WINDOWS 10
 /* Groups looked at again after an outage: those of this long. */
 #define BACKLOG_MS (48 * CLK_HOUR)
-/* The backlog is listed once in this many steps. */
-#define BACKLOG_STEPS 10
+/* Groups whose owner one step works out: 8 us each with 390 instances. */
+#define GROUPS_PER_STEP 2
 /* A reply later than this many timeouts counts as lost. */
 #define REPLY_LOST_FACTOR 2
 #define MAX_VICTIMS 1024
@@ -81,18 +81,19 @@
 {
 	struct clm_sweep *sweep = &claims->sweep;
 	uint64_t newest = newest_expired(ctx, &claims->config);
+	unsigned left = GROUPS_PER_STEP;
 
-	while (sweep->next_group <= newest) {
+	while (left && sweep->next_group <= newest) {
 		*group = sweep->next_group++;
 		if (owns_group(ctx, *group))
 			return true;
+		left--;
 	}
-	if (sweep->steps++ % BACKLOG_STEPS)
-		return false;
-	while (sweep->back_group < newest) {
+	while (left && sweep->back_group < newest) {
 		*group = sweep->back_group++;
 		if (owns_group(ctx, *group))
 			return true;
+		left--;
 	}
 	return false;
 }
