Give long requests the slowest half of the engines while short ones come

Long requests now run on the slowest engines that hold half of each layer's capacity, up to 0.9 of their slots, and everywhere once no short request came for 5 s. Reports are smoothed, because each is one sample.

--- a/src/sched/chn.c
+++ b/src/sched/chn.c
@@ -73,9 +73,14 @@
 static bool has_room(const struct planner *p, const struct tgt_target *target,
 		     double us)
 {
+	struct tgt_demand demand = {
+		.load = us / p->token_us,
+		.is_long = p->query->is_long,
+		.restricted = p->query->data_centers != NULL,
+	};
+
 	return !p->need_room ||
-	       tgt_has_room(p->ctx, p->targets, target, us / p->token_us,
-			    p->query->is_long);
+	       tgt_has_room(p->ctx, p->targets, target, &demand);
 }
 
 static double hop_us(const struct tgt_config *config, unsigned from,
--- a/src/sched/chn_model.c
+++ b/src/sched/chn_model.c
@@ -201,6 +201,77 @@
 	mark_start(boundary, targets->data_centers->len);
 }
 
+/*
+ * Part of each layer's capacity that long requests may use while short ones
+ * come. They get the slowest engines, so that short ones keep the others to
+ * themselves and are not slowed down.
+ */
+#define CHN_LONG_PART 0.5
+
+static double layer_us(const struct tgt_target *target)
+{
+	return target->step_us / (target->last_layer - target->first_layer + 1);
+}
+
+static gint compare_slowness(gconstpointer a, gconstpointer b)
+{
+	const struct tgt_target *left = *(struct tgt_target *const *)a;
+	const struct tgt_target *right = *(struct tgt_target *const *)b;
+
+	if (layer_us(left) != layer_us(right))
+		return layer_us(left) > layer_us(right) ? -1 : 1;
+	return strcmp(left->id, right->id);
+}
+
+static bool covers(const struct tgt_target *target, unsigned layer)
+{
+	return !target->leaving && target->first_layer <= layer &&
+	       target->last_layer >= layer;
+}
+
+/* Opens targets that hold a layer, slowest first, up to the long part. */
+static void open_for_long(const GPtrArray *slowest, unsigned layer)
+{
+	double total = 0;
+	double opened = 0;
+	guint i;
+
+	for (i = 0; i < slowest->len; i++) {
+		const struct tgt_target *target = slowest->pdata[i];
+
+		if (!covers(target, layer))
+			continue;
+		total += target->slots / layer_us(target);
+		if (target->takes_long)
+			opened += target->slots / layer_us(target);
+	}
+	for (i = 0; i < slowest->len && opened < CHN_LONG_PART * total; i++) {
+		struct tgt_target *target = slowest->pdata[i];
+
+		if (!covers(target, layer) || target->takes_long)
+			continue;
+		target->takes_long = true;
+		opened += target->slots / layer_us(target);
+	}
+}
+
+static void choose_for_long(struct chn_model *model)
+{
+	GPtrArray *slowest = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < model->targets->len; i++) {
+		struct tgt_target *target = model->targets->pdata[i];
+
+		target->takes_long = false;
+		g_ptr_array_add(slowest, target);
+	}
+	g_ptr_array_sort(slowest, compare_slowness);
+	for (i = 0; i + 1 < model->boundaries->len; i++)
+		open_for_long(slowest, boundary_at(model, i)->layer);
+	g_ptr_array_unref(slowest);
+}
+
 static void rebuild(struct tgt_targets *targets, struct chn_model *model)
 {
 	guint i;
@@ -217,6 +288,7 @@
 		boundary_at(model, i)->price[0] = boundary_at(model, i)->to_go;
 		boundary_at(model, i)->price[1] = boundary_at(model, i)->to_go;
 	}
+	choose_for_long(model);
 	if (model->token_us <= 0)
 		model->token_us =
 			g_array_index(model->boundaries, struct chn_boundary, 0)
--- a/src/sched/chn_price.c
+++ b/src/sched/chn_price.c
@@ -49,7 +49,7 @@
 }
 
 /* Engines serve short requests first, so that long ones delay them little. */
-#define CHN_LONG_DELAY 0.3
+#define CHN_LONG_DELAY 1.0
 
 double chn_factor(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		  const struct tgt_target *target, bool is_long)
--- a/src/sched/tgt.h
+++ b/src/sched/tgt.h
@@ -31,6 +31,7 @@
 	unsigned slots;
 	double step_us;	   /* over the held range */
 	double listed_us;  /* step_us as the list states it */
+	bool takes_long;   /* also while short requests come */
 	double planned_us; /* step_us that the plans were made with */
 	/* own requests in flight; load is in steps at once */
 	unsigned own_requests;
--- a/src/sched/tgt_digest.c
+++ b/src/sched/tgt_digest.c
@@ -16,6 +16,8 @@
 #define POLL_PERIOD_MAX (5 * CLK_SECOND)
 /* A changed step time above this factor changes the plans. */
 #define STEP_CHANGE 1.25
+/* A report is a sample of a load that varies from step to step. */
+#define FOREIGN_SMOOTHING 0.3
 #define POLL_TIMEOUT 500
 
 static uint64_t target_hash(const struct tgt_target *target)
@@ -54,7 +56,9 @@
 {
 	target->running = running;
 	target->queued = queued;
-	target->foreign_load = MAX(running + queued - target->own_load, 0);
+	target->foreign_load += FOREIGN_SMOOTHING *
+				(MAX(running + queued - target->own_load, 0) -
+				 target->foreign_load);
 	target->started_since_report = 0;
 	target->reported_at = at;
 	// tgt_adapt_window(target);
--- a/src/sched/tgt_load.c
+++ b/src/sched/tgt_load.c
@@ -10,7 +10,7 @@
 /* Least part of the slots that a new or recovered target gets. */
 #define TGT_LEAST_SHARE 0.1
 #define TGT_SHORT_SHARE 0.9
-#define TGT_LONG_SHARE 0.5
+#define TGT_LONG_SHARE 0.9
 #define TGT_SHORT_MEMORY (5 * CLK_SECOND)
 /*
  * Steps admitted at once for each slot. A chain spends part of its time at
@@ -82,14 +82,16 @@
 static bool long_has_room(const struct wf_ctx *ctx,
 			  const struct tgt_targets *targets,
 			  const struct tgt_target *target, double places,
-			  double load)
+			  const struct tgt_demand *demand)
 {
 	const struct chn_model *model = model_of(targets, target);
 	double used = tgt_long_load(ctx, targets, target);
 
 	if (!model || ctx->now - model->last_short > TGT_SHORT_MEMORY)
 		return true;
-	return used + load <= TGT_LONG_SHARE * places || used <= 0;
+	if (!target->takes_long && !demand->restricted)
+		return false;
+	return used + demand->load <= TGT_LONG_SHARE * places;
 }
 
 /*
@@ -111,19 +113,22 @@
 }
 
 bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct tgt_target *target, double load, bool is_long)
+		  const struct tgt_target *target,
+		  const struct tgt_demand *demand)
 {
 	double places = tgt_places(ctx, targets, target);
 	double limit = places * target->window;
 	double used = tgt_load(ctx, targets, target);
+	double load = demand->load;
 	double share = limit / MAX(ctx->peers->len, 1);
 
+	/* An idle target takes anything; its own share is never refused. */
 	if (used <= 0)
 		return true;
-	if (!is_long)
+	if (!demand->is_long)
 		return short_has_room(ctx, targets, target, places, load) ||
 		       target->own_load + load <= share;
-	return long_has_room(ctx, targets, target, places, load) &&
+	return long_has_room(ctx, targets, target, places, demand) &&
 	       (used + load <= limit || target->own_load + load <= share);
 }
 
--- a/src/sched/tgt_load.h
+++ b/src/sched/tgt_load.h
@@ -27,9 +27,17 @@
 double tgt_places(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		  const struct tgt_target *target);
 
-/* Whether a request of that load may start at the target now. */
+/* What a request wants of a target. */
+struct tgt_demand {
+	double load; /* steps at once */
+	bool is_long;
+	bool restricted; /* to some data centres */
+};
+
+/* Whether a request may start at the target now. */
 bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct tgt_target *target, double load, bool is_long);
+		  const struct tgt_target *target,
+		  const struct tgt_demand *demand);
 
 /* Adds (or with a negative load removes) an own request. */
 void tgt_charge(struct wf_ctx *ctx, struct tgt_targets *targets,
