--- a/tests/contract_engine_wire_test.c
+++ b/tests/contract_engine_wire_test.c
@@ -274,6 +274,47 @@
 }
 END_TEST
 
+static bool step_is_running(void *data)
+{
+	json_t *json = sup_get_json(engines[1].address, "/admin/state");
+	bool running = sup_json_int(json, "steps_running") == 1;
+
+	(void)data;
+	json_decref(json);
+	return running;
+}
+
+/* Guards against a step that is requested again while it runs. */
+START_TEST(test_step_in_progress)
+{
+	static const char *const options[] = {"--step-us", "150000", NULL};
+	struct sup_query query = {.path = "/v1/step"};
+	struct sup_request *first;
+	struct sup_answer answers[2];
+	char *body;
+
+	start_with(options);
+	body = g_strdup_printf(
+		"{\"request\":\"%s\",\"lineage\":1,\"position\":0,"
+		"\"first_layer\":20,\"last_layer\":39,\"kv\":\"fresh\","
+		"\"kv_source\":\"\",\"input\":\"00000000000000ff:20\"}",
+		request);
+	query.address = engines[1].address;
+	query.body = body;
+	first = sup_send(&query);
+	ck_assert(sup_wait(step_is_running, NULL, BOUND_MS));
+	sup_http(&query, &answers[1]);
+	sup_finish(first, &answers[0]);
+	ck_assert_ptr_nonnull(strstr(answers[0].body->str, "\"run\""));
+	ck_assert_ptr_nonnull(strstr(answers[1].body->str, "\"resumed\""));
+	ck_assert_uint_eq(sup_count_steps(&engines[1], request, -1, "run"), 1);
+	sup_answer_clear(&answers[0]);
+	sup_answer_clear(&answers[1]);
+	g_free(body);
+	stop();
+}
+END_TEST
+
 struct flaw_case {
 	unsigned skip; /* stage that is left out */
 	bool swap;     /* first two stages in the wrong order */
@@ -1227,6 +1268,7 @@
 	ADD_LOOP(tcase, test_recovery_split, split_cases);
 	tcase_add_test(tcase, test_recovery_adopts_step);
 	tcase_add_test(tcase, test_import_by_list);
+	tcase_add_test(tcase, test_step_in_progress);
 	ADD_LOOP(tcase, test_stage_fault, lost_cases);
 	ADD_LOOP(tcase, test_stream_fault, stream_cases);
 	tcase_add_test(tcase, test_pause_at_step);
--- a/tests/contract_wire_test.c
+++ b/tests/contract_wire_test.c
@@ -972,6 +972,35 @@
 }
 END_TEST
 
+/* Guards against two runs of a key whose calls overlap. */
+START_TEST(test_service_overlap)
+{
+	static const char *const options[] = {"--idempotent", "--delay-ms",
+					      "150", NULL};
+	struct sup_query query = {
+		.method = "POST", .path = "/call/book", .body = "{}"};
+	struct sup_request *first;
+	struct sup_answer answers[2];
+	char *header;
+
+	start("service", options);
+	header = g_strdup_printf("Idempotency-Key: k%u", unique);
+	query.address = address;
+	query.header = header;
+	first = sup_send(&query);
+	ck_assert(sup_wait_calls(address, "POST /call/", 1, BOUND_MS));
+	sup_http(&query, &answers[1]);
+	sup_finish(first, &answers[0]);
+	ck_assert_int_eq(answers[0].status, 200);
+	ck_assert_str_eq(answers[0].body->str, answers[1].body->str);
+	ck_assert_int_eq(runs_of("k"), 1);
+	sup_answer_clear(&answers[0]);
+	sup_answer_clear(&answers[1]);
+	g_free(header);
+	stop();
+}
+END_TEST
+
 /* Guards against a call without a key that runs. */
 START_TEST(test_service_needs_key)
 {
@@ -1147,6 +1176,7 @@
 	tcase_add_test(tcase, test_list_lag);
 	tcase_add_test(tcase, test_list_stale);
 	ADD_LOOP(tcase, test_service_runs, service_cases);
+	tcase_add_test(tcase, test_service_overlap);
 	tcase_add_test(tcase, test_service_status);
 	tcase_add_test(tcase, test_service_without_status);
 	tcase_add_test(tcase, test_service_leaving);
