--- a/tests/bench/claims_bench.c
+++ b/tests/bench/claims_bench.c
@@ -56,6 +56,8 @@
 static void print_waits(const struct sim *sim, const struct load *load)
 {
 	GArray *waits = g_array_new(FALSE, FALSE, sizeof(clk_ms));
+	guint middle = sim->calls->len / 2;
+	guint late = sim->calls->len * 99 / 100;
 	unsigned refused = 0;
 	guint i;
 
@@ -69,9 +71,9 @@
 	g_array_sort(waits, compare_waits);
 	print(load, "refused", refused, "calls");
 	print(load, "answer_p50",
-	      (double)g_array_index(waits, clk_ms, waits->len / 2), "ms");
+	      (double)g_array_index(waits, clk_ms, middle), "ms");
 	print(load, "answer_p99",
-	      (double)g_array_index(waits, clk_ms, waits->len * 99 / 100),
+	      (double)g_array_index(waits, clk_ms, late),
 	      "ms");
 	g_array_unref(waits);
 }
--- a/tests/bench/control_bench.c
+++ b/tests/bench/control_bench.c
@@ -14,7 +14,7 @@
 
 #include "support/control.h"
 
-#define EDIT_INTERVAL_MS (24 * CLK_HOUR / 2800)
+#define EDIT_INTERVAL_MS 30857 /* 24 h by 2,800 changes a day */
 #define N_EDITS 10
 #define N_ORGS 2000
 
--- a/tests/bench/sched_bench.c
+++ b/tests/bench/sched_bench.c
@@ -461,8 +461,10 @@
 		if (with_long)
 			debt += load->capacity * 0.1 / per_long *
 				(emod_now(load->emod) < HOL_RAMP ? 4 : 1);
-		for (; debt >= 1; debt -= 1)
+		while (debt >= 1) {
+			debt -= 1;
 			sload_submit(load, true);
+		}
 	}
 }
 
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -85,8 +85,8 @@
 	clk_ms plan_delay;
 	bool modules_set_peers;	 /* a membership module sets the peers */
 	unsigned n_data_centers; /* instances are spread over them in turn */
-	bool trace;   /* steps to stderr */
-	bool measure; /* real time spent in the modules */
+	bool trace;		 /* steps to stderr */
+	bool measure;		 /* real time spent in the modules */
 };
 
 void sim_config_init(struct sim_config *config);
