--- a/src/core/core.c
+++ b/src/core/core.c
@@ -109,6 +109,7 @@
 	struct lim_config lim_config;
 	struct clm_config clm_config;
 	struct run_config run_config;
+	struct dut_config dut_config;
 	struct wf_ctx *ctx = core->ctx;
 
 	mem_config_init(&mem_config);
@@ -130,12 +131,18 @@
 	run_config_init(&run_config);
 	run_config.targets = core->targets;
 	core->runs = run_new(ctx, &run_config);
+	core->audit = aud_new(ctx, NULL);
+	dut_config_init(&dut_config);
+	dut_config.sink = aud_sink_of(core->audit);
+	core->duties = dut_new(ctx, &dut_config);
 	add_module(core, mem_module(core->members));
 	add_module(core, dst_module(core->distribution));
 	add_module(core, lim_module(core->limits));
 	add_module(core, clm_module(core->claims));
 	add_module(core, tgt_module(core->targets));
 	add_module(core, run_module(core->runs));
+	add_module(core, aud_module(core->audit));
+	add_module(core, dut_module(core->duties));
 }
 
 static void module_drop(gpointer data)
@@ -209,7 +216,8 @@
 static bool is_idle(const struct wf_core *core)
 {
 	return !g_hash_table_size(core->calls) && run_is_idle(core->runs) &&
-	       clm_is_idle(core->claims);
+	       clm_is_idle(core->claims) && dut_is_idle(core->duties) &&
+	       aud_is_idle(core->audit);
 }
 
 static void advance_phase(struct wf_core *core)
@@ -287,6 +295,7 @@
 	if (core->phase == CORE_DONE)
 		return;
 	route(core, event);
+	core_follow_rules(core);
 	core_deliver_instances(core);
 	advance_phase(core);
 }
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -1,6 +1,7 @@
 #ifndef CORE_PRIVATE_H
 #define CORE_PRIVATE_H
 
+#include <wagtailferry/audit.h>
 #include <wagtailferry/core.h>
 #include <wagtailferry/distribution.h>
 #include <wagtailferry/limits.h>
@@ -35,12 +36,15 @@
 	struct clm_claims *claims;
 	struct tgt_targets *targets;
 	struct run_runs *runs;
+	struct aud_trail *audit;
+	struct dut_duties *duties;
 	GPtrArray *modules;	 /* of struct wf_module, in order of delivery */
 	GHashTable *calls;	 /* id to struct core_call */
 	GArray *instances;	 /* latest list, of struct wf_instance, owned */
 	GHashTable *target_news; /* id to struct core_news */
 	uint64_t list_revision;
-	bool list_changed; /* instances differ from what modules saw */
+	uint64_t followed_revision; /* of the rules, by duties and list */
+	bool list_changed;	    /* instances differ from what modules saw */
 	enum core_phase phase;
 	clk_ms grace_ends;
 	clk_ms drain_ends;
@@ -73,6 +77,10 @@
 /* A target itself said that it is leaving. */
 void core_target_leaving(struct wf_core *core, const char *target);
 
+/* core_duties.c */
+/* Applies what new rules say about targets and orders. */
+void core_follow_rules(struct wf_core *core);
+
 /* core.c */
 void core_broadcast(struct wf_core *core, const struct wf_event *event);
 void core_deliver(struct wf_core *core, enum wf_module_id id,
--- a/src/core/core_targets.c
+++ b/src/core/core_targets.c
@@ -54,6 +54,20 @@
 		item->life = news->life;
 }
 
+/* The operators' statement about a target overrides the list. */
+static void overlay_rules(struct wf_core *core, struct wf_instance *item)
+{
+	const struct rul_set *rules = dst_rules(core->distribution);
+	struct rul_target target;
+
+	if (!rules || !rul_set_target(rules, item->id, &target))
+		return;
+	if (target.states_fencing)
+		item->checks_fencing = target.checks_fencing;
+	if (target.states_sender)
+		item->checks_sender = target.checks_sender;
+}
+
 static bool learn(struct wf_core *core, const char *target,
 		  uint64_t incarnation, enum wf_life life)
 {
@@ -166,9 +180,13 @@
 	if (!core->list_changed)
 		return;
 	core->list_changed = false;
-	for (i = 0; i < core->instances->len; i++)
-		overlay_news(core, &g_array_index(core->instances,
-						  struct wf_instance, i));
+	for (i = 0; i < core->instances->len; i++) {
+		struct wf_instance *item =
+			&g_array_index(core->instances, struct wf_instance, i);
+
+		overlay_news(core, item);
+		overlay_rules(core, item);
+	}
 	event.instances.list =
 		(const struct wf_instance *)(const void *)core->instances->data;
 	event.instances.n = core->instances->len;
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -20,6 +20,7 @@
 	struct rul_manifest *manifest;
 	GBytes *encoded;
 	uint64_t revision;
+	uint64_t put_version;
 	GPtrArray *seen; /* of struct wf_action, everything but store reads */
 };
 
@@ -98,6 +99,17 @@
 		g_bytes_unref(reply.value);
 }
 
+/* Writes always succeed; their values are not kept. */
+static void answer_put(struct rig *rig, const struct wf_action *action)
+{
+	struct wf_store_reply reply = {.op = action->op};
+	struct wf_event event = {.type = WF_EV_STORE_REPLY};
+
+	reply.version = ++rig->put_version;
+	event.store = &reply;
+	send(rig, &event);
+}
+
 static void pump(struct rig *rig)
 {
 	struct wf_action action;
@@ -109,6 +121,8 @@
 			wf_action_clear(&action);
 			continue;
 		}
+		if (action.type == WF_ACT_STORE_PUT)
+			answer_put(rig, &action);
 		g_ptr_array_add(rig->seen, g_memdup2(&action, sizeof(action)));
 	}
 }
@@ -379,6 +393,23 @@
 }
 END_TEST
 
+/* Guards against a load line that no instance carries out, or twice. */
+START_TEST(load_line_becomes_one_order_under_a_fence)
+{
+	struct rig *rig = ready_rig(
+		RULES "load engine-1 model=swan version=2 # anna\n");
+	struct wf_action *order;
+
+	pass(rig, CLK_MINUTE);
+	ck_assert_uint_eq(count(rig, WF_ACT_ORDER), 1);
+	order = last(rig, WF_ACT_ORDER);
+	ck_assert_str_eq(order->target, "engine-1");
+	ck_assert_str_eq(order->order, "load");
+	ck_assert_uint_gt(order->fence, 0);
+	rig_free(rig);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("core");
@@ -393,6 +424,7 @@
 	tcase_add_test(tcase, old_list_does_not_revive_leaving_target);
 	tcase_add_test(tcase, drain_completes_calls_and_then_exits);
 	tcase_add_test(tcase, drain_exits_when_the_last_call_has_ended);
+	tcase_add_test(tcase, load_line_becomes_one_order_under_a_fence);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
