Apply limits per organisation and model or service; let large calls start

Cause: one scope per organisation mixed the limits of different rules, and a call with more tokens than the bucket holds could never start: with 2,000 tokens a call at 500 tok/s none was admitted in 200 s. The owner now lets one call take the bucket into debt. limits_test: 50 +-3 calls in 200 s.

Rules with on= are kept to by chains and by service calls.

--- a/include/wagtailferry/limits.h
+++ b/include/wagtailferry/limits.h
@@ -2,8 +2,8 @@
 #define WAGTAILFERRY_LIMITS_H
 
 /*
- * Limits that hold over all router instances together. Each scope (an
- * organisation under a rule) has one owner among the live instances, which
+ * Limits that hold over all router instances together. Each scope (the calls
+ * of an organisation to one model or service) has one owner among the live instances, which
  * keeps the token buckets and the count of calls in progress. The others ask
  * it for grants, in batches that follow their demand, so that a scope without
  * traffic costs nothing and no instance knows all scopes.
@@ -48,12 +48,13 @@
 struct wf_module *lim_module(struct lim_limits *limits);
 
 /*
- * Asks whether a call may start. tokens is the estimate that is charged now.
+ * Asks whether a call may start. All calls of one scope must be under the
+ * same rule; the policy of the newest revision holds. tokens is the estimate that is charged now.
  * LIM_REFUSED sets *retry_after. An admitted call must be ended by
  * lim_done().
  */
 enum lim_verdict lim_request(struct wf_ctx *ctx, struct lim_limits *limits,
-			     uint64_t call_id, const char *org,
+			     uint64_t call_id, const char *scope,
 			     const struct wf_policy *policy,
 			     uint64_t rules_revision, unsigned tokens,
 			     clk_ms *retry_after);
--- a/src/core/core_calls.c
+++ b/src/core/core_calls.c
@@ -126,10 +126,23 @@
 	return true;
 }
 
+/*
+ * One rule decides each pair of organisation and name, so the limits of a
+ * scope are never those of two rules.
+ */
+static char *limit_scope(const struct wf_call *call)
+{
+	return g_strdup_printf(
+		"%s/%s/%s", call->org,
+		call->kind == WF_CALL_MODEL ? "model" : "service", call->name);
+}
+
 void core_handle_call(struct wf_core *core, struct wf_call *call)
 {
 	struct core_call *entry;
+	enum lim_verdict verdict;
 	clk_ms retry_after = 0;
+	char *scope;
 
 	ctr_add(core->ctx->counters,
 		call->kind == WF_CALL_MODEL
@@ -139,10 +152,12 @@
 	if (refuse_by_state(core, call) || !apply_rules(core, call))
 		return;
 	entry = keep_call(core, call);
-	switch (lim_request(core->ctx, core->limits, call->id, call->org,
-			    &entry->call.policy,
-			    dst_revision(core->distribution), cost_of(call),
-			    &retry_after)) {
+	scope = limit_scope(call);
+	verdict = lim_request(
+		core->ctx, core->limits, call->id, scope, &entry->call.policy,
+		dst_revision(core->distribution), cost_of(call), &retry_after);
+	g_free(scope);
+	switch (verdict) {
 	case LIM_ADMITTED:
 		dispatch(core, entry);
 		break;
--- a/src/sched/chn.c
+++ b/src/sched/chn.c
@@ -65,6 +65,10 @@
 {
 	if (!(p->allowed >> (target->data_center_number & 63) & 1))
 		return false;
+	if (p->query->targets &&
+	    !g_strv_contains((const char *const *)p->query->targets,
+			     target->id))
+		return false;
 	if (!tgt_is_usable(p->targets, target, p->ctx->now))
 		return false;
 	return !p->query->n_avoid || !is_avoided(p->query, target->handle);
@@ -76,7 +80,7 @@
 	struct tgt_demand demand = {
 		.load = us / p->token_us,
 		.is_long = p->query->is_long,
-		.restricted = p->query->data_centers != NULL,
+		.restricted = p->query->data_centers || p->query->targets,
 	};
 
 	return !p->need_room ||
--- a/src/sched/chn.h
+++ b/src/sched/chn.h
@@ -15,6 +15,7 @@
 struct chn_query {
 	const char *model;
 	char **data_centers; /* allowed ones, NULL: all */
+	char **targets;	     /* allowed engines, NULL: all */
 	const tbl_handle *avoid;
 	size_t n_avoid;
 	enum chn_choice choice;
--- a/src/sched/lim_module.c
+++ b/src/sched/lim_module.c
@@ -27,15 +27,15 @@
 }
 
 static struct lim_scope *find_scope(struct wf_ctx *ctx,
-				    struct lim_limits *limits, const char *org,
+				    struct lim_limits *limits, const char *name,
 				    const struct wf_policy *policy,
 				    uint64_t revision)
 {
-	struct lim_scope *scope = g_hash_table_lookup(limits->scopes, org);
+	struct lim_scope *scope = g_hash_table_lookup(limits->scopes, name);
 
 	if (!scope) {
 		scope = g_new0(struct lim_scope, 1);
-		scope->name = g_strdup(org);
+		scope->name = g_strdup(name);
 		g_queue_init(&scope->waiting);
 		scope->fallback.filled = ctx->now;
 		scope->arrivals_at = ctx->now;
@@ -77,7 +77,7 @@
 }
 
 enum lim_verdict lim_request(struct wf_ctx *ctx, struct lim_limits *limits,
-			     uint64_t call_id, const char *org,
+			     uint64_t call_id, const char *name,
 			     const struct wf_policy *policy,
 			     uint64_t rules_revision, unsigned tokens,
 			     clk_ms *retry_after)
@@ -87,7 +87,7 @@
 
 	if (is_unlimited(policy))
 		return LIM_ADMITTED;
-	scope = find_scope(ctx, limits, org, policy, rules_revision);
+	scope = find_scope(ctx, limits, name, policy, rules_revision);
 	count_arrival(ctx, scope, tokens);
 	if (!scope->waiting.length && lim_scope_admit(scope, tokens)) {
 		remember_call(limits, call_id, scope, tokens, true);
--- a/src/sched/lim_owner.c
+++ b/src/sched/lim_owner.c
@@ -151,9 +151,28 @@
 	owned->tokens.level += (double)demand->returned_tokens;
 }
 
-static uint64_t take(struct lim_bucket *bucket, double rate, uint64_t wanted)
+static uint32_t take_calls(struct lim_owned *owned,
+			   const Wf__LimitDemand *demand)
 {
-	return rate > 0.0 ? lim_bucket_take(bucket, wanted) : wanted;
+	if (owned->terms.rate <= 0.0)
+		return demand->calls;
+	return (uint32_t)lim_bucket_take(&owned->calls, demand->calls);
+}
+
+static uint64_t take_tokens(struct lim_owned *owned,
+			    const Wf__LimitDemand *demand)
+{
+	struct lim_bucket *bucket = &owned->tokens;
+	uint64_t available;
+
+	if (owned->terms.token_rate <= 0.0)
+		return demand->tokens;
+	if (bucket->level < 1.0)
+		return 0;
+	available = MAX((uint64_t)bucket->level, demand->first_tokens);
+	available = MIN(available, demand->tokens);
+	bucket->level -= (double)available;
+	return available;
 }
 
 static void set_retry(const struct lim_limits *limits,
@@ -194,10 +213,8 @@
 	if (demand->sync_only)
 		return;
 	grant->slots = grant_slots(ctx, limits, owned, holder, demand->slots);
-	grant->calls =
-		(uint32_t)take(&owned->calls, owned->terms.rate, demand->calls);
-	grant->tokens =
-		take(&owned->tokens, owned->terms.token_rate, demand->tokens);
+	grant->calls = take_calls(owned, demand);
+	grant->tokens = take_tokens(owned, demand);
 	/* Grant numbers stay ordered when ownership moves. */
 	owned->next_grant = MAX(owned->next_grant, demand->last_grant) + 1;
 	grant->grant = owned->next_grant;
--- a/src/sched/lim_scope.c
+++ b/src/sched/lim_scope.c
@@ -58,6 +58,7 @@
 {
 	unsigned waiting = scope->waiting.length;
 	unsigned ahead = (unsigned)expected_arrivals(limits, scope, ctx->now);
+	const struct lim_waiting *first;
 	const GList *item;
 	uint64_t tokens = 0;
 
@@ -67,9 +68,13 @@
 		demand->slots = waiting;
 	if (scope->terms.rate > 0.0)
 		demand->calls = waiting + ahead;
-	if (scope->terms.token_rate > 0.0)
-		demand->tokens =
-			tokens + (uint64_t)(ahead * scope->tokens_per_call);
+	if (scope->terms.token_rate <= 0.0)
+		return;
+	tokens += (uint64_t)(ahead * scope->tokens_per_call);
+	demand->tokens = tokens > scope->tokens ? tokens - scope->tokens : 0;
+	first = scope->waiting.head ? scope->waiting.head->data : NULL;
+	if (first && first->tokens > scope->tokens)
+		demand->first_tokens = first->tokens - scope->tokens;
 }
 
 static void send_demand(struct wf_ctx *ctx, const char *owner,
--- a/src/sched/run_admit.c
+++ b/src/sched/run_admit.c
@@ -30,6 +30,7 @@
 {
 	*query = (struct chn_query){.model = request->model};
 	query->data_centers = request->policy.data_centers;
+	query->targets = request->policy.targets;
 	query->avoid = request->avoid;
 	query->n_avoid = request->n_avoid;
 	query->is_long = request->is_long;
@@ -202,7 +203,8 @@
 		if (item->is_long && start_short(ctx, runs, queue))
 			continue;
 		request = item->owner;
-		if (!request->policy.data_centers && !request->n_avoid)
+		if (!request->policy.data_centers && !request->policy.targets &&
+		    !request->n_avoid)
 			break;
 		adm_skip(queue, item);
 		skips++;
--- a/src/schema/limits.pb-c.c
+++ b/src/schema/limits.pb-c.c
@@ -232,7 +232,7 @@
   (ProtobufCMessageInit) wf__limit_terms__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__limit_demand__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wf__limit_demand__field_descriptors[12] =
 {
   {
     "terms",
@@ -366,9 +366,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first_tokens",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wf__LimitDemand, first_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__limit_demand__field_indices_by_name[] = {
   2,   /* field[2] = calls */
+  11,   /* field[11] = first_tokens */
   8,   /* field[8] = held_slots */
   9,   /* field[9] = last_grant */
   7,   /* field[7] = number */
@@ -383,7 +396,7 @@
 static const ProtobufCIntRange wf__limit_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wf__limit_demand__descriptor =
 {
@@ -393,7 +406,7 @@
   "Wf__LimitDemand",
   "wf",
   sizeof(Wf__LimitDemand),
-  11,
+  12,
   wf__limit_demand__field_descriptors,
   wf__limit_demand__field_indices_by_name,
   1,  wf__limit_demand__number_ranges,
--- a/src/schema/limits.pb-c.h
+++ b/src/schema/limits.pb-c.h
@@ -26,14 +26,13 @@
 /* --- messages --- */
 
 /*
- * The limits of one organisation and rule as the sender's rules state them.
+ * The limits of one scope as the sender's rules state them.
  */
 struct  Wf__LimitTerms
 {
   ProtobufCMessage base;
   /*
-   * Identifies the rule and the organisation: "<org>" for limits that hold
-   * for all its calls.
+   * "<organisation>/<kind>/<model or service>"
    */
   char *scope;
   uint64_t rules_revision;
@@ -76,10 +75,15 @@
    * The sender says what it holds without asking for anything.
    */
   protobuf_c_boolean sync_only;
+  /*
+   * Tokens of the first call that waits. It may take more than the bucket
+   * ever holds; the others then wait until the debt is paid back.
+   */
+  uint64_t first_tokens;
 };
 #define WF__LIMIT_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__limit_demand__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/state/clm_target.c
+++ b/src/state/clm_target.c
@@ -93,6 +93,9 @@
 {
 	if (!policy->target || strcmp(target->serves, policy->target))
 		return false;
+	if (policy->targets &&
+	    !g_strv_contains((const char *const *)policy->targets, target->id))
+		return false;
 	if (!policy->data_centers)
 		return true;
 	return g_strv_contains((const char *const *)policy->data_centers,
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -396,8 +396,8 @@
 /* Guards against a load line that no instance carries out, or twice. */
 START_TEST(load_line_becomes_one_order_under_a_fence)
 {
-	struct rig *rig = ready_rig(
-		RULES "load engine-1 model=swan version=2 # anna\n");
+	struct rig *rig =
+		ready_rig(RULES "load engine-1 model=swan version=2 # anna\n");
 	struct wf_action *order;
 
 	pass(rig, CLK_MINUTE);
@@ -410,6 +410,20 @@
 }
 END_TEST
 
+/* Guards against a rule whose list of targets is not kept to. */
+START_TEST(rule_with_targets_excludes_the_others)
+{
+	struct rig *rig = ready_rig("route org=any model=swan to=swan "
+				    "on=engine-9 deadline=2s # anna\n");
+
+	model_call(rig, 1);
+	pass(rig, 5 * CLK_SECOND);
+	ck_assert_uint_eq(count(rig, WF_ACT_STREAM_OPEN), 0);
+	ck_assert_int_eq(last(rig, WF_ACT_REPLY_ERROR)->run, ERR_RUN_NOT);
+	rig_free(rig);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("core");
@@ -425,6 +439,7 @@
 	tcase_add_test(tcase, drain_completes_calls_and_then_exits);
 	tcase_add_test(tcase, drain_exits_when_the_last_call_has_ended);
 	tcase_add_test(tcase, load_line_becomes_one_order_under_a_fence);
+	tcase_add_test(tcase, rule_with_targets_excludes_the_others);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
--- a/tests/limits_test.c
+++ b/tests/limits_test.c
@@ -32,6 +32,7 @@
 	struct wf_policy policy;
 	const char *org;
 	uint64_t next_call;
+	unsigned tokens; /* of each call */
 	unsigned highest_running;
 };
 
@@ -104,6 +105,7 @@
 
 	rig = g_new0(struct rig, 1);
 	rig->org = "carretti";
+	rig->tokens = 100;
 	rig->policy.weight = 1;
 	sim_config_init(&config);
 	config.seed = seed;
@@ -138,7 +140,7 @@
 		return;
 	instance->ctx->now = rig->sim->now;
 	switch (lim_request(instance->ctx, demander->limits, id, rig->org,
-			    &rig->policy, 1, 100, &retry_after)) {
+			    &rig->policy, 1, rig->tokens, &retry_after)) {
 	case LIM_ADMITTED:
 		admit(demander, id);
 		break;
@@ -164,7 +166,7 @@
 		return;
 	instance->ctx->now = rig->sim->now;
 	demander->running--;
-	lim_done(instance->ctx, demander->limits, *id, 100);
+	lim_done(instance->ctx, demander->limits, *id, rig->tokens);
 	sim_settle(rig->sim, i);
 	g_free(id);
 }
@@ -242,6 +244,22 @@
 }
 END_TEST
 
+/* Guards against a call that can never start because of its size. */
+START_TEST(call_above_the_token_rate_waits_its_turn)
+{
+	unsigned admitted;
+
+	rig_start(5, 40);
+	rig->tokens = 2000;
+	rig->policy.token_rate = 500.0;
+	offer(20.0, 20 * CLK_SECOND);
+	admitted = offer(20.0, 200 * CLK_SECOND);
+	ck_assert_uint_ge(admitted, 47);
+	ck_assert_uint_le(admitted, 53);
+	rig_stop();
+}
+END_TEST
+
 /* Calls that last a second each, at random instances. */
 static void churn(unsigned limit, clk_ms span)
 {
@@ -421,6 +439,7 @@
 	tcase_add_loop_test(tcase, rate_holds_over_all_instances, 0, 2);
 	tcase_add_loop_test(tcase, demand_below_the_rate_is_admitted, 0, 2);
 	tcase_add_loop_test(tcase, token_rate_holds_over_all_instances, 0, 2);
+	tcase_add_test(tcase, call_above_the_token_rate_waits_its_turn);
 	tcase_add_test(tcase, concurrency_holds_and_recovers);
 	tcase_add_test(tcase, lost_messages_do_not_leak_slots);
 	tcase_add_test(tcase, rate_holds_when_the_owner_is_lost);
