--- a/src/state/clm_finish.c
+++ b/src/state/clm_finish.c
@@ -125,6 +125,7 @@
 		clm_entry_set_answer(run->completion, run->status, run->answer,
 				     claims->config.max_answer);
 	run->completion_fallback = run->fallback;
+	run->completion_queued = false;
 	run->completion_backoff = COMPLETION_BACKOFF_MS;
 	run->completion_due = ctx->now + run->completion_backoff;
 	run->completion_limit = ctx->now + claims->config.completion_limit;
--- a/src/state/clm_peer.c
+++ b/src/state/clm_peer.c
@@ -223,10 +223,8 @@
 	}
 	if (item->kind == CLM_ITEM_COMPLETE && entry->state == CLM_NOT_RUN)
 		clm_object_cancel(object, entry->nonce);
-	if (item->kind == CLM_ITEM_CLAIM) {
-		verdict.result = CLM_RESULT_QUEUED;
-		clm_send_verdict(ctx, item, &verdict);
-	}
+	verdict.result = CLM_RESULT_QUEUED;
+	clm_send_verdict(ctx, item, &verdict);
 	clm_object_submit(ctx, claims, object, item);
 }
 
@@ -272,6 +270,8 @@
 		clm_run_verdict(ctx, claims, &key, message->nonce, &verdict);
 	else if (verdict.result == CLM_RESULT_STORED)
 		clm_run_stored(claims, &key, message->nonce);
+	else if (verdict.result == CLM_RESULT_QUEUED)
+		clm_run_stored_later(ctx, claims, &key, message->nonce);
 	clm_entry_free(entry);
 }
 
--- a/src/state/clm_private.h
+++ b/src/state/clm_private.h
@@ -239,6 +239,7 @@
 	/* storing the outcome */
 	struct clm_entry *completion;
 	bool completion_fallback;
+	bool completion_queued; /* as queued */
 	clk_ms completion_due;
 	clk_ms completion_limit;
 	clk_ms completion_backoff;
@@ -384,6 +385,9 @@
 		     const struct clm_verdict *verdict);
 void clm_run_stored(struct clm_claims *claims, const struct clm_hash *key,
 		    uint64_t nonce);
+/* The owner has the completion and says when it is stored. */
+void clm_run_stored_later(struct wf_ctx *ctx, struct clm_claims *claims,
+			  const struct clm_hash *key, uint64_t nonce);
 /* What this run knows of its claim; NULL if nothing. Owned by the caller. */
 struct clm_entry *clm_run_entry(const struct wf_ctx *ctx,
 				const struct clm_run *run);
--- a/src/state/clm_run.c
+++ b/src/state/clm_run.c
@@ -1,5 +1,7 @@
 #include "state/clm_private.h"
 
+/* When an owner that has a completion is asked again. */
+#define COMPLETION_QUEUED_MS (5 * CLK_SECOND)
 /* Owner timeouts after which an owner that has a claim is asked again. */
 #define QUEUED_FACTOR 2
 /* Bodies and answers of all runs together, bytes. */
@@ -427,14 +429,36 @@
 	return run && run->completion && run->completion->nonce == nonce;
 }
 
-void clm_run_stored(struct clm_claims *claims, const struct clm_hash *key,
-		    uint64_t nonce)
+/* The run that has to store how the claim of that nonce ended. */
+static struct clm_run *find_completion(struct clm_claims *claims,
+				       const struct clm_hash *key,
+				       uint64_t nonce)
 {
 	struct clm_run *run = clm_run_find(claims, nonce);
 
 	if (!has_completion(run, nonce))
 		run = g_hash_table_lookup(claims->by_key, key);
-	if (!has_completion(run, nonce))
+	return has_completion(run, nonce) ? run : NULL;
+}
+
+void clm_run_stored_later(struct wf_ctx *ctx, struct clm_claims *claims,
+			  const struct clm_hash *key, uint64_t nonce)
+{
+	struct clm_run *run = find_completion(claims, key, nonce);
+
+	if (!run)
+		return;
+	run->completion_queued = true;
+	run->completion_due = ctx->now + COMPLETION_QUEUED_MS;
+	clm_run_schedule(claims, run);
+}
+
+void clm_run_stored(struct clm_claims *claims, const struct clm_hash *key,
+		    uint64_t nonce)
+{
+	struct clm_run *run = find_completion(claims, key, nonce);
+
+	if (!run)
 		return;
 	clm_entry_free(run->completion);
 	run->completion = NULL;
@@ -468,7 +492,9 @@
 		claims->n_completions--;
 		return;
 	}
-	run->completion_fallback = !run->completion_fallback;
+	if (!run->completion_queued)
+		run->completion_fallback = !run->completion_fallback;
+	run->completion_queued = false;
 	run->completion_backoff = MIN(2 * run->completion_backoff, CLK_MINUTE);
 	run->completion_due = ctx->now + run->completion_backoff;
 	clm_send_completion(ctx, claims, run);
--- a/tests/bench/claims_bench.c
+++ b/tests/bench/claims_bench.c
@@ -1,7 +1,7 @@
 /*
  * Cost of claims in virtual time: store calls, object sizes, bytes, real time
  * in the library and memory. Prints one line a figure.
- * Usage: claims_bench [INSTANCES [COMMIT_INTERVAL_MS]]
+ * Usage: claims_bench [INSTANCES [COMMIT_INTERVAL_MS [SHARDS]]]
  */
 
 #include <malloc.h>
@@ -106,6 +106,14 @@
 	      (double)counts->handle_ns / (double)counts->events / 1000, "us");
 }
 
+static void print_slow(const struct sim *sim, const struct load *load)
+{
+	print(load, "events_over_20us",
+	      100 * (double)sim->counts.slow_events /
+		      (double)sim->counts.events,
+	      "%");
+}
+
 static void print_memory(struct sim *sim, const struct load *load)
 {
 	size_t before = mallinfo2().uordblks;
@@ -120,7 +128,8 @@
 	      "KB");
 }
 
-static void run_rate(unsigned rate, unsigned n_instances, clk_ms interval)
+static void run_rate(unsigned rate, unsigned n_instances, clk_ms interval,
+		     unsigned n_shards)
 {
 	struct load load = {.rate = rate};
 	struct clm_config claims;
@@ -131,6 +140,9 @@
 	clm_config_init(&claims);
 	if (interval)
 		claims.commit_interval = interval;
+	if (n_shards)
+		claims.n_shards = n_shards;
+	claims.max_objects = MAX(claims.max_objects, n_shards);
 	sim_config_init(&config);
 	config.n_instances = n_instances;
 	config.make[0] = claims_make;
@@ -147,6 +159,7 @@
 		exit(EXIT_FAILURE);
 	}
 	print_costs(sim, &load);
+	print_slow(sim, &load);
 	print_waits(sim, &load);
 	print_memory(sim, &load);
 	sim_free(sim);
@@ -158,6 +171,7 @@
 	unsigned n = argc > 1 ? (unsigned)strtoul(argv[1], NULL, 10)
 			      : DEFAULT_INSTANCES;
 	clk_ms interval = argc > 2 ? strtol(argv[2], NULL, 10) : 0;
+	unsigned shards = argc > 3 ? (unsigned)strtoul(argv[3], NULL, 10) : 0;
 	size_t i;
 
 	if (!n || n > 1000) {
@@ -166,6 +180,6 @@
 		return 2;
 	}
 	for (i = 0; i < G_N_ELEMENTS(rates); i++)
-		run_rate(rates[i], n, interval);
+		run_rate(rates[i], n, interval, shards);
 	return 0;
 }
--- a/tests/claims_test.c
+++ b/tests/claims_test.c
@@ -299,6 +299,94 @@
 }
 END_TEST
 
+/* Guards against frames that a faulty peer sends. */
+START_TEST(malformed_frames_are_counted)
+{
+	struct sim *sim = sim_new(&config);
+	struct wf_module *module = sim->instances[0].modules->pdata[0];
+	struct wf_ctx *ctx = sim->instances[0].ctx;
+	GRand *rand = g_rand_new_with_seed(7);
+	struct wf_action action;
+	unsigned i;
+
+	for (i = 0; i < 5000; i++) {
+		uint8_t body[64];
+		struct wf_peer_event peer = {.from = "entry-2", .body = body};
+		struct wf_event event = {.type = WF_EV_PEER, .peer = &peer};
+		size_t j;
+
+		peer.kind = CLM_KIND_FIRST + i % 20;
+		peer.body_len = (size_t)g_rand_int_range(rand, 0, 64);
+		for (j = 0; j < peer.body_len; j++)
+			body[j] = (uint8_t)g_rand_int_range(rand, 0, 256);
+		module->ops->handle(ctx, module, &event);
+	}
+	ck_assert_int_gt(ctr_get(ctx->counters, "wf_claims_bad_frames_total"),
+			 4000);
+	while (wf_next_action(ctx, &action)) {
+		ck_assert_int_ne(action.type, WF_ACT_SERVICE_CALL);
+		wf_action_clear(&action);
+	}
+	g_rand_free(rand);
+	sim_free(sim);
+}
+END_TEST
+
+/* Guards against memory that grows with the calls of an outage. */
+START_TEST(calls_in_progress_are_bounded)
+{
+	struct sim *sim;
+	unsigned refused = 0;
+	char key[40];
+	unsigned i;
+
+	claims.max_runs = 50;
+	config.n_instances = 1;
+	sim = sim_new(&config);
+	sim_store_outage(sim, 2 * CLK_SECOND);
+	for (i = 0; i < 80; i++) {
+		g_snprintf(key, sizeof(key), KEY "%u", i);
+		sim_call(sim, 0, "org", key, "body", 9000, false);
+	}
+	sim_run_until(sim, SIM_START + CLK_MINUTE);
+	for (i = 0; i < sim->calls->len; i++) {
+		const struct sim_call *call = sim->calls->pdata[i];
+
+		refused += call->refused;
+		if (call->refused)
+			check_refused(call, ERR_OVERLOADED);
+	}
+	ck_assert_uint_eq(refused, 30);
+	check_invariants(sim, "bounded");
+	sim_free(sim);
+}
+END_TEST
+
+/* Guards against a second contender that a slow store brings about. */
+START_TEST(slow_store_causes_no_contention)
+{
+	struct sim *sim;
+	char key[40];
+	unsigned i;
+
+	config.store_latency = 600;
+	claims.store_timeout = 3000;
+	sim = sim_new(&config);
+	for (i = 0; i < 200; i++) {
+		g_snprintf(key, sizeof(key), KEY "%u", i);
+		sim_call(sim, i % 3, "org", key, "body", 9000, false);
+		sim_run_until(sim, sim->now + 20);
+	}
+	sim_run_until(sim, SIM_START + CLK_MINUTE);
+	for (i = 0; i < sim->calls->len; i++)
+		ck_assert(!((struct sim_call *)sim->calls->pdata[i])->refused);
+	/* A read would follow each conflict. */
+	ck_assert_uint_eq(sim->counts.gets, 0);
+	check_invariants(sim, "slow store");
+	sim_free(sim);
+}
+END_TEST
+
 /* The sequences that the table of faults walks through */
 
 static void revive(struct sim *sim, void *data)
@@ -441,6 +529,9 @@
 	tcase_add_test(tcase, leaving_target_gets_no_call);
 	tcase_add_test(tcase, retries_stay_within_the_budget);
 	tcase_add_test(tcase, full_object_refuses_new_claims);
+	tcase_add_test(tcase, malformed_frames_are_counted);
+	tcase_add_test(tcase, calls_in_progress_are_bounded);
+	tcase_add_test(tcase, slow_store_causes_no_contention);
 	tcase_add_loop_test(tcase, every_fault_at_every_step, 0,
 			    G_N_ELEMENTS(sequences));
 	tcase_add_test(tcase, drain_completes);
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -4,6 +4,8 @@
 
 #include "sim.h"
 
+#define SLOW_EVENT_NS 20000
+
 void sim_config_init(struct sim_config *config)
 {
 	memset(config, 0, sizeof(*config));
@@ -131,8 +133,12 @@
 		if (!op || wf_op_module(op) == module->id)
 			module->ops->handle(instance->ctx, module, event);
 	}
-	if (sim->config.measure)
-		sim->counts.handle_ns += real_time_ns() - start;
+	if (sim->config.measure) {
+		uint64_t spent = real_time_ns() - start;
+
+		sim->counts.handle_ns += spent;
+		sim->counts.slow_events += spent > SLOW_EVENT_NS;
+	}
 	sim->counts.events++;
 	drain_actions(sim, instance);
 	if (sim_find_instance(sim, instance->index, generation))
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -181,6 +181,7 @@
 	size_t largest_value;
 	uint64_t handle_ns; /* real time in the modules, if measured */
 	uint64_t events;
+	uint64_t slow_events; /* over 20 us, if measured */
 };
 
 struct sim {
