--- a/src/state/clm_batch.c
+++ b/src/state/clm_batch.c
@@ -1,37 +1,56 @@
 #include "state/clm_private.h"
 
-GBytes *clm_object_encode(const struct clm_object *object)
+/*
+ * A message with one entry; messages with several are their concatenation.
+ * Entries of an object do not change, so that each is encoded once and not
+ * with every write of its object.
+ */
+static GBytes *pack_entry(struct clm_entry *entry)
 {
-	guint max = g_hash_table_size(object->entries) +
-		    g_hash_table_size(object->overlay);
 	Wf__ClaimObject message = WF__CLAIM_OBJECT__INIT;
-	Wf__ClaimEntry *entries = g_new(Wf__ClaimEntry, max + 1);
-	GHashTableIter iter;
-	gpointer value;
+	Wf__ClaimEntry *list[1];
+	Wf__ClaimEntry wire;
 	uint8_t *data;
 	size_t len;
-	size_t i;
 
-	message.entries = g_new(Wf__ClaimEntry *, max + 1);
+	if (entry->packed)
+		return entry->packed;
+	clm_entry_to_message(entry, &wire);
+	list[0] = &wire;
+	message.entries = list;
+	message.n_entries = 1;
+	len = wf__claim_object__get_packed_size(&message);
+	data = g_malloc(len);
+	wf__claim_object__pack(&message, data);
+	entry->packed = g_bytes_new_take(data, len);
+	return entry->packed;
+}
+
+static void append_entry(GByteArray *out, struct clm_entry *entry)
+{
+	gsize len;
+	const guint8 *data = g_bytes_get_data(pack_entry(entry), &len);
+
+	g_byte_array_append(out, data, (guint)len);
+}
+
+GBytes *clm_object_encode(const struct clm_object *object)
+{
+	GByteArray *out = g_byte_array_sized_new((guint)object->bytes);
+	GHashTableIter iter;
+	gpointer value;
+
 	g_hash_table_iter_init(&iter, object->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct clm_entry *entry = value;
+		struct clm_entry *entry = value;
 
-		if (g_hash_table_contains(object->overlay, &entry->key))
-			continue;
-		clm_entry_to_message(entry, &entries[message.n_entries++]);
+		if (!g_hash_table_contains(object->overlay, &entry->key))
+			append_entry(out, entry);
 	}
 	g_hash_table_iter_init(&iter, object->overlay);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		clm_entry_to_message(value, &entries[message.n_entries++]);
-	for (i = 0; i < message.n_entries; i++)
-		message.entries[i] = &entries[i];
-	len = wf__claim_object__get_packed_size(&message);
-	data = g_malloc(len + 1);
-	wf__claim_object__pack(&message, data);
-	g_free(message.entries);
-	g_free(entries);
-	return g_bytes_new_take(data, len);
+		append_entry(out, value);
+	return g_byte_array_free_to_bytes(out);
 }
 
 static void replace_entry(struct clm_object *object, struct clm_entry *entry)
--- a/src/state/clm_entry.c
+++ b/src/state/clm_entry.c
@@ -11,6 +11,7 @@
 	copy->instance = g_strdup(entry->instance);
 	copy->target = g_strdup(entry->target);
 	copy->answer = entry->answer ? g_bytes_ref(entry->answer) : NULL;
+	copy->packed = NULL;
 	return copy;
 }
 
@@ -22,6 +23,8 @@
 	g_free(entry->target);
 	if (entry->answer)
 		g_bytes_unref(entry->answer);
+	if (entry->packed)
+		g_bytes_unref(entry->packed);
 	g_free(entry);
 }
 
--- a/src/state/clm_private.h
+++ b/src/state/clm_private.h
@@ -48,6 +48,7 @@
 	int status;
 	GBytes *answer; /* DONE; NULL: only the digest was kept */
 	struct clm_hash digest;
+	GBytes *packed; /* cache of the encoded entry in its object, or NULL */
 };
 
 struct clm_entry *clm_entry_copy(const struct clm_entry *entry);
--- a/src/state/lse.c
+++ b/src/state/lse.c
@@ -261,9 +261,10 @@
 
 static void back_off(struct wf_ctx *ctx, struct lse_lease *lease)
 {
-	unsigned shift = MIN(lease->failures++, BACKOFF_MAX_SHIFT);
+	unsigned shift = MIN(lease->failures, BACKOFF_MAX_SHIFT);
 	clk_ms span = (clk_ms)BACKOFF_MIN_MS << shift;
 
+	lease->failures++;
 	lease->not_before = ctx->now + span +
 			    g_rand_int_range(ctx->rand, 0, BACKOFF_MIN_MS);
 }
--- a/tests/bench/claims_bench.c
+++ b/tests/bench/claims_bench.c
@@ -57,6 +57,8 @@
 {
 	GArray *waits = g_array_new(FALSE, FALSE, sizeof(clk_ms));
 	unsigned refused = 0;
+	guint middle;
+	guint last;
 	guint i;
 
 	for (i = 0; i < sim->calls->len; i++) {
@@ -68,10 +70,11 @@
 	}
 	g_array_sort(waits, compare_waits);
 	print(load, "refused", refused, "calls");
-	print(load, "answer_p50",
-	      (double)g_array_index(waits, clk_ms, waits->len / 2), "ms");
-	print(load, "answer_p99",
-	      (double)g_array_index(waits, clk_ms, waits->len * 99 / 100),
+	middle = waits->len / 2;
+	last = waits->len * 99 / 100;
+	print(load, "answer_p50", (double)g_array_index(waits, clk_ms, middle),
+	      "ms");
+	print(load, "answer_p99", (double)g_array_index(waits, clk_ms, last),
 	      "ms");
 	g_array_unref(waits);
 }
