--- a/src/state/clm_private.h
+++ b/src/state/clm_private.h
@@ -48,6 +48,7 @@
 	int status;
 	GBytes *answer; /* DONE; NULL: only the digest was kept */
 	struct clm_hash digest;
+	GBytes *packed; /* cache of the encoded entry in its object, or NULL */
 };
 
 struct clm_entry *clm_entry_copy(const struct clm_entry *entry);
@@ -148,7 +149,7 @@
 	uint64_t op;
 	clk_ms op_limit;
 	clk_ms not_before; /* no store call earlier */
-	clk_ms last_write;
+	clk_ms next_turn;  /* of a write if none came in a burst */
 	unsigned failures;
 	clk_ms last_used;
 	unsigned busy; /* callers on the stack that use the object */
@@ -239,6 +240,7 @@
 	/* storing the outcome */
 	struct clm_entry *completion;
 	bool completion_fallback;
+	bool completion_queued; /* as queued */
 	clk_ms completion_due;
 	clk_ms completion_limit;
 	clk_ms completion_backoff;
@@ -384,6 +386,9 @@
 		     const struct clm_verdict *verdict);
 void clm_run_stored(struct clm_claims *claims, const struct clm_hash *key,
 		    uint64_t nonce);
+/* The owner has the completion and says when it is stored. */
+void clm_run_stored_later(struct wf_ctx *ctx, struct clm_claims *claims,
+			  const struct clm_hash *key, uint64_t nonce);
 /* What this run knows of its claim; NULL if nothing. Owned by the caller. */
 struct clm_entry *clm_run_entry(const struct wf_ctx *ctx,
 				const struct clm_run *run);
--- a/tests/bench/claims_bench.c
+++ b/tests/bench/claims_bench.c
@@ -1,7 +1,7 @@
 /*
  * Cost of claims in virtual time: store calls, object sizes, bytes, real time
  * in the library and memory. Prints one line a figure.
- * Usage: claims_bench [INSTANCES [COMMIT_INTERVAL_MS]]
+ * Usage: claims_bench [INSTANCES [COMMIT_INTERVAL_MS [SHARDS]]]
  */
 
 #include <malloc.h>
@@ -56,9 +56,9 @@
 static void print_waits(const struct sim *sim, const struct load *load)
 {
 	GArray *waits = g_array_new(FALSE, FALSE, sizeof(clk_ms));
-	guint middle = sim->calls->len / 2;
-	guint late = sim->calls->len * 99 / 100;
 	unsigned refused = 0;
+	guint middle;
+	guint last;
 	guint i;
 
 	for (i = 0; i < sim->calls->len; i++) {
@@ -70,9 +70,11 @@
 	}
 	g_array_sort(waits, compare_waits);
 	print(load, "refused", refused, "calls");
+	middle = waits->len / 2;
+	last = waits->len * 99 / 100;
 	print(load, "answer_p50", (double)g_array_index(waits, clk_ms, middle),
 	      "ms");
-	print(load, "answer_p99", (double)g_array_index(waits, clk_ms, late),
+	print(load, "answer_p99", (double)g_array_index(waits, clk_ms, last),
 	      "ms");
 	g_array_unref(waits);
 }
@@ -107,6 +109,14 @@
 	      (double)counts->handle_ns / (double)counts->events / 1000, "us");
 }
 
+static void print_slow(const struct sim *sim, const struct load *load)
+{
+	print(load, "events_over_20us",
+	      100 * (double)sim->counts.slow_events /
+		      (double)sim->counts.events,
+	      "%");
+}
+
 static void print_memory(struct sim *sim, const struct load *load)
 {
 	size_t before = mallinfo2().uordblks;
@@ -121,7 +131,8 @@
 	      "KB");
 }
 
-static void run_rate(unsigned rate, unsigned n_instances, clk_ms interval)
+static void run_rate(unsigned rate, unsigned n_instances, clk_ms interval,
+		     unsigned n_shards)
 {
 	struct load load = {.rate = rate};
 	struct clm_config claims;
@@ -132,6 +143,9 @@
 	clm_config_init(&claims);
 	if (interval)
 		claims.commit_interval = interval;
+	if (n_shards)
+		claims.n_shards = n_shards;
+	claims.max_objects = MAX(claims.max_objects, n_shards);
 	sim_config_init(&config);
 	config.n_instances = n_instances;
 	config.make[0] = claims_make;
@@ -148,6 +162,7 @@
 		exit(EXIT_FAILURE);
 	}
 	print_costs(sim, &load);
+	print_slow(sim, &load);
 	print_waits(sim, &load);
 	print_memory(sim, &load);
 	sim_free(sim);
@@ -159,6 +174,7 @@
 	unsigned n = argc > 1 ? (unsigned)strtoul(argv[1], NULL, 10)
 			      : DEFAULT_INSTANCES;
 	clk_ms interval = argc > 2 ? strtol(argv[2], NULL, 10) : 0;
+	unsigned shards = argc > 3 ? (unsigned)strtoul(argv[3], NULL, 10) : 0;
 	size_t i;
 
 	if (!n || n > 1000) {
@@ -167,6 +183,6 @@
 		return 2;
 	}
 	for (i = 0; i < G_N_ELEMENTS(rates); i++)
-		run_rate(rates[i], n, interval);
+		run_rate(rates[i], n, interval, shards);
 	return 0;
 }
