Find a silent stage by the last token that passed through it

After a resume the head answers, but nothing told which stage was silent, and wrong guesses cost long requests seconds each. The suspect is now a stage known to be unreachable, otherwise the one through which no token of any request passed for the longest time. A new lineage may be resumed again, and its first token has a bound that counts only what its stages must compute.

--- a/src/sched/run_recover.c
+++ b/src/sched/run_recover.c
@@ -109,10 +109,11 @@
 	bool first = request->first;
 	double slowness = request->slowness;
 
-	request->resumed = true;
 	run_open(ctx, runs, request);
+	request->resumed = true;
 	request->first = first;
 	request->slowness = slowness;
+	run_set_due(runs, request);
 	ctr_add(ctx->counters, "wf_recoveries_total{by=\"resume\"}", 1);
 }
 
@@ -240,12 +241,16 @@
 	run_pull(ctx, runs, request->model);
 }
 
-/* The stage that most likely does not answer, if the head does. */
+/*
+ * The stage that most likely does not answer, if the head does: one that is
+ * known to be unreachable, otherwise the one through which no token of any
+ * request has passed for the longest time.
+ */
 static const char *find_suspect(const struct run_runs *runs,
 				const struct run_request *request)
 {
 	const char *suspect = NULL;
-	double worst = 1;
+	clk_ms oldest = CLK_NEVER;
 	guint i;
 
 	for (i = 0; i < request->chain->len; i++) {
@@ -253,14 +258,12 @@
 			g_array_index(request->chain, struct wf_stage, i)
 				.target;
 		const struct tgt_target *target = tgt_find(runs->targets, id);
-		double evidence;
 
 		if (!target || !target->reachable || !target->listed)
 			return id;
-		evidence = target->inflation + target->failures;
-		if (evidence <= worst)
+		if (target->last_success >= oldest)
 			continue;
-		worst = evidence;
+		oldest = target->last_success;
 		suspect = id;
 	}
 	return suspect;
--- a/src/sched/run_stream.c
+++ b/src/sched/run_stream.c
@@ -133,6 +133,7 @@
 	request->state = RUN_STREAMING;
 	request->touched = true;
 	request->first = true;
+	request->resumed = false;
 	g_clear_pointer(&request->end_reason, g_free);
 	request->opened = ctx->now;
 	request->last_event = ctx->now;
--- a/src/sched/run_timer.c
+++ b/src/sched/run_timer.c
@@ -8,7 +8,7 @@
 #define GAP_MIN 200.0
 #define GAP_MAX 2000.0
 /* Within this multiple of its expected time the prompt must be computed. */
-#define GAP_PREFILL_FACTOR 4.0
+#define GAP_PREFILL_FACTOR 3.0
 #define GAP_PROMPT_PER_TOKEN 16.0
 /*
  * After more attempts than this the bound doubles each time, because an
@@ -55,14 +55,27 @@
 	return sum;
 }
 
+/* Expected time until the stages have computed what they do not hold. */
 static double prefill_ms(const struct run_runs *runs,
 			 const struct run_request *request)
 {
 	double us = runs->prefill_us;
+	double part = 0;
+	guint i;
 
 	if (us <= 0)
 		us = request->token_us / GAP_PROMPT_PER_TOKEN;
-	return us * (request->prompt_tokens + request->next_position) / 1000;
+	for (i = 0; i < request->stages->len; i++) {
+		enum wf_kv kv =
+			g_array_index(request->chain, struct wf_stage, i).kv;
+
+		if (kv == WF_KV_FRESH || kv == WF_KV_REBUILD)
+			part += g_array_index(request->stages, struct run_stage,
+					      i)
+					.us;
+	}
+	return us * (request->prompt_tokens + request->next_position) / 1000 *
+	       part / MAX(request->token_us, 1);
 }
 
 static clk_ms gap_bound(const struct run_runs *runs,
--- a/src/sched/tgt.h
+++ b/src/sched/tgt.h
@@ -62,6 +62,7 @@
 	clk_ms closed_at;
 	unsigned probes; /* own requests while half open */
 	unsigned successes;
+	clk_ms last_success; /* a token passed through it */
 	/* prefix cache */
 	uint64_t cache_seq;
 	uint32_t cache_generation;
--- a/src/sched/tgt_breaker.c
+++ b/src/sched/tgt_breaker.c
@@ -58,6 +58,7 @@
 		   struct tgt_target *target)
 {
 	target->reachable = true;
+	target->last_success = ctx->now;
 	if (target->breaker != TGT_HALF_OPEN)
 		return;
 	if (++target->successes < BREAKER_SUCCESSES)
