Replace all stages that may be silent; keep unfinished rebuilds

Two causes made recovery from silence take several rounds. A token under way when the stage stopped cleared it of suspicion; and a stage that joined just before was declared to hold a state it had not rebuilt, so that a whole new chain was needed. All stages without a later token are now replaced under one lineage, and other streams through a stage found silent do not wait for their own bound.

--- a/src/sched/run.h
+++ b/src/sched/run.h
@@ -16,6 +16,7 @@
 	tbl_handle target;
 	double load;
 	double us;
+	unsigned lineage; /* with which the stage joined the chain */
 };
 
 /* A token that came before its predecessor. */
@@ -112,8 +113,9 @@
 		   struct run_request *request, const struct chn_chain *chain);
 
 /*
- * Replaces one stage of the chain. The others hold their KV state if tokens
- * have been delivered, otherwise all start with the prompt.
+ * Replaces one stage of the chain; the lineage has been raised before. Stages
+ * of older lineages hold their KV state if tokens have been delivered,
+ * otherwise all start with the prompt.
  */
 void run_replace_stage(struct wf_ctx *ctx, struct run_runs *runs,
 		       struct run_request *request, guint index,
--- a/src/sched/run_recover.c
+++ b/src/sched/run_recover.c
@@ -19,6 +19,9 @@
 #define WAIT_QUEUE_SHORT 2.0
 #define WAIT_MAX (10 * CLK_SECOND)
 
+/* Expected tokens without an event that make a silent stage the cause. */
+#define HURRY_TOKENS 3
+
 static const struct wf_stage *head_of(const struct run_request *request)
 {
 	return &g_array_index(request->chain, struct wf_stage, 0);
@@ -108,9 +111,11 @@
 {
 	bool first = request->first;
 	double slowness = request->slowness;
+	clk_ms last_token = request->last_token;
 
 	run_open(ctx, runs, request);
 	request->resumed = true;
+	request->last_token = last_token;
 	request->first = first;
 	request->slowness = slowness;
 	run_set_due(runs, request);
@@ -242,15 +247,17 @@
 }
 
 /*
- * The stage that most likely does not answer, if the head does: one that is
- * known to be unreachable, otherwise the one through which no token of any
- * request has passed for the longest time.
+ * The stages that may be the silent one, if the head answers: those known to
+ * be unreachable, otherwise all behind the head through which no token of any
+ * request has passed since the stream went silent. A token that was already
+ * under way when the stage stopped does not count.
  */
-static const char *find_suspect(const struct run_runs *runs,
+static GPtrArray *find_suspects(const struct run_runs *runs,
 				const struct run_request *request)
 {
-	const char *suspect = NULL;
-	clk_ms oldest = CLK_NEVER;
+	GPtrArray *suspects = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
+	clk_ms token = (clk_ms)(run_expected_us(runs, request) / 1000);
 	guint i;
 
 	for (i = 0; i < request->chain->len; i++) {
@@ -260,13 +267,17 @@
 		const struct tgt_target *target = tgt_find(runs->targets, id);
 
 		if (!target || !target->reachable || !target->listed)
-			return id;
-		if (target->last_success >= oldest)
-			continue;
-		oldest = target->last_success;
-		suspect = id;
+			g_ptr_array_add(lost, g_strdup(id));
+		else if (i &&
+			 target->last_success <= request->last_token + token)
+			g_ptr_array_add(suspects, g_strdup(id));
+	}
+	if (!lost->len) {
+		g_ptr_array_unref(lost);
+		return suspects;
 	}
-	return suspect;
+	g_ptr_array_unref(suspects);
+	return lost;
 }
 
 /*
@@ -311,27 +322,106 @@
 	return true;
 }
 
-static void handle_silence(struct wf_ctx *ctx, struct run_runs *runs,
+static bool uses_stage(const struct run_request *request, const char *id)
+{
+	return find_stage(request, id) >= 0;
+}
+
+/*
+ * Other streams through a stage that was found silent need not wait for their
+ * own bound, if they have had no event for some tokens either.
+ */
+static void hurry_others(struct wf_ctx *ctx, struct run_runs *runs,
+			 const char *id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, runs->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct run_request *other = value;
+		double quiet = 1000.0 * (double)(ctx->now - other->last_event);
+
+		if (other->state != RUN_STREAMING || !uses_stage(other, id) ||
+		    quiet < HURRY_TOKENS * run_expected_us(runs, other))
+			continue;
+		other->resumed = true;
+		other->due = ctx->now;
+		runs->next_due = clk_min(runs->next_due, ctx->now);
+	}
+}
+
+/* Replaces several stages under one lineage; false if one has no holder. */
+static bool replace_all(struct wf_ctx *ctx, struct run_runs *runs,
+			struct run_request *request, const GPtrArray *ids)
+{
+	unsigned lineage = request->lineage;
+	guint i;
+
+	for (i = 0; i < ids->len; i++) {
+		struct tgt_target *target;
+
+		target = tgt_find(runs->targets, ids->pdata[i]);
+		if (target)
+			avoid(request, target->handle);
+	}
+	for (i = 0; i < ids->len; i++) {
+		int index = find_stage(request, ids->pdata[i]);
+		struct chn_chain part;
+
+		if (index < 0 ||
+		    !plan_replacement(ctx, runs, request, index, false, &part))
+			return false;
+		if (!index)
+			run_cancel_stream(ctx, request);
+		request->lineage = lineage + 1;
+		run_replace_stage(ctx, runs, request, (guint)index, &part,
+				  WF_KV_REBUILD);
+	}
+	if (request->lineage == lineage)
+		return false;
+	run_open(ctx, runs, request);
+	ctr_add(ctx->counters, "wf_recoveries_total{by=\"rebuild\"}", 1);
+	return true;
+}
+
+static void replace_silent(struct wf_ctx *ctx, struct run_runs *runs,
 			   struct run_request *request)
 {
-	const char *id = head_of(request)->target;
-	struct tgt_target *target;
+	GPtrArray *ids;
+	guint i;
+
+	if (request->accepted) {
+		ids = find_suspects(runs, request);
+	} else {
+		ids = g_ptr_array_new_with_free_func(g_free);
+		g_ptr_array_add(ids, g_strdup(head_of(request)->target));
+	}
+	for (i = 0; i < ids->len; i++) {
+		struct tgt_target *target;
+
+		target = tgt_find(runs->targets, ids->pdata[i]);
+		if (target)
+			tgt_failed(ctx, runs->targets, target,
+				   TGT_EVIDENCE_SILENT / ids->len);
+	}
+	if (ids->len == 1)
+		hurry_others(ctx, runs, ids->pdata[0]);
+	if (!runs->config.use_replacement ||
+	    !replace_all(ctx, runs, request, ids))
+		start_new_chain(ctx, runs, request);
+	g_ptr_array_unref(ids);
+}
 
+static void handle_silence(struct wf_ctx *ctx, struct run_runs *runs,
+			   struct run_request *request)
+{
 	if (!request->resumed && runs->config.use_resume) {
 		resume(ctx, runs, request);
 		return;
 	}
-	if (wait_longer(ctx, runs, request))
-		return;
-	if (request->accepted)
-		id = find_suspect(runs, request);
-	target = tgt_find(runs->targets, id);
-	if (target)
-		tgt_failed(ctx, runs->targets, target, TGT_EVIDENCE_SILENT);
-	if (id)
-		replace(ctx, runs, request, id, false);
-	else
-		start_new_chain(ctx, runs, request);
+	if (!wait_longer(ctx, runs, request))
+		replace_silent(ctx, runs, request);
 }
 
 static void note_failure(struct wf_ctx *ctx, struct run_runs *runs,
--- a/src/sched/run_stream.c
+++ b/src/sched/run_stream.c
@@ -63,12 +63,14 @@
 
 		make_stage(runs, &chain->stages[i], WF_KV_FRESH, NULL, &wire,
 			   &stage);
+		stage.lineage = request->lineage;
 		g_array_append_val(request->chain, wire);
 		g_array_append_val(request->stages, stage);
 	}
 	charge(ctx, runs, request);
 }
 
+/* A stage whose rebuild has brought no token yet may not hold its state. */
 static void set_survivors(struct run_request *request, enum wf_kv kv)
 {
 	guint i;
@@ -76,7 +78,12 @@
 	for (i = 0; i < request->chain->len; i++) {
 		struct wf_stage *stage;
 
+		if (g_array_index(request->stages, struct run_stage, i)
+			    .lineage == request->lineage)
+			continue;
 		stage = &g_array_index(request->chain, struct wf_stage, i);
+		if (request->first && stage->kv == WF_KV_REBUILD)
+			continue;
 		stage->kv = kv;
 		g_clear_pointer(&stage->kv_source, g_free);
 	}
@@ -103,6 +110,7 @@
 
 		make_stage(runs, &part->stages[i], held ? kv : WF_KV_FRESH,
 			   source, &wire, &stage);
+		stage.lineage = request->lineage;
 		request->token_us += stage.us;
 		g_array_insert_val(request->chain, index + i, wire);
 		g_array_insert_val(request->stages, index + i, stage);
@@ -137,6 +145,7 @@
 	g_clear_pointer(&request->end_reason, g_free);
 	request->opened = ctx->now;
 	request->last_event = ctx->now;
+	request->last_token = ctx->now;
 	request->slowness = 1;
 	add_op(runs, request, request->op);
 	action.op = request->op;
