--- a/tests/support/http.c
+++ b/tests/support/http.c
@@ -19,6 +19,7 @@
 	size_t len;
 	bool has_body;
 	long timeout_ms;
+	bool http2;
 	struct sup_answer answer;
 	bool done;
 	bool abort;
@@ -91,6 +92,9 @@
 	curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
 	curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_progress);
 	curl_easy_setopt(easy, CURLOPT_XFERINFODATA, request);
+	if (request->http2)
+		curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+				 (long)CURL_HTTP_VERSION_2_PRIOR_KNOWLEDGE);
 	if (request->has_body) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
 				 (curl_off_t)request->len);
@@ -113,6 +117,7 @@
 	g_mutex_lock(&request->lock);
 	request->answer.status = (int)status;
 	request->answer.complete = code == CURLE_OK;
+	request->answer.refused = code == CURLE_COULDNT_CONNECT;
 	request->answer.timed_out = code == CURLE_OPERATION_TIMEDOUT;
 	request->done = true;
 	g_cond_broadcast(&request->changed);
@@ -145,6 +150,7 @@
 		memcpy(request->body, query->body, request->len);
 	request->timeout_ms =
 		query->timeout_ms ? query->timeout_ms : DEFAULT_TIMEOUT_MS;
+	request->http2 = query->http2;
 	request->answer.body = g_string_new(NULL);
 	request->answer.headers = g_string_new(NULL);
 	g_mutex_init(&request->lock);
--- a/tests/support/http.h
+++ b/tests/support/http.h
@@ -12,6 +12,7 @@
 	int status;    /* 0 if no head came */
 	bool complete; /* the whole answer came, with the stated length */
 	bool timed_out;
+	bool refused; /* no connection */
 	GString *body;
 	GString *headers; /* the answer's header lines */
 };
@@ -25,6 +26,7 @@
 	const void *body;
 	size_t len;	 /* 0: strlen(body) */
 	long timeout_ms; /* 0: 20 s */
+	bool http2;	 /* with prior knowledge */
 };
 
 /* Sends a request and waits for its end. Free with sup_answer_clear(). */
