--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,12 @@
 BUILD := build/guard-$(GUARD_OFF)
 CFLAGS_BASE += -DWF_GUARD_OFF_$(GUARD_OFF)
 endif
+ifdef FUZZ
+# With CC=clang; the targets in tests/fuzz with clang's libFuzzer.
+BUILD := build/fuzz
+CFLAGS_BASE += -fsanitize=fuzzer-no-link,address
+LDFLAGS += -fsanitize=fuzzer,address
+endif
 CFLAGS_BASE += $(shell pkg-config --cflags $(PKGS) $(DAEMON_PKGS))
 LIBS := $(shell pkg-config --libs $(PKGS)) -lm
 DAEMON_LIBS := $(shell pkg-config --libs $(DAEMON_PKGS))
@@ -43,6 +49,8 @@
 WIRE_TESTS := $(filter %_wire_test,$(TESTS))
 BENCH_SRC := $(wildcard tests/bench/*.c)
 BENCHES := $(BENCH_SRC:tests/bench/%.c=$(BUILD)/bench/%)
+FUZZ_SRC := $(wildcard tests/fuzz/*_fuzz.c)
+FUZZERS := $(FUZZ_SRC:tests/fuzz/%.c=$(BUILD)/%)
 FAKE_SRC := $(wildcard tests/fakes/*_fake.c)
 FAKES := $(FAKE_SRC:tests/fakes/%.c=$(BUILD)/fakes/%)
 FAKE_OBJ := $(patsubst %.c,$(BUILD)/%.o,\
@@ -104,6 +112,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
+$(FUZZERS): $(BUILD)/%: $(BUILD)/tests/fuzz/%.o $(NET_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS)
+
+fuzz: $(FUZZERS)
+
 schema:
 	protoc-c --proto_path=schema --c_out=src/schema schema/*.proto
 
@@ -118,6 +131,6 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all check clean schema print-sources
+.PHONY: all fuzz check clean schema print-sources
 .SECONDARY:
 .DELETE_ON_ERROR:
