--- a/src/state/clm.c
+++ b/src/state/clm.c
@@ -386,7 +386,7 @@
 	claims->direct_calls = by_number(NULL);
 	claims->targets = g_ptr_array_new_with_free_func(free_target);
 	claims->heap = clm_heap_new();
-	clm_sweep_start(ctx, claims);
+	claims->sweep.wake = ctx->now + config->sweep_interval;
 	return claims;
 }
 
--- a/src/state/clm_finish.c
+++ b/src/state/clm_finish.c
@@ -2,6 +2,8 @@
 
 /* Least time between two sendings of a completion, ms. */
 #define COMPLETION_BACKOFF_MS 1000
+/* Finished runs looked at when a call comes, to bound its time. */
+#define EVICT_STEPS 16
 /* Advice to callers that may try again, ms. */
 #define RETRY_AFTER_MS 1000
 
@@ -281,7 +283,7 @@
 void clm_runs_evict(struct clm_claims *claims)
 {
 	unsigned keep = claims->config.max_runs - 1;
-	guint left = claims->finished.length;
+	guint left = MIN(claims->finished.length, EVICT_STEPS);
 
 	while (left-- && g_hash_table_size(claims->runs) > keep) {
 		uint64_t *nonce = g_queue_pop_head(&claims->finished);
--- a/src/state/clm_private.h
+++ b/src/state/clm_private.h
@@ -281,6 +281,7 @@
 };
 
 struct clm_sweep {
+	bool started;
 	uint64_t next_group; /* newest group not listed yet */
 	uint64_t back_group; /* older groups, after an outage */
 	clk_ms wake;
@@ -468,7 +469,6 @@
 					  const char *preferred, unsigned n);
 
 /* clm_sweep.c */
-void clm_sweep_start(struct wf_ctx *ctx, struct clm_claims *claims);
 void clm_sweep_tick(struct wf_ctx *ctx, struct clm_claims *claims);
 void clm_sweep_reply(struct wf_ctx *ctx, struct clm_claims *claims,
 		     const struct wf_store_reply *reply);
--- a/src/state/clm_shard.c
+++ b/src/state/clm_shard.c
@@ -40,6 +40,9 @@
 {
 	clk_ms end = (clk_ms)(window + 1) * config->window;
 
+#ifdef WF_GUARD_OFF_CLAIM_COMMIT_EXPIRY
+	return false;
+#endif
 	return end < ctx->now - config->retention + config->skew;
 }
 
--- a/src/state/clm_sweep.c
+++ b/src/state/clm_sweep.c
@@ -44,7 +44,8 @@
 	return limit < span ? 0 : (uint64_t)(limit / span) - 1;
 }
 
-void clm_sweep_start(struct wf_ctx *ctx, struct clm_claims *claims)
+/* At the first tick, because a context may be made before its time is set. */
+static void start_sweep(struct wf_ctx *ctx, struct clm_claims *claims)
 {
 	uint64_t newest = newest_expired(ctx, &claims->config);
 	clk_ms span = claims->config.window * GROUP_WINDOWS;
@@ -52,7 +53,7 @@
 
 	claims->sweep.next_group = newest;
 	claims->sweep.back_group = newest > backlog ? newest - backlog : 0;
-	claims->sweep.wake = ctx->now + claims->config.sweep_interval;
+	claims->sweep.started = true;
 }
 
 static bool owns_group(const struct wf_ctx *ctx, uint64_t group)
@@ -126,6 +127,8 @@
 	sweep->wake = ctx->now + claims->config.sweep_interval;
 	if (ctx->draining)
 		return;
+	if (!sweep->started)
+		start_sweep(ctx, claims);
 	if (sweep->op && ctx->now >= sweep->op_limit)
 		sweep->op = 0;
 	if (!g_queue_is_empty(&sweep->victims))
--- a/tests/claims_random_test.c
+++ b/tests/claims_random_test.c
@@ -81,7 +81,7 @@
 	clk_ms span = sim_span(sim, 10 * CLK_SECOND);
 
 	(void)data;
-	switch ((int)sim_span(sim, 7)) {
+	switch ((int)sim_span(sim, 8)) {
 	case 0:
 		sim_kill(sim, i);
 		sim_at(sim, sim->now + span, restart, GUINT_TO_POINTER(i));
@@ -101,6 +101,9 @@
 	case 5:
 		sim_store_outage(sim, span);
 		break;
+	case 7:
+		sim_partition(sim, 1 + (uint64_t)sim_span(sim, 14), span);
+		break;
 	case 6:
 		sim->store_slow_until = sim->now + span;
 		break;
--- a/tests/claims_test.c
+++ b/tests/claims_test.c
@@ -149,6 +149,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a key that is accepted within retention, waits for the store
+ * and is claimed after its entry has been deleted.
+ */
+START_TEST(waiting_claim_is_not_stored_after_retention)
+{
+	clk_ms accepted = SIM_START + claims.retention - 15 * CLK_SECOND;
+	struct sim *sim;
+
+	config.n_instances = 2;
+	claims.sweep_interval = CLK_SECOND;
+	sim = sim_new(&config);
+	sim_call(sim, 0, "org", KEY, "body", 1000, false);
+	sim_run_until(sim, accepted);
+	/* A new instance has no copy of the object. */
+	sim_kill(sim, (unsigned)_i);
+	sim_restart(sim, (unsigned)_i);
+	sim_cut_store(sim, (unsigned)_i, 5 * CLK_MINUTE);
+	sim_cut_peers(sim, (unsigned)_i, 5 * CLK_MINUTE);
+	sim_call(sim, (unsigned)_i, "org", KEY, "body", 9 * CLK_MINUTE, false);
+	sim_run_until(sim, accepted + 20 * CLK_MINUTE);
+	ck_assert_uint_eq(claims_runs_of(sim, "org", KEY), 1);
+	check_invariants(sim, "retention");
+	sim_free(sim);
+}
+END_TEST
+
 /* Guards against a run without a claim, and against waiting in vain. */
 START_TEST(store_outage_refuses_as_not_run)
 {
@@ -522,6 +549,8 @@
 	tcase_add_test(tcase, bad_keys_are_refused);
 	tcase_add_test(tcase, other_body_is_refused);
 	tcase_add_test(tcase, key_is_refused_after_retention);
+	tcase_add_loop_test(tcase, waiting_claim_is_not_stored_after_retention,
+			    0, 2);
 	tcase_add_test(tcase, store_outage_refuses_as_not_run);
 	tcase_add_test(tcase, hopeless_call_is_refused_early);
 	tcase_add_loop_test(tcase, large_answer_comes_from_the_status_call, 0,
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -330,6 +330,15 @@
 		 sim_delivery_free);
 }
 
+static bool is_parted(const struct sim *sim, const struct sim_instance *a,
+		      const struct sim_instance *b)
+{
+	if (sim->now >= sim->partition_until || a->index > 63 || b->index > 63)
+		return false;
+	return (sim->partition >> a->index & 1) !=
+	       (sim->partition >> b->index & 1);
+}
+
 static void send_frame(struct sim *sim, struct sim_instance *instance,
 		       const struct wf_action *action)
 {
@@ -344,7 +353,7 @@
 		if (!strcmp(sim->instances[i].id, action->target))
 			to = &sim->instances[i];
 	if (!to || !to->alive || sim->now < instance->peers_cut_until ||
-	    sim->now < to->peers_cut_until ||
+	    sim->now < to->peers_cut_until || is_parted(sim, instance, to) ||
 	    sim_chance(sim, faults->peer_drop))
 		return;
 	while (copies--) {
@@ -521,6 +530,7 @@
 	for (i = 0; i < sim->config.n_instances; i++) {
 		struct sim_instance *other = &sim->instances[i];
 		struct wf_peer peer = {.id = other->id};
+		struct wf_instance entry = {0};
 
 		if (!other->alive && other != instance)
 			continue;
@@ -529,6 +539,14 @@
 		peer.incarnation = other->ctx ? other->ctx->incarnation : 0;
 		peer.life = other->leaving ? WF_LIFE_LEAVING : WF_LIFE_LIVE;
 		g_array_append_val(peers, peer);
+		entry.id = other->id;
+		entry.role = WF_ROLE_ENTRY;
+		entry.life = peer.life;
+		entry.address = other->id;
+		entry.peer_address = other->id;
+		entry.data_center = "dc";
+		entry.incarnation = peer.incarnation;
+		g_array_append_val(list, entry);
 	}
 	for (i = 0; i < sim->n_targets; i++) {
 		struct sim_target *target = &sim->targets[i];
@@ -544,7 +562,8 @@
 		entry.has_status = sim->config.targets_have_status;
 		g_array_append_val(list, entry);
 	}
-	wf_set_peers(instance->ctx, (void *)peers->data, peers->len);
+	if (!sim->config.peers_by_module)
+		wf_set_peers(instance->ctx, (void *)peers->data, peers->len);
 	event.instances.list = (void *)list->data;
 	event.instances.n = list->len;
 	event.instances.revision = ++sim->revision;
@@ -716,6 +735,12 @@
 	sim->instances[index].store_cut_until = sim->now + span;
 }
 
+void sim_partition(struct sim *sim, uint64_t bits, clk_ms span)
+{
+	sim->partition = bits;
+	sim->partition_until = sim->now + span;
+}
+
 void sim_store_outage(struct sim *sim, clk_ms span)
 {
 	sim->store_down_until = sim->now + span;
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -83,8 +83,9 @@
 	clk_ms plan_pause;	  /* at events */
 	clk_ms plan_action_pause; /* between a decision and its action */
 	clk_ms plan_delay;
-	bool trace;   /* steps to stderr */
-	bool measure; /* real time spent in the modules */
+	bool peers_by_module; /* a module sets ctx->peers itself */
+	bool trace;	      /* steps to stderr */
+	bool measure;	      /* real time spent in the modules */
 };
 
 void sim_config_init(struct sim_config *config);
@@ -196,6 +197,8 @@
 	GHashTable *objects; /* name to struct sim_object */
 	uint64_t revision;
 	GPtrArray *watches;
+	uint64_t partition; /* instances on one side, as bits */
+	clk_ms partition_until;
 	clk_ms store_down_until;
 	clk_ms store_slow_until;
 	GPtrArray *calls;  /* struct sim_call */
@@ -242,6 +245,12 @@
 void sim_cut_peers(struct sim *sim, unsigned instance, clk_ms span);
 void sim_cut_store(struct sim *sim, unsigned instance, clk_ms span);
 
+/*
+ * Parts the instances whose bits are set from the others, for a time. The
+ * store and the targets stay reachable. The first 64 instances only.
+ */
+void sim_partition(struct sim *sim, uint64_t bits, clk_ms span);
+
 /* The store refuses everything with UNAVAILABLE for a time. */
 void sim_store_outage(struct sim *sim, clk_ms span);
 
