--- a/tests/distribution_test.c
+++ b/tests/distribution_test.c
@@ -223,7 +223,7 @@
 		sim_store_outage(control->sim, span);
 		break;
 	case 6:
-		sim_partition(control->sim, i, span);
+		sim_partition(control->sim, (UINT64_C(1) << i) - 1, span);
 		break;
 	default:
 		publish(control, i);
--- a/tests/member_test.c
+++ b/tests/member_test.c
@@ -58,7 +58,7 @@
 	config.seed = seed;
 	config.n_instances = n;
 	config.n_targets = 0;
-	config.modules_set_peers = true;
+	config.peers_by_module = true;
 	config.n_data_centers = 3;
 	config.view_delay = LIST_LAG_MS;
 	config.peer_latency = 40;
@@ -167,7 +167,7 @@
 	unsigned i;
 
 	pass(sim, 10 * CLK_SECOND);
-	sim_partition(sim, 15, 5 * CLK_MINUTE);
+	sim_partition(sim, (1 << 15) - 1, 5 * CLK_MINUTE);
 	pass(sim, 5 * CLK_MINUTE);
 	ck_assert_uint_eq(count_views(sim, 0, WF_LIFE_DEAD), 15);
 	pass(sim, CLK_MINUTE);
--- a/tests/support/control.c
+++ b/tests/support/control.c
@@ -61,7 +61,7 @@
 	config.seed = seed;
 	config.n_instances = n_instances;
 	config.n_targets = 0;
-	config.modules_set_peers = true;
+	config.peers_by_module = true;
 	config.n_data_centers = 9;
 	config.view_delay = 20 * CLK_SECOND;
 	config.peer_latency = 40;
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -331,6 +331,15 @@
 		 sim_delivery_free);
 }
 
+static bool is_parted(const struct sim *sim, const struct sim_instance *a,
+		      const struct sim_instance *b)
+{
+	if (sim->now >= sim->partition_until || a->index > 63 || b->index > 63)
+		return false;
+	return (sim->partition >> a->index & 1) !=
+	       (sim->partition >> b->index & 1);
+}
+
 static void send_frame(struct sim *sim, struct sim_instance *instance,
 		       const struct wf_action *action)
 {
@@ -344,11 +353,8 @@
 	for (i = 0; i < sim->config.n_instances; i++)
 		if (!strcmp(sim->instances[i].id, action->target))
 			to = &sim->instances[i];
-	if (to && to->other_side != instance->other_side &&
-	    sim->now < sim->partition_until)
-		return;
 	if (!to || !to->alive || sim->now < instance->peers_cut_until ||
-	    sim->now < to->peers_cut_until ||
+	    sim->now < to->peers_cut_until || is_parted(sim, instance, to) ||
 	    sim_chance(sim, faults->peer_drop))
 		return;
 	while (copies--) {
@@ -514,20 +520,6 @@
 	}
 }
 
-static void list_entry(const struct sim_instance *instance, GArray *list)
-{
-	struct wf_instance entry = {.id = instance->id};
-
-	entry.role = WF_ROLE_ENTRY;
-	entry.life = instance->leaving ? WF_LIFE_LEAVING : WF_LIFE_LIVE;
-	entry.address = instance->id;
-	entry.peer_address = instance->id;
-	entry.data_center = instance->data_center;
-	entry.incarnation = instance->ctx ? instance->ctx->incarnation : 0;
-	entry.serves = "";
-	g_array_append_val(list, entry);
-}
-
 /* What each instance is told about peers and targets, after a delay. */
 static void send_views(struct sim *sim, struct sim_instance *instance)
 {
@@ -539,6 +531,7 @@
 	for (i = 0; i < sim->config.n_instances; i++) {
 		struct sim_instance *other = &sim->instances[i];
 		struct wf_peer peer = {.id = other->id};
+		struct wf_instance entry = {0};
 
 		if (!other->alive && other != instance)
 			continue;
@@ -547,8 +540,14 @@
 		peer.incarnation = other->ctx ? other->ctx->incarnation : 0;
 		peer.life = other->leaving ? WF_LIFE_LEAVING : WF_LIFE_LIVE;
 		g_array_append_val(peers, peer);
-		if (sim->config.modules_set_peers)
-			list_entry(other, list);
+		entry.id = other->id;
+		entry.role = WF_ROLE_ENTRY;
+		entry.life = peer.life;
+		entry.address = other->id;
+		entry.peer_address = other->id;
+		entry.data_center = other->data_center;
+		entry.incarnation = peer.incarnation;
+		g_array_append_val(list, entry);
 	}
 	for (i = 0; i < sim->n_targets; i++) {
 		struct sim_target *target = &sim->targets[i];
@@ -564,7 +563,7 @@
 		entry.has_status = sim->config.targets_have_status;
 		g_array_append_val(list, entry);
 	}
-	if (!sim->config.modules_set_peers)
+	if (!sim->config.peers_by_module)
 		wf_set_peers(instance->ctx, (void *)peers->data, peers->len);
 	event.instances.list = (void *)list->data;
 	event.instances.n = list->len;
@@ -735,6 +734,11 @@
 	sim->instances[index].peers_cut_until = sim->now + span;
 }
 
+void sim_cut_store(struct sim *sim, unsigned index, clk_ms span)
+{
+	sim->instances[index].store_cut_until = sim->now + span;
+}
+
 void sim_settle(struct sim *sim, unsigned index)
 {
 	struct sim_instance *instance = &sim->instances[index];
@@ -746,20 +750,12 @@
 		schedule_tick(sim, instance);
 }
 
-void sim_partition(struct sim *sim, unsigned n, clk_ms span)
+void sim_partition(struct sim *sim, uint64_t bits, clk_ms span)
 {
-	unsigned i;
-
-	for (i = 0; i < sim->config.n_instances; i++)
-		sim->instances[i].other_side = i < n;
+	sim->partition = bits;
 	sim->partition_until = sim->now + span;
 }
 
-void sim_cut_store(struct sim *sim, unsigned index, clk_ms span)
-{
-	sim->instances[index].store_cut_until = sim->now + span;
-}
-
 void sim_store_outage(struct sim *sim, clk_ms span)
 {
 	sim->store_down_until = sim->now + span;
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -83,8 +83,8 @@
 	clk_ms plan_pause;	  /* at events */
 	clk_ms plan_action_pause; /* between a decision and its action */
 	clk_ms plan_delay;
-	bool modules_set_peers;	 /* a membership module sets the peers */
 	unsigned n_data_centers; /* instances are spread over them in turn */
+	bool peers_by_module;	 /* a module sets ctx->peers itself */
 	bool trace;		 /* steps to stderr */
 	bool measure;		 /* real time spent in the modules */
 };
@@ -155,7 +155,6 @@
 	clk_ms skew;
 	clk_ms store_cut_until;
 	clk_ms peers_cut_until;
-	bool other_side; /* of a partition */
 	char data_center[16];
 	clk_ms tick_at;
 	clk_ms last_tick;
@@ -200,6 +199,7 @@
 	GHashTable *objects; /* name to struct sim_object */
 	uint64_t revision;
 	GPtrArray *watches;
+	uint64_t partition; /* instances on one side, as bits */
 	clk_ms partition_until;
 	clk_ms store_down_until;
 	clk_ms store_slow_until;
@@ -247,8 +247,11 @@
 void sim_cut_peers(struct sim *sim, unsigned instance, clk_ms span);
 void sim_cut_store(struct sim *sim, unsigned instance, clk_ms span);
 
-/* Parts the first n instances from the others for a time. */
-void sim_partition(struct sim *sim, unsigned n, clk_ms span);
+/*
+ * Parts the instances whose bits are set from the others, for a time. The
+ * store and the targets stay reachable. The first 64 instances only.
+ */
+void sim_partition(struct sim *sim, uint64_t bits, clk_ms span);
 
 /* The store refuses everything with UNAVAILABLE for a time. */
 void sim_store_outage(struct sim *sim, clk_ms span);
