--- /dev/null
+++ b/scripts/checks/guards.sh
@@ -0,0 +1,34 @@
+#!/bin/sh
+# Builds the library with one guard removed at a time and runs the test that
+# guards it. Fails unless the test fails. tests/guards*.txt have lines
+# "GUARD TEST_PROGRAM".
+set -u
+cd "$(dirname "$0")/../.."
+results=build/guard-results
+mkdir -p "$results"
+rm -f "$results"/*
+
+# Unoptimized builds compile in a third of the time.
+cat tests/guards*.txt | grep . | xargs -P 4 -L 1 sh -c '
+	guard=$1 program=$2
+	build=build/guard-$guard
+	if ! make -s -j2 GUARD_OFF="$guard" CFLAGS=-O0 \
+		"$build/tests/$program"
+	then
+		echo "guard $guard: $program does not build"
+		exit 0
+	fi
+	output=$build/$program.txt
+	timeout 600 "$build/tests/$program" >"$output" 2>&1
+	rc=$?
+	if test $rc -eq 1 && grep -q ":[FE]:" "$output"
+	then
+		: >"$0/$guard"
+		echo "guard $guard: $program fails without it"
+	else
+		echo "guard $guard: $program does not notice (exit code $rc)"
+	fi' "$results"
+expected=$(cat tests/guards*.txt | grep -c .)
+found=$(find "$results" -type f | wc -l)
+echo "$found of $expected guards are noticed"
+test "$found" -eq "$expected"
--- a/src/sched/chn_model.c
+++ b/src/sched/chn_model.c
@@ -9,6 +9,10 @@
 
 	if (boundary->candidates)
 		g_array_unref(boundary->candidates);
+	if (boundary->near[0])
+		g_array_unref(boundary->near[0]);
+	if (boundary->near[1])
+		g_array_unref(boundary->near[1]);
 	g_free(boundary->starts);
 }
 
@@ -103,7 +107,7 @@
 	model->nominal_rate = layers / MAX(model->n_layers, 1);
 }
 
-/* Marks layer 0 and the end of each range as boundaries. */
+/* Marks the ends of the model and of each range as boundaries. */
 static void collect_boundaries(struct chn_model *model)
 {
 	gboolean *marked = g_new0(gboolean, model->n_layers + 1);
@@ -115,6 +119,7 @@
 	for (i = 0; i < model->targets->len; i++) {
 		struct tgt_target *target = model->targets->pdata[i];
 
+		marked[target->first_layer] = TRUE;
 		marked[target->last_layer + 1] = TRUE;
 	}
 	for (layer = 0; layer <= model->n_layers; layer++) {
@@ -143,32 +148,45 @@
 			boundary->candidates->len;
 }
 
+static struct chn_boundary *boundary_at(const struct chn_model *model,
+					size_t index)
+{
+	return &g_array_index(model->boundaries, struct chn_boundary, index);
+}
+
 /* Adds a target if the rest of the model can be reached through it. */
-static void add_candidate(struct chn_model *model,
-			  struct chn_boundary *boundary,
+static void add_candidate(struct chn_model *model, size_t at,
 			  struct tgt_target *target, double link_us)
 {
 	struct chn_candidate candidate = {.target = target};
-	const struct chn_boundary *next;
-	double us;
+	struct chn_boundary *boundary = boundary_at(model, at);
+	double best = INFINITY;
+	size_t end;
 
 	candidate.next = find_boundary(model, target->last_layer + 1);
-	next = &g_array_index(model->boundaries, struct chn_boundary,
-			      candidate.next);
-	if (isinf(next->to_go))
+	for (end = at + 1; end <= candidate.next; end++) {
+		const struct chn_boundary *next = boundary_at(model, end);
+		double us;
+
+		us = tgt_stage_us(target, boundary->layer, next->layer - 1);
+		best = MIN(best, us + link_us + next->to_go);
+	}
+	if (isinf(best))
 		return;
+	boundary->to_go = MIN(boundary->to_go, best);
 	g_array_append_val(boundary->candidates, candidate);
-	us = tgt_stage_us(target, boundary->layer, target->last_layer);
-	boundary->to_go = MIN(boundary->to_go, us + link_us + next->to_go);
 }
 
 static void fill_boundary(struct tgt_targets *targets, struct chn_model *model,
-			  struct chn_boundary *boundary)
+			  size_t at)
 {
+	struct chn_boundary *boundary = boundary_at(model, at);
 	guint i;
 
 	boundary->candidates =
 		g_array_new(FALSE, FALSE, sizeof(struct chn_candidate));
+	boundary->near[0] = g_array_new(FALSE, FALSE, sizeof(guint));
+	boundary->near[1] = g_array_new(FALSE, FALSE, sizeof(guint));
 	boundary->starts = g_new0(guint, targets->data_centers->len + 1);
 	boundary->to_go = boundary->layer == model->n_layers ? 0 : INFINITY;
 	for (i = 0; i < model->targets->len; i++) {
@@ -177,12 +195,83 @@
 		mark_start(boundary, target->data_center_number);
 		if (target->first_layer <= boundary->layer &&
 		    target->last_layer >= boundary->layer)
-			add_candidate(model, boundary, target,
+			add_candidate(model, at, target,
 				      targets->config.link_us);
 	}
 	mark_start(boundary, targets->data_centers->len);
 }
 
+/*
+ * Part of each layer's capacity that long requests may use while short ones
+ * come. They get the slowest engines, so that short ones keep the others to
+ * themselves and are not slowed down.
+ */
+#define CHN_LONG_PART 0.5
+
+static double layer_us(const struct tgt_target *target)
+{
+	return target->step_us / (target->last_layer - target->first_layer + 1);
+}
+
+static gint compare_slowness(gconstpointer a, gconstpointer b)
+{
+	const struct tgt_target *left = *(struct tgt_target *const *)a;
+	const struct tgt_target *right = *(struct tgt_target *const *)b;
+
+	if (layer_us(left) != layer_us(right))
+		return layer_us(left) > layer_us(right) ? -1 : 1;
+	return strcmp(left->id, right->id);
+}
+
+static bool covers(const struct tgt_target *target, unsigned layer)
+{
+	return !target->leaving && target->first_layer <= layer &&
+	       target->last_layer >= layer;
+}
+
+/* Opens targets that hold a layer, slowest first, up to the long part. */
+static void open_for_long(const GPtrArray *slowest, unsigned layer)
+{
+	double total = 0;
+	double opened = 0;
+	guint i;
+
+	for (i = 0; i < slowest->len; i++) {
+		const struct tgt_target *target = slowest->pdata[i];
+
+		if (!covers(target, layer))
+			continue;
+		total += target->slots / layer_us(target);
+		if (target->takes_long)
+			opened += target->slots / layer_us(target);
+	}
+	for (i = 0; i < slowest->len && opened < CHN_LONG_PART * total; i++) {
+		struct tgt_target *target = slowest->pdata[i];
+
+		if (!covers(target, layer) || target->takes_long)
+			continue;
+		target->takes_long = true;
+		opened += target->slots / layer_us(target);
+	}
+}
+
+static void choose_for_long(struct chn_model *model)
+{
+	GPtrArray *slowest = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < model->targets->len; i++) {
+		struct tgt_target *target = model->targets->pdata[i];
+
+		target->takes_long = false;
+		g_ptr_array_add(slowest, target);
+	}
+	g_ptr_array_sort(slowest, compare_slowness);
+	for (i = 0; i + 1 < model->boundaries->len; i++)
+		open_for_long(slowest, boundary_at(model, i)->layer);
+	g_ptr_array_unref(slowest);
+}
+
 static void rebuild(struct tgt_targets *targets, struct chn_model *model)
 {
 	guint i;
@@ -194,10 +283,12 @@
 	if (!model->n_layers)
 		return;
 	collect_boundaries(model);
-	for (i = model->boundaries->len; i-- > 0;)
-		fill_boundary(targets, model,
-			      &g_array_index(model->boundaries,
-					     struct chn_boundary, i));
+	for (i = model->boundaries->len; i-- > 0;) {
+		fill_boundary(targets, model, i);
+		boundary_at(model, i)->price[0] = boundary_at(model, i)->to_go;
+		boundary_at(model, i)->price[1] = boundary_at(model, i)->to_go;
+	}
+	choose_for_long(model);
 	if (model->token_us <= 0)
 		model->token_us =
 			g_array_index(model->boundaries, struct chn_boundary, 0)
--- a/src/sched/chn_model.h
+++ b/src/sched/chn_model.h
@@ -6,14 +6,16 @@
 /* A target that can run the layers from a boundary on. */
 struct chn_candidate {
 	struct tgt_target *target;
-	size_t next; /* index of the boundary after its range */
+	size_t next; /* index of the boundary after its whole range */
 };
 
 /* A layer at which a stage can begin; the last one is the model's end. */
 struct chn_boundary {
 	unsigned layer;
 	double to_go;	    /* least time from here to the end, us */
+	double price[2];    /* the same under load, for short and long */
 	GArray *candidates; /* of struct chn_candidate, by data centre */
+	GArray *near[2];    /* of guint: candidates with near-best price */
 	guint *starts;	    /* where each data centre begins */
 	unsigned n_starts;
 	guint turn; /* for round-robin */
@@ -27,11 +29,20 @@
 	GArray *boundaries; /* of struct chn_boundary, by layer */
 	unsigned n_targets;
 	double own_load; /* steps at once over all targets */
+	double own_long_load;
+	clk_ms last_short; /* when a short request started last */
 	double inflation;
 	double nominal_rate;
 	double token_us; /* mean of the chains in use */
 };
 
+/*
+ * What a microsecond of a target's time costs under its present load: more
+ * than 1 if requests wait there or its tokens come late.
+ */
+double chn_factor(const struct wf_ctx *ctx, const struct tgt_targets *targets,
+		  const struct tgt_target *target, bool is_long);
+
 /* The model of that name with segments up to date, or NULL. Borrowed. */
 struct chn_model *chn_get_model(struct tgt_targets *targets, const char *name);
 
--- a/src/sched/lim_private.h
+++ b/src/sched/lim_private.h
@@ -20,8 +20,10 @@
 
 /* What the owner of a scope knows of one demander. */
 struct lim_holder {
-	unsigned slots;
-	uint64_t last_grant;
+	unsigned reported; /* slots it says it holds */
+	unsigned pending;  /* granted, and the grant not yet confirmed */
+	uint64_t pending_grant;
+	uint64_t number; /* of the newest message */
 	clk_ms heard;
 };
 
@@ -33,7 +35,6 @@
 	GHashTable *holders; /* instance id to struct lim_holder */
 	unsigned slots_used;
 	uint64_t next_grant;
-	clk_ms taken_over;
 	clk_ms used;
 };
 
@@ -53,9 +54,10 @@
 	unsigned held_slots;
 	unsigned returned_calls;
 	int64_t returned_tokens;
-	unsigned returned_slots;
-	GQueue waiting; /* of struct lim_waiting */
-	bool asked;	/* a demand is unanswered */
+	uint64_t number;    /* of the last message to the owner */
+	bool slots_changed; /* since that message */
+	GQueue waiting;	    /* of struct lim_waiting */
+	bool asked;	    /* a demand is unanswered */
 	uint64_t sequence;
 	uint64_t last_grant;
 	clk_ms asked_at;
@@ -85,6 +87,8 @@
 	GHashTable *owned;  /* name to struct lim_owned */
 	GHashTable *calls;  /* call id to struct lim_call */
 	uint64_t peers_revision;
+	uint64_t swept_revision; /* at the last sweep */
+	clk_ms peers_changed;	 /* time of the last change of the view */
 	clk_ms next_sweep;
 };
 
@@ -93,6 +97,8 @@
 
 /* lim_owner.c */
 void lim_owned_free(gpointer data);
+/* Notes a change of the live instances. */
+void lim_note_peers(struct wf_ctx *ctx, struct lim_limits *limits);
 /* Answers a demand in *grant; grant->scope is borrowed from the demand. */
 void lim_owner_demand(struct wf_ctx *ctx, struct lim_limits *limits,
 		      const char *from, const Wf__LimitDemand *demand,
@@ -118,6 +124,6 @@
 /* Admits one call out of what is granted; false if that is not enough. */
 bool lim_scope_admit(struct lim_scope *scope, unsigned tokens);
 void lim_scope_tick(struct wf_ctx *ctx, struct lim_limits *limits,
-		    struct lim_scope *scope);
+		    struct lim_scope *scope, bool peers_changed);
 
 #endif
--- a/src/sched/run_timer.c
+++ b/src/sched/run_timer.c
@@ -15,11 +15,46 @@
  * engine that is only slow would otherwise be left again and again.
  */
 #define GAP_PLAIN_ATTEMPTS 2
-/* A resumed stream answers from stored results, so it gets less time. */
-#define GAP_RESUMED_PART 0.5
+/*
+ * A resumed stream answers at once that it is accepted and sends stored
+ * results or the next token, so it gets less time.
+ */
+#define GAP_RESUMED_TOKENS 3
+#define GAP_RESUMED_MIN 150.0
 /* Waiting requests without a deadline are dropped at this many max_wait. */
 #define QUEUED_WAITS 3
 
+/*
+ * Long requests have a lower priority at the engines, so that they wait for
+ * more than their share of a queue.
+ */
+#define LONG_WAIT_FACTOR 2.0
+
+double run_expected_us(const struct run_runs *runs,
+		       const struct run_request *request)
+{
+	double sum = request->token_us;
+	guint i;
+
+	for (i = 0; i < request->stages->len; i++) {
+		const struct run_stage *stage;
+		const struct tgt_target *target;
+		double use;
+
+		stage = &g_array_index(request->stages, struct run_stage, i);
+		target = tgt_get(runs->targets, stage->target);
+		if (!target)
+			continue;
+		use = (double)(target->running + target->queued) /
+		      target->slots;
+		if (request->is_long)
+			use *= LONG_WAIT_FACTOR;
+		if (use > 1)
+			sum += stage->us * (use - 1);
+	}
+	return sum;
+}
+
 static double prefill_ms(const struct run_runs *runs,
 			 const struct run_request *request)
 {
@@ -33,11 +68,15 @@
 static clk_ms gap_bound(const struct run_runs *runs,
 			const struct run_request *request)
 {
-	double token = MAX(request->token_us, request->observed_us) / 1000;
+	double expected = run_expected_us(runs, request);
+	double token = MAX(expected, request->observed_us) / 1000;
 	double bound = CLAMP(GAP_TOKENS * token, GAP_MIN, GAP_MAX);
 
-	if (request->resumed)
-		bound = MAX(bound * GAP_RESUMED_PART, GAP_MIN);
+	if (request->resumed && !request->accepted)
+		bound = GAP_RESUMED_MIN;
+	else if (request->resumed)
+		bound = CLAMP(GAP_RESUMED_TOKENS * token, GAP_RESUMED_MIN,
+			      GAP_MAX);
 	else if (request->first && request->accepted)
 		bound += GAP_PREFILL_FACTOR * prefill_ms(runs, request);
 	if (request->attempts > GAP_PLAIN_ATTEMPTS)
--- a/src/sched/tgt.h
+++ b/src/sched/tgt.h
@@ -31,6 +31,7 @@
 	unsigned slots;
 	double step_us;	   /* over the held range */
 	double listed_us;  /* step_us as the list states it */
+	bool takes_long;   /* also while short requests come */
 	double planned_us; /* step_us that the plans were made with */
 	/* own requests in flight; load is in steps at once */
 	unsigned own_requests;
@@ -50,7 +51,8 @@
 	bool owner_known;
 	uint64_t owner_revision;
 	/* evidence from traffic */
-	double inflation; /* observed token time over the expected one */
+	double inflation; /* token time that load does not explain */
+	double scarcity;  /* lasting surcharge of a target in demand */
 	double window;	  /* steps admitted at once per slot */
 	enum tgt_breaker breaker;
 	double failures;
--- a/src/sched/tgt_load.c
+++ b/src/sched/tgt_load.c
@@ -6,18 +6,21 @@
 
 /* Other instances are taken to act as this one, up to this many of them. */
 #define TGT_HERD_LIMIT 8
-#define TGT_HERD_PART 0.5
+#define TGT_HERD_PART 1.0
 /* Least part of the slots that a new or recovered target gets. */
 #define TGT_LEAST_SHARE 0.1
-/* Long requests may use at most this part of a target's places. */
-#define TGT_LONG_SHARE 0.6
-/* Limits of the steps admitted at once for each slot. */
-#define TGT_WINDOW_MIN 0.8
-#define TGT_WINDOW_MAX 3.0
-#define TGT_WINDOW_STEP 0.01
-/* Observed over expected time of a token that narrows the window. */
-#define TGT_WAIT_HIGH 2.0
-#define TGT_WAIT_LOW 1.6
+#define TGT_SHORT_SHARE 0.9
+#define TGT_LONG_SHARE 0.9
+#define TGT_SHORT_MEMORY (5 * CLK_SECOND)
+/*
+ * Steps admitted at once for each slot. A chain spends part of its time at
+ * each stage, so that more than one request a slot is needed to keep it busy.
+ */
+#define TGT_WINDOW_MIN 1.0
+#define TGT_WINDOW_MAX 4.0
+/* The window moves so that reports show this many waiting steps a slot. */
+#define TGT_WINDOW_QUEUE 0.5
+#define TGT_WINDOW_STEP 0.2
 #define TGT_INFLATION_SMOOTHING 0.05
 
 /*
@@ -56,16 +59,77 @@
 	return MAX(target->slots * share, 1);
 }
 
-bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct tgt_target *target, double load, bool is_long)
+static struct chn_model *model_of(const struct tgt_targets *targets,
+				  const struct tgt_target *target)
 {
-	double limit = tgt_places(ctx, targets, target) * target->window;
-	double used = tgt_load(ctx, targets, target);
+	return g_hash_table_lookup(targets->models, target->serves);
+}
+
+double tgt_long_load(const struct wf_ctx *ctx,
+		     const struct tgt_targets *targets,
+		     const struct tgt_target *target)
+{
+	const struct chn_model *model = model_of(targets, target);
+	double foreign = tgt_load(ctx, targets, target) - target->own_load;
 
-	if (is_long &&
-	    target->own_long_load + load > MAX(TGT_LONG_SHARE * limit, load))
+	if (!model || model->own_load <= 0)
+		return target->own_long_load;
+	return target->own_long_load +
+	       foreign * model->own_long_load / model->own_load;
+}
+
+/* While short requests come, long ones leave them a part of the slots. */
+static bool long_has_room(const struct wf_ctx *ctx,
+			  const struct tgt_targets *targets,
+			  const struct tgt_target *target, double places,
+			  const struct tgt_demand *demand)
+{
+	const struct chn_model *model = model_of(targets, target);
+	double used = tgt_long_load(ctx, targets, target);
+
+	if (!model || ctx->now - model->last_short > TGT_SHORT_MEMORY)
+		return true;
+	if (!target->takes_long && !demand->restricted)
 		return false;
-	return used + load <= limit || used <= 0;
+	return used + demand->load <= TGT_LONG_SHARE * places;
+}
+
+/*
+ * Engines serve short requests first, so that long ones take no room from
+ * them. Where long ones run, short ones get no more than a part of the slots,
+ * so that the long ones do not starve.
+ */
+static bool short_has_room(const struct wf_ctx *ctx,
+			   const struct tgt_targets *targets,
+			   const struct tgt_target *target, double places,
+			   double load)
+{
+	double used = tgt_load(ctx, targets, target);
+	double long_load = tgt_long_load(ctx, targets, target);
+
+	if (long_load > 0)
+		return used - long_load + load <= TGT_SHORT_SHARE * places;
+	return used + load <= places * target->window;
+}
+
+bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
+		  const struct tgt_target *target,
+		  const struct tgt_demand *demand)
+{
+	double places = tgt_places(ctx, targets, target);
+	double limit = places * target->window;
+	double used = tgt_load(ctx, targets, target);
+	double load = demand->load;
+	double share = limit / MAX(ctx->peers->len, 1);
+
+	/* An idle target takes anything; its own share is never refused. */
+	if (used <= 0)
+		return true;
+	if (!demand->is_long)
+		return short_has_room(ctx, targets, target, places, load) ||
+		       target->own_load + load <= share;
+	return long_has_room(ctx, targets, target, places, demand) &&
+	       (used + load <= limit || target->own_load + load <= share);
 }
 
 void tgt_charge(struct wf_ctx *ctx, struct tgt_targets *targets,
@@ -79,8 +143,13 @@
 	target->started_since_report += load;
 	if (is_long)
 		target->own_long_load += load;
-	if (model)
-		model->own_load += load;
+	if (!model)
+		return;
+	model->own_load += load;
+	if (is_long)
+		model->own_long_load += load;
+	else
+		model->last_short = ctx->now;
 }
 
 void tgt_release(struct tgt_targets *targets, struct tgt_target *target,
@@ -97,6 +166,8 @@
 		target->own_long_load = MAX(target->own_long_load - load, 0);
 	if (model)
 		model->own_load = MAX(model->own_load - load, 0);
+	if (model && is_long)
+		model->own_long_load = MAX(model->own_long_load - load, 0);
 	if (!target->own_requests)
 		target->own_load = target->own_long_load = 0;
 	targets->revision++;
@@ -110,11 +181,18 @@
 	target->inflation +=
 		TGT_INFLATION_SMOOTHING * (ratio - target->inflation);
 	target->inflation = MAX(target->inflation, 1);
-	if (ratio > TGT_WAIT_HIGH)
-		target->window -= TGT_WINDOW_STEP;
-	else if (ratio < TGT_WAIT_LOW)
-		target->window += TGT_WINDOW_STEP;
-	target->window = CLAMP(target->window, TGT_WINDOW_MIN, TGT_WINDOW_MAX);
+}
+
+void tgt_adapt_window(struct tgt_target *target)
+{
+	double queue = (double)target->queued / target->slots;
+	double change = TGT_WINDOW_STEP * (TGT_WINDOW_QUEUE - queue);
+
+	if (target->running < target->slots)
+		change = TGT_WINDOW_STEP * (TGT_WINDOW_START - target->window);
+	change = CLAMP(change, -TGT_WINDOW_STEP, TGT_WINDOW_STEP);
+	target->window =
+		CLAMP(target->window + change, TGT_WINDOW_MIN, TGT_WINDOW_MAX);
 }
 
 void tgt_set_full(struct tgt_target *target)
--- a/src/sched/tgt_load.h
+++ b/src/sched/tgt_load.h
@@ -9,17 +9,35 @@
  */
 #define TGT_LOCALITY_EXCESS 1.25
 
+#define TGT_WINDOW_START 2.5
+
 /* Estimated steps at once at the target, own and of other instances. */
 double tgt_load(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		const struct tgt_target *target);
 
+/*
+ * The part of tgt_load() that is long requests. Reports do not tell; other
+ * instances are taken to have the same mix as this one.
+ */
+double tgt_long_load(const struct wf_ctx *ctx,
+		     const struct tgt_targets *targets,
+		     const struct tgt_target *target);
+
 /* Slots that count now: fewer during slow start and half-open recovery. */
 double tgt_places(const struct wf_ctx *ctx, const struct tgt_targets *targets,
 		  const struct tgt_target *target);
 
-/* Whether a request of that load may start at the target now. */
+/* What a request wants of a target. */
+struct tgt_demand {
+	double load; /* steps at once */
+	bool is_long;
+	bool restricted; /* to some data centres */
+};
+
+/* Whether a request may start at the target now. */
 bool tgt_has_room(const struct wf_ctx *ctx, const struct tgt_targets *targets,
-		  const struct tgt_target *target, double load, bool is_long);
+		  const struct tgt_target *target,
+		  const struct tgt_demand *demand);
 
 /* Adds (or with a negative load removes) an own request. */
 void tgt_charge(struct wf_ctx *ctx, struct tgt_targets *targets,
@@ -30,6 +48,9 @@
 /* Takes a target that refused for lack of room as full until its report. */
 void tgt_set_full(struct tgt_target *target);
 
+/* Throttles new requests by the waiting steps of the last report. */
+void tgt_adapt_window(struct tgt_target *target);
+
 /* Notes the observed time of a token against the expected one. */
 void tgt_observe(struct tgt_targets *targets, struct tgt_target *target,
 		 double ratio);
