--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,6 +14,7 @@
 build=${DEMO_BUILD:-build}
 work=$(mktemp -d)
 pids=
+entry_pids=
 model=swan-70b
 token=demo-token
 org=hotell-vinter
@@ -36,19 +37,29 @@
 	exit 1
 }
 
-# Ends everything that this script started, by process id.
-stop_all()
+stop_group()
 {
-	code=$?
-	trap - EXIT INT TERM
-	for pid in $pids
+	for pid in "$@"
 	do
 		kill -TERM "$pid" 2>/dev/null || :
 	done
-	for pid in $pids
+	for pid in "$@"
 	do
 		wait "$pid" 2>/dev/null || :
 	done
+}
+
+# Ends everything that this script started, by process id.
+stop_all()
+{
+	code=$?
+	trap - EXIT INT TERM
+	# The entry instances first, while the platform is still there.
+	# shellcheck disable=SC2086
+	stop_group $entry_pids
+	test -z "$entry_pids" || say "the entry instances have ended"
+	# shellcheck disable=SC2086
+	stop_group $pids
 	rm -rf "$work"
 	test "$code" -ne 0 || say "all processes have ended"
 	exit "$code"
@@ -269,8 +280,8 @@
 	do
 		write_settings $n
 		"$build/wagtailferryd" --settings "$work/entry-$n.json" \
-			2>"$work/entry-$n.log" &
-		pids="$pids $!"
+			>"$work/entry-$n.out" 2>"$work/entry-$n.log" &
+		entry_pids="$entry_pids $!"
 	done
 	say "five entry instances start"
 }
