Switch the throttle of windows on; pick service targets; status

The throttle by observed waiting had been switched off for a trial and was committed in that state, so that a window narrowed by a refusal stayed narrow. It is on now, between 1.5 and 2.5 requests a slot.

--- a/include/wagtailferry/sched.h
+++ b/include/wagtailferry/sched.h
@@ -39,6 +39,35 @@
 /* The table as a module of the core. Borrowed. */
 struct wf_module *tgt_module(struct tgt_targets *targets);
 
+/* Appends all targets and their state as a JSON array. */
+void tgt_write_status(const struct wf_ctx *ctx, struct tgt_targets *targets,
+		      GString *out);
+
+/* A target of a plain service; the strings are borrowed from the table. */
+struct tgt_pick {
+	tbl_handle handle;
+	const char *id;
+	const char *address;
+};
+
+/*
+ * Chooses a usable target of a plain service: the less loaded of two random
+ * ones. data_centers limits the choice unless it is NULL; a target named in
+ * avoid is taken only if there is no other. Returns false if there is none.
+ */
+bool tgt_pick_service(struct wf_ctx *ctx, struct tgt_targets *targets,
+		      const char *service, char **data_centers,
+		      const tbl_handle *avoid, size_t n_avoid,
+		      struct tgt_pick *out);
+
+/* Counts a call that is sent to a picked target. */
+void tgt_service_started(struct wf_ctx *ctx, struct tgt_targets *targets,
+			 tbl_handle handle);
+
+/* Ends it; ok says whether the target answered (evidence for its breaker). */
+void tgt_service_ended(struct wf_ctx *ctx, struct tgt_targets *targets,
+		       tbl_handle handle, bool ok);
+
 /* Model requests */
 
 /* All model requests of this instance: queues and streams. */
--- a/src/sched/tgt.c
+++ b/src/sched/tgt.c
@@ -266,6 +266,9 @@
 
 	switch (event->type) {
 	case WF_EV_INSTANCES:
+		if (event->instances.revision < targets->list_revision)
+			break;
+		targets->list_revision = event->instances.revision;
 		apply_list(ctx, targets, event->instances.list,
 			   event->instances.n);
 		break;
--- a/src/sched/tgt.h
+++ b/src/sched/tgt.h
@@ -78,7 +78,8 @@
 	GPtrArray *data_centers; /* names, owned; index is the number */
 	GHashTable *models;	 /* name to struct chn_model, owned */
 	struct tgt_cache *cache;
-	uint64_t revision; /* goes up when room may have appeared */
+	uint64_t list_revision; /* of the list applied last */
+	uint64_t revision;	/* goes up when room may have appeared */
 	clk_ms next_round;
 	size_t n_owned;
 };
--- a/src/sched/tgt_digest.c
+++ b/src/sched/tgt_digest.c
@@ -61,7 +61,7 @@
 				 target->foreign_load);
 	target->started_since_report = 0;
 	target->reported_at = at;
-	// tgt_adapt_window(target);
+	tgt_adapt_window(target);
 }
 
 void tgt_apply_report(struct wf_ctx *ctx, struct tgt_targets *targets,
--- a/src/sched/tgt_load.c
+++ b/src/sched/tgt_load.c
@@ -16,11 +16,11 @@
  * Steps admitted at once for each slot. A chain spends part of its time at
  * each stage, so that more than one request a slot is needed to keep it busy.
  */
-#define TGT_WINDOW_MIN 1.0
-#define TGT_WINDOW_MAX 4.0
+#define TGT_WINDOW_MIN 1.5
+#define TGT_WINDOW_MAX 2.5
 /* The window moves so that reports show this many waiting steps a slot. */
-#define TGT_WINDOW_QUEUE 0.5
-#define TGT_WINDOW_STEP 0.2
+#define TGT_WINDOW_QUEUE 2.0
+#define TGT_WINDOW_STEP 0.05
 #define TGT_INFLATION_SMOOTHING 0.05
 
 /*
--- a/tests/tgt_test.c
+++ b/tests/tgt_test.c
@@ -297,6 +297,81 @@
 }
 END_TEST
 
+static void send_services(struct emod *emod, uint64_t revision, size_t n)
+{
+	struct wf_instance list[3] = {{.id = "b0"}, {.id = "b1"}, {.id = "b2"}};
+	struct wf_event event = {.type = WF_EV_INSTANCES};
+	struct wf_module *module = tgt_module(emod_targets(emod, 0));
+	size_t i;
+
+	for (i = 0; i < 3; i++) {
+		list[i].role = WF_ROLE_SERVICE;
+		list[i].address = "127.0.0.1:9301";
+		list[i].data_center = data_centers[i];
+		list[i].incarnation = 1;
+		list[i].serves = "booking";
+		list[i].slots = 2;
+	}
+	event.instances.list = list;
+	event.instances.n = n;
+	event.instances.revision = revision;
+	module->ops->handle(emod_ctx(emod, 0), module, &event);
+}
+
+/* Guards against service calls to failed, avoided or forbidden targets. */
+START_TEST(service_targets_are_picked_by_load_and_evidence)
+{
+	char *only[] = {(char *)"palermo", NULL};
+	struct emod *emod = new_model(1);
+	struct wf_ctx *ctx = emod_ctx(emod, 0);
+	struct tgt_targets *targets = emod_targets(emod, 0);
+	struct tgt_pick pick;
+	tbl_handle b1;
+	unsigned i;
+
+	ck_assert(!tgt_pick_service(ctx, targets, "booking", NULL, NULL, 0,
+				    &pick));
+	send_services(emod, 100, 3);
+	ck_assert(tgt_pick_service(ctx, targets, "booking", only, NULL, 0,
+				   &pick));
+	ck_assert_str_eq(pick.id, "b1");
+	b1 = pick.handle;
+	for (i = 0; i < 20; i++) {
+		ck_assert(tgt_pick_service(ctx, targets, "booking", NULL, &b1,
+					   1, &pick));
+		ck_assert_str_ne(pick.id, "b1");
+	}
+	ck_assert(
+		tgt_pick_service(ctx, targets, "booking", only, &b1, 1, &pick));
+	for (i = 0; i < 2; i++) {
+		tgt_service_started(ctx, targets, b1);
+		tgt_service_ended(ctx, targets, b1, false);
+	}
+	ck_assert(!tgt_pick_service(ctx, targets, "booking", only, NULL, 0,
+				    &pick));
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against an older list that arrives after a newer one. */
+START_TEST(older_list_is_ignored)
+{
+	struct emod *emod = new_model(1);
+	struct tgt_targets *targets = emod_targets(emod, 0);
+	GString *status = g_string_new(NULL);
+
+	send_services(emod, 100, 3);
+	send_services(emod, 99, 1);
+	ck_assert(tgt_find(targets, "b2")->listed);
+	send_services(emod, 101, 1);
+	ck_assert(!tgt_find(targets, "b2")->listed);
+	tgt_write_status(emod_ctx(emod, 0), targets, status);
+	ck_assert_ptr_nonnull(strstr(status->str, "\"state\":\"unlisted\""));
+	g_string_free(status, TRUE);
+	emod_drop(emod);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("tgt");
@@ -315,6 +390,8 @@
 	tcase_add_test(tcase, cache_knowledge_is_bounded);
 	tcase_add_test(tcase, prefix_locality_is_bounded_by_load);
 	tcase_add_test(tcase, new_target_starts_slowly);
+	tcase_add_test(tcase, service_targets_are_picked_by_load_and_evidence);
+	tcase_add_test(tcase, older_list_is_ignored);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
