Empty a limit's bucket only if its scope has a new owner

Cause: for a second after any change of the live instances, every scope that was new to its owner started with an empty bucket, so calls far below their limit were refused. The owner now compares the owners before and after the change, and a scope that did move keeps one call.

--- a/include/wagtailferry/core.h
+++ b/include/wagtailferry/core.h
@@ -398,6 +398,15 @@
 const struct wf_peer *wf_owner_of(const struct wf_ctx *ctx, uint64_t hash,
 				  const char *data_center, unsigned rank);
 
+/*
+ * The weight of an instance for a hashed key: the owner has the highest.
+ * id_hash is that of struct wf_peer.
+ */
+uint64_t wf_owner_weight(uint64_t id_hash, uint64_t hash);
+
+/* Whether a peer may own keys: it is neither leaving nor dead. */
+bool wf_can_own(const struct wf_peer *peer);
+
 /* Whether this instance is wf_owner_of() that key at rank 0. */
 bool wf_owns(const struct wf_ctx *ctx, uint64_t hash, const char *data_center);
 
--- a/src/core/ctx.c
+++ b/src/core/ctx.c
@@ -121,20 +121,25 @@
 	return NULL;
 }
 
-/* Instances that are leaving or dead own nothing. */
+bool wf_can_own(const struct wf_peer *peer)
+{
+	return peer->life == WF_LIFE_LIVE || peer->life == WF_LIFE_SUSPECT;
+}
+
 static bool can_own(const struct wf_peer *peer, const char *data_center)
 {
-	if (peer->life != WF_LIFE_LIVE && peer->life != WF_LIFE_SUSPECT)
-		return false;
-	return !data_center || !strcmp(peer->data_center, data_center);
+	return wf_can_own(peer) &&
+	       (!data_center || !strcmp(peer->data_center, data_center));
 }
 
 /*
  * The finalizer of SplitMix64: every input bit changes half of the output.
  * Hashing the id itself for each peer took most of the time of a lookup.
  */
-static uint64_t mix(uint64_t value)
+uint64_t wf_owner_weight(uint64_t id_hash, uint64_t hash)
 {
+	uint64_t value = id_hash ^ hash;
+
 	value = (value ^ (value >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
 	value = (value ^ (value >> 27)) * UINT64_C(0x94d049bb133111eb);
 	return value ^ (value >> 31);
@@ -158,7 +163,7 @@
 
 			if (!can_own(peer, data_center))
 				continue;
-			weight = mix(peer->id_hash ^ hash);
+			weight = wf_owner_weight(peer->id_hash, hash);
 			if (weight >= limit || (best && weight <= best_weight))
 				continue;
 			best = peer;
--- a/src/sched/lim_module.c
+++ b/src/sched/lim_module.c
@@ -268,6 +268,8 @@
 	g_hash_table_unref(limits->calls);
 	g_hash_table_unref(limits->scopes);
 	g_hash_table_unref(limits->owned);
+	g_array_unref(limits->owners);
+	g_array_unref(limits->former_owners);
 	g_free(limits);
 }
 
@@ -288,6 +290,9 @@
 	limits->peers_revision = ctx->peers_revision;
 	limits->swept_revision = ctx->peers_revision;
 	limits->peers_changed = ctx->now - config->takeover_wait;
+	limits->created = ctx->now;
+	limits->owners = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	limits->former_owners = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	limits->scopes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       lim_scope_free);
 	limits->owned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/sched/lim_owner.c
+++ b/src/sched/lim_owner.c
@@ -13,24 +13,77 @@
 	g_free(owned);
 }
 
+static GArray *list_owners(const struct wf_ctx *ctx)
+{
+	GArray *owners = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	guint i;
+
+	for (i = 0; i < ctx->peers->len; i++) {
+		const struct wf_peer *peer = ctx->peers->pdata[i];
+
+		if (wf_can_own(peer))
+			g_array_append_val(owners, peer->id_hash);
+	}
+	return owners;
+}
+
+static bool changed_recently(const struct wf_ctx *ctx,
+			     const struct lim_limits *limits)
+{
+	return ctx->now - limits->peers_changed < limits->config.takeover_wait;
+}
+
 void lim_note_peers(struct wf_ctx *ctx, struct lim_limits *limits)
 {
 	if (limits->peers_revision == ctx->peers_revision)
 		return;
 	limits->peers_revision = ctx->peers_revision;
+	if (changed_recently(ctx, limits)) {
+		/* The owners before the first of these changes count. */
+		g_array_unref(limits->owners);
+	} else {
+		g_array_unref(limits->former_owners);
+		limits->former_owners = limits->owners;
+	}
+	limits->owners = list_owners(ctx);
 	limits->peers_changed = ctx->now;
 }
 
+static uint64_t find_owner(const GArray *owners, uint64_t hash)
+{
+	uint64_t best_weight = 0;
+	uint64_t best = 0;
+	guint i;
+
+	for (i = 0; i < owners->len; i++) {
+		uint64_t id_hash = g_array_index(owners, uint64_t, i);
+		uint64_t weight = wf_owner_weight(id_hash, hash);
+
+		if (weight < best_weight)
+			continue;
+		best_weight = weight;
+		best = id_hash;
+	}
+	return best;
+}
+
 /* Whether another instance may have owned a scope a moment ago. */
 static bool may_have_moved(const struct wf_ctx *ctx,
-			   const struct lim_limits *limits)
+			   const struct lim_limits *limits, const char *scope)
 {
-	return ctx->now - limits->peers_changed < limits->config.takeover_wait;
+	uint64_t hash = lim_scope_hash(scope);
+
+	/* A new instance does not know the owners before it. */
+	if (ctx->now - limits->created < 2 * limits->config.takeover_wait)
+		return true;
+	return changed_recently(ctx, limits) &&
+	       find_owner(limits->owners, hash) !=
+		       find_owner(limits->former_owners, hash);
 }
 
 /*
- * After a change of ownership the buckets start empty: the former owner may
- * have granted a full burst just before.
+ * After a change of ownership the buckets hold one call only: the former
+ * owner may have granted a full burst just before.
  */
 static struct lim_owned *add_owned(struct wf_ctx *ctx,
 				   struct lim_limits *limits, const char *scope)
@@ -39,9 +92,12 @@
 
 	owned->holders =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	if (may_have_moved(ctx, limits)) {
+	if (may_have_moved(ctx, limits, scope)) {
 		owned->calls.filled = ctx->now;
+		owned->calls.level = 1.0;
 		owned->tokens.filled = ctx->now;
+		owned->tokens.level = 1.0;
+		owned->moved = ctx->now;
 	}
 	g_hash_table_insert(limits->owned, g_strdup(scope), owned);
 	return owned;
@@ -126,7 +182,7 @@
 
 	if (!limit)
 		return wanted;
-	if (may_have_moved(ctx, limits))
+	if (ctx->now - owned->moved < limits->config.takeover_wait)
 		return 0;
 	limit = MAX(1, (unsigned)(limit * visible_share(ctx, limits)));
 	room = limit > owned->slots_used ? limit - owned->slots_used : 0;
--- a/src/sched/lim_private.h
+++ b/src/sched/lim_private.h
@@ -35,6 +35,7 @@
 	GHashTable *holders; /* instance id to struct lim_holder */
 	unsigned slots_used;
 	uint64_t next_grant;
+	clk_ms moved; /* when it was taken over, 0 if it was not */
 	clk_ms used;
 };
 
@@ -87,6 +88,9 @@
 	GHashTable *owned;  /* name to struct lim_owned */
 	GHashTable *calls;  /* call id to struct lim_call */
 	uint64_t peers_revision;
+	GArray *owners; /* id hashes of the instances that can own scopes */
+	GArray *former_owners; /* the same before the latest changes */
+	clk_ms created;
 	uint64_t swept_revision; /* at the last sweep */
 	clk_ms peers_changed;	 /* time of the last change of the view */
 	clk_ms next_sweep;
--- a/tests/limits_test.c
+++ b/tests/limits_test.c
@@ -365,6 +365,40 @@
 }
 END_TEST
 
+static unsigned total_refused(void)
+{
+	unsigned n = 0;
+	unsigned i;
+
+	for (i = 0; i < MAX_INSTANCES; i++)
+		n += rig->demanders[i].refused;
+	return n;
+}
+
+/* Guards against refusals below the limit each time an instance restarts. */
+START_TEST(restart_of_an_instance_refuses_nobody_below_the_limit)
+{
+	char org[16];
+	unsigned i;
+
+	rig_start(5, 41);
+	rig->policy.rate = 10.0;
+	for (i = 0; i < 4000; i++) {
+		if (i == 1000)
+			sim_kill(rig->sim, 2);
+		if (i == 2000)
+			sim_restart(rig->sim, 2);
+		g_snprintf(org, sizeof(org), "org-%u", i % 400);
+		rig->org = org;
+		arrive(i % 2);
+		sim_run_until(rig->sim, rig->sim->now + 10);
+	}
+	sim_run_until(rig->sim, rig->sim->now + CLK_SECOND);
+	ck_assert_uint_eq(total_refused(), 0);
+	rig_stop();
+}
+END_TEST
+
 /* Guards against an idle scope that keeps costing messages. */
 START_TEST(idle_scope_costs_nothing)
 {
@@ -443,6 +477,8 @@
 	tcase_add_test(tcase, concurrency_holds_and_recovers);
 	tcase_add_test(tcase, lost_messages_do_not_leak_slots);
 	tcase_add_test(tcase, rate_holds_when_the_owner_is_lost);
+	tcase_add_test(tcase,
+		       restart_of_an_instance_refuses_nobody_below_the_limit);
 	tcase_add_test(tcase, idle_scope_costs_nothing);
 	tcase_add_test(tcase, unlimited_call_is_admitted_at_once);
 	tcase_add_test(tcase, malformed_frames_are_counted_and_dropped);
