Measure what the router adds to a call

overhead_bench runs five entry instances and the fakes on loopback and sends 1,000 calls one after the other on one connection, each way after 50 warm-up calls.

--- a/Makefile
+++ b/Makefile
@@ -100,6 +100,12 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
 
+# Measures the real processes, so it needs the helpers of wire tests.
+$(BUILD)/bench/overhead_bench: $(BUILD)/tests/bench/overhead_bench.o \
+		$(WIRE_OBJ) $(SUPPORT) $(NET_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
+
 $(BUILD)/bench/%: $(BUILD)/tests/bench/%.o $(SUPPORT) $(NET_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(DAEMON_LIBS) $(LIBS)
