--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -35,6 +35,8 @@
 	 CMD_REMOTE | CMD_BIT(CMD_OPT_INSTANCE), 0, 0, cmd_status},
 	{"audit", "", "lists the audit trail, newest first",
 	 CMD_REMOTE | CMD_BIT(CMD_OPT_LIMIT), 0, 0, cmd_audit},
+	{"settings check", "FILE", "checks the settings file of an instance",
+	 CMD_COMMON, 1, 1, cmd_settings_check},
 	{"version", "", "prints the version", CMD_COMMON, 0, 0, cmd_version},
 };
 
