--- a/tests/bench/control_bench.c
+++ b/tests/bench/control_bench.c
@@ -1,9 +1,10 @@
 /*
  * Cost of control: membership and rules distribution over 5, 50 and 390
  * library instances in virtual time, with edits at the rate of 2,800 a day.
- * Prints a line for each figure; with --json one JSON object a line.
+ * Prints one line a figure: name, value, unit, objective, baselines, seed. The
+ * objectives of processor time, memory and bytes hold for all control work.
  *
- * Usage: control_bench [--json] [SEED]
+ * Usage: control_bench [--json] [--seed N]
  */
 
 #include <malloc.h>
@@ -13,31 +14,21 @@
 #include <time.h>
 
 #include "support/control.h"
+#include "support/figure.h"
 
 #define EDIT_INTERVAL_MS 30857 /* 24 h by 2,800 changes a day */
 #define N_EDITS 10
 #define N_ORGS 2000
 
-#define TARGET_IN_FORCE_MS 13000.0
-#define TARGET_BYTES 22000.0
-#define TARGET_CPU_PERCENT 1.8
-#define TARGET_MEMORY_MB 32.0
-
-static bool json;
-static uint64_t seed = 41;
+static struct fig_output output = {.seed = 41};
 
 static void print_figure(const char *name, unsigned n, double value,
-			 const char *unit, double target)
+			 const char *unit, const char *objective)
 {
-	if (json)
-		printf("{\"name\":\"%s\",\"instances\":%u,\"value\":%.4g,"
-		       "\"unit\":\"%s\",\"target\":%.4g,\"seed\":"
-		       "%" G_GUINT64_FORMAT "}\n",
-		       name, n, value, unit, target, seed);
-	else
-		printf("control %-18s n=%-4u %10.4g %-10s target %.4g seed "
-		       "%" G_GUINT64_FORMAT "\n",
-		       name, n, value, unit, target, seed);
+	char *full = g_strdup_printf("instances_%u.control.%s", n, name);
+
+	fig_print(&output, full, value, unit, objective, NULL);
+	g_free(full);
 }
 
 static double cpu_seconds(void)
@@ -147,8 +138,7 @@
 		worst = MAX(worst, time);
 		control_pass(control, 3 * CLK_SECOND);
 	}
-	print_figure("in_force_worst", n, (double)worst, "ms",
-		     TARGET_IN_FORCE_MS);
+	print_figure("in_force_worst", n, (double)worst, "ms", "<=13000");
 }
 
 static void measure_cost(struct control *control, unsigned n)
@@ -172,27 +162,27 @@
 	print_figure("peer_bytes", n,
 		     (double)(after.peer_bytes - before.peer_bytes) / n /
 			     seconds,
-		     "B/s/node", TARGET_BYTES);
+		     "B/s/node", "<=22000");
 	print_figure("peer_messages", n,
 		     (double)(after.peer_frames - before.peer_frames) / n /
 			     seconds,
-		     "1/s/node", 0.0);
+		     "1/s/node", "-");
 	print_figure("store_bytes", n,
 		     (double)(after.bytes_out - before.bytes_out) / n / seconds,
-		     "B/s/node", TARGET_BYTES);
+		     "B/s/node", "<=22000");
 	print_figure("store_reads", n,
 		     (double)(after.gets + after.lists + after.watches -
 			      before.gets - before.lists - before.watches) /
 			     seconds,
-		     "1/s", 2000.0);
-	print_figure("cpu", n, 100.0 * cpu_in_modules / n / seconds, "%/node",
-		     TARGET_CPU_PERCENT);
+		     "1/s", "<=2000");
+	print_figure("cpu", n, 100.0 * cpu_in_modules / n / seconds,
+		     "%_of_a_core/node", "<=1.8");
 }
 
 static void measure(unsigned n)
 {
 	size_t before = mallinfo2().uordblks;
-	struct control *control = control_new(n, seed);
+	struct control *control = control_new(n, output.seed);
 	double memory;
 
 	publish(control, 0);
@@ -200,20 +190,13 @@
 	measure_in_force(control, n);
 	measure_cost(control, n);
 	memory = (double)(mallinfo2().uordblks - before) / n / 1e6;
-	print_figure("memory", n, memory, "MB/node", TARGET_MEMORY_MB);
+	print_figure("memory", n, memory, "MB/node", "<=32");
 	control_free(control);
 }
 
 int main(int argc, char **argv)
 {
-	int i;
-
-	for (i = 1; i < argc; i++) {
-		if (!strcmp(argv[i], "--json"))
-			json = true;
-		else
-			seed = g_ascii_strtoull(argv[i], NULL, 10);
-	}
+	fig_parse(&output, argc, argv);
 	measure(5);
 	measure(50);
 	measure(390);
--- a/tests/bench/sched_bench.c
+++ b/tests/bench/sched_bench.c
@@ -10,32 +10,17 @@
 #include <string.h>
 #include <time.h>
 
+#include "../support/figure.h"
 #include "../support/sched_load.h"
 
-struct options {
-	bool json;
-	unsigned seed;
-};
-
-static void print_figure(const struct options *options, const char *user,
+static void print_figure(const struct fig_output *options, const char *user,
 			 const char *name, double value, const char *unit,
 			 const char *objective, const GString *baselines)
 {
-	const char *others = baselines && baselines->len ? baselines->str : "-";
+	char *full = g_strdup_printf("%s.%s", user, name);
 
-	printf(options->json
-		       ? "{\"name\":\"%s.%s\",\"value\":%.4g,\"unit\":\"%s\","
-			 "\"objective\":\"%s\",\"baselines\":\"%s\","
-			 "\"seed\":%u}\n"
-		       : "%s.%s %.4g %s objective:%s baselines:%s seed:%u\n",
-	       user, name, value, unit, objective, others, options->seed);
-	fflush(stdout);
-}
-
-static void add_baseline(GString *text, const char *name, double value)
-{
-	g_string_append_printf(text, "%s%s=%.4g", text->len ? "," : "", name,
-			       value);
+	fig_print(options, full, value, unit, objective, baselines);
+	g_free(full);
 }
 
 /* Throughput */
@@ -85,7 +70,7 @@
 	double faulty; /* the same with faults */
 };
 
-static struct throughput run_throughput(const struct options *options,
+static struct throughput run_throughput(const struct fig_output *options,
 					const struct sload_user *user,
 					const struct sload_variant *variant)
 {
@@ -96,7 +81,7 @@
 	double bound = 0;
 	clk_ms at;
 
-	sload_start(&load, user, variant, options->seed, CLK_HOUR);
+	sload_start(&load, user, variant, (unsigned)options->seed, CLK_HOUR);
 	load.deadlines = false;
 	plan_faults(load.emod, CALM_END + 3000);
 	run_bursts(&load, WARM_UP);
@@ -128,7 +113,7 @@
 };
 
 /* Without baselines, for trials of constants. */
-static void measure_chosen(const struct options *options)
+static void measure_chosen(const struct fig_output *options)
 {
 	size_t u;
 
@@ -144,7 +129,7 @@
 	}
 }
 
-static void measure_throughput(const struct options *options)
+static void measure_throughput(const struct fig_output *options)
 {
 	size_t u;
 	size_t i;
@@ -157,8 +142,9 @@
 
 		for (i = 0; i < G_N_ELEMENTS(baselines); i++) {
 			result = run_throughput(options, user, &baselines[i]);
-			add_baseline(calm, baselines[i].name, result.calm);
-			add_baseline(faulty, baselines[i].name, result.faulty);
+			fig_add_baseline(calm, baselines[i].name, result.calm);
+			fig_add_baseline(faulty, baselines[i].name,
+					 result.faulty);
 		}
 		result = run_throughput(options, user, &chosen);
 		print_figure(options, user->name, "throughput", result.calm,
@@ -227,7 +213,7 @@
 		g_array_append_val(times, each);
 }
 
-static struct recovery run_recovery(const struct options *options,
+static struct recovery run_recovery(const struct fig_output *options,
 				    const struct sload_user *user,
 				    const struct sload_variant *variant,
 				    unsigned engine, enum fault fault)
@@ -240,7 +226,7 @@
 	unsigned i;
 	unsigned n;
 
-	sload_start(&load, user, variant, options->seed, 0);
+	sload_start(&load, user, variant, (unsigned)options->seed, 0);
 	sload_run(&load, 0.5, FAULT_AT);
 	n = emod_n_calls(load.emod);
 	before = snapshot_tokens(load.emod);
@@ -285,7 +271,7 @@
 	{"link_degraded", 9, FAULT_DEGRADED},
 };
 
-static void measure_fault(const struct options *options,
+static void measure_fault(const struct fig_output *options,
 			  const struct sload_user *user, size_t f,
 			  size_t n_baselines)
 {
@@ -301,16 +287,18 @@
 	for (i = 0; i < n_baselines; i++) {
 		result = run_recovery(options, user, &recovery_baselines[i],
 				      faults[f].engine, faults[f].fault);
-		add_baseline(worst, recovery_baselines[i].name, result.worst);
-		add_baseline(lost, recovery_baselines[i].name, result.lost);
-		add_baseline(token, recovery_baselines[i].name, result.token);
+		fig_add_baseline(worst, recovery_baselines[i].name,
+				 result.worst);
+		fig_add_baseline(lost, recovery_baselines[i].name, result.lost);
+		fig_add_baseline(token, recovery_baselines[i].name,
+				 result.token);
 	}
 	result = run_recovery(options, user, &chosen, faults[f].engine,
 			      faults[f].fault);
 	print_figure(options, user->name, name, result.worst, "ms", "<=1000",
 		     worst);
 	print_figure(options, user->name, lost_name, result.lost,
-		     "of_in_flight", "0", lost);
+		     "of_in_flight", "<=0", lost);
 	print_figure(options, user->name, token_name, result.token, "ms", "-",
 		     token);
 	g_string_free(worst, TRUE);
@@ -321,7 +309,7 @@
 	g_free(lost_name);
 }
 
-static void measure_faults(const struct options *options, size_t n_baselines)
+static void measure_faults(const struct fig_output *options, size_t n_baselines)
 {
 	size_t u;
 	size_t f;
@@ -331,13 +319,13 @@
 			measure_fault(options, &sload_users[u], f, n_baselines);
 }
 
-static void measure_recovery(const struct options *options)
+static void measure_recovery(const struct fig_output *options)
 {
 	measure_faults(options, G_N_ELEMENTS(recovery_baselines));
 }
 
 /* Without baselines, for trials of constants. */
-static void measure_recovery_chosen(const struct options *options)
+static void measure_recovery_chosen(const struct fig_output *options)
 {
 	measure_faults(options, 0);
 }
@@ -436,7 +424,7 @@
 	result->late = (double)late / MAX(admitted, 1);
 }
 
-static struct crest run_crest(const struct options *options,
+static struct crest run_crest(const struct fig_output *options,
 			      const struct sload_user *user,
 			      const struct sload_variant *variant,
 			      double factor, bool with_faults)
@@ -446,7 +434,7 @@
 	GArray *from;
 	GArray *to;
 
-	sload_start(&load, user, variant, options->seed, 0);
+	sload_start(&load, user, variant, (unsigned)options->seed, 0);
 	sload_run(&load, 0.8, CREST_START);
 	if (with_faults)
 		plan_faults(load.emod, CREST_START + 2000);
@@ -475,28 +463,32 @@
 	{.name = "no_fair_share", .no_fair_share = true},
 };
 
-static void print_crest(const struct options *options,
+static void print_crest(const struct fig_output *options,
 			const struct sload_user *user, bool with_faults)
 {
 	GString *text[4] = {g_string_new(NULL), g_string_new(NULL),
 			    g_string_new(NULL), g_string_new(NULL)};
 	double base = run_crest(options, user, &chosen, 1, with_faults).goodput;
 	const char *suffix = with_faults ? "_with_faults" : "";
-	char *name[4] = {g_strdup_printf("crest.goodput%s", suffix),
-			 g_strdup_printf("crest.refusal%s", suffix),
-			 g_strdup_printf("crest.late%s", suffix),
-			 g_strdup_printf("crest.small_in_time%s", suffix)};
+	char *name[5] = {
+		g_strdup_printf("crest.goodput%s", suffix),
+		g_strdup_printf("crest.refusal%s", suffix),
+		g_strdup_printf("crest.late%s", suffix),
+		g_strdup_printf("crest.small_in_time%s", suffix),
+		g_strdup_printf("crest.goodput_at_capacity%s", suffix)};
 	struct crest result;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(crest_baselines); i++) {
 		result = run_crest(options, user, &crest_baselines[i], 3,
 				   with_faults);
-		add_baseline(text[0], crest_baselines[i].name,
-			     result.goodput / base);
-		add_baseline(text[1], crest_baselines[i].name, result.refusal);
-		add_baseline(text[2], crest_baselines[i].name, result.late);
-		add_baseline(text[3], crest_baselines[i].name, result.small);
+		fig_add_baseline(text[0], crest_baselines[i].name,
+				 result.goodput / base);
+		fig_add_baseline(text[1], crest_baselines[i].name,
+				 result.refusal);
+		fig_add_baseline(text[2], crest_baselines[i].name, result.late);
+		fig_add_baseline(text[3], crest_baselines[i].name,
+				 result.small);
 	}
 	result = run_crest(options, user, &chosen, 3, with_faults);
 	print_figure(options, user->name, name[0], result.goodput / base,
@@ -507,15 +499,14 @@
 		     "-", text[2]);
 	print_figure(options, user->name, name[3], result.small, "of_calls",
 		     "-", text[3]);
-	print_figure(options, user->name, "crest.goodput_at_capacity", base,
-		     "of_bound", "-", NULL);
-	for (i = 0; i < 4; i++) {
+	print_figure(options, user->name, name[4], base, "of_bound", "-", NULL);
+	for (i = 0; i < G_N_ELEMENTS(text); i++)
 		g_string_free(text[i], TRUE);
+	for (i = 0; i < G_N_ELEMENTS(name); i++)
 		g_free(name[i]);
-	}
 }
 
-static void measure_crest(const struct options *options)
+static void measure_crest(const struct fig_output *options)
 {
 	size_t u;
 
@@ -559,7 +550,7 @@
 	}
 }
 
-static struct hol run_hol(const struct options *options,
+static struct hol run_hol(const struct fig_output *options,
 			  const struct sload_user *user,
 			  const struct sload_variant *variant, bool with_long)
 {
@@ -569,7 +560,7 @@
 	struct sload load;
 	unsigned i;
 
-	sload_start(&load, user, variant, options->seed, CLK_HOUR);
+	sload_start(&load, user, variant, (unsigned)options->seed, CLK_HOUR);
 	load.deadlines = false;
 	load.per_call /= 1 + load.long_part * (SLOAD_LONG_FACTOR - 1);
 	run_mix(&load, with_long, HOL_END);
@@ -605,7 +596,7 @@
 	{.name = "no_classes", .no_classes = true},
 };
 
-static void measure_hol(const struct options *options)
+static void measure_hol(const struct fig_output *options)
 {
 	size_t u;
 	size_t i;
@@ -619,9 +610,10 @@
 
 		for (i = 0; i < G_N_ELEMENTS(hol_baselines); i++) {
 			with = run_hol(options, user, &hol_baselines[i], true);
-			add_baseline(text, hol_baselines[i].name,
-				     with.first / without.first);
-			add_baseline(waits, hol_baselines[i].name, with.wait);
+			fig_add_baseline(text, hol_baselines[i].name,
+					 with.first / without.first);
+			fig_add_baseline(waits, hol_baselines[i].name,
+					 with.wait);
 		}
 		with = run_hol(options, user, &chosen, true);
 		print_figure(options, user->name, "hol.first_token_ratio",
@@ -857,7 +849,7 @@
 #define CONTROL_SECONDS 20
 
 /* Processor time and bytes of the control work over 20 s of virtual time. */
-static void measure_control(const struct options *options,
+static void measure_control(const struct fig_output *options,
 			    const struct size *size, struct decisions *d)
 {
 	struct wf_event tick = {.type = WF_EV_TICK};
@@ -875,11 +867,11 @@
 		cpu += cpu_us() - start;
 	}
 	print_figure(options, size->name, "control.cpu",
-		     100 * cpu / (CONTROL_SECONDS * 1e6), "%_of_a_core",
-		     "<1.8 (all control work)", NULL);
+		     100 * cpu / (CONTROL_SECONDS * 1e6), "%_of_a_core", "<1.8",
+		     NULL);
 	print_figure(options, size->name, "control.sent",
-		     (double)bytes / CONTROL_SECONDS / 1000, "KB/s",
-		     "<22 (all control work)", NULL);
+		     (double)bytes / CONTROL_SECONDS / 1000, "KB/s", "<22",
+		     NULL);
 }
 
 /* Fills the cache knowledge up to its bound. */
@@ -905,7 +897,8 @@
 	return (double)(info.uordblks + info.hblkhd) / 1e6;
 }
 
-static void measure_size(const struct options *options, const struct size *size)
+static void measure_size(const struct fig_output *options,
+			 const struct size *size)
 {
 	double before = memory_mb();
 	struct decisions d = {.n_calls = 0};
@@ -916,7 +909,8 @@
 	double memory;
 	double listing;
 
-	d.ctx = wf_ctx_new("entry-0", "dc-0", 1, options->seed, NULL, NULL);
+	d.ctx = wf_ctx_new("entry-0", "dc-0", 1, (unsigned)options->seed, NULL,
+			   NULL);
 	d.ctx->now = 1000;
 	targets = tgt_new(d.ctx, NULL);
 	d.targets = tgt_module(targets);
@@ -950,7 +944,7 @@
 	g_array_unref(times);
 }
 
-static void measure_decision(const struct options *options)
+static void measure_decision(const struct fig_output *options)
 {
 	size_t i;
 
@@ -960,7 +954,7 @@
 
 static const struct {
 	const char *name;
-	void (*measure)(const struct options *options);
+	void (*measure)(const struct fig_output *options);
 } measurements[] = {
 	{"throughput", measure_throughput},
 	{"throughput_chosen", measure_chosen},
@@ -973,19 +967,10 @@
 
 int main(int argc, char **argv)
 {
-	struct options options = {.seed = 1};
-	const char *name = "";
+	struct fig_output options = {.seed = 1};
+	const char *name = fig_parse(&options, argc, argv);
 	size_t k;
-	int i;
-
-	for (i = 1; i < argc; i++) {
-		if (!strcmp(argv[i], "--json"))
-			options.json = true;
-		else if (!strcmp(argv[i], "--seed") && i + 1 < argc)
-			options.seed = (unsigned)strtoul(argv[++i], NULL, 10);
-		else
-			name = argv[i];
-	}
+
 	for (k = 0; k < G_N_ELEMENTS(measurements); k++) {
 		if (strcmp(name, measurements[k].name) != 0)
 			continue;
