Bind an idempotency key to service and operation as well

Cause: the hash kept with a claim covered the body only, so the same key and body sent to another operation or service got the first one's answer. A core that kept a call for the limits also kept a pointer to the caller's operation. core_test (key_of_another_operation_is_refused) fails before, passes after.

The status page shows targets and queue lengths.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -356,5 +356,11 @@
 		phase_name(core->phase), dst_revision(core->distribution),
 		g_hash_table_size(core->calls), lim_count(core->limits));
 	mem_write_status(core->members, out);
-	g_string_append(out, "}");
+	g_string_append_printf(out,
+			       ",\"queued\":%zu,\"streaming\":%zu,"
+			       "\"targets\":",
+			       run_n_queued(core->runs),
+			       run_n_streaming(core->runs));
+	tgt_write_status(core->ctx, core->targets, out);
+	g_string_append_c(out, '}');
 }
--- a/src/core/core_calls.c
+++ b/src/core/core_calls.c
@@ -8,6 +8,7 @@
 
 	g_free((char *)entry->call.org);
 	g_free((char *)entry->call.name);
+	g_free((char *)entry->call.operation);
 	g_free((char *)entry->call.key);
 	if (entry->call.body)
 		g_bytes_unref(entry->call.body);
@@ -27,6 +28,7 @@
 	entry->call = *call;
 	entry->call.org = g_strdup(call->org);
 	entry->call.name = g_strdup(call->name);
+	entry->call.operation = g_strdup(call->operation);
 	entry->call.key = g_strdup(call->key);
 	if (call->body)
 		entry->call.body = g_bytes_ref(call->body);
--- a/src/state/clm_key.c
+++ b/src/state/clm_key.c
@@ -93,6 +93,30 @@
 	return truncate_digest(sum);
 }
 
+/* The text with its zero byte, so that adjacent fields cannot mix. */
+static void add_text(GChecksum *sum, const char *text)
+{
+	const char *stated = text ? text : "";
+
+	g_checksum_update(sum, (const guchar *)stated,
+			  (gssize)strlen(stated) + 1);
+}
+
+struct clm_hash clm_hash_call(const struct wf_call *call)
+{
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	gsize len = 0;
+	const guchar *data = NULL;
+
+	add_text(sum, call->name);
+	add_text(sum, call->operation);
+	if (call->body)
+		data = g_bytes_get_data(call->body, &len);
+	if (len)
+		g_checksum_update(sum, data, (gssize)len);
+	return truncate_digest(sum);
+}
+
 void clm_target_key(const char *org, const char *key, char *out)
 {
 	static const char digits[] = "0123456789abcdef";
--- a/src/state/clm_private.h
+++ b/src/state/clm_private.h
@@ -71,6 +71,9 @@
 struct clm_hash clm_hash_key(const char *org, const char *key);
 struct clm_hash clm_hash_bytes(GBytes *bytes);
 
+/* What a key stands for: service, operation and body. */
+struct clm_hash clm_hash_call(const struct wf_call *call);
+
 /* Timers: a heap with lazy removal */
 
 enum clm_timer_kind {
--- a/src/state/clm_run.c
+++ b/src/state/clm_run.c
@@ -167,7 +167,7 @@
 	memcpy(&spread, key->bytes + sizeof(spread), sizeof(spread));
 	run->nonce = new_nonce(ctx, claims);
 	run->key = *key;
-	run->body_hash = clm_hash_bytes(call->body);
+	run->body_hash = clm_hash_call(call);
 	run->window = (uint64_t)(time / claims->config.window);
 	run->shard = GUINT32_FROM_LE(spread) % claims->config.n_shards;
 	run->org = g_strdup(call->org);
@@ -235,12 +235,13 @@
 static bool join_run(struct wf_ctx *ctx, struct clm_claims *claims,
 		     struct clm_run *run, const struct wf_call *call)
 {
-	struct clm_hash body = clm_hash_bytes(call->body);
+	struct clm_hash body = clm_hash_call(call);
 	clk_ms deadline = clm_run_deadline(run);
 
 	if (!clm_hash_equal(&run->body_hash, &body)) {
 		wf_reply_error(ctx, call->id, ERR_KEY_REUSED, ERR_RUN_NOT, 0,
-			       "the key belongs to a call with another body");
+			       "the key belongs to a call with another "
+			       "service, operation or body");
 		return true;
 	}
 	if (run->phase == CLM_PHASE_FINISHED) {
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -4,6 +4,7 @@
  */
 
 #include <check.h>
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -393,6 +394,79 @@
 }
 END_TEST
 
+static void list_service(struct rig *rig, const char *id, uint64_t revision)
+{
+	struct wf_instance service = {.id = id};
+	struct wf_event event = {.type = WF_EV_INSTANCES};
+
+	service.role = WF_ROLE_SERVICE;
+	service.address = "127.0.0.1:8";
+	service.data_center = "uppsala";
+	service.incarnation = START;
+	service.serves = "booking";
+	service.slots = 4;
+	event.instances.list = &service;
+	event.instances.n = 1;
+	event.instances.revision = revision;
+	send(rig, &event);
+}
+
+static void service_call(struct rig *rig, uint64_t id, const char *operation,
+			 const char *key)
+{
+	struct wf_call call = {.id = id, .kind = WF_CALL_SERVICE};
+	struct wf_event event = {.type = WF_EV_CALL};
+
+	call.org = "isbrytaren";
+	call.name = "booking";
+	call.operation = operation;
+	call.key = key;
+	call.body = g_bytes_new_static("lantern", 7);
+	event.call = &call;
+	send(rig, &event);
+	g_bytes_unref(call.body);
+}
+
+/* Guards against an answer of one operation that is given for another. */
+START_TEST(key_of_another_operation_is_refused)
+{
+	struct rig *rig = ready_rig(
+		"route org=any service=booking deadline=9s repeat=no # anna\n");
+	char *key = g_strdup_printf("%lld-a", (long long)rig->now);
+
+	list_service(rig, "booking-1", 2);
+	service_call(rig, 1, "book", key);
+	pass(rig, 100);
+	ck_assert_uint_eq(count(rig, WF_ACT_SERVICE_CALL), 1);
+	service_call(rig, 2, "cancel", key);
+	ck_assert_int_eq(last(rig, WF_ACT_REPLY_ERROR)->error, ERR_KEY_REUSED);
+	ck_assert_uint_eq(count(rig, WF_ACT_SERVICE_CALL), 1);
+	g_free(key);
+	rig_free(rig);
+}
+END_TEST
+
+/* Guards against status text that is not JSON. */
+START_TEST(status_is_valid_json)
+{
+	struct rig *rig = ready_rig(RULES);
+	GString *text = g_string_new(NULL);
+	json_t *status;
+
+	wf_core_write_status(rig->core, text);
+	status = json_loads(text->str, 0, NULL);
+	ck_assert_ptr_nonnull(status);
+	ck_assert_int_eq(
+		json_integer_value(json_object_get(status, "rules_revision")),
+		1);
+	ck_assert_uint_eq(json_array_size(json_object_get(status, "targets")),
+			  1);
+	json_decref(status);
+	g_string_free(text, TRUE);
+	rig_free(rig);
+}
+END_TEST
+
 /* Guards against a load line that no instance carries out, or twice. */
 START_TEST(load_line_becomes_one_order_under_a_fence)
 {
@@ -438,6 +512,8 @@
 	tcase_add_test(tcase, old_list_does_not_revive_leaving_target);
 	tcase_add_test(tcase, drain_completes_calls_and_then_exits);
 	tcase_add_test(tcase, drain_exits_when_the_last_call_has_ended);
+	tcase_add_test(tcase, key_of_another_operation_is_refused);
+	tcase_add_test(tcase, status_is_valid_json);
 	tcase_add_test(tcase, load_line_becomes_one_order_under_a_fence);
 	tcase_add_test(tcase, rule_with_targets_excludes_the_others);
 	suite_add_tcase(suite, tcase);
