--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -366,5 +366,7 @@
 publish_rules "$work/rules"
 say "all five instances confirm the change"
 "$build/wagtailferry" status --store="$store" \
-	--instance="$(operator_address 1)" --instance="$(operator_address 5)" |
+	--instance="$(operator_address 1)" --instance="$(operator_address 2)" \
+	--instance="$(operator_address 3)" --instance="$(operator_address 4)" \
+	--instance="$(operator_address 5)" |
 	sed 's/^/             /'
