Replace only the silent stage, by evidence from polls

Cause: when the middle engine of a chain stopped in mid-stream, the head still accepted the resumed stream and no other traffic told which stage was silent. All stages behind the head were suspects, one of them had no other holder, and start_new_chain() started every stage afresh.

With the first gap of a stream the runs module now polls all engines of the chain, owned by this instance or not, with a timeout of 150 ms (the shortest bound of a resumed stream). An engine whose poll is not answered becomes unreachable, which makes it the only suspect; its stage is replaced under a new lineage that keeps the state of the others. The stream waits for the reports until 200 ms after the polls at most. A target gets one such poll in 200 ms for all streams of the instance.

--- a/src/sched/run.h
+++ b/src/sched/run.h
@@ -62,6 +62,7 @@
 	/* recovery, since the last token */
 	unsigned attempts;
 	bool resumed;
+	clk_ms evidence_at; /* engines were polled, 0: not yet */
 	tbl_handle avoid[RUN_MAX_AVOID];
 	size_t n_avoid;
 	clk_ms retry_at;
--- a/src/sched/run_recover.c
+++ b/src/sched/run_recover.c
@@ -2,6 +2,7 @@
 
 #include "sched/run.h"
 #include "sched/tgt_breaker.h"
+#include "sched/tgt_digest.h"
 #include "sched/tgt_load.h"
 
 /* Attempts without a token in between before the request is given up. */
@@ -19,6 +20,9 @@
 #define WAIT_QUEUE_SHORT 2.0
 #define WAIT_MAX (10 * CLK_SECOND)
 
+/* Evidence that has not come this long after it was asked for is given up. */
+#define EVIDENCE_WAIT (TGT_EVIDENCE_TIMEOUT + 50)
+
 /* Expected tokens without an event that make a silent stage the cause. */
 #define HURRY_TOKENS 3
 
@@ -27,6 +31,16 @@
 	return &g_array_index(request->chain, struct wf_stage, 0);
 }
 
+static struct tgt_target *stage_target(const struct run_runs *runs,
+				       const struct run_request *request,
+				       guint index)
+{
+	const struct run_stage *stage;
+
+	stage = &g_array_index(request->stages, struct run_stage, index);
+	return tgt_get(runs->targets, stage->target);
+}
+
 static int find_stage(const struct run_request *request, const char *id)
 {
 	guint i;
@@ -112,10 +126,12 @@
 	bool first = request->first;
 	double slowness = request->slowness;
 	clk_ms last_token = request->last_token;
+	clk_ms evidence_at = request->evidence_at;
 
 	run_open(ctx, runs, request);
 	request->resumed = true;
 	request->last_token = last_token;
+	request->evidence_at = evidence_at;
 	request->first = first;
 	request->slowness = slowness;
 	run_set_due(runs, request);
@@ -317,6 +333,7 @@
 		return false;
 	request->attempts--;
 	request->last_event = ctx->now;
+	request->evidence_at = 0;
 	run_set_due(runs, request);
 	ctr_add(ctx->counters, "wf_gaps_explained_total", 1);
 	return true;
@@ -413,13 +430,71 @@
 	g_ptr_array_unref(ids);
 }
 
+/* Asks all engines of the chain whether they still answer. */
+static void ask_for_evidence(struct wf_ctx *ctx, struct run_runs *runs,
+			     struct run_request *request)
+{
+	guint i;
+
+	request->evidence_at = ctx->now;
+	for (i = 0; i < request->stages->len; i++) {
+		struct tgt_target *target;
+
+		target = stage_target(runs, request, i);
+		if (target)
+			tgt_poll_evidence(ctx, target);
+	}
+}
+
+/* A stage that is known not to answer needs no further reports. */
+static bool evidence_is_pending(const struct run_runs *runs,
+				const struct run_request *request)
+{
+	bool pending = false;
+	guint i;
+
+	for (i = 0; i < request->stages->len; i++) {
+		const struct tgt_target *target;
+
+		target = stage_target(runs, request, i);
+		if (target && !target->reachable)
+			return false;
+		if (target && target->evidence_pending)
+			pending = true;
+	}
+	return pending;
+}
+
+/*
+ * Without the reports of the engines, stages that still answer would be
+ * replaced as well. A head that has not accepted the stream is itself the
+ * suspect, for which no report is needed.
+ */
+static bool wait_for_evidence(struct wf_ctx *ctx, struct run_runs *runs,
+			      struct run_request *request)
+{
+	clk_ms until = request->evidence_at + EVIDENCE_WAIT;
+
+	if (!request->accepted || ctx->now >= until ||
+	    !evidence_is_pending(runs, request))
+		return false;
+	request->attempts--;
+	request->due = clk_min(until, request->deadline);
+	runs->next_due = clk_min(runs->next_due, request->due);
+	return true;
+}
+
 static void handle_silence(struct wf_ctx *ctx, struct run_runs *runs,
 			   struct run_request *request)
 {
+	if (!request->evidence_at)
+		ask_for_evidence(ctx, runs, request);
 	if (!request->resumed && runs->config.use_resume) {
 		resume(ctx, runs, request);
 		return;
 	}
+	if (wait_for_evidence(ctx, runs, request))
+		return;
 	if (!wait_longer(ctx, runs, request))
 		replace_silent(ctx, runs, request);
 }
--- a/src/sched/run_stream.c
+++ b/src/sched/run_stream.c
@@ -142,6 +142,7 @@
 	request->touched = true;
 	request->first = true;
 	request->resumed = false;
+	request->evidence_at = 0;
 	g_clear_pointer(&request->end_reason, g_free);
 	request->opened = ctx->now;
 	request->last_event = ctx->now;
@@ -361,6 +362,7 @@
 	request->accepted = true;
 	request->ran = true;
 	request->resumed = false;
+	request->evidence_at = 0;
 	request->attempts = 0;
 	request->lost_at = 0;
 	request->last_event = ctx->now;
--- a/src/sched/tgt.h
+++ b/src/sched/tgt.h
@@ -46,7 +46,9 @@
 	unsigned running;
 	unsigned queued;
 	clk_ms next_poll;
-	bool fresh; /* not yet in a digest */
+	clk_ms evidence_at;    /* of the last evidence poll, 0: none */
+	bool evidence_pending; /* no report has come since */
+	bool fresh;	       /* not yet in a digest */
 	bool owned; /* polled by this instance, as of owner_revision */
 	bool owner_known;
 	uint64_t owner_revision;
--- a/src/sched/tgt_digest.c
+++ b/src/sched/tgt_digest.c
@@ -19,6 +19,11 @@
 /* A report is a sample of a load that varies from step to step. */
 #define FOREIGN_SMOOTHING 0.3
 #define POLL_TIMEOUT 500
+/*
+ * The shortest gap bound: a stream that passes it was already silent when an
+ * evidence poll within this time was sent, so that poll counts for it as well.
+ */
+#define EVIDENCE_PERIOD 200
 
 static uint64_t target_hash(const struct tgt_target *target)
 {
@@ -78,6 +83,7 @@
 			   NULL);
 	target->reachable = report->reachable;
 	target->fresh = true;
+	target->evidence_pending = false;
 	targets->revision++;
 	if (!report->reachable)
 		return;
@@ -258,17 +264,29 @@
 	return CLAMP(period, targets->config.poll_period, POLL_PERIOD_MAX);
 }
 
-static void poll_target(struct wf_ctx *ctx, struct tgt_target *target)
+static void poll_target(struct wf_ctx *ctx, const struct tgt_target *target,
+			clk_ms timeout)
 {
 	struct wf_action action = {.type = WF_ACT_POLL_TARGET};
 
 	action.op = wf_new_op(ctx, WF_MODULE_TARGETS);
 	action.target = g_strdup(target->id);
 	action.address = g_strdup(target->address);
-	action.timeout = POLL_TIMEOUT;
+	action.timeout = timeout;
 	wf_emit(ctx, &action);
 }
 
+void tgt_poll_evidence(struct wf_ctx *ctx, struct tgt_target *target)
+{
+	if (target->evidence_at &&
+	    ctx->now - target->evidence_at < EVIDENCE_PERIOD)
+		return;
+	target->evidence_at = ctx->now;
+	target->evidence_pending = true;
+	poll_target(ctx, target, TGT_EVIDENCE_TIMEOUT);
+	ctr_add(ctx->counters, "wf_evidence_polls_total", 1);
+}
+
 static void send_digest(struct wf_ctx *ctx, GPtrArray *fresh)
 {
 	GArray *states;
@@ -311,7 +329,7 @@
 		if (ctx->now < target->next_poll)
 			continue;
 		target->next_poll = ctx->now + period;
-		poll_target(ctx, target);
+		poll_target(ctx, target, POLL_TIMEOUT);
 	}
 	targets->n_owned = owned;
 	send_digest(ctx, fresh);
--- a/src/sched/tgt_digest.h
+++ b/src/sched/tgt_digest.h
@@ -9,6 +9,12 @@
 	TGT_PEER_LEAVING = 81,
 };
 
+/*
+ * Evidence polls end within the shortest bound of a resumed stream, so that
+ * their reports are there when it passes.
+ */
+#define TGT_EVIDENCE_TIMEOUT 150
+
 /* Applies a report that this instance's poll brought. */
 void tgt_apply_report(struct wf_ctx *ctx, struct tgt_targets *targets,
 		      const struct wf_report *report);
@@ -20,6 +26,13 @@
 /* Polls the owned targets that are due and sends the digest. */
 void tgt_poll_round(struct wf_ctx *ctx, struct tgt_targets *targets);
 
+/*
+ * Polls a target, owned or not, to find out whether it still answers. The
+ * report comes within TGT_EVIDENCE_TIMEOUT. Does nothing if the last such poll
+ * of the target is more recent than 200 ms: its report serves all streams.
+ */
+void tgt_poll_evidence(struct wf_ctx *ctx, struct tgt_target *target);
+
 /* Spreads the news that a target leaves, as far as this is our part. */
 void tgt_spread_leaving(struct wf_ctx *ctx, struct tgt_targets *targets,
 			struct tgt_target *target, bool told_by_peer);
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -347,6 +347,70 @@
 }
 END_TEST
 
+/*
+ * Guards against a stream that has only its own silence as evidence and
+ * starts all stages afresh: the layers of the other stages must not run again,
+ * whether they have other holders (even case) or not (odd case).
+ */
+START_TEST(only_the_silent_stage_is_rebuilt)
+{
+	unsigned stage = (unsigned)_i / 2 % 3;
+	clk_ms at = 600 + (clk_ms)(_i / 6) * 40 + 5;
+	struct emod *emod = new_model();
+	struct ctr_set *counters;
+	unsigned call;
+	unsigned i;
+
+	for (i = 0; _i % 2 && i < 3; i++)
+		emod_engine_at(emod, 2 * i + 1)->listed = i == stage;
+	emod_publish(emod);
+	call = submit(emod);
+	emod_run_until(emod, at);
+	ck_assert_uint_gt(emod_call_at(emod, call)->tokens, 0);
+	used_engine(emod, stage)->silent = true;
+	emod_run_until(emod, 20000);
+	check_answer(emod, call);
+	check_steps(emod, stage * 4, stage * 4 + 3);
+	ck_assert_int_le(emod_call_at(emod, call)->longest_gap,
+			 1000 + TOKEN_MS * PROMPT / 32);
+	counters = emod_ctx(emod, 0)->counters;
+	ck_assert_int_eq(
+		ctr_get(counters, "wf_recoveries_total{by=\"new_chain\"}"), 0);
+	emod_drop(emod);
+}
+END_TEST
+
+/* Guards against a poll for each silent stream instead of each engine. */
+START_TEST(evidence_polls_are_shared_by_all_streams)
+{
+	struct emod *emod = new_model();
+	struct ctr_set *counters = emod_ctx(emod, 0)->counters;
+	int64_t before = 0;
+	unsigned i;
+
+	for (i = 0; i < 12; i++) {
+		submit(emod);
+		emod_run_until(emod, 500 + 7 * (clk_ms)i);
+	}
+	emod_run_until(emod, 700);
+	emod_engine(emod, "b1")->silent = true;
+	emod_engine(emod, "c2")->silent = true;
+	for (i = 0; i < 20; i++) {
+		int64_t polls;
+
+		emod_run_until(emod, 700 + 199 * (clk_ms)(i + 1));
+		polls = ctr_get(counters, "wf_evidence_polls_total");
+		ck_assert_int_le(polls - before, emod_n_engines(emod));
+		before = polls;
+	}
+	ck_assert_int_gt(before, 0);
+	emod_run_until(emod, 30000);
+	for (i = 0; i < emod_n_calls(emod); i++)
+		check_answer(emod, i);
+	emod_drop(emod);
+}
+END_TEST
+
 static const struct emod_tamper tampers[] = {
 	{.position = 5, .duplicate = true},
 	{.position = 5, .delay = 10},
@@ -409,6 +473,68 @@
 }
 END_TEST
 
+static void tick_at(struct fixture *f, clk_ms at)
+{
+	struct wf_event event = {.type = WF_EV_TICK};
+
+	f->ctx->now = at;
+	send(f, &event);
+}
+
+/* Takes all actions; the last stream opened, 0 without one. */
+static uint64_t take_actions(struct fixture *f, unsigned *n_polls)
+{
+	struct wf_action action;
+	uint64_t op = 0;
+
+	while (wf_next_action(f->ctx, &action)) {
+		if (action.type == WF_ACT_STREAM_OPEN)
+			op = action.op;
+		/* Polls with the normal timeout are not for evidence. */
+		if (action.type == WF_ACT_POLL_TARGET && action.timeout <= 200)
+			(*n_polls)++;
+		wf_action_clear(&action);
+	}
+	return op;
+}
+
+/*
+ * Guards against a stream that hangs because the reports that it waits for
+ * never come, and against recovery before they can have come.
+ */
+START_TEST(missing_evidence_is_not_awaited_for_long)
+{
+	struct wf_stream_event stream = {.what = WF_STREAM_ACCEPTED,
+					 .lineage = 1};
+	struct wf_event event = {.type = WF_EV_STREAM, .stream = &stream};
+	unsigned n_polls = 0;
+	struct fixture f;
+	clk_ms silent;
+	clk_ms at;
+
+	set_up(&f);
+	send_token(&f, start_call(&f), 0, 6);
+	take_actions(&f, &n_polls);
+	for (at = 1001; !stream.op && at < 3001; at++) {
+		tick_at(&f, at);
+		stream.op = take_actions(&f, &n_polls);
+	}
+	ck_assert_uint_ne(stream.op, 0);
+	ck_assert_uint_eq(n_polls, 2);
+	silent = at;
+	send(&f, &event);
+	while (at < silent + 1000) {
+		tick_at(&f, ++at);
+		if (take_actions(&f, &n_polls))
+			break;
+	}
+	ck_assert_int_ge(at - silent, 150);
+	ck_assert_int_le(at - silent, 250);
+	ck_assert_uint_eq(n_polls, 2);
+	tear_down(&f);
+}
+END_TEST
+
 static const enum err_code refusals[] = {ERR_OVERLOADED, ERR_DRAINING,
 					 ERR_FENCED, ERR_TARGET_REFUSED};
 
@@ -566,6 +692,8 @@
 	tcase_add_loop_test(
 		tcase, recovery_takes_less_than_a_second_plus_rebuild, 0, 6);
 	tcase_add_loop_test(tcase, silent_stage_is_replaced, 0, 24);
+	tcase_add_loop_test(tcase, only_the_silent_stage_is_rebuilt, 0, 60);
+	tcase_add_test(tcase, evidence_polls_are_shared_by_all_streams);
 	tcase_add_loop_test(tcase,
 			    disturbed_token_events_do_not_reach_the_caller, 0,
 			    G_N_ELEMENTS(tampers));
@@ -590,6 +718,7 @@
 	tcase_add_test(tcase, tokens_without_whole_receipts_are_not_delivered);
 	tcase_add_test(tcase, end_is_reported_and_leaves_the_runs_idle);
 	tcase_add_test(tcase, token_of_a_stale_lineage_is_dropped);
+	tcase_add_test(tcase, missing_evidence_is_not_awaited_for_long);
 	add_model_tests(tcase);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
