Refuse calls that arrive after the exit as not run

Cause: the core ignored every event after it had asked for the exit, but the listener is open for a moment longer, so a call that arrived then ended with run: unknown. Found by system_drain_wire_test (rolling_replacement_loses_ nothing) under sanitizers: a booking was lost. core_test (call_after_exit_is_refused_as_not_run) fails before, passes after.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -292,8 +292,12 @@
 {
 	if (now > core->ctx->now)
 		core->ctx->now = now;
-	if (core->phase == CORE_DONE)
+	if (core->phase == CORE_DONE) {
+		/* The listener may be open for a moment after the exit. */
+		if (event->type == WF_EV_CALL)
+			core_handle_call(core, event->call);
 		return;
+	}
 	route(core, event);
 	core_follow_rules(core);
 	core_deliver_instances(core);
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -394,6 +394,23 @@
 }
 END_TEST
 
+/* Guards against a call that arrives at the exit and gets no answer. */
+START_TEST(call_after_exit_is_refused_as_not_run)
+{
+	struct rig *rig = ready_rig(RULES);
+	struct wf_event event = {.type = WF_EV_DRAIN};
+
+	send(rig, &event);
+	pass(rig, 10 * CLK_SECOND);
+	ck_assert_uint_eq(count(rig, WF_ACT_EXIT), 1);
+	model_call(rig, 1);
+	ck_assert_ptr_nonnull(last(rig, WF_ACT_REPLY_ERROR));
+	ck_assert_int_eq(last(rig, WF_ACT_REPLY_ERROR)->error, ERR_DRAINING);
+	ck_assert_int_eq(last(rig, WF_ACT_REPLY_ERROR)->run, ERR_RUN_NOT);
+	rig_free(rig);
+}
+END_TEST
+
 static void list_service(struct rig *rig, const char *id, uint64_t revision)
 {
 	struct wf_instance service = {.id = id};
@@ -512,6 +529,7 @@
 	tcase_add_test(tcase, old_list_does_not_revive_leaving_target);
 	tcase_add_test(tcase, drain_completes_calls_and_then_exits);
 	tcase_add_test(tcase, drain_exits_when_the_last_call_has_ended);
+	tcase_add_test(tcase, call_after_exit_is_refused_as_not_run);
 	tcase_add_test(tcase, key_of_another_operation_is_refused);
 	tcase_add_test(tcase, status_is_valid_json);
 	tcase_add_test(tcase, load_line_becomes_one_order_under_a_fence);
