--- a/include/wagtailferry/state.h
+++ b/include/wagtailferry/state.h
@@ -181,8 +181,8 @@
 void dut_config_init(struct dut_config *config);
 
 /*
- * An order that is wanted. It is sent at most once for each attempt, by
- * whatever instance; whoever wants it again raises the attempt.
+ * An order that is wanted. It is sent at most once for each attempt, by any
+ * one instance; a higher attempt has it sent again.
  */
 struct dut_wanted {
 	const char *target;
--- a/src/daemon/drv.c
+++ b/src/daemon/drv.c
@@ -147,7 +147,7 @@
 	}
 }
 
-/* An action may bring forth an event at once, which adds further actions. */
+/* An action may raise an event at once, which adds further actions. */
 static void execute_all(struct drv_driver *driver)
 {
 	struct wf_action action;
--- a/src/sched/tgt_digest.c
+++ b/src/sched/tgt_digest.c
@@ -171,9 +171,9 @@
 }
 
 /*
- * Whoever learns it first tells the target's owner in its data centre; the
- * owner tells its data centre and the owners in the others. That is about one
- * message for each instance, whatever the number that learn it at once.
+ * The first instance to learn it notifies the target's owner in its data
+ * centre; the owner notifies its data centre and the owners in the others.
+ * That is about one message for each instance, also if many learn it at once.
  */
 void tgt_spread_leaving(struct wf_ctx *ctx, struct tgt_targets *targets,
 			struct tgt_target *target, bool told_by_peer)
--- a/src/state/clm_held.c
+++ b/src/state/clm_held.c
@@ -113,7 +113,7 @@
 		clm_send_query(ctx, run);
 }
 
-/* Asks whoever may know more about the claim that holds the key. */
+/* Asks the instances that may know more about the claim on the key. */
 static void poll(struct wf_ctx *ctx, struct clm_claims *claims,
 		 struct clm_run *run, unsigned polls)
 {
--- a/src/state/dst_apply.c
+++ b/src/state/dst_apply.c
@@ -43,7 +43,7 @@
 	return rules;
 }
 
-/* Keeps the chunks of the new text and lets go of the others. */
+/* Keeps the chunks of the new text and releases the others. */
 static void adopt_chunks(struct dst_distribution *dst)
 {
 	const struct rul_manifest *manifest = dst->fetch.manifest;
--- a/tests/drv_wire_test.c
+++ b/tests/drv_wire_test.c
@@ -291,7 +291,7 @@
 	return ((struct fake_core *)user)->events[WF_EV_STORE_REPLY] == 2;
 }
 
-/* Guards against actions lost when an action brings forth an event at once. */
+/* Guards against actions lost when an action raises an event at once. */
 START_TEST(event_inside_an_action_is_handled)
 {
 	struct fixture fixture;
--- a/tests/limits_test.c
+++ b/tests/limits_test.c
@@ -376,7 +376,7 @@
 }
 
 /* Guards against refusals below the limit each time an instance restarts. */
-START_TEST(restart_of_an_instance_refuses_nobody_below_the_limit)
+START_TEST(restart_of_an_instance_refuses_no_call_below_the_limit)
 {
 	char org[16];
 	unsigned i;
@@ -478,7 +478,7 @@
 	tcase_add_test(tcase, lost_messages_do_not_leak_slots);
 	tcase_add_test(tcase, rate_holds_when_the_owner_is_lost);
 	tcase_add_test(tcase,
-		       restart_of_an_instance_refuses_nobody_below_the_limit);
+		       restart_of_an_instance_refuses_no_call_below_the_limit);
 	tcase_add_test(tcase, idle_scope_costs_nothing);
 	tcase_add_test(tcase, unlimited_call_is_admitted_at_once);
 	tcase_add_test(tcase, malformed_frames_are_counted_and_dropped);
--- a/tests/plat_wire_test.c
+++ b/tests/plat_wire_test.c
@@ -360,7 +360,7 @@
 
 /*
  * Guards against use of a stream that the core cancels from inside one of
- * its events, and against an engine that goes on working for nobody.
+ * its events, and against an engine that goes on working without a reader.
  */
 START_TEST(cancel_inside_a_token_event_stops_the_stream)
 {
--- a/tests/support/sim.c
+++ b/tests/support/sim.c
@@ -331,8 +331,8 @@
 		 sim_delivery_free);
 }
 
-static bool is_parted(const struct sim *sim, const struct sim_instance *a,
-		      const struct sim_instance *b)
+static bool is_partitioned(const struct sim *sim, const struct sim_instance *a,
+			   const struct sim_instance *b)
 {
 	if (sim->now >= sim->partition_until || a->index > 63 || b->index > 63)
 		return false;
@@ -354,7 +354,8 @@
 		if (!strcmp(sim->instances[i].id, action->target))
 			to = &sim->instances[i];
 	if (!to || !to->alive || sim->now < instance->peers_cut_until ||
-	    sim->now < to->peers_cut_until || is_parted(sim, instance, to) ||
+	    sim->now < to->peers_cut_until ||
+	    is_partitioned(sim, instance, to) ||
 	    sim_chance(sim, faults->peer_drop))
 		return;
 	while (copies--) {
--- a/tests/support/sim.h
+++ b/tests/support/sim.h
@@ -248,7 +248,7 @@
 void sim_cut_store(struct sim *sim, unsigned instance, clk_ms span);
 
 /*
- * Parts the instances whose bits are set from the others, for a time. The
+ * Partitions the instances whose bits are set from the others. The
  * store and the targets stay reachable. The first 64 instances only.
  */
 void sim_partition(struct sim *sim, uint64_t bits, clk_ms span);
