Keep evidence of an own poll against older digests

Cause: a digest of the instance that polls a target set it reachable again with a report from before the target stopped, between the evidence of this instance's own poll and the decision which stage to replace.

Conclusion: a digest counts for an unreachable target only if its report is at least as recent as the last evidence poll.

--- a/src/sched/tgt_digest.c
+++ b/src/sched/tgt_digest.c
@@ -199,6 +199,15 @@
 	g_bytes_unref(body);
 }
 
+/* A report from before an own poll that got no answer says nothing about it. */
+static bool contradicts_evidence(const struct wf_ctx *ctx,
+				 const struct tgt_target *target,
+				 const Wf__TargetState *state)
+{
+	return !target->reachable && state->reachable &&
+	       ctx->now - state->age_ms < target->evidence_at;
+}
+
 static void apply_state(struct wf_ctx *ctx, struct tgt_targets *targets,
 			const Wf__TargetState *state, unsigned kind)
 {
@@ -208,7 +217,7 @@
 		return;
 	if (state->leaving)
 		tgt_set_leaving(ctx, targets, target, true);
-	if (kind != TGT_PEER_DIGEST)
+	if (kind != TGT_PEER_DIGEST || contradicts_evidence(ctx, target, state))
 		return;
 	target->reachable = state->reachable;
 	targets->revision++;
--- a/tests/tgt_test.c
+++ b/tests/tgt_test.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "schema/targets.pb-c.h"
 #include "sched/chn.h"
 #include "sched/tgt.h"
 #include "sched/tgt_breaker.h"
@@ -146,6 +147,52 @@
 }
 END_TEST
 
+static void send_digest(struct emod *emod, const char *id, unsigned age_ms)
+{
+	Wf__TargetDigest digest = WF__TARGET_DIGEST__INIT;
+	Wf__TargetState state = WF__TARGET_STATE__INIT;
+	Wf__TargetState *states[] = {&state};
+	struct wf_peer_event peer = {.from = "entry-9",
+				     .kind = TGT_PEER_DIGEST};
+	uint8_t body[256];
+
+	state.id = (char *)id;
+	state.incarnation = tgt_find(emod_targets(emod, 0), id)->incarnation;
+	state.reachable = true;
+	state.age_ms = age_ms;
+	digest.targets = states;
+	digest.n_targets = 1;
+	ck_assert_uint_le(wf__target_digest__get_packed_size(&digest),
+			  sizeof(body));
+	peer.body = body;
+	peer.body_len = wf__target_digest__pack(&digest, body);
+	tgt_apply_peer(emod_ctx(emod, 0), emod_targets(emod, 0), &peer);
+}
+
+/*
+ * Guards against a digest with a report from before an engine stopped that
+ * hides the evidence of this instance's own poll.
+ */
+START_TEST(older_digest_does_not_hide_evidence)
+{
+	struct emod *emod = new_model(1);
+	struct wf_ctx *ctx = emod_ctx(emod, 0);
+	struct tgt_targets *targets = emod_targets(emod, 0);
+	struct tgt_target *target = tgt_find(targets, "e0");
+	struct wf_report report = {.target = "e0"};
+
+	tgt_poll_evidence(ctx, target);
+	ctx->now += TGT_EVIDENCE_TIMEOUT;
+	tgt_apply_report(ctx, targets, &report);
+	ck_assert(!target->reachable);
+	send_digest(emod, "e0", TGT_EVIDENCE_TIMEOUT + 1);
+	ck_assert(!target->reachable);
+	send_digest(emod, "e0", TGT_EVIDENCE_TIMEOUT - 1);
+	ck_assert(target->reachable);
+	emod_drop(emod);
+}
+END_TEST
+
 /* Guards against a dead target that is tried again without pause. */
 START_TEST(breaker_opens_and_recovers_half_open)
 {
@@ -384,6 +431,7 @@
 		       leaving_target_gets_no_new_work_after_two_seconds);
 	tcase_add_test(tcase, one_instance_in_a_data_center_polls_a_target);
 	tcase_add_test(tcase, malformed_and_stale_digests_are_ignored);
+	tcase_add_test(tcase, older_digest_does_not_hide_evidence);
 	tcase_add_test(tcase, breaker_opens_and_recovers_half_open);
 	tcase_add_test(tcase, rare_failures_do_not_open_the_breaker);
 	tcase_add_test(tcase, gap_in_cache_events_forgets_the_target);
