End the wait for a new chain when a token arrives

Cause: a token of the old stream that came while its request waited for a new chain was delivered, but the request stayed in RUN_WAITING: the planned retry opened a new chain for a stream that was alive, and the request's load was missing from the target table.

token_ends_the_wait_for_a_new_chain failed before at the missing load. A trial with the load repaired but the state left as it was failed at the new stream of the retry.

Conclusion: the request streams again from that token on, is charged again, and its gap bound holds, so a stream that then stays silent is recovered.

--- a/src/sched/run_stream.c
+++ b/src/sched/run_stream.c
@@ -351,6 +351,21 @@
 	ctr_add(ctx->counters, "wf_runs_reclassified_total", 1);
 }
 
+/* A stream that brings a token needs no new chain. */
+static void stop_waiting(struct wf_ctx *ctx, struct run_runs *runs,
+			 struct run_request *request, uint64_t op)
+{
+	if (request->state != RUN_WAITING)
+		return;
+	request->state = RUN_STREAMING;
+	request->touched = true;
+	if (!request->op)
+		request->op = op;
+	if (!request->charged)
+		charge(ctx, runs, request);
+	ctr_add(ctx->counters, "wf_recoveries_total{by=\"late_token\"}", 1);
+}
+
 static void note_progress(struct wf_ctx *ctx, struct run_runs *runs,
 			  struct run_request *request)
 {
@@ -414,6 +429,7 @@
 		keep_early(request, event);
 		return;
 	}
+	stop_waiting(ctx, runs, request, event->op);
 	note_progress(ctx, runs, request);
 	deliver(ctx, request, event->text, event->text_len);
 	deliver_early(ctx, request);
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sched/tgt.h"
 #include "support/engine_model.h"
 
 struct fixture {
@@ -535,6 +536,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a new chain for a stream that has come back while its request
+ * waited for one, and against a hang if that stream then goes silent again.
+ */
+START_TEST(token_ends_the_wait_for_a_new_chain)
+{
+	struct wf_stream_event stream = {.what = WF_STREAM_FAILED,
+					 .lineage = 1,
+					 .error = ERR_TARGET_LOST,
+					 .failed_target = "b"};
+	struct wf_event event = {.type = WF_EV_STREAM, .stream = &stream};
+	struct wf_report report = {.target = "b"};
+	struct wf_event unreachable = {.type = WF_EV_REPORT, .report = &report};
+	const struct tgt_target *head;
+	unsigned n_polls = 0;
+	struct fixture f;
+	clk_ms at;
+
+	set_up(&f);
+	head = tgt_find(f.targets, "a");
+	stream.op = start_call(&f);
+	send_token(&f, stream.op, 0, 6);
+	send(&f, &unreachable);
+	send(&f, &event);
+	ck_assert_uint_eq(take_actions(&f, &n_polls), 0);
+	ck_assert_uint_eq(head->own_requests, 0);
+	f.ctx->now += 10;
+	send_token(&f, stream.op, 1, 6);
+	ck_assert_uint_eq(count_tokens(&f), 1);
+	ck_assert_uint_eq(head->own_requests, 1);
+	for (at = f.ctx->now; at < 1190; at++) {
+		tick_at(&f, at);
+		ck_assert_uint_eq(take_actions(&f, &n_polls), 0);
+	}
+	for (; at < 3000 && !take_actions(&f, &n_polls); at++)
+		tick_at(&f, at);
+	ck_assert_int_lt(at, 3000);
+	tear_down(&f);
+}
+END_TEST
+
 static const enum err_code refusals[] = {ERR_OVERLOADED, ERR_DRAINING,
 					 ERR_FENCED, ERR_TARGET_REFUSED};
 
@@ -719,6 +761,7 @@
 	tcase_add_test(tcase, end_is_reported_and_leaves_the_runs_idle);
 	tcase_add_test(tcase, token_of_a_stale_lineage_is_dropped);
 	tcase_add_test(tcase, missing_evidence_is_not_awaited_for_long);
+	tcase_add_test(tcase, token_ends_the_wait_for_a_new_chain);
 	add_model_tests(tcase);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
