Replace the stage whose load report is missing after a silence

A stage that stops without closing its connections was not identified: after the resume, find_suspect() took the stage with the highest inflation, and on a real machine noise lifts that of any stage above 1. If the blamed stage had no second holder, all stages started afresh, although a holder of the lost range was there. Polls that a stopped engine does not answer tell it: the only stage behind the head whose report is later than the poll period plus 100 ms is now blamed first.

--- a/src/sched/run_recover.c
+++ b/src/sched/run_recover.c
@@ -14,6 +14,9 @@
 /* A report this old says nothing about whether an export is possible. */
 #define RUN_REPORT_FRESH 2000
 
+/* A report this much later than the poll period is missing. */
+#define RUN_REPORT_LATE 100
+
 /* Waiting steps a slot that explain a silence, and for how long at most. */
 #define WAIT_QUEUE_LONG 0.5
 #define WAIT_QUEUE_SHORT 2.0
@@ -266,6 +269,33 @@
 	return suspect;
 }
 
+/*
+ * The only stage behind the head whose report is missing: an engine that has
+ * stopped answers neither steps nor polls. NULL if there are none or several.
+ */
+static const char *find_unreported(const struct wf_ctx *ctx,
+				   const struct run_runs *runs,
+				   const struct run_request *request)
+{
+	clk_ms limit = runs->targets->config.poll_period + RUN_REPORT_LATE;
+	const char *found = NULL;
+	guint i;
+
+	for (i = 1; i < request->stages->len; i++) {
+		const struct run_stage *stage;
+		const struct tgt_target *target;
+
+		stage = &g_array_index(request->stages, struct run_stage, i);
+		target = tgt_get(runs->targets, stage->target);
+		if (!target || ctx->now - target->reported_at <= limit)
+			continue;
+		if (found)
+			return NULL;
+		found = target->id;
+	}
+	return found;
+}
+
 /*
  * Whether waiting steps at a stage explain the silence: reports are fresh, no
  * evidence speaks against any stage and one has a queue. Long requests have a
@@ -321,6 +351,8 @@
 	if (wait_longer(ctx, runs, request))
 		return;
 	if (request->accepted)
+		id = find_unreported(ctx, runs, request);
+	if (!id)
 		id = find_suspect(runs, request);
 	target = tgt_find(runs->targets, id);
 	if (target)
