--- a/tests/bench/control_bench.c
+++ b/tests/bench/control_bench.c
@@ -188,6 +188,9 @@
 	publish(control, 0);
 	control_pass(control, CLK_MINUTE);
 	measure_in_force(control, n);
+	print_figure("target_news", n,
+		     (double)control_target_news(control, CLK_MINUTE), "ms",
+		     "<=2000");
 	measure_cost(control, n);
 	memory = (double)(mallinfo2().uordblks - before) / n / 1e6;
 	print_figure("memory", n, memory, "MB/node", "<=32");
--- a/tests/support/control.c
+++ b/tests/support/control.c
@@ -6,6 +6,7 @@
 struct control_node {
 	struct mem_members *members;
 	struct dst_distribution *rules;
+	bool heard_target;
 };
 
 static uint64_t rules_revision(void *user)
@@ -23,6 +24,17 @@
 	dst_heard(ctx, node->rules, peer, revision);
 }
 
+static void heard_target(struct wf_ctx *ctx, void *user, const char *target,
+			 uint64_t incarnation, enum wf_life life)
+{
+	struct control_node *node = user;
+
+	(void)ctx;
+	(void)target;
+	(void)incarnation;
+	node->heard_target = life == WF_LIFE_LEAVING;
+}
+
 static struct control_node *latest_node(void *user)
 {
 	GPtrArray *nodes = user;
@@ -39,6 +51,7 @@
 	mem_config_init(&config);
 	config.hooks.rules_revision = rules_revision;
 	config.hooks.heard_revision = heard_revision;
+	config.hooks.heard_target = heard_target;
 	config.hooks.user = node;
 	node->members = mem_new(ctx, ctx->self, &config);
 	return mem_module(node->members);
@@ -167,6 +180,35 @@
 	return -1;
 }
 
+static unsigned count_heard(const struct control *control)
+{
+	const GPtrArray *nodes = control->sim->config.user;
+	unsigned n = 0;
+	guint i;
+
+	for (i = 0; i < nodes->len; i++)
+		n += ((const struct control_node *)nodes->pdata[i])
+			     ->heard_target;
+	return n;
+}
+
+clk_ms control_target_news(struct control *control, clk_ms limit)
+{
+	struct sim_instance *first = &control->sim->instances[0];
+	clk_ms start = control->sim->now;
+
+	first->ctx->now = start;
+	mem_spread_target(first->ctx, first->modules->pdata[0], "engine-1", 1,
+			  WF_LIFE_LEAVING);
+	sim_settle(control->sim, 0);
+	while (control->sim->now - start <= limit) {
+		if (count_heard(control) + 1 == count_alive(control))
+			return control->sim->now - start;
+		control_pass(control, 10);
+	}
+	return -1;
+}
+
 char *control_text(unsigned n_orgs, unsigned edited)
 {
 	GString *text = g_string_new(NULL);
--- a/tests/support/control.h
+++ b/tests/support/control.h
@@ -38,6 +38,12 @@
 clk_ms control_time_to(struct control *control, uint64_t revision,
 		       clk_ms limit);
 
+/*
+ * Has instance 0 spread the news that a target leaves; returns the time until
+ * all others have heard it, -1 if that does not happen within the limit.
+ */
+clk_ms control_target_news(struct control *control, clk_ms limit);
+
 /* A rules text of one route for each of n organisations. Caller frees. */
 char *control_text(unsigned n_orgs, unsigned edited);
 
