--- a/tests/bench/limits_bench.c
+++ b/tests/bench/limits_bench.c
@@ -4,7 +4,7 @@
  * own if organisations are many; 12.6 calls a second reach an instance at the
  * planned size (4,900 over 390).
  *
- * Usage: limits_bench [--json] [SEED]
+ * Usage: limits_bench [--json] [--seed N]
  */
 
 #include <malloc.h>
@@ -15,6 +15,7 @@
 
 #include <wagtailferry/limits.h>
 
+#include "support/figure.h"
 #include "support/sim.h"
 
 #define CALLS_PER_INSTANCE 12.6
@@ -26,12 +27,7 @@
 /* Generous, so that the figures are those of admitted calls. */
 #define RATE_PER_ORG 10.0
 
-#define TARGET_BYTES 22000.0
-#define TARGET_CPU_PERCENT 1.8
-#define TARGET_MEMORY_MB 32.0
-
-static bool json;
-static uint64_t seed = 51;
+static struct fig_output output = {.seed = 51};
 
 struct bench {
 	struct sim *sim;
@@ -125,16 +121,12 @@
 }
 
 static void print_figure(const char *name, unsigned n, double value,
-			 const char *unit, double target)
+			 const char *unit, const char *objective)
 {
-	if (json)
-		printf("{\"name\":\"limits.%s\",\"instances\":%u,\"value\":"
-		       "%.4g,\"unit\":\"%s\",\"target\":%.4g,\"seed\":%llu}\n",
-		       name, n, value, unit, target, (unsigned long long)seed);
-	else
-		printf("limits %-14s n=%-4u %10.4g %-10s target %.4g seed "
-		       "%llu\n",
-		       name, n, value, unit, target, (unsigned long long)seed);
+	char *full = g_strdup_printf("instances_%u.limits.%s", n, name);
+
+	fig_print(&output, full, value, unit, objective, NULL);
+	g_free(full);
 }
 
 static void report(const struct bench *bench, unsigned n, size_t memory)
@@ -144,19 +136,18 @@
 	unsigned calls = bench->admitted + bench->refused;
 
 	print_figure("bytes", n, (double)counts->peer_bytes / n / seconds,
-		     "B/s/node", TARGET_BYTES);
+		     "B/s/node", "<=22000");
 	print_figure("messages", n, (double)counts->peer_frames / n / seconds,
-		     "1/s/node", 0.0);
+		     "1/s/node", "-");
 	print_figure("wait", n, (double)bench->waited / MAX(1u, calls), "ms",
-		     0.0);
+		     "-");
 	print_figure("refused", n, (double)bench->refused / MAX(1u, calls),
-		     "part", 0.0);
-	print_figure("memory", n, (double)memory / n / 1e6, "MB/node",
-		     TARGET_MEMORY_MB);
+		     "of_calls", "-");
+	print_figure("memory", n, (double)memory / n / 1e6, "MB/node", "<=32");
 	print_figure("cpu", n,
 		     100.0 * ((double)counts->handle_ns / 1e9 + bench->cpu) /
 			     n / seconds,
-		     "%/node", TARGET_CPU_PERCENT);
+		     "%_of_a_core/node", "<=1.8");
 }
 
 static void measure(unsigned n)
@@ -166,7 +157,7 @@
 	size_t before;
 
 	sim_config_init(&config);
-	config.seed = seed;
+	config.seed = output.seed;
 	config.n_instances = n;
 	config.n_targets = 0;
 	config.peer_latency = 40;
@@ -186,14 +177,7 @@
 
 int main(int argc, char **argv)
 {
-	int i;
-
-	for (i = 1; i < argc; i++) {
-		if (!strcmp(argv[i], "--json"))
-			json = true;
-		else
-			seed = g_ascii_strtoull(argv[i], NULL, 10);
-	}
+	fig_parse(&output, argc, argv);
 	measure(5);
 	measure(50);
 	measure(390);
