--- a/tests/adm_test.c
+++ b/tests/adm_test.c
@@ -6,6 +6,7 @@
 
 #include "sched/adm.h"
 #include "support/engine_model.h"
+#include "support/runner.h"
 
 static struct adm_item item(const char *org, double cost)
 {
@@ -304,10 +305,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("adm");
 	TCase *tcase = tcase_create("adm");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, organisations_share_by_weight);
 	tcase_add_test(tcase, order_within_an_organisation_is_kept);
@@ -320,10 +318,5 @@
 	tcase_add_test(tcase, late_binding_keeps_engine_queues_short);
 	tcase_add_test(tcase, request_beyond_its_expected_length_becomes_long);
 	tcase_add_test(tcase, retry_budget_is_a_tenth_of_requests);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("adm", tcase);
 }
--- a/tests/audit_test.c
+++ b/tests/audit_test.c
@@ -10,6 +10,7 @@
 #include <wagtailferry/audit.h>
 #include <wagtailferry/rules.h>
 
+#include "support/runner.h"
 #include "support/sim.h"
 
 #define N_INSTANCES 3
@@ -140,20 +141,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("audit");
 	TCase *tcase = tcase_create("audit");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, every_entry_is_stored_once_under_faults, 0,
 			    50);
 	tcase_add_test(tcase, full_segment_is_followed_by_a_new_one);
 	tcase_add_test(tcase, outage_keeps_a_bounded_number_of_entries);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("audit", tcase);
 }
--- a/tests/base_test.c
+++ b/tests/base_test.c
@@ -6,6 +6,8 @@
 
 #include <wagtailferry/base.h>
 
+#include "support/runner.h"
+
 /* Guards against a stale handle that reaches a reused slot. */
 START_TEST(handle_of_removed_entry_stays_invalid)
 {
@@ -78,19 +80,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("base");
 	TCase *tcase = tcase_create("base");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, handle_of_removed_entry_stays_invalid);
 	tcase_add_test(tcase, every_error_has_a_name_and_status);
 	tcase_add_test(tcase, counters_are_written_in_prometheus_form);
 	tcase_add_test(tcase, log_line_is_valid_json_for_any_bytes);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("base", tcase);
 }
--- a/tests/bench/overhead_bench.c
+++ b/tests/bench/overhead_bench.c
@@ -4,15 +4,15 @@
  * token of a chain of three engines. All processes are on loopback; calls
  * follow each other on one connection.
  *
- * Usage: overhead_bench
+ * Usage: overhead_bench [--json]
  */
 
 #include <check.h>
 #include <curl/curl.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "support/figure.h"
 #include "support/wire/cluster.h"
 
 #define N_WARM_UP 50
@@ -24,6 +24,8 @@
 	"route org=a service=booking deadline=10s repeat=yes # anna\n" \
 	"route org=b service=booking deadline=10s repeat=no # anna\n"
 
+static struct fig_output output;
+
 /* One way to send a request. */
 struct way {
 	const char *name;
@@ -135,6 +137,23 @@
 	return (x > y) - (x < y);
 }
 
+/* The calls of the fake itself come first and are the baseline. */
+static void print_part(const struct way *way, const char *part, double ms)
+{
+	static double direct[2];
+	unsigned index = !strcmp(part, "p99");
+	char *name = g_strdup_printf("overhead.%s.%s", way->name, part);
+	GString *baselines = g_string_new(NULL);
+
+	if (way->token)
+		fig_add_baseline(baselines, "direct", direct[index]);
+	else
+		direct[index] = ms;
+	fig_print(&output, name, ms, "ms", "-", baselines);
+	g_string_free(baselines, TRUE);
+	g_free(name);
+}
+
 static void measure(struct clu_cluster *cluster, const struct way *way)
 {
 	CURL *easy = curl_easy_init();
@@ -150,9 +169,8 @@
 	for (i = 0; i < N_CALLS; i++)
 		ms[i] = send_one(easy, cluster, way, N_WARM_UP + i);
 	qsort(ms, N_CALLS, sizeof(ms[0]), compare);
-	printf("overhead %-24s n=%d median %7.3f ms  p99 %7.3f ms\n", way->name,
-	       N_CALLS, ms[N_CALLS / 2], ms[N_CALLS * 99 / 100]);
-	fflush(stdout);
+	print_part(way, "median", ms[N_CALLS / 2]);
+	print_part(way, "p99", ms[N_CALLS * 99 / 100]);
 	curl_easy_cleanup(easy);
 	g_free(url);
 }
@@ -162,17 +180,17 @@
 	static struct clu_cluster cluster;
 	struct clu_config config;
 	const struct way ways[] = {
-		{"service, direct", cluster.service.address, "/call/book", NULL,
+		{"service_direct", cluster.service.address, "/call/book", NULL,
 		 service_body, "\"run\":1,"},
-		{"service, repeatable", cluster.entries[0].caller,
+		{"service_repeatable", cluster.entries[0].caller,
 		 "/v1/services/booking/book", "Authorization: Bearer token-a",
 		 service_body, "\"run\":1,"},
-		{"service, with a claim", cluster.entries[0].caller,
+		{"service_with_claim", cluster.entries[0].caller,
 		 "/v1/services/booking/book", "Authorization: Bearer token-b",
 		 service_body, "\"run\":1,"},
-		{"first token, direct", cluster.engines[0].address,
+		{"first_token_direct", cluster.engines[0].address,
 		 "/v1/generate", NULL, generate_body, "event: token"},
-		{"first token", cluster.entries[0].caller,
+		{"first_token", cluster.entries[0].caller,
 		 "/v1/chat/completions", "Authorization: Bearer token-a",
 		 chat_body, "\"content\":"},
 	};
@@ -188,18 +206,20 @@
 }
 END_TEST
 
-int main(void)
+int main(int argc, char **argv)
 {
 	Suite *suite = suite_create("overhead");
 	TCase *tcase = tcase_create("overhead");
 	SRunner *runner;
 	int failed;
 
+	fig_parse(&output, argc, argv);
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, overhead);
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
+	/* Standard output is for the figures only. */
+	srunner_run_all(runner, CK_SILENT);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
--- a/tests/bnd_test.c
+++ b/tests/bnd_test.c
@@ -5,6 +5,8 @@
 
 #include <wagtailferry/sched.h>
 
+#include "support/runner.h"
+
 #define NEAR(a, b) ck_assert_double_eq_tol(a, b, 1e-3)
 
 /* Guards against a bound that ignores the scarcest range. */
@@ -80,20 +82,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("bnd");
 	TCase *tcase = tcase_create("bnd");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, scarcest_range_sets_the_bound);
 	tcase_add_test(tcase, uncovered_layer_gives_zero);
 	tcase_add_test(tcase, overlapping_engines_share_their_work);
 	tcase_add_test(tcase, links_limit_tokens_between_sites);
 	tcase_add_loop_test(tcase, bound_is_not_below_an_assignment, 0, 20);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("bnd", tcase);
 }
--- a/tests/chat_test.c
+++ b/tests/chat_test.c
@@ -6,6 +6,8 @@
 
 #include "daemon/srv_internal.h"
 
+#include "support/runner.h"
+
 #define MESSAGES "\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]"
 
 static const struct {
@@ -110,19 +112,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("chat");
 	TCase *tcase = tcase_create("chat");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tcase, malformed_bodies_are_refused, 0,
 			    G_N_ELEMENTS(refused));
 	tcase_add_test(tcase, messages_become_one_prompt);
 	tcase_add_test(tcase, prefix_hashes_are_cumulative_over_whole_blocks);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("chat", tcase);
 }
--- a/tests/chn_test.c
+++ b/tests/chn_test.c
@@ -7,6 +7,8 @@
 #include "sched/chn.h"
 #include "sched/tgt_load.h"
 
+#include "support/runner.h"
+
 #define N_LAYERS 24
 
 static const char *const names[] = {"falun", "gavle", "uppsala"};
@@ -240,20 +242,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("chn");
 	TCase *tcase = tcase_create("chn");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tcase, random_tables_give_whole_chains, 0, 60);
 	tcase_add_test(tcase, chains_stay_within_the_allowed_data_centers);
 	tcase_add_test(tcase, no_room_is_told_apart_from_no_chain);
 	tcase_add_test(tcase, faster_and_less_loaded_engines_are_preferred);
 	tcase_add_test(tcase, replacement_covers_exactly_the_lost_range);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("chn", tcase);
 }
--- a/tests/claims_random_test.c
+++ b/tests/claims_random_test.c
@@ -10,6 +10,7 @@
 #include <wagtailferry/state.h>
 
 #include "support/claims_check.h"
+#include "support/runner.h"
 
 #define N_HISTORIES 2000
 #define N_PROFILES 8
@@ -258,17 +259,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("claims_random");
 	TCase *tcase = tcase_create("claims_random");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 600);
 	tcase_add_test(tcase, random_histories_keep_the_invariants);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("claims_random", tcase);
 }
--- a/tests/claims_test.c
+++ b/tests/claims_test.c
@@ -11,6 +11,7 @@
 #include <wagtailferry/state.h>
 
 #include "support/claims_check.h"
+#include "support/runner.h"
 
 #define KEY "1796370000000-k"
 #define KEEP_DAYS_MS (25 * CLK_HOUR)
@@ -537,10 +538,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("claims");
 	TCase *tcase = tcase_create("claims");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 300);
 	tcase_add_checked_fixture(tcase, set_up, NULL);
@@ -564,10 +562,5 @@
 	tcase_add_loop_test(tcase, every_fault_at_every_step, 0,
 			    G_N_ELEMENTS(sequences));
 	tcase_add_test(tcase, drain_completes);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("claims", tcase);
 }
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "daemon/cli.h"
+#include "support/runner.h"
 #include "support/wire/wire.h"
 
 #define TIMEOUT_MS 300
@@ -485,10 +486,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("cli_wire");
 	TCase *tcase = tcase_create("cli_wire");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 30);
 	tcase_add_loop_test(tcase, faults_map_to_exact_results, 0,
@@ -503,10 +501,5 @@
 	tcase_add_test(tcase, handler_may_cancel_its_request);
 	tcase_add_test(tcase, refused_data_ends_the_request);
 	tcase_add_test(tcase, dropped_client_drops_its_handlers);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("cli_wire", tcase);
 }
--- a/tests/core_test.c
+++ b/tests/core_test.c
@@ -11,6 +11,8 @@
 #include <wagtailferry/core.h>
 #include <wagtailferry/rules.h>
 
+#include "support/runner.h"
+
 #define START ((clk_ms)1796370000000)
 
 /* A core and a store that answers at once. */
@@ -517,10 +519,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("core");
 	TCase *tcase = tcase_create("core");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, call_without_rules_is_refused_as_not_run);
 	tcase_add_test(tcase, model_call_runs_from_rule_to_last_token);
@@ -534,10 +533,5 @@
 	tcase_add_test(tcase, status_is_valid_json);
 	tcase_add_test(tcase, load_line_becomes_one_order_under_a_fence);
 	tcase_add_test(tcase, rule_with_targets_excludes_the_others);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("core", tcase);
 }
--- a/tests/distribution_test.c
+++ b/tests/distribution_test.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "support/control.h"
+#include "support/runner.h"
 
 /* An accepted rule must be in force everywhere within this time. */
 #define IN_FORCE_LIMIT_MS (13 * CLK_SECOND)
@@ -283,10 +284,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("distribution");
 	TCase *tcase = tcase_create("distribution");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 200);
 	tcase_add_loop_test(tcase, revision_is_in_force_everywhere_in_time, 0,
@@ -298,10 +296,5 @@
 	tcase_add_loop_test(tcase, no_revision_reverts_under_random_faults, 0,
 			    20);
 	tcase_add_test(tcase, malformed_frames_are_counted_and_dropped);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("distribution", tcase);
 }
--- a/tests/drv_wire_test.c
+++ b/tests/drv_wire_test.c
@@ -6,6 +6,7 @@
 #include <zmq.h>
 
 #include "daemon/drv.h"
+#include "support/runner.h"
 #include "support/wire/wire.h"
 
 #define KEY_SIZE 41
@@ -447,10 +448,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("drv_wire");
 	TCase *tcase = tcase_create("drv_wire");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 30);
 	tcase_add_test(tcase, stream_goes_from_engine_to_caller);
@@ -461,10 +459,5 @@
 	tcase_add_test(tcase, message_goes_from_core_to_core);
 	tcase_add_test(tcase, exit_waits_for_the_last_answer);
 	tcase_add_test(tcase, taken_address_refuses_the_start);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("drv_wire", tcase);
 }
--- a/tests/duties_test.c
+++ b/tests/duties_test.c
@@ -10,6 +10,7 @@
 
 #include <wagtailferry/state.h>
 
+#include "support/runner.h"
 #include "support/sim.h"
 
 #define N_ORDERS 10
@@ -311,10 +312,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("duties");
 	TCase *tcase = tcase_create("duties");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 300);
 	tcase_add_checked_fixture(tcase, set_up, NULL);
@@ -323,10 +321,5 @@
 	tcase_add_test(tcase, drain_releases_the_lease);
 	tcase_add_loop_test(tcase, every_fault_at_every_step, 0, 4);
 	tcase_add_test(tcase, random_histories_keep_the_order);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("duties", tcase);
 }
--- a/tests/limits_test.c
+++ b/tests/limits_test.c
@@ -9,6 +9,7 @@
 
 #include <wagtailferry/limits.h>
 
+#include "support/runner.h"
 #include "support/sim.h"
 
 /* Limits must be kept within this part of their value. */
@@ -464,10 +465,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("limits");
 	TCase *tcase = tcase_create("limits");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, rate_holds_over_all_instances, 0, 2);
@@ -482,10 +480,5 @@
 	tcase_add_test(tcase, idle_scope_costs_nothing);
 	tcase_add_test(tcase, unlimited_call_is_admitted_at_once);
 	tcase_add_test(tcase, malformed_frames_are_counted_and_dropped);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("limits", tcase);
 }
--- a/tests/member_test.c
+++ b/tests/member_test.c
@@ -9,6 +9,7 @@
 
 #include <wagtailferry/member.h>
 
+#include "support/runner.h"
 #include "support/sim.h"
 
 /* Death must be known everywhere within this time. */
@@ -248,10 +249,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("member");
 	TCase *tcase = tcase_create("member");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, death_is_known_everywhere, 0, 3);
@@ -265,10 +263,5 @@
 			    0, 3);
 	tcase_add_loop_test(tcase, cost_does_not_grow_with_the_fleet, 0, 3);
 	tcase_add_test(tcase, malformed_frames_are_counted_and_dropped);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("member", tcase);
 }
--- a/tests/peer_wire_test.c
+++ b/tests/peer_wire_test.c
@@ -8,6 +8,7 @@
 #include <schema/peer.pb-c.h>
 
 #include "daemon/peer.h"
+#include "support/runner.h"
 #include "support/wire/wire.h"
 
 #define KEY_SIZE 41
@@ -387,10 +388,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("peer_wire");
 	TCase *tcase = tcase_create("peer_wire");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 30);
 	tcase_add_test(tcase, message_arrives_with_its_authenticated_sender);
@@ -402,10 +400,5 @@
 	tcase_add_test(tcase, queue_to_an_absent_instance_is_bounded);
 	tcase_add_test(tcase, malformed_frames_are_counted_and_dropped);
 	tcase_add_test(tcase, taken_address_is_an_io_error);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("peer_wire", tcase);
 }
--- a/tests/plat_fakes_wire_test.c
+++ b/tests/plat_fakes_wire_test.c
@@ -7,6 +7,7 @@
 
 #include "support/child.h"
 #include "support/http.h"
+#include "support/runner.h"
 #include "support/wire/wire.h"
 #include "support/wire/wire_recorder.h"
 
@@ -353,17 +354,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("plat_fakes_wire");
 	TCase *tcase = tcase_create("plat_fakes_wire");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 60);
 	add_tests(tcase);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("plat_fakes_wire", tcase);
 }
--- a/tests/plat_wire_test.c
+++ b/tests/plat_wire_test.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "daemon/plat.h"
+#include "support/runner.h"
 #include "support/wire/wire.h"
 #include "support/wire/wire_recorder.h"
 
@@ -564,17 +565,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("plat_wire");
 	TCase *tcase = tcase_create("plat_wire");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 30);
 	add_tests(tcase);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("plat_wire", tcase);
 }
--- a/tests/rules_test.c
+++ b/tests/rules_test.c
@@ -6,6 +6,8 @@
 
 #include <wagtailferry/rules.h>
 
+#include "support/runner.h"
+
 struct bad_line {
 	const char *line;
 	const char *report; /* of the first problem */
@@ -412,10 +414,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("rules");
 	TCase *tcase = tcase_create("rules");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, bad_line_is_reported_at_its_place, 0,
@@ -430,10 +429,5 @@
 	tcase_add_test(tcase, difference_names_added_and_removed_lines);
 	tcase_add_test(tcase, difference_leads_from_old_to_new);
 	tcase_add_test(tcase, requesters_of_added_lines_are_listed_once);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("rules", tcase);
 }
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -6,6 +6,7 @@
 
 #include "sched/tgt.h"
 #include "support/engine_model.h"
+#include "support/runner.h"
 
 struct fixture {
 	struct wf_ctx *ctx;
@@ -751,10 +752,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("run");
 	TCase *tcase = tcase_create("run");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, tokens_are_delivered_once_and_in_order);
 	tcase_add_test(tcase, tokens_without_whole_receipts_are_not_delivered);
@@ -763,10 +761,5 @@
 	tcase_add_test(tcase, missing_evidence_is_not_awaited_for_long);
 	tcase_add_test(tcase, token_ends_the_wait_for_a_new_chain);
 	add_model_tests(tcase);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("run", tcase);
 }
--- a/tests/settings_test.c
+++ b/tests/settings_test.c
@@ -6,6 +6,8 @@
 
 #include <wagtailferry/schema.h>
 
+#include "support/runner.h"
+
 #define KEY_A "\"rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7\""
 #define KEY_B "\"Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID\""
 #define HASH \
@@ -152,20 +154,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("settings");
 	TCase *tcase = tcase_create("settings");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tcase, wrong_settings_are_refused_with_their_path,
 			    0, G_N_ELEMENTS(refused));
 	tcase_add_test(tcase, settings_are_read_with_defaults);
 	tcase_add_test(tcase, truncated_settings_are_refused);
 	tcase_add_test(tcase, missing_file_is_an_io_error);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("settings", tcase);
 }
--- a/tests/srv_wire_test.c
+++ b/tests/srv_wire_test.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "daemon/srv.h"
+#include "support/runner.h"
 #include "support/wire/wire.h"
 
 #define BODY_LIMIT 2048
@@ -946,17 +947,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("srv_wire");
 	TCase *tcase = tcase_create("srv_wire");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 30);
 	add_tests(tcase);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("srv_wire", tcase);
 }
--- a/tests/sse_test.c
+++ b/tests/sse_test.c
@@ -6,6 +6,8 @@
 
 #include "daemon/cli_sse.h"
 
+#include "support/runner.h"
+
 #define LIMIT 40
 
 static bool append_event(void *user, const char *name, const char *data,
@@ -118,20 +120,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("sse");
 	TCase *tcase = tcase_create("sse");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tcase, split_at_every_byte_gives_the_same_events, 0,
 			    G_N_ELEMENTS(streams));
 	tcase_add_loop_test(tcase, bad_streams_are_refused_for_good, 0,
 			    G_N_ELEMENTS(refused));
 	tcase_add_test(tcase, stopped_parser_delivers_nothing_more);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("sse", tcase);
 }
--- a/tests/system_claims_wire_test.c
+++ b/tests/system_claims_wire_test.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "support/runner.h"
 #include "support/wire/cluster.h"
 
 #define SHORT_RULES                                               \
@@ -261,10 +262,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("system_claims");
 	TCase *tcase = tcase_create("system_claims");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 90);
 	tcase_add_loop_test(tcase, killed_holder_gives_no_second_run, 0, 2);
@@ -272,10 +270,5 @@
 			    N_PAUSE_POINTS);
 	tcase_add_test(tcase, store_outage_refuses_bookings_as_not_run);
 	tcase_add_test(tcase, lost_claim_answer_gives_one_run);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("system_claims", tcase);
 }
--- a/tests/system_control_wire_test.c
+++ b/tests/system_control_wire_test.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "support/runner.h"
 #include "support/wire/cluster.h"
 
 #define BASE_RULES                                                \
@@ -242,19 +243,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("system_control");
 	TCase *tcase = tcase_create("system_control");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 90);
 	tcase_add_test(tcase, one_of_two_operators_wins);
 	tcase_add_test(tcase, lost_publish_answer_is_settled);
 	tcase_add_test(tcase, paused_instance_returns);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("system_control", tcase);
 }
--- a/tests/system_drain_wire_test.c
+++ b/tests/system_drain_wire_test.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "support/runner.h"
 #include "support/wire/cluster.h"
 
 #define N_STREAMS 100
@@ -176,18 +177,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("system_drain");
 	TCase *tcase = tcase_create("system_drain");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 90);
 	tcase_add_test(tcase, shutdown_completes_open_streams);
 	tcase_add_test(tcase, rolling_replacement_loses_nothing);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("system_drain", tcase);
 }
--- a/tests/system_stream_wire_test.c
+++ b/tests/system_stream_wire_test.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "support/runner.h"
 #include "support/wire/cluster.h"
 
 #define N_TOKENS 60
@@ -238,20 +239,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("system_stream");
 	TCase *tcase = tcase_create("system_stream");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 90);
 	tcase_add_test(tcase, killed_stage_is_replaced);
 	tcase_add_loop_test(tcase, silent_engine_does_not_end_the_stream, 0, 2);
 	tcase_add_test(tcase, stopped_stage_is_replaced);
 	tcase_add_loop_test(tcase, leaving_target_gets_no_new_work, 0, 2);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("system_stream", tcase);
 }
--- a/tests/system_wire_test.c
+++ b/tests/system_wire_test.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "support/runner.h"
 #include "support/wire/cluster.h"
 
 static void check_layers_ran_once(struct clu_cluster *cluster,
@@ -164,17 +165,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("system");
 	TCase *tcase = tcase_create("system");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 90);
 	tcase_add_test(tcase, calls_go_through);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("system", tcase);
 }
--- a/tests/tgt_test.c
+++ b/tests/tgt_test.c
@@ -12,6 +12,7 @@
 #include "sched/tgt_digest.h"
 #include "sched/tgt_load.h"
 #include "support/engine_model.h"
+#include "support/runner.h"
 
 static const char *const data_centers[] = {"catania", "palermo", "siracusa"};
 
@@ -421,10 +422,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("tgt");
 	TCase *tcase = tcase_create("tgt");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, leaving_never_goes_back_within_an_incarnation);
 	tcase_add_test(tcase,
@@ -440,10 +438,5 @@
 	tcase_add_test(tcase, new_target_starts_slowly);
 	tcase_add_test(tcase, service_targets_are_picked_by_load_and_evidence);
 	tcase_add_test(tcase, older_list_is_ignored);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("tgt", tcase);
 }
--- a/tests/tool_settings_test.c
+++ b/tests/tool_settings_test.c
@@ -9,6 +9,8 @@
 
 #include <glib.h>
 
+#include "support/runner.h"
+
 #define KEY_A "\"rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7\""
 #define KEY_B "\"Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID\""
 #define SETTINGS(id, extra)                                                 \
@@ -149,20 +151,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("tool_settings");
 	TCase *tcase = tcase_create("tool_settings");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, valid_settings_exit_with_0);
 	tcase_add_loop_test(tcase, invalid_settings_exit_with_1_and_the_path, 0,
 			    G_N_ELEMENTS(refused));
 	tcase_add_test(tcase, unreadable_file_and_wrong_usage_are_told_apart);
-	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return sup_run_case("tool_settings", tcase);
 }
