--- a/src/sched/run.h
+++ b/src/sched/run.h
@@ -26,6 +26,9 @@
 	size_t text_len;
 };
 
+/* An older report does not tell whether a target can still answer, ms. */
+#define RUN_REPORT_FRESH 2000
+
 struct run_request {
 	struct adm_item item;
 	uint64_t call_id;
@@ -155,6 +158,22 @@
 void run_retry(struct wf_ctx *ctx, struct run_runs *runs,
 	       struct run_request *request);
 
+/* Keeps a target out of the request's next plans. */
+void run_avoid(struct run_request *request, tbl_handle handle);
+
+/* Whether the KV state can still be fetched from a stage that is left. */
+bool run_can_export(const struct wf_ctx *ctx, const struct tgt_target *target);
+
+/* Plans other targets for the layers of one stage; false if there are none. */
+bool run_plan_replacement(struct wf_ctx *ctx, struct run_runs *runs,
+			  struct run_request *request, int index,
+			  bool need_room, struct chn_chain *part);
+
+/* Replaces a stage under a new lineage and opens the stream. */
+void run_leave_stage(struct wf_ctx *ctx, struct run_runs *runs,
+		     struct run_request *request, int index,
+		     const struct chn_chain *part, enum wf_kv kv);
+
 /* Leaves a stage that has become slow, if another holder is better. */
 void run_consider_move(struct wf_ctx *ctx, struct run_runs *runs,
 		       struct run_request *request);
--- a/src/sched/run_recover.c
+++ b/src/sched/run_recover.c
@@ -12,9 +12,6 @@
 #define RUN_BACKOFF_MAX 1000
 /* Longest time without any usable chain before the request is given up. */
 #define RUN_MAX_LOST (30 * CLK_SECOND)
-/* A report this old says nothing about whether an export is possible. */
-#define RUN_REPORT_FRESH 2000
-
 /* Waiting steps a slot that explain a silence, and for how long at most. */
 #define WAIT_QUEUE_LONG 0.5
 #define WAIT_QUEUE_SHORT 2.0
@@ -53,21 +50,6 @@
 	return -1;
 }
 
-static void avoid(struct run_request *request, tbl_handle handle)
-{
-	size_t i;
-
-	for (i = 0; i < request->n_avoid; i++)
-		if (request->avoid[i] == handle)
-			return;
-	if (request->n_avoid == RUN_MAX_AVOID) {
-		memmove(request->avoid, request->avoid + 1,
-			(RUN_MAX_AVOID - 1) * sizeof(tbl_handle));
-		request->n_avoid--;
-	}
-	request->avoid[request->n_avoid++] = handle;
-}
-
 static void wait_for_chain(struct wf_ctx *ctx, struct run_runs *runs,
 			   struct run_request *request)
 {
@@ -138,58 +120,6 @@
 	ctr_add(ctx->counters, "wf_recoveries_total{by=\"resume\"}", 1);
 }
 
-/* Whether the KV state can still be fetched from a stage that is left. */
-static bool can_export(const struct wf_ctx *ctx,
-		       const struct tgt_target *target)
-{
-	return target && target->listed && target->reachable &&
-	       target->breaker == TGT_CLOSED &&
-	       ctx->now - target->reported_at <= RUN_REPORT_FRESH;
-}
-
-static unsigned neighbour_data_center(const struct run_runs *runs,
-				      const struct run_request *request,
-				      int index)
-{
-	guint other = index > 0 ? (guint)index - 1 : 1;
-	const struct tgt_target *target;
-
-	if (other >= request->stages->len)
-		return 0;
-	target = tgt_get(
-		runs->targets,
-		g_array_index(request->stages, struct run_stage, other).target);
-	return target ? target->data_center_number : 0;
-}
-
-static bool plan_replacement(struct wf_ctx *ctx, struct run_runs *runs,
-			     struct run_request *request, int index,
-			     bool need_room, struct chn_chain *part)
-{
-	const struct wf_stage *stage;
-	struct chn_query query;
-
-	stage = &g_array_index(request->chain, struct wf_stage, (guint)index);
-	run_query(request, &query);
-	query.need_room = need_room;
-	return chn_plan_range(ctx, runs->targets, &query, stage->first_layer,
-			      stage->last_layer,
-			      neighbour_data_center(runs, request, index),
-			      part) == CHN_FOUND;
-}
-
-/* A lower lineage is fenced by the engines that stay; a left head is told. */
-static void leave_stage(struct wf_ctx *ctx, struct run_runs *runs,
-			struct run_request *request, int index,
-			const struct chn_chain *part, enum wf_kv kv)
-{
-	if (index == 0)
-		run_cancel_stream(ctx, request);
-	request->lineage++;
-	run_replace_stage(ctx, runs, request, (guint)index, part, kv);
-	run_open(ctx, runs, request);
-}
-
 static void replace(struct wf_ctx *ctx, struct run_runs *runs,
 		    struct run_request *request, const char *id,
 		    bool may_import)
@@ -200,15 +130,15 @@
 	enum wf_kv kv = WF_KV_REBUILD;
 
 	if (target)
-		avoid(request, target->handle);
+		run_avoid(request, target->handle);
 	if (index < 0 || !runs->config.use_replacement ||
-	    !plan_replacement(ctx, runs, request, index, false, &part)) {
+	    !run_plan_replacement(ctx, runs, request, index, false, &part)) {
 		start_new_chain(ctx, runs, request);
 		return;
 	}
-	if (may_import && can_export(ctx, target))
+	if (may_import && run_can_export(ctx, target))
 		kv = WF_KV_IMPORT;
-	leave_stage(ctx, runs, request, index, &part, kv);
+	run_leave_stage(ctx, runs, request, index, &part, kv);
 	ctr_add(ctx->counters,
 		kv == WF_KV_IMPORT ? "wf_recoveries_total{by=\"import\"}"
 				   : "wf_recoveries_total{by=\"rebuild\"}",
@@ -246,7 +176,7 @@
 	struct tgt_target *target = tgt_find(runs->targets, id);
 
 	if (target)
-		avoid(request, target->handle);
+		run_avoid(request, target->handle);
 	if (request->ran) {
 		replace(ctx, runs, request, id, true);
 		return;
@@ -380,14 +310,14 @@
 
 		target = tgt_find(runs->targets, ids->pdata[i]);
 		if (target)
-			avoid(request, target->handle);
+			run_avoid(request, target->handle);
 	}
 	for (i = 0; i < ids->len; i++) {
 		int index = find_stage(request, ids->pdata[i]);
 		struct chn_chain part;
 
-		if (index < 0 ||
-		    !plan_replacement(ctx, runs, request, index, false, &part))
+		if (index < 0 || !run_plan_replacement(ctx, runs, request,
+						       index, false, &part))
 			return false;
 		if (!index)
 			run_cancel_stream(ctx, request);
@@ -574,114 +504,8 @@
 			 "the engines stopped in the middle of the request");
 	} else {
 		if (target && error == ERR_PROTOCOL)
-			avoid(request, target->handle);
+			run_avoid(request, target->handle);
 		recover_by_error(ctx, runs, request, error, id);
 	}
 	g_free(id);
 }
-
-/* Recent tokens this much slower than expected let the chain be checked. */
-#define MOVE_SLOWNESS 2.5
-/* Stages within this factor of the worst inflation are equally slow. */
-#define MOVE_BLAME 1.3
-#define MOVE_MIN_INFLATION 1.5
-#define MOVE_MIN_TOKENS_LEFT 8
-#define MOVE_MAX 3
-
-static double inflation_of(const struct run_runs *runs,
-			   const struct run_request *request, guint index)
-{
-	const struct tgt_target *target;
-
-	target = tgt_get(
-		runs->targets,
-		g_array_index(request->stages, struct run_stage, index).target);
-	return target ? target->inflation : 1;
-}
-
-/*
- * The stage to blame. If several are equally slow, because they always ran
- * together, a random one of them: other requests try others, after which the
- * evidence differs.
- */
-static int find_slow_stage(const struct wf_ctx *ctx,
-			   const struct run_runs *runs,
-			   const struct run_request *request, double *worst)
-{
-	int index = -1;
-	gint32 alike = 0;
-	guint i;
-
-	*worst = 1;
-	for (i = 0; i < request->stages->len; i++)
-		*worst = MAX(*worst, inflation_of(runs, request, i));
-	for (i = 0; i < request->stages->len; i++) {
-		if (inflation_of(runs, request, i) * MOVE_BLAME < *worst)
-			continue;
-		if (!g_rand_int_range(ctx->rand, 0, ++alike))
-			index = (int)i;
-	}
-	return index;
-}
-
-static bool move_is_better(const struct run_runs *runs,
-			   const struct chn_chain *part, double worst)
-{
-	size_t i;
-
-	for (i = 0; i < part->n; i++) {
-		const struct tgt_target *target;
-
-		target = tgt_get(runs->targets, part->stages[i].target);
-		if (!target || target->inflation > worst / 2)
-			return false;
-	}
-	return true;
-}
-
-/* A request beyond its expected length is expected to double once more. */
-static double tokens_left(const struct run_request *request)
-{
-	double done = request->next_position;
-	double left = request->item.cost - done;
-
-	return MIN(left > 0 ? left : done, request->max_tokens - done);
-}
-
-static bool should_move(const struct run_runs *runs,
-			const struct run_request *request)
-{
-	return runs->config.use_moves && runs->config.use_recovery &&
-	       request->moves < MOVE_MAX && request->slowness > MOVE_SLOWNESS &&
-	       tokens_left(request) > MOVE_MIN_TOKENS_LEFT;
-}
-
-void run_consider_move(struct wf_ctx *ctx, struct run_runs *runs,
-		       struct run_request *request)
-{
-	struct chn_chain part;
-	struct tgt_target *target;
-	size_t n_avoid = request->n_avoid;
-	double worst;
-	int index;
-
-	if (!should_move(runs, request))
-		return;
-	index = find_slow_stage(ctx, runs, request, &worst);
-	if (index < 0)
-		return;
-	target = tgt_get(
-		runs->targets,
-		g_array_index(request->stages, struct run_stage, (guint)index)
-			.target);
-	avoid(request, target->handle);
-	if (!plan_replacement(ctx, runs, request, index, true, &part) ||
-	    !move_is_better(runs, &part, worst)) {
-		request->n_avoid = n_avoid;
-		return;
-	}
-	request->moves++;
-	leave_stage(ctx, runs, request, index, &part,
-		    can_export(ctx, target) ? WF_KV_IMPORT : WF_KV_REBUILD);
-	ctr_add(ctx->counters, "wf_moves_total", 1);
-}
