--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,15 @@
 # make schema     generated code from schema/*.proto
 
 CC ?= gcc
-BUILD := build
+BUILD ?= build
 PKGS := glib-2.0 jansson libprotobuf-c libxxhash
+# The edge forwards by libuv and http_parser alone.
+EDGE_LIBS := $(shell pkg-config --libs libuv glib-2.0 jansson \
+	libprotobuf-c libxxhash) -lhttp_parser -lpopt -lm
 DAEMON_PKGS := libh2o libuv openssl zlib libzmq libcurl libsodium
 CFLAGS_BASE := -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wvla -Wformat=2 \
-	-fno-omit-frame-pointer -MMD -MP -Iinclude -Isrc -Itests \
+	-fno-omit-frame-pointer -MMD -MP -Iinclude -Isrc -I. -Itests \
 	-DH2O_USE_LIBUV=1
 ifdef SANITIZE
 BUILD := build/asan
@@ -27,16 +30,21 @@
 CFLAGS_BASE += -fsanitize=fuzzer-no-link,address
 LDFLAGS += -fsanitize=fuzzer,address
 endif
-CFLAGS_BASE += $(shell pkg-config --cflags $(PKGS) $(DAEMON_PKGS))
+CFLAGS_BASE += $(shell pkg-config --cflags $(PKGS) libuv)
+# A machine that builds only the edge has no more than the above.
+CFLAGS_BASE += $(shell pkg-config --cflags $(DAEMON_PKGS) 2>/dev/null)
 LIBS := $(shell pkg-config --libs $(PKGS)) -lm
-DAEMON_LIBS := $(shell pkg-config --libs $(DAEMON_PKGS))
-CHECK_LIBS := $(shell pkg-config --libs check)
+DAEMON_LIBS := $(shell pkg-config --libs $(DAEMON_PKGS) 2>/dev/null)
+CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 
-LIB_DIRS := base schema rules core state member sched
+LIB_DIRS := base schema rules core state member sched forward
 LIB_SRC := $(wildcard $(addsuffix /*.c,$(addprefix src/,$(LIB_DIRS))))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libwagtailferry.a
 DAEMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/daemon/*.c))
+EDGE_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/edge/*.c)) \
+	$(BUILD)/src/daemon/drv_clock.o
+PLATFORM_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 TOOL_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/tool/*.c))
 # Daemon parts that the tool and tests use, without the main program.
 NET_OBJ := $(filter-out %/main.o,$(DAEMON_OBJ))
@@ -57,7 +65,7 @@
 	$(filter-out $(FAKE_SRC),$(wildcard tests/fakes/*.c)))
 LOAD_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/load/*.c))
 # The daemon's main program needs the core's facade.
-PROGRAMS := $(if $(wildcard src/core/core.c),$(BUILD)/wagtailferryd) \
+PROGRAMS := $(BUILD)/wagtailferry-edge $(if $(wildcard src/core/core.c),$(BUILD)/wagtailferryd) \
 	$(if $(TOOL_OBJ),$(BUILD)/wagtailferry)
 
 all: $(LIB) $(PROGRAMS) $(FAKES) $(BUILD)/load_driver $(BUILD)/curve_keypair \
@@ -83,6 +91,9 @@
 $(BUILD)/wagtailferryd: $(DAEMON_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
+$(BUILD)/wagtailferry-edge: $(PLATFORM_OBJ) $(EDGE_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(EDGE_LIBS)
+
 $(BUILD)/wagtailferry: $(TOOL_OBJ) $(NET_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS) $(LIBS) -lpopt
 
--- a/include/wagtailferry/schema.h
+++ b/include/wagtailferry/schema.h
@@ -8,6 +8,7 @@
 
 #include <protobuf-c/protobuf-c.h>
 
+#include <schema/edge.pb-c.h>
 #include <schema/settings.pb-c.h>
 #include <wagtailferry/base.h>
 
@@ -60,4 +61,17 @@
 bool sch_split_address(const char *address, char *host, size_t host_size,
 		       uint16_t *port);
 
+/* Checks of single settings, for struct sch_rule. */
+bool sch_is_address(const char *text);
+bool sch_is_id(const char *text);
+
+/*
+ * The settings of an edge instance, read and checked as above. Free with
+ * sch_edge_settings_free().
+ */
+Wf__EdgeSettings *sch_edge_settings_parse(const char *text, size_t len,
+					  GError **error);
+Wf__EdgeSettings *sch_edge_settings_read(const char *path, GError **error);
+void sch_edge_settings_free(Wf__EdgeSettings *settings);
+
 #endif
--- a/src/daemon/drv.h
+++ b/src/daemon/drv.h
@@ -11,6 +11,8 @@
 #include <wagtailferry/core.h>
 #include <wagtailferry/schema.h>
 
+#include "daemon/drv_clock.h"
+
 struct drv_core;
 
 /* What the driver needs of a core. */
@@ -28,18 +30,6 @@
 	const struct drv_core_ops *ops;
 };
 
-/*
- * Wall time that never jumps: the wall time of the start plus the time that
- * passed since, sleep of the machine included.
- */
-struct drv_clock {
-	clk_ms wall_start;
-	clk_ms boot_start;
-};
-
-void drv_clock_start(struct drv_clock *clock);
-clk_ms drv_clock_now(const struct drv_clock *clock);
-
 struct drv_driver;
 
 struct drv_config {
--- a/src/daemon/drv_clock.c
+++ b/src/daemon/drv_clock.c
@@ -1,6 +1,6 @@
 #include <time.h>
 
-#include "daemon/drv.h"
+#include "daemon/drv_clock.h"
 
 #define NS_PER_MS 1000000
 
--- /dev/null
+++ b/src/edge/edg.c
@@ -0,0 +1,331 @@
+#include <stdarg.h>
+#include <string.h>
+
+#include "edge/edg_private.h"
+
+/* Descriptors kept for files, the store, targets and own listeners. */
+#define RESERVED_DESCRIPTORS 1200
+/* Part of the memory that request bodies may take. */
+#define BODY_MEMORY_PART 4
+/* A catalog is refused so much before a removed key may no longer be used:
+ * the way of the store's answer, and changes that a watch missed. */
+#define CONFIRM_MARGIN_MS 1200
+/* Steps of the drain, each so long: leave the balancer, then stop listening,
+ * then wait for what runs. */
+#define DRAIN_STEP_MS 100
+#define DRAIN_LISTEN_MS 2800
+/* Streams that still run are broken off this long before the kill. */
+#define DRAIN_MARGIN_MS 600
+/* Part of the fleet's budget for repeats that one instance may use: as many
+ * instances as may be in force are assumed to share it. */
+#define BUDGET_SHARERS 5
+
+clk_ms edg_now(const struct edg_edge *edge)
+{
+	return drv_clock_now(&edge->clock);
+}
+
+struct hup_client *edg_client(struct edg_edge *edge)
+{
+	return edge->client;
+}
+
+struct flt_fleet *edg_fleet(struct edg_edge *edge)
+{
+	return edge->fleet;
+}
+
+/* Whether the line may be written within this second's limit. */
+static bool log_allows(struct edg_edge *edge, clk_ms now)
+{
+	if (now / CLK_SECOND == edge->log_second) {
+		if (edge->log_lines++ < edge->log_limit)
+			return true;
+		edge->log_suppressed++;
+		ctr_add(edge->counters, "wf_log_lines_suppressed_total", 1);
+		return false;
+	}
+	if (edge->log_suppressed)
+		log_change(edge->log, now, "log", "limited", "open",
+			   "suppressed=%u", edge->log_suppressed);
+	edge->log_second = now / CLK_SECOND;
+	edge->log_lines = 1;
+	edge->log_suppressed = 0;
+	return true;
+}
+
+void edg_log(struct edg_edge *edge, const char *subject, const char *from,
+	     const char *to, const char *detail, ...)
+{
+	clk_ms now = edg_now(edge);
+	va_list args;
+	char *text;
+
+	if (!log_allows(edge, now))
+		return;
+	va_start(args, detail);
+	text = g_strdup_vprintf(detail, args);
+	va_end(args);
+	log_change(edge->log, now, subject, from, to, "%s", text);
+	g_free(text);
+}
+
+static bool is_ready(const struct edg_edge *edge)
+{
+	return edge->catalog && edge->fleet_known && !edge->is_draining &&
+	       edg_now(edge) - edge->catalog_confirmed < edge->key_removal;
+}
+
+void edg_fleet_changed(struct edg_edge *edge)
+{
+	if (!edge->fleet_known)
+		edg_log(edge, "fleet", "unknown", "known", "targets=%u",
+			flt_targets(edge->fleet)->len);
+	edge->fleet_known = true;
+}
+
+static void apply_limits(struct edg_edge *edge)
+{
+	const struct cat_limits *limits = cat_limits(edge->catalog);
+
+	edge->limits.header_bytes = limits->header_bytes;
+	edge->limits.body_bytes = limits->body_bytes;
+	edge->limits.header_timeout = limits->header_timeout;
+	edge->limits.idle_timeout = limits->idle_timeout;
+	hsv_set_limits(edge->callers, &edge->limits);
+}
+
+void edg_set_catalog(struct edg_edge *edge, struct cat_catalog *catalog)
+{
+	int64_t version = cat_version(catalog);
+	int64_t present = edge->catalog ? cat_version(edge->catalog) : -1;
+
+	if (version <= present) {
+		if (version < present)
+			edg_log(edge, "config", "offered", "dropped",
+				"version=%" G_GINT64_FORMAT
+				" present=%" G_GINT64_FORMAT,
+				version, present);
+		return;
+	}
+	cat_drop(edge->catalog);
+	edge->catalog = cat_keep(catalog);
+	apply_limits(edge);
+	ctr_set_gauge(edge->counters, "wf_edge_config_version", version);
+	edg_log(edge, "config", "present", "in force",
+		"version=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+		" routes=%zu",
+		version, present, cat_route_count(catalog));
+}
+
+void edg_confirm_catalog(struct edg_edge *edge, clk_ms at)
+{
+	edge->catalog_confirmed = MAX(edge->catalog_confirmed, at);
+}
+
+static void answer_text(struct hsv_request *http, int status, GString *text)
+{
+	hsv_answer(http, status, "Content-Type: text/plain\r\n", text->str,
+		   text->len);
+}
+
+static void write_targets(struct edg_edge *edge, GString *out)
+{
+	const GPtrArray *targets = flt_targets(edge->fleet);
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+
+		g_string_append_printf(
+			out,
+			"%s service=%s address=%s data_center=%s state=%d "
+			"layers=%u-%u in_flight=%u on_path=%u\n",
+			target->id, target->service, target->address,
+			target->data_center, (int)target->state,
+			target->holds.first, target->holds.end,
+			target->in_flight, target->on_path);
+	}
+}
+
+/* Readiness for the balancer, metrics and status for operators. */
+static void on_operator_request(void *user, struct hsv_request *http)
+{
+	struct edg_edge *edge = user;
+	GString *text = g_string_new(NULL);
+	int status = 200;
+
+	if (!strcmp(http->url, "/metrics")) {
+		ctr_set_gauge(edge->counters, "wf_edge_open_requests",
+			      g_hash_table_size(edge->requests));
+		ctr_set_gauge(edge->counters, "wf_edge_config_age_ms",
+			      edg_now(edge) - edge->catalog_confirmed);
+		ctr_write_text(edge->counters, text);
+	} else if (!strcmp(http->url, "/targets")) {
+		write_targets(edge, text);
+	} else {
+		status = is_ready(edge) ? 200 : 503;
+		g_string_append(text, is_ready(edge) ? "ready\n"
+						     : "not ready\n");
+	}
+	answer_text(http, status, text);
+	g_string_free(text, TRUE);
+}
+
+static void on_operator_gone(void *user, struct hsv_request *http)
+{
+	(void)user;
+	(void)http;
+}
+
+static const struct hsv_ops caller_ops = {edg_accept, edg_gone};
+static const struct hsv_ops operator_ops = {on_operator_request,
+					    on_operator_gone};
+
+void edg_apply_settings(struct edg_edge *edge, const Wf__EdgeSettings *settings)
+{
+	edge->key_removal =
+		MAX((clk_ms)settings->key_removal_ms - CONFIRM_MARGIN_MS,
+		    (clk_ms)settings->key_removal_ms / 2);
+	edge->drain_limit = (clk_ms)settings->drain_limit_ms;
+	edge->retry_part = settings->retry_part;
+	edge->retry_slack = (double)settings->retry_slack / BUDGET_SHARERS;
+	edge->log_limit = (unsigned)settings->log_lines_per_second;
+	g_hash_table_remove_all(edge->budgets);
+}
+
+static void set_limits(struct edg_edge *edge, const Wf__EdgeSettings *settings)
+{
+	unsigned descriptors = (unsigned)settings->max_descriptors;
+
+	edge->limits = (struct hsv_limits){
+		.header_bytes = 16384,
+		.body_bytes = 1 << 20,
+		.header_timeout = 5 * CLK_SECOND,
+		.idle_timeout = 30 * CLK_SECOND,
+		.connections = descriptors > 2 * RESERVED_DESCRIPTORS
+				       ? descriptors - RESERVED_DESCRIPTORS
+				       : descriptors / 2,
+		.all_body_bytes = (size_t)settings->memory_mb * (1 << 20) /
+				  BODY_MEMORY_PART,
+	};
+}
+
+struct edg_edge *edg_new(const struct edg_config *config, GError **error)
+{
+	const Wf__EdgeSettings *settings = config->settings;
+	struct edg_edge *edge = g_new0(struct edg_edge, 1);
+
+	edge->loop = config->loop;
+	drv_clock_start(&edge->clock);
+	edge->instance = g_strdup(settings->instance);
+	edge->data_center = g_strdup(settings->data_center);
+	edge->fields = config->fields;
+	edge->platform = config->platform;
+	edge->counters = ctr_keep(config->counters);
+	edge->log = log_keep(config->log);
+	edge->done = config->done;
+	edge->user = config->user;
+	edge->rand = settings->seed
+			     ? g_rand_new_with_seed((guint32)settings->seed)
+			     : g_rand_new();
+	edge->fleet = flt_new();
+	edge->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      g_free);
+	edge->requests = g_hash_table_new(NULL, NULL);
+	edg_apply_settings(edge, settings);
+	set_limits(edge, settings);
+	edge->client = hup_new(edge->loop, edge->counters);
+	edge->callers = hsv_new(edge->loop, &edge->limits, edge->counters,
+				&caller_ops, edge);
+	edge->readiness = hsv_new(edge->loop, &edge->limits, edge->counters,
+				  &operator_ops, edge);
+	uv_timer_init(edge->loop, &edge->drain_timer);
+	edge->drain_timer.data = edge;
+	edge->orders = ord_new(edge, settings->fences_orders);
+	if (hsv_listen(edge->callers, settings->caller_address, error) &&
+	    hsv_listen(edge->readiness, settings->ready_address, error))
+		return edge;
+	edg_drop(edge);
+	return NULL;
+}
+
+static void on_drain_timer_closed(uv_handle_t *handle)
+{
+	struct edg_edge *edge = handle->data;
+
+	g_hash_table_unref(edge->budgets);
+	g_hash_table_unref(edge->requests);
+	flt_drop(edge->fleet);
+	cat_drop(edge->catalog);
+	g_rand_free(edge->rand);
+	ctr_drop(edge->counters);
+	log_drop(edge->log);
+	g_free(edge->instance);
+	g_free(edge->data_center);
+	g_free(edge);
+}
+
+static void free_requests(struct edg_edge *edge, bool abort)
+{
+	GList *requests = g_hash_table_get_keys(edge->requests);
+	GList *item;
+
+	for (item = requests; item; item = item->next) {
+		struct edg_request *request = item->data;
+		struct hsv_request *http = request->http;
+
+		edg_log_end(request, "broken_off", request->status);
+		edg_request_free(request);
+		if (abort)
+			hsv_abort(http);
+	}
+	g_list_free(requests);
+}
+
+void edg_drop(struct edg_edge *edge)
+{
+	if (!edge)
+		return;
+	free_requests(edge, true);
+	ord_drop(edge->orders);
+	hsv_drop(edge->callers);
+	hsv_drop(edge->readiness);
+	hup_drop(edge->client);
+	uv_close((uv_handle_t *)&edge->drain_timer, on_drain_timer_closed);
+}
+
+static void finish_drain(struct edg_edge *edge)
+{
+	edge->is_done = true;
+	uv_timer_stop(&edge->drain_timer);
+	edg_log(edge, "instance", "draining", "drained", "open_requests=%u",
+		g_hash_table_size(edge->requests));
+	edge->done(edge->user);
+}
+
+static void on_drain_step(uv_timer_t *timer)
+{
+	struct edg_edge *edge = timer->data;
+	clk_ms passed = ++edge->drain_step * (clk_ms)DRAIN_STEP_MS;
+
+	if (passed < DRAIN_LISTEN_MS)
+		return;
+	hsv_stop(edge->callers);
+	if (passed >= edge->drain_limit - DRAIN_MARGIN_MS)
+		free_requests(edge, true);
+	if (!g_hash_table_size(edge->requests))
+		finish_drain(edge);
+}
+
+void edg_drain(struct edg_edge *edge)
+{
+	if (edge->is_draining)
+		return;
+	edge->is_draining = true;
+	edg_log(edge, "instance", "serving", "draining", "open_requests=%u",
+		g_hash_table_size(edge->requests));
+	hsv_close_after_answers(edge->callers);
+	uv_timer_start(&edge->drain_timer, on_drain_step, DRAIN_STEP_MS,
+		       DRAIN_STEP_MS);
+}
--- /dev/null
+++ b/src/edge/edg_forward.c
@@ -0,0 +1,231 @@
+#include <string.h>
+
+#include "edge/edg_private.h"
+
+/* A kept connection that was idle longer may just be closed by its target;
+ * requests that can't be repeated use younger ones only. */
+#define MAX_IDLE_REPEATABLE_MS 30000
+#define MAX_IDLE_ONCE_MS 2500
+/* Connections that fail before a byte is sent are tried again so often. */
+#define MAX_CONNECT_FAILURES 3
+#define OVERLOADED_RETRY_MS 250
+
+static bool is_request_replaced(const struct edg_request *request,
+				const char *name)
+{
+	const struct edg_fields *fields = request->edge->fields;
+	const char *const replaced[] = {
+		fields->authorization, fields->org,	      fields->target_id,
+		fields->urgency,       fields->path,	      fields->remaining_ms,
+		"Content-Length",      "Expect"};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(replaced); i++) {
+		if (!g_ascii_strcasecmp(name, replaced[i]))
+			return true;
+	}
+	return request->events.last_id->len &&
+	       !g_ascii_strcasecmp(name, fields->last_event_id);
+}
+
+static int urgency(const struct edg_request *request)
+{
+	int priority = request->route->priority;
+
+	if (request->org && request->org->priority >= 0)
+		priority = request->org->priority;
+	return CLAMP(priority, 0, 9);
+}
+
+static void write_own_fields(const struct edg_request *request, GString *out)
+{
+	const struct edg_edge *edge = request->edge;
+	const struct edg_fields *fields = edge->fields;
+
+	g_string_append_printf(out, "%s: %" G_GINT64_FORMAT "\r\n",
+			       fields->remaining_ms,
+			       MAX(edg_remaining(request), 1));
+	hdr_write(out, fields->target_id, request->target->id);
+	if (request->org)
+		hdr_write(out, fields->org, request->org->name);
+	if (request->events.last_id->len)
+		hdr_write(out, fields->last_event_id,
+			  request->events.last_id->str);
+	if (request->path) {
+		char *path = edge->platform->ops->write_path(request->path);
+
+		hdr_write(out, fields->path, path);
+		g_string_append_printf(out, "%s: %d\r\n", fields->urgency,
+				       urgency(request));
+		g_free(path);
+	}
+}
+
+static GString *write_request(const struct edg_request *request)
+{
+	const struct hsv_request *http = request->http;
+	GString *out = g_string_sized_new(1024 + http->body->len);
+	bool has_body = http->body->len ||
+			hdr_get(&http->headers, "Content-Length") ||
+			hdr_get(&http->headers, "Transfer-Encoding");
+	guint i;
+
+	g_string_append_printf(out, "%s %s HTTP/1.1\r\n", http->method,
+			       http->url);
+	for (i = 0; i < http->headers.fields->len; i++) {
+		const struct hdr_field *field = &g_array_index(
+			http->headers.fields, struct hdr_field, i);
+
+		if (!hdr_is_hop_by_hop(&http->headers, field->name) &&
+		    !is_request_replaced(request, field->name))
+			hdr_write(out, field->name, field->value);
+	}
+	write_own_fields(request, out);
+	if (has_body)
+		g_string_append_printf(out, "Content-Length: %zu\r\n",
+				       http->body->len);
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, http->body->str, (gssize)http->body->len);
+	return out;
+}
+
+static void reset_answer(struct edg_request *request)
+{
+	request->status = 0;
+	g_string_truncate(request->headers, 0);
+	g_string_truncate(request->body, 0);
+	request->is_signed = false;
+	request->is_not_run = false;
+	request->is_encoded = false;
+	g_clear_pointer(&request->failed_address, g_free);
+}
+
+void edg_send(struct edg_request *request, const struct hup_ops *ops)
+{
+	struct edg_edge *edge = request->edge;
+	struct hup_request send = {
+		.address = request->target->address,
+		.bytes = write_request(request),
+		.is_head = !strcmp(request->http->method, "HEAD"),
+		.max_idle = request->route->repeat == CAT_REPEAT_NEVER
+				    ? MAX_IDLE_ONCE_MS
+				    : MAX_IDLE_REPEATABLE_MS,
+		.id_header = edge->fields->attempt_id,
+		.id = request->id,
+	};
+
+	reset_answer(request);
+	request->sends++;
+	request->sent_at = edg_now(edge);
+	g_ptr_array_add(request->tried, flt_target_keep(request->target));
+	if (!request->path)
+		request->target->in_flight++;
+	request->exchange = hup_send(edge->client, &send, ops, request);
+}
+
+void edg_release_send(struct edg_request *request)
+{
+	if (request->exchange)
+		hup_cancel(request->exchange);
+	request->exchange = NULL;
+	if (request->path)
+		pth_free(request->path);
+	else if (request->target)
+		request->target->in_flight--;
+	request->path = NULL;
+	flt_target_drop(request->target);
+	request->target = NULL;
+}
+
+void edg_read_head(struct edg_request *request,
+		   const struct hup_response *response)
+{
+	const struct edg_fields *fields = request->edge->fields;
+	const struct hdr_list *headers = &response->headers;
+	guint i;
+
+	request->status = response->status;
+	request->is_signed = hdr_get(headers, fields->signature) != NULL;
+	request->is_not_run = hdr_get(headers, fields->not_run) != NULL ||
+			      response->status == 421;
+	request->is_encoded = hdr_get(headers, "Content-Encoding") != NULL;
+	g_free(request->failed_address);
+	request->failed_address =
+		g_strdup(hdr_get(headers, fields->failed_target));
+	g_string_truncate(request->headers, 0);
+	for (i = 0; i < headers->fields->len; i++) {
+		const struct hdr_field *field =
+			&g_array_index(headers->fields, struct hdr_field, i);
+
+		if (!hdr_is_hop_by_hop(headers, field->name) &&
+		    g_ascii_strcasecmp(field->name, "Content-Length") != 0)
+			hdr_write(request->headers, field->name, field->value);
+	}
+}
+
+/* Statuses that tell a caller that its request was not run. */
+static bool promises_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+enum edg_outcome edg_judge(const struct edg_request *request, enum hup_end how)
+{
+	if (how == HUP_NOT_SENT)
+		return EDG_OUTCOME_NOT_SENT;
+	if (how != HUP_COMPLETE)
+		return EDG_OUTCOME_UNKNOWN;
+	if (request->is_not_run)
+		return EDG_OUTCOME_NOT_RUN;
+	if (promises_not_run(request->status) || !request->is_signed)
+		return EDG_OUTCOME_UNKNOWN;
+	if (request->status >= 500)
+		return EDG_OUTCOME_FAILED;
+	if (request->status < 300 && request->is_encoded)
+		return EDG_OUTCOME_UNKNOWN;
+	return EDG_OUTCOME_ANSWERED;
+}
+
+bool edg_may_repeat(struct edg_request *request, enum edg_outcome outcome)
+{
+	struct edg_edge *edge = request->edge;
+	unsigned most = MAX(request->route->max_attempts, 1);
+
+	if (outcome == EDG_OUTCOME_NOT_SENT) {
+		/* The target never saw it. */
+		request->sends--;
+		return ++request->connect_failures <= MAX_CONNECT_FAILURES;
+	}
+	if (outcome != EDG_OUTCOME_NOT_RUN) {
+		request->may_have_run = true;
+		if (request->route->repeat == CAT_REPEAT_NEVER)
+			return false;
+	}
+	if (request->sends >= most || edg_remaining(request) <= 0)
+		return false;
+	if (!rty_take(edg_budget(edge, request->service->name))) {
+		ctr_add(edge->counters, "wf_edge_retries_over_budget_total", 1);
+		return false;
+	}
+	return true;
+}
+
+void edg_fail(struct edg_request *request, enum edg_outcome outcome)
+{
+	if (!request->may_have_run) {
+		edg_refuse_not_run(request, OVERLOADED_RETRY_MS, "no_target",
+				   "no target took the request");
+		return;
+	}
+	(void)outcome;
+	edg_refuse(request, 502, "target_failed",
+		   "the target gave no proper answer");
+}
+
+const char *edg_outcome_name(enum edg_outcome outcome)
+{
+	static const char *const names[] = {"answered", "not_sent", "not_run",
+					    "failed", "unknown"};
+
+	return names[outcome];
+}
--- /dev/null
+++ b/src/edge/edg_plain.c
@@ -0,0 +1,105 @@
+#include "edge/edg_private.h"
+
+/* Larger answers are refused: they are held until they are whole, so that a
+ * broken one can be fetched again elsewhere. */
+#define MAX_ANSWER_BYTES (8 << 20)
+#define NO_TARGET_RETRY_MS 300
+
+static void send_next(struct edg_request *request);
+
+static void on_head(void *user, const struct hup_response *response)
+{
+	edg_read_head(user, response);
+}
+
+static void on_data(void *user, const char *bytes, size_t len)
+{
+	struct edg_request *request = user;
+
+	if (request->body->len + len <= MAX_ANSWER_BYTES)
+		g_string_append_len(request->body, bytes, (gssize)len);
+	else
+		request->is_signed = false;
+}
+
+static void deliver(struct edg_request *request)
+{
+	struct hsv_request *http = request->http;
+	GString *headers = request->headers;
+	GString *body = request->body;
+	int status = request->status;
+
+	request->headers = g_string_new(NULL);
+	request->body = g_string_new(NULL);
+	edg_log_end(request, "answered", status);
+	edg_request_free(request);
+	hsv_answer(http, status, headers->str, body->str, body->len);
+	g_string_free(headers, TRUE);
+	g_string_free(body, TRUE);
+}
+
+/* Takes what the send says of its target into account. */
+static void note_target(struct edg_request *request, enum edg_outcome outcome)
+{
+	clk_ms now = edg_now(request->edge);
+
+	if (outcome == EDG_OUTCOME_ANSWERED)
+		flt_note_answer(request->target, now, now - request->sent_at);
+	else if (outcome != EDG_OUTCOME_FAILED)
+		flt_note_failure(request->target, now);
+	if (request->status == 421)
+		flt_note_down(request->target, now);
+}
+
+static void on_end(void *user, enum hup_end how)
+{
+	struct edg_request *request = user;
+	enum edg_outcome outcome = edg_judge(request, how);
+
+	request->exchange = NULL;
+	note_target(request, outcome);
+	if (outcome == EDG_OUTCOME_ANSWERED) {
+		deliver(request);
+		return;
+	}
+	edg_log(request->edge, "send", request->id, edg_outcome_name(outcome),
+		"target=%s status=%d end=%d send=%u", request->target->id,
+		request->status, (int)how, request->sends);
+	if (edg_may_repeat(request, outcome)) {
+		send_next(request);
+		return;
+	}
+	if (outcome == EDG_OUTCOME_FAILED)
+		deliver(request);
+	else
+		edg_fail(request, outcome);
+}
+
+static const struct hup_ops ops = {on_head, on_data, on_end};
+
+static void send_next(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct flt_target *target;
+
+	target = flt_choose(edge->fleet, edg_now(edge), request->service->name,
+			    edge->data_center, request->tried,
+			    g_rand_int(edge->rand));
+	edg_release_send(request);
+	if (!target) {
+		if (request->may_have_run)
+			edg_fail(request, EDG_OUTCOME_UNKNOWN);
+		else
+			edg_refuse_not_run(request, NO_TARGET_RETRY_MS,
+					   "no_target",
+					   "the service has no target");
+		return;
+	}
+	request->target = flt_target_keep(target);
+	edg_send(request, &ops);
+}
+
+void edg_start_plain(struct edg_request *request)
+{
+	send_next(request);
+}
--- /dev/null
+++ b/src/edge/edg_private.h
@@ -0,0 +1,170 @@
+#ifndef EDGE_EDG_PRIVATE_H
+#define EDGE_EDG_PRIVATE_H
+
+#include <wagtailferry/sched.h>
+
+#include "daemon/drv_clock.h"
+#include "edge/edg.h"
+#include "edge/evs.h"
+#include "edge/hsv.h"
+
+struct ord_orders;
+
+struct edg_edge {
+	uv_loop_t *loop;
+	struct drv_clock clock;
+	char *instance;
+	char *data_center;
+	const struct edg_fields *fields;
+	struct edg_platform *platform;
+	struct ctr_set *counters;
+	struct log_logger *log;
+	void (*done)(void *user);
+	void *user;
+
+	struct hsv_server *callers;
+	struct hsv_server *readiness;
+	struct hup_client *client;
+	struct hsv_limits limits;
+	GRand *rand;
+
+	struct cat_catalog *catalog;
+	/* Newest time at which the catalog was known to be the newest. */
+	clk_ms catalog_confirmed;
+	clk_ms key_removal;
+	struct flt_fleet *fleet;
+	bool fleet_known;
+
+	/* Service to struct rty_budget. */
+	GHashTable *budgets;
+	double retry_part;
+	double retry_slack;
+
+	struct ord_orders *orders;
+
+	/* Requests that are not answered yet, of struct edg_request. */
+	GHashTable *requests;
+	bool is_draining;
+	bool is_done;
+	clk_ms drain_limit;
+	uv_timer_t drain_timer;
+	unsigned drain_step;
+
+	clk_ms log_second;
+	unsigned log_lines;
+	unsigned log_limit;
+	unsigned log_suppressed;
+};
+
+/* One attempt of a caller. */
+struct edg_request {
+	struct edg_edge *edge;
+	struct hsv_request *http;
+	struct cat_catalog *catalog;
+	const struct cat_route *route;
+	const struct cat_service *service;
+	/* NULL on a public route without a key. */
+	const struct cat_org *org;
+	char *id;
+	clk_ms started;
+	/* When the caller or the route gives the request up. */
+	clk_ms deadline;
+	uv_timer_t timer;
+
+	/* The present send. */
+	struct hup_exchange *exchange;
+	struct flt_target *target;
+	struct pth_path *path;
+	clk_ms sent_at;
+	/* Targets that got the request, with references. */
+	GPtrArray *tried;
+	/* Sends that reached a target, counted against the route's limit. */
+	unsigned sends;
+	unsigned connect_failures;
+	/* A send may have been executed. */
+	bool may_have_run;
+
+	/* The answer of the present send. */
+	int status;
+	GString *headers;
+	GString *body;
+	bool is_signed;
+	bool is_not_run;
+	bool is_encoded;
+	char *failed_address;
+
+	/* Streams. */
+	double prompt_tokens;
+	double answer_tokens;
+	struct evs_splitter events;
+	/* The caller has the head of the answer. */
+	bool has_begun;
+	clk_ms last_event_at;
+	uv_timer_t pause_timer;
+	bool asks_report;
+	unsigned handles;
+	bool is_freed;
+};
+
+/* How a send ended, for a decision on another one. */
+enum edg_outcome {
+	EDG_OUTCOME_ANSWERED,
+	EDG_OUTCOME_NOT_SENT,
+	/* With proof. */
+	EDG_OUTCOME_NOT_RUN,
+	EDG_OUTCOME_FAILED,
+	EDG_OUTCOME_UNKNOWN,
+};
+
+/* edg_request.c */
+void edg_accept(void *user, struct hsv_request *http);
+void edg_gone(void *user, struct hsv_request *http);
+/* Ends a request without an answer and frees it. */
+void edg_request_free(struct edg_request *request);
+/* Answers with an error of our own and frees the request. */
+void edg_refuse(struct edg_request *request, int status, const char *type,
+		const char *message);
+/* The request was not run and never will be; come back after a time. */
+void edg_refuse_not_run(struct edg_request *request, clk_ms retry_after,
+			const char *type, const char *message);
+void edg_log_end(struct edg_request *request, const char *outcome,
+		 int status);
+clk_ms edg_remaining(const struct edg_request *request);
+struct rty_budget *edg_budget(struct edg_edge *edge, const char *service);
+
+/* edg_forward.c */
+/* Sends the request to request->target with the present path. */
+void edg_send(struct edg_request *request, const struct hup_ops *ops);
+/* Lets go of the present send; its target and path are released. */
+void edg_release_send(struct edg_request *request);
+/* Reads an answer's head into the request. */
+void edg_read_head(struct edg_request *request,
+		   const struct hup_response *response);
+enum edg_outcome edg_judge(const struct edg_request *request, enum hup_end how);
+/* Whether the request may be sent once more after the outcome; takes from
+ * the budget if so. */
+bool edg_may_repeat(struct edg_request *request, enum edg_outcome outcome);
+/* The final error where no answer can be given. */
+void edg_fail(struct edg_request *request, enum edg_outcome outcome);
+const char *edg_outcome_name(enum edg_outcome outcome);
+
+/* edg_plain.c */
+void edg_start_plain(struct edg_request *request);
+
+/* edg_stream.c */
+void edg_start_stream(struct edg_request *request);
+
+/* Continues a stream on another path, or gives it up. */
+void edg_resume(struct edg_request *request, const char *why);
+
+/* stl.c */
+/* Asks the head of the request's path if it is silent for too long. */
+void stl_watch(struct edg_request *request);
+
+/* ord.c */
+struct ord_orders *ord_new(struct edg_edge *edge, bool is_fenced);
+void ord_drop(struct ord_orders *orders);
+/* The fleet or the catalog changed. */
+void ord_wake(struct ord_orders *orders);
+
+#endif
--- /dev/null
+++ b/src/edge/edg_request.c
@@ -0,0 +1,328 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/edg_private.h"
+
+/* Longest id that is passed on. */
+#define MAX_ID_CHARS 256
+/* Where neither caller nor route sets a time. */
+#define DEFAULT_DEADLINE_MS 30000
+#define MAX_DEADLINE_MS (10 * CLK_MINUTE)
+/* For callers that come before the instance knows a configuration. */
+#define NOT_READY_RETRY_MS 500
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	struct edg_request *request = handle->data;
+
+	if (--request->handles)
+		return;
+	g_free(request);
+}
+
+void edg_request_free(struct edg_request *request)
+{
+	if (request->is_freed)
+		return;
+	request->is_freed = true;
+	if (request->http)
+		request->http->user = NULL;
+	edg_release_send(request);
+	g_hash_table_remove(request->edge->requests, request);
+	g_ptr_array_unref(request->tried);
+	g_string_free(request->headers, TRUE);
+	g_string_free(request->body, TRUE);
+	evs_clear(&request->events);
+	g_free(request->failed_address);
+	g_free(request->id);
+	cat_drop(request->catalog);
+	uv_close((uv_handle_t *)&request->timer, on_handle_closed);
+	uv_close((uv_handle_t *)&request->pause_timer, on_handle_closed);
+}
+
+void edg_log_end(struct edg_request *request, const char *outcome, int status)
+{
+	struct edg_edge *edge = request->edge;
+	char *subject = g_strdup_printf("request %s", request->id);
+	clk_ms now = edg_now(edge);
+	clk_ms age = now - edge->catalog_confirmed;
+	char *counter = g_strdup_printf("wf_edge_requests_total{outcome=\"%s\"}",
+					outcome);
+
+	ctr_add(edge->counters, g_intern_string(counter), 1);
+	g_free(counter);
+	edg_log(edge, subject, "accepted", outcome,
+		"status=%d route=%s org=%s target=%s sends=%u events=%u "
+		"took_ms=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT
+		" config_age_ms=%" G_GINT64_FORMAT,
+		status, request->route ? request->route->name : "-",
+		request->org ? request->org->name : "-",
+		request->target ? request->target->id : "-", request->sends,
+		request->events.events, now - request->started,
+		request->catalog ? cat_version(request->catalog) : -1, age);
+	g_free(subject);
+}
+
+static void answer_error(struct edg_request *request, int status,
+			 clk_ms retry_after, const char *type,
+			 const char *message)
+{
+	struct hsv_request *http = request->http;
+	GString *headers =
+		g_string_new("Content-Type: application/json\r\n");
+	char *body;
+
+	if (request->id)
+		hdr_write(headers, request->edge->fields->attempt_id,
+			  request->id);
+	if (retry_after > 0)
+		g_string_append_printf(headers, "Retry-After: %.2f\r\n",
+				       (double)retry_after / CLK_SECOND);
+	body = g_strdup_printf(
+		"{\"error\":{\"type\":\"%s\",\"message\":\"%s\"}}", type,
+		message);
+	edg_log_end(request, type, status);
+	edg_request_free(request);
+	hsv_answer(http, status, headers->str, body, strlen(body));
+	g_string_free(headers, TRUE);
+	g_free(body);
+}
+
+void edg_refuse(struct edg_request *request, int status, const char *type,
+		const char *message)
+{
+	answer_error(request, status, 0, type, message);
+}
+
+void edg_refuse_not_run(struct edg_request *request, clk_ms retry_after,
+			const char *type, const char *message)
+{
+	answer_error(request, 503, retry_after, type, message);
+}
+
+clk_ms edg_remaining(const struct edg_request *request)
+{
+	return request->deadline - edg_now(request->edge);
+}
+
+struct rty_budget *edg_budget(struct edg_edge *edge, const char *service)
+{
+	struct rty_budget *budget = g_hash_table_lookup(edge->budgets, service);
+
+	if (budget)
+		return budget;
+	budget = g_new0(struct rty_budget, 1);
+	rty_init(budget, edge->retry_part, edge->retry_slack);
+	g_hash_table_insert(edge->budgets, g_strdup(service), budget);
+	return budget;
+}
+
+static void on_deadline(uv_timer_t *timer)
+{
+	struct edg_request *request = timer->data;
+	bool was_sent = request->exchange || request->may_have_run;
+
+	if (request->is_freed)
+		return;
+	if (request->has_begun) {
+		struct hsv_request *http = request->http;
+
+		edg_log_end(request, "deadline_in_stream", request->status);
+		edg_request_free(request);
+		hsv_abort(http);
+		return;
+	}
+	if (was_sent)
+		edg_refuse(request, 504, "deadline",
+			   "no answer in the time that the request has");
+	else
+		edg_refuse_not_run(request, 0, "deadline",
+				   "not sent in the time that the request has");
+}
+
+static bool read_number(const char *text, double max, double *out)
+{
+	char *end;
+
+	if (!text || !g_ascii_isdigit(*text))
+		return false;
+	*out = g_ascii_strtod(text, &end);
+	return !*end && *out <= max;
+}
+
+/* The time that the caller states, within that of the route. */
+static bool set_deadline(struct edg_request *request)
+{
+	const struct edg_fields *fields = request->edge->fields;
+	const char *text =
+		hdr_get(&request->http->headers, fields->remaining_ms);
+	clk_ms limit = request->route->timeout ? request->route->timeout
+					       : DEFAULT_DEADLINE_MS;
+	double stated;
+
+	if (text && !read_number(text, (double)MAX_DEADLINE_MS, &stated))
+		return false;
+	if (text)
+		limit = MIN(limit, (clk_ms)stated);
+	request->deadline = request->started + limit;
+	uv_timer_start(&request->timer, on_deadline, (uint64_t)MAX(limit, 1),
+		       0);
+	return true;
+}
+
+/* The key of the authentication field, or NULL. Borrowed. */
+static const char *find_key(const struct edg_request *request)
+{
+	const struct edg_fields *fields = request->edge->fields;
+	const char *value =
+		hdr_get(&request->http->headers, fields->authorization);
+	size_t len = strlen(fields->key_scheme);
+
+	if (!value || g_ascii_strncasecmp(value, fields->key_scheme, len) ||
+	    value[len] != ' ')
+		return NULL;
+	while (value[len] == ' ')
+		len++;
+	return value + len;
+}
+
+/* Whether the catalog is new enough to refuse or to accept a key by it. */
+static bool is_catalog_fresh(const struct edg_edge *edge)
+{
+	return edg_now(edge) - edge->catalog_confirmed < edge->key_removal;
+}
+
+/* Finds the organisation; answers and returns false if the key is refused. */
+static bool authenticate(struct edg_request *request)
+{
+	const char *key = find_key(request);
+
+	if (!cat_needs_keys(request->catalog))
+		return true;
+	if (key)
+		request->org = cat_find_org(request->catalog, key);
+	if (request->route->is_public)
+		return true;
+	if (!is_catalog_fresh(request->edge)) {
+		edg_refuse_not_run(request, NOT_READY_RETRY_MS,
+				   "config_too_old",
+				   "keys can't be checked at present");
+		return false;
+	}
+	if (!request->org) {
+		edg_refuse(request, 401, "unauthenticated",
+			   key ? "unknown key" : "a key is needed");
+		return false;
+	}
+	return true;
+}
+
+static bool find_route(struct edg_request *request)
+{
+	const struct hdr_list *headers = &request->http->headers;
+
+	request->route = cat_find_route(request->catalog,
+					hdr_get(headers, "Host"),
+					request->http->url);
+	if (request->route)
+		return true;
+	if (is_catalog_fresh(request->edge))
+		edg_refuse(request, 404, "no_route", "no route matches");
+	else
+		edg_refuse_not_run(request, NOT_READY_RETRY_MS,
+				   "config_too_old",
+				   "routes can't be checked at present");
+	return false;
+}
+
+static bool has_proper_id(const struct edg_request *request)
+{
+	const char *id = hdr_get(&request->http->headers,
+				 request->edge->fields->attempt_id);
+
+	return id && *id && strlen(id) <= MAX_ID_CHARS && hdr_is_token(id) &&
+	       hdr_count(&request->http->headers,
+			 request->edge->fields->attempt_id) == 1;
+}
+
+static struct edg_request *request_new(struct edg_edge *edge,
+				       struct hsv_request *http)
+{
+	struct edg_request *request = g_new0(struct edg_request, 1);
+	const char *id = hdr_get(&http->headers, edge->fields->attempt_id);
+
+	request->edge = edge;
+	request->http = http;
+	request->started = edg_now(edge);
+	request->catalog = cat_keep(edge->catalog);
+	request->id = g_strdup(id ? id : "");
+	request->tried = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)flt_target_drop);
+	request->headers = g_string_new(NULL);
+	request->body = g_string_new(NULL);
+	evs_init(&request->events);
+	uv_timer_init(edge->loop, &request->timer);
+	uv_timer_init(edge->loop, &request->pause_timer);
+	request->timer.data = request;
+	request->pause_timer.data = request;
+	request->handles = 2;
+	http->user = request;
+	g_hash_table_add(edge->requests, request);
+	return request;
+}
+
+static bool choose_service(struct edg_request *request)
+{
+	const char *name = cat_choose_service(
+		request->route, g_rand_int(request->edge->rand));
+
+	request->service = cat_find_service(request->catalog, name);
+	if (request->service)
+		return true;
+	edg_refuse_not_run(request, NOT_READY_RETRY_MS, "no_service",
+			   "the route's service is not configured");
+	return false;
+}
+
+void edg_accept(void *user, struct hsv_request *http)
+{
+	struct edg_edge *edge = user;
+	struct edg_request *request = request_new(edge, http);
+
+	if (!has_proper_id(request)) {
+		edg_refuse(request, 400, "bad_request",
+			   "a request needs one proper attempt id");
+		return;
+	}
+	if (!edge->catalog) {
+		edg_refuse_not_run(request, NOT_READY_RETRY_MS, "not_ready",
+				   "no configuration is known yet");
+		return;
+	}
+	if (!find_route(request) || !authenticate(request))
+		return;
+	if (!set_deadline(request)) {
+		edg_refuse(request, 400, "bad_request",
+			   "the time to wait is no number of milliseconds");
+		return;
+	}
+	if (!choose_service(request))
+		return;
+	rty_earn(edg_budget(edge, request->service->name));
+	if (request->route->is_stream)
+		edg_start_stream(request);
+	else
+		edg_start_plain(request);
+}
+
+void edg_gone(void *user, struct hsv_request *http)
+{
+	struct edg_request *request = http->user;
+
+	(void)user;
+	if (!request)
+		return;
+	edg_log_end(request, "caller_left", request->status);
+	request->http = NULL;
+	edg_request_free(request);
+}
--- /dev/null
+++ b/src/edge/edg_stream.c
@@ -0,0 +1,278 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/edg_private.h"
+
+#define NO_PATH_RETRY_MS 400
+/* Assumed where a request states no tokens. */
+#define DEFAULT_PROMPT_TOKENS 1000
+#define DEFAULT_ANSWER_TOKENS 300
+/* Sends beyond the route's limit, each after the loss of an engine on the
+ * path, which the limit does not count. */
+#define MAX_LOST_PATHS 3
+
+static void send_next(struct edg_request *request);
+
+static bool is_stream_answer(const struct edg_request *request)
+{
+	return request->status == 200 && request->is_signed &&
+	       !request->is_encoded;
+}
+
+static void watch_pause(struct edg_request *request)
+{
+	if (request->path)
+		stl_watch(request);
+}
+
+static void on_head(void *user, const struct hup_response *response)
+{
+	struct edg_request *request = user;
+
+	if (!request->has_begun) {
+		edg_read_head(request, response);
+	} else {
+		/* The caller has the head of the first target already. */
+		GString *kept = request->headers;
+
+		request->headers = g_string_new(NULL);
+		edg_read_head(request, response);
+		g_string_free(request->headers, TRUE);
+		request->headers = kept;
+	}
+	if (!is_stream_answer(request) || request->has_begun)
+		return;
+	request->has_begun = true;
+	hsv_begin(request->http, request->status, request->headers->str);
+}
+
+static void on_stream_data(struct edg_request *request, const char *bytes,
+			   size_t len)
+{
+	size_t ready = evs_add(&request->events, bytes, len);
+
+	if (!ready)
+		return;
+	request->last_event_at = edg_now(request->edge);
+	watch_pause(request);
+	if (!hsv_add(request->http, request->events.partial->str, ready)) {
+		request->http->user = NULL;
+		edg_log_end(request, "slow_caller", request->status);
+		request->http = NULL;
+		edg_request_free(request);
+		return;
+	}
+	evs_take(&request->events, ready);
+}
+
+static void on_data(void *user, const char *bytes, size_t len)
+{
+	struct edg_request *request = user;
+
+	if (is_stream_answer(request))
+		on_stream_data(request, bytes, len);
+	else
+		g_string_append_len(request->body, bytes, (gssize)len);
+}
+
+static void complete(struct edg_request *request)
+{
+	struct hsv_request *http = request->http;
+	clk_ms now = edg_now(request->edge);
+
+	flt_note_answer(request->target, now, now - request->sent_at);
+	edg_log_end(request, "streamed", request->status);
+	edg_request_free(request);
+	hsv_end(http);
+}
+
+/* Passes a target's own failure on. */
+static void deliver_failure(struct edg_request *request)
+{
+	struct hsv_request *http = request->http;
+	GString *headers = request->headers;
+	GString *body = request->body;
+	int status = request->status;
+
+	request->headers = g_string_new(NULL);
+	request->body = g_string_new(NULL);
+	edg_log_end(request, "answered", status);
+	edg_request_free(request);
+	hsv_answer(http, status, headers->str, body->str, body->len);
+	g_string_free(headers, TRUE);
+	g_string_free(body, TRUE);
+}
+
+static void give_up(struct edg_request *request, enum edg_outcome outcome)
+{
+	struct hsv_request *http = request->http;
+
+	if (!request->has_begun) {
+		edg_fail(request, outcome);
+		return;
+	}
+	edg_log_end(request, "stream_broken", request->status);
+	edg_request_free(request);
+	hsv_abort(http);
+}
+
+/* Finds whom the failure speaks against. */
+static void note_failure(struct edg_request *request, enum edg_outcome outcome)
+{
+	struct edg_edge *edge = request->edge;
+	clk_ms now = edg_now(edge);
+	struct flt_target *failed = request->target;
+
+	if (request->failed_address) {
+		failed = flt_find_address(edge->fleet, request->failed_address);
+		if (failed)
+			flt_note_down(failed, now);
+		return;
+	}
+	if (outcome == EDG_OUTCOME_NOT_SENT || outcome == EDG_OUTCOME_UNKNOWN)
+		flt_note_failure(failed, now);
+}
+
+/* A run that ended in the middle may be continued at another path. */
+static bool may_resume(struct edg_request *request, enum edg_outcome outcome)
+{
+	unsigned limit = request->route->max_attempts + MAX_LOST_PATHS;
+
+	if (outcome == EDG_OUTCOME_NOT_SENT || outcome == EDG_OUTCOME_NOT_RUN)
+		return edg_may_repeat(request, outcome);
+	request->may_have_run = true;
+	if (request->route->repeat == CAT_REPEAT_NEVER ||
+	    request->sends >= limit || edg_remaining(request) <= 0)
+		return false;
+	return rty_take(edg_budget(request->edge, request->service->name));
+}
+
+void edg_resume(struct edg_request *request, const char *why)
+{
+	edg_log(request->edge, "send", request->id, "resumed",
+		"reason=%s head=%s after_event=%s send=%u", why,
+		request->target ? request->target->id : "-",
+		request->events.last_id->str, request->sends);
+	if (!may_resume(request, EDG_OUTCOME_UNKNOWN)) {
+		give_up(request, EDG_OUTCOME_UNKNOWN);
+		return;
+	}
+	evs_discard_partial(&request->events);
+	send_next(request);
+}
+
+static void on_end(void *user, enum hup_end how)
+{
+	struct edg_request *request = user;
+	enum edg_outcome outcome = edg_judge(request, how);
+	bool is_partial = request->events.partial->len > 0;
+
+	request->exchange = NULL;
+	uv_timer_stop(&request->pause_timer);
+	if (outcome == EDG_OUTCOME_ANSWERED && is_stream_answer(request) &&
+	    !is_partial) {
+		complete(request);
+		return;
+	}
+	if (outcome == EDG_OUTCOME_ANSWERED && !request->has_begun &&
+	    !is_stream_answer(request)) {
+		deliver_failure(request);
+		return;
+	}
+	if (outcome == EDG_OUTCOME_ANSWERED)
+		outcome = EDG_OUTCOME_UNKNOWN;
+	note_failure(request, outcome);
+	edg_log(request->edge, "send", request->id, edg_outcome_name(outcome),
+		"head=%s status=%d end=%d at=%s after_event=%s send=%u",
+		request->target->id, request->status, (int)how,
+		request->failed_address ? request->failed_address : "-",
+		request->events.last_id->str, request->sends);
+	if (may_resume(request, outcome)) {
+		evs_discard_partial(&request->events);
+		send_next(request);
+	} else if (outcome == EDG_OUTCOME_FAILED && !request->has_begun) {
+		deliver_failure(request);
+	} else {
+		give_up(request, outcome);
+	}
+}
+
+static const struct hup_ops ops = {on_head, on_data, on_end};
+
+static bool find_path(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	double tokens = request->prompt_tokens + request->answer_tokens;
+	struct pth_path *path;
+	enum pth_result result;
+
+	result = pth_find(edge->fleet, edg_now(edge), request->service->engine,
+			  request->service->name, edge->data_center, tokens, 1,
+			  &path);
+	if (result == PTH_FOUND) {
+		pth_reserve(path, tokens);
+		request->path = path;
+		request->target = flt_target_keep(pth_head(path));
+		return true;
+	}
+	if (request->has_begun || request->may_have_run)
+		give_up(request, EDG_OUTCOME_UNKNOWN);
+	else if (result == PTH_NO_LAYERS)
+		edg_refuse_not_run(request, NO_PATH_RETRY_MS, "no_path",
+				   "no path of engines has all layers");
+	else
+		edg_refuse_not_run(request, NO_PATH_RETRY_MS, "overloaded",
+				   "no path of engines has room");
+	return false;
+}
+
+static bool find_target(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct flt_target *target =
+		flt_choose(edge->fleet, edg_now(edge), request->service->name,
+			   edge->data_center, request->tried,
+			   g_rand_int(edge->rand));
+
+	request->target = flt_target_keep(target);
+	if (!target)
+		give_up(request, EDG_OUTCOME_NOT_SENT);
+	return target != NULL;
+}
+
+static void send_next(struct edg_request *request)
+{
+	bool found;
+
+	edg_release_send(request);
+	found = request->service->engine ? find_path(request)
+					 : find_target(request);
+	if (!found)
+		return;
+	edg_send(request, &ops);
+	watch_pause(request);
+}
+
+/* "prompt,most" tokens, and the caller's estimate of the answer. */
+static void read_tokens(struct edg_request *request)
+{
+	const struct edg_fields *fields = request->edge->fields;
+	const struct hdr_list *headers = &request->http->headers;
+	const char *counts = hdr_get(headers, fields->token_counts);
+	const char *hint = hdr_get(headers, fields->answer_hint);
+	const char *comma = counts ? strchr(counts, ',') : NULL;
+
+	request->prompt_tokens = counts ? strtoul(counts, NULL, 10)
+					: DEFAULT_PROMPT_TOKENS;
+	request->answer_tokens =
+		comma ? strtoul(comma + 1, NULL, 10) : DEFAULT_ANSWER_TOKENS;
+	if (hint && g_ascii_isdigit(*hint))
+		request->answer_tokens = MIN(request->answer_tokens,
+					     strtoul(hint, NULL, 10));
+}
+
+void edg_start_stream(struct edg_request *request)
+{
+	read_tokens(request);
+	send_next(request);
+}
--- /dev/null
+++ b/src/edge/ord.c
@@ -0,0 +1,477 @@
+#include <string.h>
+
+#include "edge/edg_private.h"
+
+/*
+ * Orders to engines. Every instance computes the same plan; the one that holds
+ * the duty carries it out and records in the store what it ordered. Another
+ * one takes the duty over when it finds a plan that is not carried out and a
+ * record that does not change. Two holders do no harm: engines refuse the
+ * lower fence, and an order is void if another came before it.
+ */
+
+#define CHECK_INTERVAL_MS 100
+/* Lists may still grow just after a start. */
+#define SETTLE_MS 300
+/* An order that was taken shows in the list after its load and about one
+ * heartbeat. */
+#define ORDER_MARGIN_MS 4000
+/* An order without an answer is judged by the engine's report after this. */
+#define UNKNOWN_ORDER_MS 1500
+#define REFUSED_ORDER_MS 600
+/* Others wait so long, and up to as much again by chance, for the holder. */
+#define TAKEOVER_MS 1000
+/* At the first start nobody holds the duty. */
+#define FIRST_CLAIM_MS 150
+
+struct ord_orders {
+	struct edg_edge *edge;
+	uv_timer_t timer;
+	bool is_fenced;
+	bool is_dropped;
+	/* The record as it was last read or written; NULL before. */
+	struct edg_duty *record;
+	bool holds_duty;
+	bool is_asking;
+	/* Since when there is a plan that nobody carries out; 0 if none. */
+	clk_ms needed_since;
+	clk_ms patience;
+	uint64_t seen_revision;
+	clk_ms changed_at;
+	unsigned running;
+	int refs;
+};
+
+/* One order on its way. */
+struct order {
+	struct ord_orders *orders;
+	struct flt_target *target;
+	struct flt_range range;
+};
+
+struct edg_duty *edg_duty_new(void)
+{
+	struct edg_duty *duty = g_new0(struct edg_duty, 1);
+
+	duty->assignments =
+		g_array_new(FALSE, TRUE, sizeof(struct edg_assignment));
+	return duty;
+}
+
+void edg_duty_free(struct edg_duty *duty)
+{
+	guint i;
+
+	if (!duty)
+		return;
+	for (i = 0; i < duty->assignments->len; i++)
+		g_free(g_array_index(duty->assignments, struct edg_assignment,
+				     i)
+			       .target_id);
+	g_array_unref(duty->assignments);
+	g_free(duty->holder);
+	g_free(duty);
+}
+
+void edg_duty_assign(struct edg_duty *duty, const char *target_id,
+		     struct flt_range range)
+{
+	struct edg_assignment assignment = {g_strdup(target_id), range};
+
+	g_array_append_val(duty->assignments, assignment);
+}
+
+static struct edg_duty *duty_copy(const struct edg_duty *duty)
+{
+	struct edg_duty *copy = edg_duty_new();
+	guint i;
+
+	copy->revision = duty->revision;
+	copy->holder = g_strdup(duty->holder);
+	copy->fence = duty->fence;
+	for (i = 0; i < duty->assignments->len; i++) {
+		const struct edg_assignment *assignment = &g_array_index(
+			duty->assignments, struct edg_assignment, i);
+
+		edg_duty_assign(copy, assignment->target_id,
+				assignment->range);
+	}
+	return copy;
+}
+
+static void orders_unref(struct ord_orders *orders)
+{
+	if (--orders->refs)
+		return;
+	edg_duty_free(orders->record);
+	g_free(orders);
+}
+
+static const struct cat_engine *engine_of(const struct ord_orders *orders,
+					  const struct flt_target *target)
+{
+	const struct cat_service *service =
+		orders->edge->catalog
+			? cat_find_service(orders->edge->catalog,
+					   target->service)
+			: NULL;
+
+	return service ? service->engine : NULL;
+}
+
+/* Until when an order counts although the list does not show it. */
+static clk_ms expected_end(const struct ord_orders *orders,
+			   const struct flt_target *target,
+			   struct flt_range range)
+{
+	const struct cat_engine *engine = engine_of(orders, target);
+	clk_ms load = 0;
+
+	if (engine)
+		load = engine->load_time * (range.end - range.first) /
+		       engine->layers;
+	return edg_now(orders->edge) + load + ORDER_MARGIN_MS;
+}
+
+static void note_ordered(struct ord_orders *orders, struct flt_target *target,
+			 struct flt_range range, clk_ms until)
+{
+	(void)orders;
+	target->ordered = range;
+	target->ordered_until = until;
+}
+
+static void log_order(const struct order *order, const char *to, uint64_t fence)
+{
+	char *subject = g_strdup_printf("order %s", order->target->id);
+
+	edg_log(order->orders->edge, subject, "planned", to,
+		"layers=%u-%u holds=%u-%u fence=%" G_GUINT64_FORMAT,
+		order->range.first, order->range.end,
+		order->target->holds.first, order->target->holds.end, fence);
+	g_free(subject);
+}
+
+static void free_order(struct order *order)
+{
+	order->orders->running--;
+	flt_target_drop(order->target);
+	orders_unref(order->orders);
+	g_free(order);
+}
+
+static void on_ordered(void *user, enum edg_order_result result)
+{
+	static const char *const names[] = {"taken", "refused", "fenced",
+					    "failed", "unknown"};
+	struct order *order = user;
+	struct ord_orders *orders = order->orders;
+	clk_ms now = edg_now(orders->edge);
+
+	log_order(order, names[result],
+		  orders->record ? orders->record->fence : 0);
+	switch (result) {
+	case EDG_ORDER_TAKEN:
+		note_ordered(orders, order->target, order->range,
+			     expected_end(orders, order->target,
+					  order->range));
+		break;
+	case EDG_ORDER_FENCED:
+		orders->holds_duty = false;
+		order->target->ordered_until = 0;
+		break;
+	case EDG_ORDER_UNKNOWN:
+		order->target->ordered_until = now + UNKNOWN_ORDER_MS;
+		break;
+	case EDG_ORDER_REFUSED:
+	case EDG_ORDER_FAILED:
+		order->target->ordered_until = now + REFUSED_ORDER_MS;
+		break;
+	}
+	free_order(order);
+}
+
+static void on_report(void *user, const struct edg_report *report)
+{
+	struct order *order = user;
+	struct ord_orders *orders = order->orders;
+	struct edg_edge *edge = orders->edge;
+	clk_ms now = edg_now(edge);
+
+	if (orders->is_dropped || !orders->holds_duty || !report ||
+	    report->is_busy) {
+		log_order(order, report ? "postponed" : "no_report",
+			  orders->record ? orders->record->fence : 0);
+		order->target->ordered_until = now + REFUSED_ORDER_MS;
+		free_order(order);
+		return;
+	}
+	edge->platform->ops->order_layers(
+		edge->platform, order->target, order->range, report->orders,
+		orders->is_fenced ? orders->record->fence : 0, on_ordered,
+		order);
+}
+
+static void start_order(struct ord_orders *orders, struct flt_target *target,
+			struct flt_range range)
+{
+	struct order *order = g_new0(struct order, 1);
+
+	order->orders = orders;
+	order->target = flt_target_keep(target);
+	order->range = range;
+	orders->refs++;
+	orders->running++;
+	note_ordered(orders, target, range,
+		     expected_end(orders, target, range));
+	orders->edge->platform->ops->ask_report(orders->edge->platform, target,
+						on_report, order);
+}
+
+static void set_record(struct ord_orders *orders, const struct edg_duty *duty)
+{
+	edg_duty_free(orders->record);
+	orders->record = duty_copy(duty);
+}
+
+/* Takes over what the present holder has ordered. */
+static void apply_record(struct ord_orders *orders)
+{
+	GArray *assignments = orders->record->assignments;
+	guint i;
+
+	for (i = 0; i < assignments->len; i++) {
+		const struct edg_assignment *assignment =
+			&g_array_index(assignments, struct edg_assignment, i);
+		struct flt_target *target = flt_find(orders->edge->fleet,
+						     assignment->target_id);
+
+		if (target)
+			note_ordered(orders, target, assignment->range,
+				     expected_end(orders, target,
+						  assignment->range));
+	}
+}
+
+static GArray *make_plan(struct ord_orders *orders)
+{
+	struct edg_edge *edge = orders->edge;
+	GArray *plan = g_array_new(FALSE, TRUE, sizeof(struct plc_change));
+	const GPtrArray *services;
+	guint i;
+
+	if (!edge->catalog || !edge->fleet_known)
+		return plan;
+	services = cat_services(edge->catalog);
+	for (i = 0; i < services->len; i++) {
+		GArray *changes = plc_plan(edge->fleet, edg_now(edge),
+					   services->pdata[i]);
+
+		g_array_append_vals(plan, changes->data, changes->len);
+		g_array_unref(changes);
+	}
+	return plan;
+}
+
+static void carry_out(struct ord_orders *orders)
+{
+	GArray *plan = make_plan(orders);
+	guint i;
+
+	for (i = 0; i < plan->len; i++) {
+		struct plc_change *change =
+			&g_array_index(plan, struct plc_change, i);
+
+		start_order(orders, change->target, change->range);
+	}
+	g_array_unref(plan);
+}
+
+/* The record with the plan in it, which the holder writes before it acts. */
+static struct edg_duty *next_record(struct ord_orders *orders, GArray *plan)
+{
+	struct edg_duty *next = edg_duty_new();
+	bool same_holder = orders->holds_duty;
+	guint i;
+
+	if (orders->record) {
+		next->revision = orders->record->revision;
+		next->fence = orders->record->fence;
+	}
+	if (!same_holder)
+		next->fence++;
+	next->holder = g_strdup(orders->edge->instance);
+	for (i = 0; i < plan->len; i++) {
+		struct plc_change *change =
+			&g_array_index(plan, struct plc_change, i);
+
+		edg_duty_assign(next, change->target->id, change->range);
+	}
+	return next;
+}
+
+static void set_holder(struct ord_orders *orders, bool holds)
+{
+	if (orders->holds_duty == holds)
+		return;
+	orders->holds_duty = holds;
+	edg_log(orders->edge, "duty of orders", holds ? "other" : "own",
+		holds ? "own" : "other",
+		"holder=%s fence=%" G_GUINT64_FORMAT,
+		orders->record && orders->record->holder
+			? orders->record->holder
+			: "-",
+		orders->record ? orders->record->fence : 0);
+}
+
+static void on_written(void *user, enum edg_duty_result result,
+		       const struct edg_duty *duty)
+{
+	struct ord_orders *orders = user;
+
+	orders->is_asking = false;
+	if (orders->is_dropped) {
+		orders_unref(orders);
+		return;
+	}
+	if (duty)
+		set_record(orders, duty);
+	if (result == EDG_DUTY_OK) {
+		set_holder(orders, true);
+		carry_out(orders);
+	} else if (result == EDG_DUTY_CONFLICT) {
+		set_holder(orders, false);
+		apply_record(orders);
+	}
+	orders->needed_since = 0;
+	orders_unref(orders);
+}
+
+static void write_record(struct ord_orders *orders)
+{
+	struct edg_edge *edge = orders->edge;
+	GArray *plan = make_plan(orders);
+	struct edg_duty *next;
+
+	if (plan->len) {
+		next = next_record(orders, plan);
+		orders->is_asking = true;
+		orders->refs++;
+		edge->platform->ops->write_duty(edge->platform, next,
+						on_written, orders);
+		edg_duty_free(next);
+	}
+	g_array_unref(plan);
+}
+
+static void on_read(void *user, enum edg_duty_result result,
+		    const struct edg_duty *duty)
+{
+	struct ord_orders *orders = user;
+	bool is_new;
+
+	orders->is_asking = false;
+	if (orders->is_dropped || result != EDG_DUTY_OK) {
+		orders->needed_since = 0;
+		orders_unref(orders);
+		return;
+	}
+	is_new = duty->revision &&
+		 (!orders->record ||
+		  duty->revision != orders->record->revision);
+	set_record(orders, duty);
+	if (is_new) {
+		/* Somebody is at it. */
+		apply_record(orders);
+		orders->needed_since = 0;
+	} else {
+		write_record(orders);
+	}
+	orders_unref(orders);
+}
+
+static void read_record(struct ord_orders *orders)
+{
+	struct edg_edge *edge = orders->edge;
+
+	orders->is_asking = true;
+	orders->refs++;
+	edge->platform->ops->read_duty(edge->platform, on_read, orders);
+}
+
+static void set_patience(struct ord_orders *orders)
+{
+	clk_ms base = orders->record ? TAKEOVER_MS : FIRST_CLAIM_MS;
+
+	orders->patience =
+		base + g_rand_int_range(orders->edge->rand, 0, (gint32)base);
+}
+
+static bool is_plan_empty(struct ord_orders *orders)
+{
+	GArray *plan = make_plan(orders);
+	bool is_empty = !plan->len;
+
+	g_array_unref(plan);
+	return is_empty;
+}
+
+static void check(struct ord_orders *orders)
+{
+	clk_ms now = edg_now(orders->edge);
+	uint64_t revision = flt_revision(orders->edge->fleet);
+
+	if (revision != orders->seen_revision) {
+		orders->seen_revision = revision;
+		orders->changed_at = now;
+	}
+	if (orders->is_asking || orders->edge->is_draining ||
+	    now - orders->changed_at < SETTLE_MS)
+		return;
+	if (is_plan_empty(orders)) {
+		orders->needed_since = 0;
+		return;
+	}
+	if (orders->holds_duty) {
+		write_record(orders);
+		return;
+	}
+	if (!orders->needed_since) {
+		orders->needed_since = now;
+		set_patience(orders);
+	}
+	if (now - orders->needed_since >= orders->patience)
+		read_record(orders);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	check(timer->data);
+}
+
+struct ord_orders *ord_new(struct edg_edge *edge, bool is_fenced)
+{
+	struct ord_orders *orders = g_new0(struct ord_orders, 1);
+
+	orders->edge = edge;
+	orders->is_fenced = is_fenced;
+	orders->refs = 1;
+	uv_timer_init(edge->loop, &orders->timer);
+	orders->timer.data = orders;
+	uv_timer_start(&orders->timer, on_timer, CHECK_INTERVAL_MS,
+		       CHECK_INTERVAL_MS);
+	return orders;
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	orders_unref(handle->data);
+}
+
+void ord_drop(struct ord_orders *orders)
+{
+	if (!orders)
+		return;
+	orders->is_dropped = true;
+	uv_close((uv_handle_t *)&orders->timer, on_timer_closed);
+}
--- /dev/null
+++ b/src/edge/syn.c
@@ -0,0 +1,166 @@
+#include "edge/syn.h"
+
+/* An answer may take this much longer than the watch is held. */
+#define WATCH_SLACK_MS 800
+/* First pause after a failure; doubled up to the longest. */
+#define MIN_PAUSE_MS 80
+#define MAX_PAUSE_MS 640
+/* A watch that was held to its end was current until then, less the time by
+ * which two clocks may differ over it. */
+#define HOLD_MARGIN_MS 50
+
+struct syn_sync {
+	uv_timer_t timer;
+	clk_ms (*now)(void *user);
+	clk_ms wait;
+	const struct syn_ops *ops;
+	void *user;
+	int64_t revision;
+	/* A list is complete, so changes can be watched. */
+	bool has_list;
+	clk_ms asked_at;
+	/* Hold that the present watch asked for. */
+	clk_ms asked_wait;
+	clk_ms last_good;
+	unsigned failures;
+	clk_ms outage;
+};
+
+static void ask_list(struct syn_sync *sync, const char *after)
+{
+	sync->asked_at = sync->now(sync->user);
+	sync->ops->ask_list(sync->user, after);
+}
+
+static void ask_watch(struct syn_sync *sync)
+{
+	/* After a failure the store is asked for an answer at once, which
+	 * tells whether the copy is complete. */
+	sync->asked_wait = sync->failures ? 0 : sync->wait;
+	sync->asked_at = sync->now(sync->user);
+	sync->ops->ask_watch(sync->user, sync->revision, sync->asked_wait,
+			     sync->asked_wait + WATCH_SLACK_MS);
+}
+
+static void ask(struct syn_sync *sync)
+{
+	if (sync->has_list) {
+		ask_watch(sync);
+		return;
+	}
+	sync->ops->begin(sync->user);
+	ask_list(sync, NULL);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	ask(timer->data);
+}
+
+static void ask_later(struct syn_sync *sync)
+{
+	clk_ms pause = MIN_PAUSE_MS;
+	unsigned i;
+
+	for (i = 0; i < sync->failures && pause < MAX_PAUSE_MS; i++)
+		pause *= 2;
+	sync->failures++;
+	uv_timer_start(&sync->timer, on_timer,
+		       (uint64_t)g_random_int_range((gint32)pause / 2,
+						    (gint32)pause),
+		       0);
+}
+
+static void note_good(struct syn_sync *sync)
+{
+	clk_ms now = sync->now(sync->user);
+
+	if (sync->failures)
+		sync->outage = now - sync->last_good;
+	sync->failures = 0;
+	sync->last_good = now;
+}
+
+struct syn_sync *syn_new(uv_loop_t *loop, clk_ms (*now)(void *user),
+			 clk_ms wait, const struct syn_ops *ops, void *user)
+{
+	struct syn_sync *sync = g_new0(struct syn_sync, 1);
+
+	sync->now = now;
+	sync->wait = wait;
+	sync->ops = ops;
+	sync->user = user;
+	sync->last_good = now(user);
+	uv_timer_init(loop, &sync->timer);
+	sync->timer.data = sync;
+	return sync;
+}
+
+void syn_start(struct syn_sync *sync)
+{
+	ask(sync);
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void syn_drop(struct syn_sync *sync)
+{
+	if (sync)
+		uv_close((uv_handle_t *)&sync->timer, on_closed);
+}
+
+void syn_on_list(struct syn_sync *sync, enum syn_result result,
+		 int64_t revision, bool has_more, const char *last)
+{
+	if (result != SYN_OK) {
+		ask_later(sync);
+		return;
+	}
+	note_good(sync);
+	/* Changes during the list are watched from its first page on. */
+	if (!sync->revision)
+		sync->revision = revision;
+	if (has_more) {
+		ask_list(sync, last);
+		return;
+	}
+	sync->has_list = true;
+	sync->ops->end(sync->user, sync->outage);
+	sync->ops->confirm(sync->user, sync->asked_at);
+	sync->outage = 0;
+	ask(sync);
+}
+
+void syn_on_watch(struct syn_sync *sync, enum syn_result result,
+		  int64_t revision, bool has_events)
+{
+	clk_ms held = sync->now(sync->user) - sync->asked_at;
+	clk_ms confirmed = sync->asked_at;
+
+	if (result == SYN_HISTORY_GONE) {
+		sync->has_list = false;
+		sync->revision = 0;
+		ask(sync);
+		return;
+	}
+	if (result != SYN_OK) {
+		ask_later(sync);
+		return;
+	}
+	note_good(sync);
+	sync->revision = MAX(sync->revision, revision);
+	if (!has_events && held >= sync->asked_wait)
+		confirmed += MAX(sync->asked_wait - HOLD_MARGIN_MS, 0);
+	sync->ops->confirm(sync->user, confirmed);
+	ask(sync);
+}
+
+clk_ms syn_outage(const struct syn_sync *sync)
+{
+	if (!sync->failures)
+		return sync->outage;
+	return sync->now(sync->user) - sync->last_good;
+}
--- /dev/null
+++ b/src/edge/syn.h
@@ -0,0 +1,57 @@
+#ifndef EDGE_SYN_H
+#define EDGE_SYN_H
+
+/*
+ * Keeps a copy of one kind of the store's objects up to date: a list once,
+ * then watches from the revision of the list, a list again where the store
+ * has dropped the history in between. Survives a store that is slow, down or
+ * mute. The adapter sends the calls and applies the objects; it answers each
+ * call once with syn_on_list() or syn_on_watch().
+ */
+
+#include <uv.h>
+
+#include <wagtailferry/base.h>
+
+enum syn_result {
+	SYN_OK,
+	/* The store no longer has the changes since that revision. */
+	SYN_HISTORY_GONE,
+	/* Refused, broken or no answer in time. */
+	SYN_FAILED,
+};
+
+struct syn_ops {
+	/* A complete list begins. */
+	void (*begin)(void *user);
+	/* Asks for the page after a name; NULL for the first. */
+	void (*ask_list)(void *user, const char *after);
+	/* The list is complete. outage is how long the store gave no answer
+	 * before. */
+	void (*end)(void *user, clk_ms outage);
+	/* Asks for changes since a revision; the store may hold the answer
+	 * for wait. Fails by itself at timeout. */
+	void (*ask_watch)(void *user, int64_t revision, clk_ms wait,
+			  clk_ms timeout);
+	/* The copy was complete at that time. */
+	void (*confirm)(void *user, clk_ms at);
+};
+
+struct syn_sync;
+
+/* now tells the time; wait is how long a watch is held by the store. */
+struct syn_sync *syn_new(uv_loop_t *loop, clk_ms (*now)(void *user),
+			 clk_ms wait, const struct syn_ops *ops, void *user);
+void syn_start(struct syn_sync *sync);
+void syn_drop(struct syn_sync *sync);
+
+/* last is the last name of the page, where more follow. */
+void syn_on_list(struct syn_sync *sync, enum syn_result result,
+		 int64_t revision, bool has_more, const char *last);
+void syn_on_watch(struct syn_sync *sync, enum syn_result result,
+		  int64_t revision, bool has_events);
+
+/* For how long the store has given no good answer; 0 while it does. */
+clk_ms syn_outage(const struct syn_sync *sync);
+
+#endif
--- /dev/null
+++ b/src/forward/flt.c
@@ -0,0 +1,325 @@
+#include <string.h>
+
+#include <wagtailferry/fleet.h>
+
+/* Weight of the newest sample in the mean time of an answer. */
+#define ANSWER_MS_WEIGHT 0.2
+/* A target that failed is avoided for this span, doubled with each failure. */
+#define FAILURE_AVOID_MS 400
+#define MAX_AVOID_DOUBLINGS 4
+/* A target that is known to be down is avoided for this span; the list drops
+ * a silent target after about three of its heartbeats. */
+#define DOWN_AVOID_MS 5000
+/* Targets may finish what reaches them shortly after they announce their
+ * leaving; requests are sent to them only where no other target is left. */
+#define DRAINING_USE_MS 1000
+/* Extra cost of a target in another data centre, in ms. */
+#define OTHER_DATA_CENTER_MS 3.0
+/* Assumed time of an answer where none was seen, in ms. */
+#define UNKNOWN_ANSWER_MS 50.0
+#define AVOIDED_COST_MS 1e6
+#define DRAINING_COST_MS 1e5
+
+struct flt_fleet {
+	GPtrArray *targets;
+	GHashTable *by_id;
+	uint64_t revision;
+	unsigned list;
+};
+
+struct flt_target *flt_target_new(void)
+{
+	struct flt_target *target = g_new0(struct flt_target, 1);
+
+	target->refs = 1;
+	return target;
+}
+
+struct flt_target *flt_target_keep(struct flt_target *target)
+{
+	if (target)
+		target->refs++;
+	return target;
+}
+
+void flt_target_drop(struct flt_target *target)
+{
+	if (!target || --target->refs)
+		return;
+	g_free(target->id);
+	g_free(target->service);
+	g_free(target->address);
+	g_free(target->data_center);
+	g_free(target->accelerator);
+	g_free(target);
+}
+
+static void target_destroy(gpointer data)
+{
+	flt_target_drop(data);
+}
+
+struct flt_fleet *flt_new(void)
+{
+	struct flt_fleet *fleet = g_new0(struct flt_fleet, 1);
+
+	fleet->targets = g_ptr_array_new_with_free_func(target_destroy);
+	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	return fleet;
+}
+
+void flt_drop(struct flt_fleet *fleet)
+{
+	if (!fleet)
+		return;
+	g_hash_table_unref(fleet->by_id);
+	g_ptr_array_unref(fleet->targets);
+	g_free(fleet);
+}
+
+static bool is_same_range(struct flt_range a, struct flt_range b)
+{
+	return a.first == b.first && a.end == b.end;
+}
+
+static void replace_text(char **text, char **from)
+{
+	char *old = *text;
+
+	*text = *from;
+	*from = old;
+}
+
+static void note_leaving(struct flt_target *target, clk_ms now,
+			 enum flt_state state)
+{
+	if (target->state == FLT_READY)
+		target->left_at = now;
+	target->state = state;
+}
+
+/* Forgets what was seen of the process that ran under this id before. */
+static void forget_process(struct flt_target *target)
+{
+	target->answer_ms = 0;
+	target->avoid_until = 0;
+	target->failures = 0;
+	target->ordered_until = 0;
+	target->state = FLT_READY;
+}
+
+static void update(struct flt_fleet *fleet, struct flt_target *known,
+		   clk_ms now, struct flt_target *entry)
+{
+	bool restarted = known->born != entry->born;
+
+	if (restarted || !is_same_range(known->holds, entry->holds) ||
+	    known->state != entry->state ||
+	    strcmp(known->address, entry->address) != 0)
+		fleet->revision++;
+	if (restarted)
+		forget_process(known);
+	if (entry->state == FLT_READY)
+		known->state = FLT_READY;
+	else
+		note_leaving(known, now, entry->state);
+	replace_text(&known->service, &entry->service);
+	replace_text(&known->address, &entry->address);
+	replace_text(&known->data_center, &entry->data_center);
+	replace_text(&known->accelerator, &entry->accelerator);
+	known->slots = entry->slots;
+	known->born = entry->born;
+	known->holds = entry->holds;
+	known->listed = fleet->list;
+	known->removed_at = 0;
+	if (is_same_range(known->holds, known->ordered))
+		known->ordered_until = 0;
+	flt_target_drop(entry);
+}
+
+void flt_put(struct flt_fleet *fleet, clk_ms now, struct flt_target *entry)
+{
+	struct flt_target *known = flt_find(fleet, entry->id);
+
+	if (known) {
+		update(fleet, known, now, entry);
+		return;
+	}
+	entry->listed = fleet->list;
+	if (entry->state != FLT_READY)
+		entry->left_at = now;
+	g_ptr_array_add(fleet->targets, entry);
+	g_hash_table_insert(fleet->by_id, entry->id, entry);
+	fleet->revision++;
+}
+
+static void drop_target(struct flt_fleet *fleet, clk_ms now,
+			struct flt_target *target)
+{
+	note_leaving(target, now, FLT_GONE);
+	g_hash_table_remove(fleet->by_id, target->id);
+	g_ptr_array_remove(fleet->targets, target);
+	fleet->revision++;
+}
+
+void flt_remove(struct flt_fleet *fleet, clk_ms now, const char *id,
+		clk_ms keep_until)
+{
+	struct flt_target *target = flt_find(fleet, id);
+
+	if (!target)
+		return;
+	if (keep_until <= now)
+		drop_target(fleet, now, target);
+	else if (!target->removed_at)
+		target->removed_at = keep_until;
+}
+
+void flt_list_begin(struct flt_fleet *fleet)
+{
+	fleet->list++;
+}
+
+void flt_list_end(struct flt_fleet *fleet, clk_ms now, clk_ms keep_until)
+{
+	guint i = fleet->targets->len;
+
+	while (i-- > 0) {
+		struct flt_target *target = fleet->targets->pdata[i];
+
+		if (target->listed != fleet->list)
+			flt_remove(fleet, now, target->id, keep_until);
+	}
+}
+
+void flt_expire(struct flt_fleet *fleet, clk_ms now)
+{
+	guint i = fleet->targets->len;
+
+	while (i-- > 0) {
+		struct flt_target *target = fleet->targets->pdata[i];
+
+		if (target->removed_at && target->removed_at <= now)
+			drop_target(fleet, now, target);
+	}
+}
+
+struct flt_target *flt_find(const struct flt_fleet *fleet, const char *id)
+{
+	return g_hash_table_lookup(fleet->by_id, id);
+}
+
+struct flt_target *flt_find_address(const struct flt_fleet *fleet,
+				    const char *address)
+{
+	guint i;
+
+	for (i = 0; i < fleet->targets->len; i++) {
+		struct flt_target *target = fleet->targets->pdata[i];
+
+		if (!strcmp(target->address, address))
+			return target;
+	}
+	return NULL;
+}
+
+uint64_t flt_revision(const struct flt_fleet *fleet)
+{
+	return fleet->revision;
+}
+
+const GPtrArray *flt_targets(const struct flt_fleet *fleet)
+{
+	return fleet->targets;
+}
+
+bool flt_may_send(const struct flt_target *target, clk_ms now)
+{
+	if (target->state == FLT_READY)
+		return true;
+	return target->state == FLT_DRAINING &&
+	       now - target->left_at < DRAINING_USE_MS;
+}
+
+void flt_note_answer(struct flt_target *target, clk_ms now, clk_ms took)
+{
+	double sample = (double)took;
+
+	(void)now;
+	target->failures = 0;
+	target->avoid_until = 0;
+	if (target->answer_ms <= 0)
+		target->answer_ms = sample;
+	else
+		target->answer_ms += ANSWER_MS_WEIGHT *
+				     (sample - target->answer_ms);
+}
+
+void flt_note_failure(struct flt_target *target, clk_ms now)
+{
+	unsigned doublings = MIN(target->failures, MAX_AVOID_DOUBLINGS);
+
+	target->failures++;
+	target->avoid_until = MAX(target->avoid_until,
+				  now + (FAILURE_AVOID_MS << doublings));
+}
+
+void flt_note_down(struct flt_target *target, clk_ms now)
+{
+	target->failures++;
+	target->avoid_until = now + DOWN_AVOID_MS;
+}
+
+static bool contains(const GPtrArray *targets, const struct flt_target *target)
+{
+	guint i;
+
+	for (i = 0; targets && i < targets->len; i++) {
+		if (targets->pdata[i] == target)
+			return true;
+	}
+	return false;
+}
+
+static double choice_cost(const struct flt_target *target, clk_ms now,
+			  const char *data_center)
+{
+	double answer = target->answer_ms > 0 ? target->answer_ms
+					      : UNKNOWN_ANSWER_MS;
+	double cost = answer * (1.0 + target->in_flight);
+
+	if (strcmp(target->data_center, data_center) != 0)
+		cost += OTHER_DATA_CENTER_MS;
+	if (target->state == FLT_DRAINING)
+		cost += DRAINING_COST_MS;
+	if (now < target->avoid_until)
+		cost += AVOIDED_COST_MS;
+	return cost;
+}
+
+struct flt_target *flt_choose(struct flt_fleet *fleet, clk_ms now,
+			      const char *service, const char *data_center,
+			      const GPtrArray *tried, uint32_t draw)
+{
+	struct flt_target *best = NULL;
+	double best_cost = 0;
+	guint n = fleet->targets->len;
+	guint i;
+
+	for (i = 0; i < n; i++) {
+		/* The drawn start spreads choices of equal cost. */
+		struct flt_target *target =
+			fleet->targets->pdata[(i + draw) % n];
+		double cost;
+
+		if (strcmp(target->service, service) != 0 ||
+		    !flt_may_send(target, now) || contains(tried, target))
+			continue;
+		cost = choice_cost(target, now, data_center);
+		if (best && cost >= best_cost)
+			continue;
+		best = target;
+		best_cost = cost;
+	}
+	return best;
+}
--- /dev/null
+++ b/src/schema/sch_edge.c
@@ -0,0 +1,70 @@
+#include <wagtailferry/schema.h>
+
+#define RANGE(name, min, max)                                              \
+	{                                                                  \
+		&wf__edge_settings__descriptor, name, min, max, NULL, NULL \
+	}
+#define ADDRESS(name)                                              \
+	{                                                          \
+		&wf__edge_settings__descriptor, name, 0, UINT64_MAX, \
+			sch_is_address, "an address IP:port"       \
+	}
+#define ID(name)                                                       \
+	{                                                              \
+		&wf__edge_settings__descriptor, name, 0, UINT64_MAX,   \
+			sch_is_id,                                     \
+			"1 to 128 of letters, digits, '.', '_', '-'"   \
+	}
+/* Below, an instance would refuse requests between two polls of the store. */
+#define MIN_KEY_REMOVAL_MS 1000
+#define MIN_DESCRIPTORS 256
+#define MIN_MEMORY_MB 32
+
+static const struct sch_rule rules[] = {
+	ID("instance"),
+	ID("data_center"),
+	ADDRESS("caller_address"),
+	ADDRESS("ready_address"),
+	ADDRESS("store_address"),
+	RANGE("key_removal_ms", MIN_KEY_REMOVAL_MS, CLK_HOUR),
+	RANGE("drain_limit_ms", 0, CLK_HOUR),
+	RANGE("retry_slack", 0, UINT32_MAX),
+	RANGE("retry_window_ms", CLK_SECOND, CLK_HOUR),
+	RANGE("max_descriptors", MIN_DESCRIPTORS, UINT32_MAX),
+	RANGE("memory_mb", MIN_MEMORY_MB, UINT32_MAX),
+	RANGE("engine_stall_ms", 1, CLK_HOUR),
+	RANGE("log_lines_per_second", 0, UINT32_MAX),
+};
+
+Wf__EdgeSettings *sch_edge_settings_parse(const char *text, size_t len,
+					  GError **error)
+{
+	return (Wf__EdgeSettings *)sch_load_json(
+		&wf__edge_settings__descriptor, text, len, rules,
+		G_N_ELEMENTS(rules), error);
+}
+
+Wf__EdgeSettings *sch_edge_settings_read(const char *path, GError **error)
+{
+	Wf__EdgeSettings *settings;
+	GError *problem = NULL;
+	char *text;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, &problem)) {
+		g_set_error(error, ERR_DOMAIN, ERR_IO, "%s", problem->message);
+		g_error_free(problem);
+		return NULL;
+	}
+	settings = sch_edge_settings_parse(text, len, error);
+	if (!settings)
+		g_prefix_error(error, "%s: ", path);
+	g_free(text);
+	return settings;
+}
+
+void sch_edge_settings_free(Wf__EdgeSettings *settings)
+{
+	if (settings)
+		wf__edge_settings__free_unpacked(settings, NULL);
+}
--- a/src/schema/sch_json.c
+++ b/src/schema/sch_json.c
@@ -74,6 +74,14 @@
 	return false;
 }
 
+static bool load_number(struct loader *loader, json_t *value, double *out)
+{
+	if (!json_is_number(value) || json_number_value(value) < 0)
+		return refuse_expected(loader, "a number of 0 or more");
+	*out = json_number_value(value);
+	return true;
+}
+
 static bool load_string(struct loader *loader, json_t *value,
 			const struct sch_rule *rule, char **out)
 {
@@ -126,6 +134,8 @@
 			return false;
 		*(uint32_t *)out = (uint32_t)number;
 		return true;
+	case PROTOBUF_C_TYPE_DOUBLE:
+		return load_number(loader, value, out);
 	case PROTOBUF_C_TYPE_BOOL:
 		if (!json_is_boolean(value))
 			return refuse_expected(loader, "true or false");
@@ -153,6 +163,8 @@
 		return sizeof(uint32_t);
 	case PROTOBUF_C_TYPE_BOOL:
 		return sizeof(protobuf_c_boolean);
+	case PROTOBUF_C_TYPE_DOUBLE:
+		return sizeof(double);
 	case PROTOBUF_C_TYPE_ENUM:
 		return sizeof(int);
 	default:
--- a/src/schema/sch_settings.c
+++ b/src/schema/sch_settings.c
@@ -62,7 +62,7 @@
 	return parse_port(port_text, port);
 }
 
-static bool is_address(const char *text)
+bool sch_is_address(const char *text)
 {
 	char host[INET6_ADDRSTRLEN];
 	uint16_t port;
@@ -70,7 +70,7 @@
 	return sch_split_address(text, host, sizeof(host), &port);
 }
 
-static bool is_id(const char *text)
+bool sch_is_id(const char *text)
 {
 	const char *c;
 
@@ -104,12 +104,12 @@
 
 #define ID_RULE(type, name)                                            \
 	{                                                              \
-		&wf__##type##__descriptor, name, 0, UINT64_MAX, is_id, \
+		&wf__##type##__descriptor, name, 0, UINT64_MAX, sch_is_id, \
 			"1 to 128 of letters, digits, '.', '_', '-'"   \
 	}
 #define ADDRESS_RULE(name, min, max)                                   \
 	{                                                              \
-		&wf__settings__descriptor, name, min, max, is_address, \
+		&wf__settings__descriptor, name, min, max, sch_is_address, \
 			"an address IP:port"                           \
 	}
 #define CURVE_RULE(type, name)                                                \
