See resets behind an end, and keep lapsed entries only after an outage

Cause 1 (MIXED): an answer without a length whose connection was reset was taken as whole, because the end is read before the reset. SO_ERROR tells. Cause 2 (DRAIN): once the store had been away, every later removal of a target was delayed by 2.2 s; the span now starts when the store returns.

--- a/src/edge/hup.c
+++ b/src/edge/hup.c
@@ -1,6 +1,7 @@
 #include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "edge/hup.h"
 #include "edge/net.h"
@@ -313,6 +314,21 @@
 	*buffer = uv_buf_init(conn->client->buffer, READ_BYTES);
 }
 
+/*
+ * An answer without a length ends with its connection. One that was reset is
+ * not whole, also where the end was read before the reset was.
+ */
+static bool was_reset(const struct conn *conn)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd))
+		return true;
+	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) || error;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buffer)
 {
 	struct conn *conn = stream->data;
@@ -328,7 +344,7 @@
 		parse(conn, buffer->base, (size_t)n);
 		return;
 	}
-	if (n == UV_EOF)
+	if (n == UV_EOF && !was_reset(conn))
 		parse(conn, "", 0);
 	if (!conn->is_closing && conn->exchange)
 		finish(conn, HUP_BROKEN);
--- a/src/edge/syn.c
+++ b/src/edge/syn.c
@@ -23,7 +23,6 @@
 	clk_ms asked_wait;
 	clk_ms last_good;
 	unsigned failures;
-	clk_ms outage;
 };
 
 static void ask_list(struct syn_sync *sync, const char *after)
@@ -71,14 +70,16 @@
 		       0);
 }
 
-static void note_good(struct syn_sync *sync)
+void syn_note_answer(struct syn_sync *sync)
 {
 	clk_ms now = sync->now(sync->user);
+	bool recovered = sync->failures > 0;
+	clk_ms outage = now - sync->last_good;
 
-	if (sync->failures)
-		sync->outage = now - sync->last_good;
 	sync->failures = 0;
 	sync->last_good = now;
+	if (recovered)
+		sync->ops->recovered(sync->user, outage);
 }
 
 struct syn_sync *syn_new(uv_loop_t *loop, clk_ms (*now)(void *user),
@@ -119,7 +120,6 @@
 		ask_later(sync);
 		return;
 	}
-	note_good(sync);
 	/* Changes during the list are watched from its first page on. */
 	if (!sync->revision)
 		sync->revision = revision;
@@ -128,9 +128,8 @@
 		return;
 	}
 	sync->has_list = true;
-	sync->ops->end(sync->user, sync->outage);
+	sync->ops->end(sync->user);
 	sync->ops->confirm(sync->user, sync->asked_at);
-	sync->outage = 0;
 	ask(sync);
 }
 
@@ -150,17 +149,9 @@
 		ask_later(sync);
 		return;
 	}
-	note_good(sync);
 	sync->revision = MAX(sync->revision, revision);
 	if (!has_events && held >= sync->asked_wait)
 		confirmed += MAX(sync->asked_wait - HOLD_MARGIN_MS, 0);
 	sync->ops->confirm(sync->user, confirmed);
 	ask(sync);
 }
-
-clk_ms syn_outage(const struct syn_sync *sync)
-{
-	if (!sync->failures)
-		return sync->outage;
-	return sync->now(sync->user) - sync->last_good;
-}
--- a/src/edge/syn.h
+++ b/src/edge/syn.h
@@ -26,9 +26,11 @@
 	void (*begin)(void *user);
 	/* Asks for the page after a name; NULL for the first. */
 	void (*ask_list)(void *user, const char *after);
-	/* The list is complete. outage is how long the store gave no answer
-	 * before. */
-	void (*end)(void *user, clk_ms outage);
+	/* The list is complete. */
+	void (*end)(void *user);
+	/* The store answers again after it gave no answer for so long. Called
+	 * before objects of the answer are applied. */
+	void (*recovered)(void *user, clk_ms outage);
 	/* Asks for changes since a revision; the store may hold the answer
 	 * for wait. Fails by itself at timeout. */
 	void (*ask_watch)(void *user, int64_t revision, clk_ms wait,
@@ -51,7 +53,7 @@
 void syn_on_watch(struct syn_sync *sync, enum syn_result result,
 		  int64_t revision, bool has_events);
 
-/* For how long the store has given no good answer; 0 while it does. */
-clk_ms syn_outage(const struct syn_sync *sync);
+/* A good answer has arrived; call it before its objects are applied. */
+void syn_note_answer(struct syn_sync *sync);
 
 #endif
