Repair layers on evidence of loss and tell full engines from lost ones

Cause: a refusal that names an engine without room was taken for its loss, so all instances left its data centre for five seconds and overloaded the others; and a lost engine was replaced only after its list entry lapsed, 3.6 s later. Evidence from stalled paths now counts for the plan, and the duty passes to whoever has it.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -57,6 +57,8 @@
 	double answer_ms;
 	/* Not chosen before this time if another target can be. */
 	clk_ms avoid_until;
+	/* Taken for lost until this time: what it holds does not count. */
+	clk_ms down_until;
 	/* Failures since the last success. */
 	unsigned failures;
 	/* Layers that it was last ordered to hold and until when that counts
@@ -116,6 +118,8 @@
 void flt_note_failure(struct flt_target *target, clk_ms now);
 /* The target is known to be down: avoid it for a span. */
 void flt_note_down(struct flt_target *target, clk_ms now);
+/* The target has no room at present. */
+void flt_note_full(struct flt_target *target, clk_ms now);
 
 /*
  * Chooses a target of a plain service: by own load and time of an answer,
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -11,6 +11,9 @@
  * path, which the limit does not count. */
 #define MAX_LOST_PATHS 3
 
+/* A refusal within this time is one for want of room. */
+#define FULL_ANSWER_MS 1000
+
 static void send_next(struct edg_request *request);
 
 static bool is_stream_answer(const struct edg_request *request)
@@ -116,20 +119,26 @@
 	hsv_abort(http);
 }
 
-/* Finds whom the failure speaks against. */
+/*
+ * Finds whom the failure speaks against. An engine that is full or leaves
+ * makes the head refuse at once; one that is lost, only after its stall.
+ */
 static void note_failure(struct edg_request *request, enum edg_outcome outcome)
 {
 	struct edg_edge *edge = request->edge;
 	clk_ms now = edg_now(edge);
 	struct flt_target *failed = request->target;
 
-	if (request->failed_address) {
+	if (request->failed_address)
 		failed = flt_find_address(edge->fleet, request->failed_address);
-		if (failed)
-			flt_note_down(failed, now);
+	if (!failed)
 		return;
-	}
-	if (outcome == EDG_OUTCOME_NOT_SENT || outcome == EDG_OUTCOME_UNKNOWN)
+	if (outcome == EDG_OUTCOME_NOT_RUN &&
+	    now - request->sent_at < FULL_ANSWER_MS)
+		flt_note_full(failed, now);
+	else if (request->failed_address)
+		flt_note_down(failed, now);
+	else if (outcome != EDG_OUTCOME_FAILED)
 		flt_note_failure(failed, now);
 }
 
--- a/src/edge/ord.c
+++ b/src/edge/ord.c
@@ -11,7 +11,7 @@
  */
 
 #define CHECK_INTERVAL_MS 100
-/* Lists may still grow just after a start. */
+/* While no engine holds layers, the list may still grow after a start. */
 #define SETTLE_MS 300
 /* An order that was taken shows in the list after its load and about one
  * heartbeat. */
@@ -20,7 +20,7 @@
 #define UNKNOWN_ORDER_MS 1500
 #define REFUSED_ORDER_MS 600
 /* Others wait so long, and up to as much again by chance, for the holder. */
-#define TAKEOVER_MS 1000
+#define TAKEOVER_MS 300
 /* At the first start nobody holds the duty. */
 #define FIRST_CLAIM_MS 150
 
@@ -416,6 +416,20 @@
 	return is_empty;
 }
 
+static bool holds_layers(const struct flt_fleet *fleet)
+{
+	const GPtrArray *targets = flt_targets(fleet);
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+
+		if (target->holds.first < target->holds.end)
+			return true;
+	}
+	return false;
+}
+
 static void check(struct ord_orders *orders)
 {
 	clk_ms now = edg_now(orders->edge);
@@ -425,8 +439,10 @@
 		orders->seen_revision = revision;
 		orders->changed_at = now;
 	}
-	if (orders->is_asking || orders->edge->is_draining ||
-	    now - orders->changed_at < SETTLE_MS)
+	if (orders->is_asking || orders->edge->is_draining)
+		return;
+	if (now - orders->changed_at < SETTLE_MS &&
+	    !holds_layers(orders->edge->fleet))
 		return;
 	if (is_plan_empty(orders)) {
 		orders->needed_since = 0;
--- a/src/forward/flt.c
+++ b/src/forward/flt.c
@@ -12,7 +12,10 @@
 #define DOWN_AVOID_MS 5000
 /* Targets may finish what reaches them shortly after they announce their
  * leaving; requests are sent to them only where no other target is left. */
-#define DRAINING_USE_MS 1000
+#define DRAINING_USE_MS 1500
+/* A target that refused for want of room is avoided for this span, in which
+ * about a tenth of its requests end. */
+#define FULL_AVOID_MS 200
 /* Extra cost of a target in another data centre, in ms. */
 #define OTHER_DATA_CENTER_MS 3.0
 /* Assumed time of an answer where none was seen, in ms. */
@@ -103,6 +106,7 @@
 {
 	target->answer_ms = 0;
 	target->avoid_until = 0;
+	target->down_until = 0;
 	target->failures = 0;
 	target->ordered_until = 0;
 	target->state = FLT_READY;
@@ -169,7 +173,7 @@
 
 	if (!target)
 		return;
-	if (keep_until <= now)
+	if (keep_until <= now || now < target->down_until)
 		drop_target(fleet, now, target);
 	else if (!target->removed_at)
 		target->removed_at = keep_until;
@@ -248,6 +252,7 @@
 	(void)now;
 	target->failures = 0;
 	target->avoid_until = 0;
+	target->down_until = 0;
 	if (target->answer_ms <= 0)
 		target->answer_ms = sample;
 	else
@@ -268,6 +273,12 @@
 {
 	target->failures++;
 	target->avoid_until = now + DOWN_AVOID_MS;
+	target->down_until = now + DOWN_AVOID_MS;
+}
+
+void flt_note_full(struct flt_target *target, clk_ms now)
+{
+	target->avoid_until = MAX(target->avoid_until, now + FULL_AVOID_MS);
 }
 
 static bool contains(const GPtrArray *targets, const struct flt_target *target)
--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -323,7 +323,7 @@
 }
 
 /* Engines that can be ordered to hold layers, by data centre. */
-static GHashTable *group_engines(const struct flt_fleet *fleet,
+static GHashTable *group_engines(const struct flt_fleet *fleet, clk_ms now,
 				 const struct cat_service *service)
 {
 	GHashTable *groups = g_hash_table_new_full(
@@ -336,7 +336,7 @@
 		struct flt_target *target = targets->pdata[i];
 		GPtrArray *group;
 
-		if (target->state != FLT_READY ||
+		if (target->state != FLT_READY || now < target->down_until ||
 		    strcmp(target->service, service->name) != 0 ||
 		    !cat_find_accelerator(service->engine,
 					  target->accelerator))
@@ -388,7 +388,7 @@
 		g_ptr_array_unref(small);
 		return changes;
 	}
-	groups = group_engines(fleet, service);
+	groups = group_engines(fleet, now, service);
 	names = g_list_sort(g_hash_table_get_keys(groups),
 			    (GCompareFunc)strcmp);
 	for (name = names; name; name = name->next) {
