--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -8,7 +8,7 @@
  * leaves fewer engines for copies: of the time that a request takes, a copy
  * serves this many at once before it is slowed by lack of memory.
  */
-#define REQUESTS_PER_COPY 100
+#define REQUESTS_PER_COPY 140
 /* Steps down to what a small fleet can do. */
 #define MIN_REQUESTS_PER_COPY 4
 
