--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -23,6 +23,13 @@
 	unsigned end;
 };
 
+/* What instances use of a target. */
+struct flt_load {
+	unsigned in_flight;
+	unsigned on_path;
+	double token_layers;
+};
+
 /*
  * A target of a service. Fields up to holds are what the platform lists; the
  * others are what this instance knows by itself. Reference-counted.
@@ -30,6 +37,8 @@
 struct flt_target {
 	int refs;
 	char *id;
+	/* Names it in load reports. */
+	uint64_t id_hash;
 	char *service;
 	char *address;
 	char *data_center;
@@ -53,6 +62,8 @@
 	unsigned on_path;
 	/* Tokens of own requests times layers that they use here. */
 	double used_token_layers;
+	/* The same of other instances, as far as they have reported it. */
+	struct flt_load others;
 	/* Mean time of an answer, in ms; 0 before the first. */
 	double answer_ms;
 	/* Not chosen before this time if another target can be. */
@@ -107,6 +118,9 @@
 /* Changes whenever the platform's knowledge of a target does. */
 uint64_t flt_revision(const struct flt_fleet *fleet);
 
+/* The target whose id has a hash (wf_hash() with seed 0), or NULL. Borrowed. */
+struct flt_target *flt_find_hash(const struct flt_fleet *fleet, uint64_t hash);
+
 /* All targets, of struct flt_target pointers. Borrowed. */
 const GPtrArray *flt_targets(const struct flt_fleet *fleet);
 
@@ -157,16 +171,27 @@
 	PTH_NO_ROOM,
 };
 
+/* What a path is for. */
+struct pth_query {
+	const struct cat_engine *engine;
+	const char *service;
+	/* Of the instance that asks. */
+	const char *data_center;
+	/* Tokens that the request will have in the end. */
+	double tokens;
+	/* The new path replaces this one, whose head and its layers it keeps;
+	 * NULL for a new request. */
+	const struct pth_path *present;
+};
+
 /*
- * Finds the path with the lowest expected cost for a request of so many
- * tokens. The stages of a path are in one data centre unless none has all
- * layers. instances is the number of entry instances that share the engines,
- * 1 at least. On PTH_FOUND *out is to be freed with pth_free().
+ * Finds the path with the lowest expected cost. It stays in one data centre
+ * where one has room and no doubtful engine. rand spreads requests over paths
+ * of about equal cost. On PTH_FOUND *out is to be freed with pth_free().
  */
 enum pth_result pth_find(struct flt_fleet *fleet, clk_ms now,
-			 const struct cat_engine *engine, const char *service,
-			 const char *data_center, double tokens,
-			 unsigned instances, struct pth_path **out);
+			 const struct pth_query *query, GRand *rand,
+			 struct pth_path **out);
 
 void pth_free(struct pth_path *path);
 
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -16,9 +16,17 @@
 #define DRAIN_LISTEN_MS 2800
 /* Streams that still run are broken off this long before the kill. */
 #define DRAIN_MARGIN_MS 600
-/* Part of the fleet's budget for repeats that one instance may use: as many
- * instances as may be in force are assumed to share it. */
-#define BUDGET_SHARERS 5
+/* Instances that share the budget for repeats, before their number is known. */
+#define ASSUMED_INSTANCES 24
+/* Part of the budget that is used: instances join before others know it. */
+#define BUDGET_PART 0.85
+/* A process that starts anew has a part of its budget at once; its
+ * predecessor may have used the whole. */
+#define FIRST_BUDGET_PART 0.25
+/* When peers are listed after the start, and how often later. */
+#define FIRST_PEER_LIST_MS 1500
+#define SECOND_PEER_LIST_MS 4000
+#define PEER_LIST_INTERVAL_MS 15000
 
 clk_ms edg_now(const struct edg_edge *edge)
 {
@@ -189,7 +197,7 @@
 		    (clk_ms)settings->key_removal_ms / 2);
 	edge->drain_limit = (clk_ms)settings->drain_limit_ms;
 	edge->retry_part = settings->retry_part;
-	edge->retry_slack = (double)settings->retry_slack / BUDGET_SHARERS;
+	edge->retry_slack = (double)settings->retry_slack;
 	edge->log_limit = (unsigned)settings->log_lines_per_second;
 	g_hash_table_remove_all(edge->budgets);
 }
@@ -211,6 +219,79 @@
 	};
 }
 
+static clk_ms peers_now(void *user)
+{
+	return edg_now(user);
+}
+
+static bool open_peers(struct edg_edge *edge, GError **error)
+{
+	struct prs_config config = {
+		.loop = edge->loop,
+		.fleet = edge->fleet,
+		.instance = edge->instance,
+		.data_center = edge->data_center,
+		.address = edge->peer_address,
+		.now = peers_now,
+		.user = edge,
+		.counters = edge->counters,
+	};
+
+	edge->peers = prs_new(&config, error);
+	return edge->peers != NULL;
+}
+
+static void on_peer(void *user, const struct edg_peer *peer)
+{
+	struct edg_edge *edge = user;
+
+	prs_add(edge->peers, peer->instance, peer->data_center, peer->address);
+}
+
+static void on_peer_timer(uv_timer_t *timer)
+{
+	struct edg_edge *edge = timer->data;
+	bool is_first = !edge->peer_lists++;
+
+	edge->platform->ops->list_peers(edge->platform, !is_first, on_peer,
+					edge);
+	uv_timer_start(timer, on_peer_timer,
+		       is_first ? SECOND_PEER_LIST_MS : PEER_LIST_INTERVAL_MS,
+		       0);
+}
+
+void edg_start(struct edg_edge *edge)
+{
+	struct edg_peer self = {edge->instance, edge->data_center,
+				edge->peer_address};
+
+	edge->platform->ops->announce(edge->platform, &self);
+	uv_timer_start(&edge->peer_timer, on_peer_timer, FIRST_PEER_LIST_MS, 0);
+}
+
+/* The instances that share the fleet's budget. */
+static unsigned sharers(const struct edg_edge *edge)
+{
+	unsigned known = prs_instances(edge->peers);
+
+	return edge->peer_lists > 1 ? known : MAX(known, ASSUMED_INSTANCES);
+}
+
+struct rty_budget *edg_budget(struct edg_edge *edge, const char *service)
+{
+	struct rty_budget *budget = g_hash_table_lookup(edge->budgets, service);
+	double burst = BUDGET_PART * edge->retry_slack / sharers(edge);
+
+	if (!budget) {
+		budget = g_new0(struct rty_budget, 1);
+		rty_init(budget, BUDGET_PART * edge->retry_part, burst);
+		budget->tokens = FIRST_BUDGET_PART * burst;
+		g_hash_table_insert(edge->budgets, g_strdup(service), budget);
+	}
+	budget->burst = burst;
+	return budget;
+}
+
 struct edg_edge *edg_new(const struct edg_config *config, GError **error)
 {
 	const Wf__EdgeSettings *settings = config->settings;
@@ -240,20 +321,28 @@
 				&caller_ops, edge);
 	edge->readiness = hsv_new(edge->loop, &edge->limits, edge->counters,
 				  &operator_ops, edge);
+	edge->peer_address = g_strdup(settings->peer_address);
 	uv_timer_init(edge->loop, &edge->drain_timer);
+	uv_timer_init(edge->loop, &edge->peer_timer);
 	edge->drain_timer.data = edge;
+	edge->peer_timer.data = edge;
+	edge->handles = 2;
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->callers, settings->caller_address, error) &&
-	    hsv_listen(edge->readiness, settings->ready_address, error))
+	    hsv_listen(edge->readiness, settings->ready_address, error) &&
+	    open_peers(edge, error))
 		return edge;
 	edg_drop(edge);
 	return NULL;
 }
 
-static void on_drain_timer_closed(uv_handle_t *handle)
+static void on_timer_closed(uv_handle_t *handle)
 {
 	struct edg_edge *edge = handle->data;
 
+	if (--edge->handles)
+		return;
+
 	g_hash_table_unref(edge->budgets);
 	g_hash_table_unref(edge->requests);
 	flt_drop(edge->fleet);
@@ -263,6 +352,7 @@
 	log_drop(edge->log);
 	g_free(edge->instance);
 	g_free(edge->data_center);
+	g_free(edge->peer_address);
 	g_free(edge);
 }
 
@@ -292,7 +382,9 @@
 	hsv_drop(edge->callers);
 	hsv_drop(edge->readiness);
 	hup_drop(edge->client);
-	uv_close((uv_handle_t *)&edge->drain_timer, on_drain_timer_closed);
+	prs_drop(edge->peers);
+	uv_close((uv_handle_t *)&edge->drain_timer, on_timer_closed);
+	uv_close((uv_handle_t *)&edge->peer_timer, on_timer_closed);
 }
 
 static void finish_drain(struct edg_edge *edge)
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -116,6 +116,17 @@
 typedef void (*edg_duty_fn)(void *user, enum edg_duty_result result,
 			    const struct edg_duty *duty);
 
+/* An instance as it announces itself. */
+struct edg_peer {
+	const char *instance;
+	const char *data_center;
+	/* "IP:port" for reports of load. */
+	const char *address;
+};
+
+/* Called for each peer. */
+typedef void (*edg_peer_fn)(void *user, const struct edg_peer *peer);
+
 /* What the edge asks of a platform. Each call answers once, from the loop. */
 struct edg_platform_ops {
 	/* The path as a header value; to be freed. */
@@ -128,6 +139,19 @@
 			     const struct flt_target *target,
 			     struct flt_range range, uint64_t accepted_orders,
 			     uint64_t fence, edg_order_fn fn, void *user);
+	/* Lets a running request go on over another path with the same head;
+	 * the id is that of the caller's attempt. */
+	void (*reroute)(struct edg_platform *platform,
+			const struct flt_target *head, const char *id,
+			const struct pth_path *path, edg_order_fn fn,
+			void *user);
+	/* Writes where this instance receives peers' reports. */
+	void (*announce)(struct edg_platform *platform,
+			 const struct edg_peer *self);
+	/* Lists all instances that have announced themselves. A cheap list
+	 * may be some seconds old. */
+	void (*list_peers)(struct edg_platform *platform, bool cheap,
+			   edg_peer_fn fn, void *user);
 	void (*read_duty)(struct edg_platform *platform, edg_duty_fn fn,
 			  void *user);
 	/* Replaces the record if it still has duty's revision. */
@@ -173,6 +197,9 @@
 /* The fleet is complete for the first time, or has changed. */
 void edg_fleet_changed(struct edg_edge *edge);
 
+/* The platform can be called: instances announce themselves. */
+void edg_start(struct edg_edge *edge);
+
 /* Takes over a version of the catalog; an older one than the present is
  * dropped with a log line. */
 void edg_set_catalog(struct edg_edge *edge, struct cat_catalog *catalog);
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -133,6 +133,8 @@
 	else if (request->target)
 		request->target->in_flight--;
 	request->path = NULL;
+	pth_free(request->next_path);
+	request->next_path = NULL;
 	flt_target_drop(request->target);
 	request->target = NULL;
 }
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -7,6 +7,7 @@
 #include "edge/edg.h"
 #include "edge/evs.h"
 #include "edge/hsv.h"
+#include "edge/prs.h"
 
 struct ord_orders;
 
@@ -41,6 +42,11 @@
 	double retry_slack;
 
 	struct ord_orders *orders;
+	struct prs_peers *peers;
+	char *peer_address;
+	uv_timer_t peer_timer;
+	unsigned peer_lists;
+	int handles;
 
 	/* Requests that are not answered yet, of struct edg_request. */
 	GHashTable *requests;
@@ -101,7 +107,9 @@
 	bool has_begun;
 	clk_ms last_event_at;
 	uv_timer_t pause_timer;
-	bool asks_report;
+	/* A new path for the running request, until its head has taken it. */
+	struct pth_path *next_path;
+	unsigned reroutes;
 	unsigned handles;
 	bool is_freed;
 };
@@ -154,8 +162,9 @@
 /* edg_stream.c */
 void edg_start_stream(struct edg_request *request);
 
-/* Continues a stream on another path, or gives it up. */
-void edg_resume(struct edg_request *request, const char *why);
+/* Lets a request whose path has lost an engine go on over another path: its
+ * head changes the path, or another head continues after the last event. */
+void edg_move(struct edg_request *request, const char *why);
 
 /* stl.c */
 /* Asks the head of the request's path if it is silent for too long. */
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -105,18 +105,6 @@
 	return request->deadline - edg_now(request->edge);
 }
 
-struct rty_budget *edg_budget(struct edg_edge *edge, const char *service)
-{
-	struct rty_budget *budget = g_hash_table_lookup(edge->budgets, service);
-
-	if (budget)
-		return budget;
-	budget = g_new0(struct rty_budget, 1);
-	rty_init(budget, edge->retry_part, edge->retry_slack);
-	g_hash_table_insert(edge->budgets, g_strdup(service), budget);
-	return budget;
-}
-
 static void on_deadline(uv_timer_t *timer)
 {
 	struct edg_request *request = timer->data;
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -10,6 +10,8 @@
 /* Sends beyond the route's limit, each after the loss of an engine on the
  * path, which the limit does not count. */
 #define MAX_LOST_PATHS 3
+/* A request changes its path so often at most. */
+#define MAX_REROUTES 4
 
 /* A refusal within this time is one for want of room. */
 #define FULL_ANSWER_MS 1000
@@ -156,7 +158,7 @@
 	return rty_take(edg_budget(request->edge, request->service->name));
 }
 
-void edg_resume(struct edg_request *request, const char *why)
+static void resume(struct edg_request *request, const char *why)
 {
 	edg_log(request->edge, "send", request->id, "resumed",
 		"reason=%s head=%s after_event=%s send=%u", why,
@@ -208,18 +210,29 @@
 
 static const struct hup_ops ops = {on_head, on_data, on_end};
 
+static struct pth_query make_query(const struct edg_request *request)
+{
+	struct pth_query query = {
+		.engine = request->service->engine,
+		.service = request->service->name,
+		.data_center = request->edge->data_center,
+		.tokens = request->prompt_tokens + request->answer_tokens,
+	};
+
+	return query;
+}
+
 static bool find_path(struct edg_request *request)
 {
 	struct edg_edge *edge = request->edge;
-	double tokens = request->prompt_tokens + request->answer_tokens;
+	struct pth_query query = make_query(request);
 	struct pth_path *path;
 	enum pth_result result;
 
-	result = pth_find(edge->fleet, edg_now(edge), request->service->engine,
-			  request->service->name, edge->data_center, tokens, 1,
+	result = pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
 			  &path);
 	if (result == PTH_FOUND) {
-		pth_reserve(path, tokens);
+		pth_reserve(path, query.tokens);
 		request->path = path;
 		request->target = flt_target_keep(pth_head(path));
 		return true;
@@ -285,3 +298,79 @@
 	read_tokens(request);
 	send_next(request);
 }
+
+/* A running request whose head was asked to use another path. */
+struct reroute {
+	struct edg_edge *edge;
+	/* Identifies the send: the request may have ended or been sent anew. */
+	struct edg_request *request;
+	struct hup_exchange *exchange;
+};
+
+static bool is_current(const struct reroute *reroute)
+{
+	struct edg_request *request = reroute->request;
+
+	return g_hash_table_contains(reroute->edge->requests, request) &&
+	       request->next_path && request->exchange == reroute->exchange;
+}
+
+static void on_rerouted(void *user, enum edg_order_result result)
+{
+	struct reroute *reroute = user;
+	struct edg_request *request = reroute->request;
+	struct pth_path *path;
+
+	if (is_current(reroute)) {
+		path = request->next_path;
+		request->next_path = NULL;
+		edg_log(request->edge, "send", request->id,
+			result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
+			"head=%s result=%d after_event=%s", request->target->id,
+			(int)result, request->events.last_id->str);
+		if (result == EDG_ORDER_TAKEN) {
+			double tokens = request->path->tokens;
+
+			pth_free(request->path);
+			request->path = path;
+			pth_reserve(path, tokens);
+			request->last_event_at = edg_now(request->edge);
+		} else {
+			pth_free(path);
+			resume(request, "reroute_failed");
+		}
+	}
+	g_free(reroute);
+}
+
+/* Keeps what the other engines have computed, and needs no repeat. */
+static bool reroute(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct pth_query query = make_query(request);
+	struct reroute *reroute;
+
+	query.present = request->path;
+	if (request->reroutes >= MAX_REROUTES ||
+	    edg_now(edge) < request->target->down_until ||
+	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
+		     &request->next_path) != PTH_FOUND)
+		return false;
+	request->reroutes++;
+	reroute = g_new0(struct reroute, 1);
+	reroute->edge = edge;
+	reroute->request = request;
+	reroute->exchange = request->exchange;
+	edge->platform->ops->reroute(edge->platform, request->target,
+				     request->id, request->next_path,
+				     on_rerouted, reroute);
+	return true;
+}
+
+void edg_move(struct edg_request *request, const char *why)
+{
+	if (request->next_path)
+		return;
+	if (!reroute(request))
+		resume(request, why);
+}
--- a/src/edge/stl.c
+++ b/src/edge/stl.c
@@ -37,8 +37,8 @@
 	return now - since >= expected_pause(request);
 }
 
-/* Requests may end while they are resumed, so the list is a copy. */
-static void resume_all(struct edg_edge *edge, const struct flt_target *lost,
+/* Requests may end while they are moved, so the list is a copy. */
+static void move_all(struct edg_edge *edge, const struct flt_target *lost,
 		       const char *why)
 {
 	GList *requests = g_hash_table_get_keys(edge->requests);
@@ -50,7 +50,7 @@
 
 		if (request->path && request->exchange &&
 		    pth_has(request->path, lost) && is_silent(request, now))
-			edg_resume(request, why);
+			edg_move(request, why);
 	}
 	g_list_free(requests);
 }
@@ -66,7 +66,7 @@
 	g_free(subject);
 	flt_target_keep(target);
 	flt_note_down(target, now);
-	resume_all(edge, target, why);
+	move_all(edge, target, why);
 	flt_target_drop(target);
 }
 
--- a/src/edge/syn.c
+++ b/src/edge/syn.c
@@ -2,6 +2,8 @@
 
 /* An answer may take this much longer than the watch is held. */
 #define WATCH_SLACK_MS 800
+/* After changes the next watch waits, so that one answer brings several. */
+#define BATCH_MS 150
 /* First pause after a failure; doubled up to the longest. */
 #define MIN_PAUSE_MS 80
 #define MAX_PAUSE_MS 640
@@ -153,5 +155,8 @@
 	if (!has_events && held >= sync->asked_wait)
 		confirmed += MAX(sync->asked_wait - HOLD_MARGIN_MS, 0);
 	sync->ops->confirm(sync->user, confirmed);
-	ask(sync);
+	if (has_events)
+		uv_timer_start(&sync->timer, on_timer, BATCH_MS, 0);
+	else
+		ask(sync);
 }
--- a/src/forward/flt.c
+++ b/src/forward/flt.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include <wagtailferry/core.h>
 #include <wagtailferry/fleet.h>
 
 /* Weight of the newest sample in the mean time of an answer. */
@@ -150,6 +151,7 @@
 		return;
 	}
 	entry->listed = fleet->list;
+	entry->id_hash = wf_hash(entry->id, strlen(entry->id), 0);
 	if (entry->state != FLT_READY)
 		entry->left_at = now;
 	g_ptr_array_add(fleet->targets, entry);
@@ -227,6 +229,19 @@
 	return NULL;
 }
 
+struct flt_target *flt_find_hash(const struct flt_fleet *fleet, uint64_t hash)
+{
+	guint i;
+
+	for (i = 0; i < fleet->targets->len; i++) {
+		struct flt_target *target = fleet->targets->pdata[i];
+
+		if (target->id_hash == hash)
+			return target;
+	}
+	return NULL;
+}
+
 uint64_t flt_revision(const struct flt_fleet *fleet)
 {
 	return fleet->revision;
@@ -297,7 +312,8 @@
 {
 	double answer = target->answer_ms > 0 ? target->answer_ms
 					      : UNKNOWN_ANSWER_MS;
-	double cost = answer * (1.0 + target->in_flight);
+	double cost = answer * (1.0 + target->in_flight +
+					target->others.in_flight);
 
 	if (strcmp(target->data_center, data_center) != 0)
 		cost += OTHER_DATA_CENTER_MS;
--- a/src/forward/pth.c
+++ b/src/forward/pth.c
@@ -6,13 +6,21 @@
 /* Time for activations and queueing at each further stage, in ms. */
 #define STAGE_MS 0.3
 /* Cost of leaving a data centre inside a path: the delay, and the price of
- * the traffic that every token causes there. */
-#define CROSSING_MS 5.0
+ * the activations that every token sends. */
+#define CROSSING_MS 4.0
 /* Memory that is left unused, because requests are longer than expected. */
-#define USABLE_MEMORY 0.9
+#define USABLE_MEMORY 0.92
+/* Cost of a stage at an engine whose memory is used up. It rises with the
+ * fourth power of the used part, so that paths avoid engines that fill. */
+#define MEMORY_MS 2.5
+/* Costs are raised by up to this part at random: instances that decide at
+ * the same time would all choose the same path. */
+#define SPREAD 0.15
 /* Added to the cost of engines that failed lately or leave: they serve only
  * where no other engine has the layers. */
 #define AVOIDED_MS 1000.0
+/* A stage of the present path keeps what it has computed. */
+#define KEPT_STAGE_PART 0.3
 #define MAX_BOUNDARIES 512
 #define MAX_DATA_CENTERS 64
 
@@ -26,16 +34,26 @@
 	int from_center;
 };
 
+/* An engine that may serve. */
+struct candidate {
+	struct flt_target *target;
+	/* Index of its data centre. */
+	unsigned center;
+	/* Cost of a layer without the stage's fixed part. */
+	double layer_cost;
+	double fixed_cost;
+	/* Token layers that are left. */
+	double room;
+	bool may_head;
+};
+
 struct search {
 	struct flt_fleet *fleet;
 	clk_ms now;
-	const struct cat_engine *engine;
-	double tokens;
-	unsigned instances;
-	/* Engines that may serve, of struct flt_target pointers. */
-	GPtrArray *engines;
-	/* Data centre of each engine as an index. */
-	GArray *centers;
+	const struct pth_query *query;
+	GRand *rand;
+	/* Of struct candidate. */
+	GArray *engines;
 	unsigned n_centers;
 	const char *center_names[MAX_DATA_CENTERS];
 	unsigned boundaries[MAX_BOUNDARIES];
@@ -55,7 +73,7 @@
 static void add_boundary(struct search *search, unsigned layer)
 {
 	if (search->n_boundaries < MAX_BOUNDARIES &&
-	    layer <= search->engine->layers)
+	    layer <= search->query->engine->layers)
 		search->boundaries[search->n_boundaries++] = layer;
 }
 
@@ -88,120 +106,143 @@
 	return search->n_centers++;
 }
 
-/* Collects the engines of a service, all or those of one data centre. */
-static void collect(struct search *search, const char *service,
-		    const char *data_center)
+/* Token layers that an engine has memory for beside the layers it holds. */
+static double capacity(const struct cat_engine *engine,
+		       const struct flt_target *target,
+		       const struct cat_accelerator *kind)
 {
-	const GPtrArray *targets = flt_targets(search->fleet);
-	guint i;
-
-	add_boundary(search, 0);
-	add_boundary(search, search->engine->layers);
-	for (i = 0; i < targets->len; i++) {
-		struct flt_target *target = targets->pdata[i];
-		unsigned center;
+	unsigned held = target->holds.end - target->holds.first;
+	double free_mb = kind->memory_mb - held * engine->layer_mb;
 
-		if (target->holds.first >= target->holds.end ||
-		    strcmp(target->service, service) != 0 ||
-		    !flt_may_send(target, search->now))
-			continue;
-		if (data_center && strcmp(target->data_center, data_center))
-			continue;
-		center = center_index(search, target->data_center);
-		g_ptr_array_add(search->engines, target);
-		g_array_append_val(search->centers, center);
-		add_boundary(search, target->holds.first);
-		add_boundary(search, target->holds.end);
-	}
-	sort_boundaries(search);
+	return USABLE_MEMORY * free_mb * 1e6 /
+	       (engine->token_bytes / engine->layers);
 }
 
-static double memory_tokens_layers(const struct cat_engine *engine,
-				   const struct flt_target *target)
+/* Time of a token in all layers of the model at this engine. */
+static double token_ms(const struct search *search,
+		       const struct flt_target *target, double pace)
 {
-	const struct cat_accelerator *kind =
-		cat_find_accelerator(engine, target->accelerator);
-	unsigned held = target->holds.end - target->holds.first;
-	double free_mb;
+	const struct cat_engine *engine = search->query->engine;
+	double running = 1.0 + target->on_path + target->others.on_path;
+	double context = running * search->query->tokens / 1000;
 
-	if (!kind)
-		return INFINITY;
-	free_mb = kind->memory_mb - held * engine->layer_mb;
-	return USABLE_MEMORY * free_mb * 1e6 /
-	       (engine->token_bytes / engine->layers);
+	return pace * (engine->step_ms + engine->step_ms_per_request * running +
+		       engine->step_ms_per_1k_context * context);
 }
 
-static bool has_room(const struct search *search,
-		     const struct flt_target *target, unsigned layers,
-		     bool is_head)
+static bool is_doubtful(const struct search *search,
+			const struct flt_target *target)
 {
-	double used = target->used_token_layers * search->instances;
-
-	if (search->ignore_room)
-		return true;
-	if (is_head && target->slots &&
-	    target->in_flight * search->instances >= target->slots)
-		return false;
-	return used + search->tokens * layers <=
-	       memory_tokens_layers(search->engine, target);
+	return search->now < target->avoid_until ||
+	       target->state != FLT_READY || target->removed_at;
 }
 
-/* Time that a token spends at an engine that runs so many layers for it. */
-static double stage_ms(const struct search *search,
-		       const struct flt_target *target, unsigned layers)
+static bool is_kept(const struct search *search,
+		    const struct flt_target *target)
 {
-	const struct cat_engine *engine = search->engine;
+	return search->query->present &&
+	       pth_has(search->query->present, target);
+}
+
+static struct candidate make_candidate(struct search *search,
+				       struct flt_target *target)
+{
+	const struct cat_engine *engine = search->query->engine;
 	const struct cat_accelerator *kind =
 		cat_find_accelerator(engine, target->accelerator);
-	double pace = kind ? kind->pace : 1.0;
-	double running = 1.0 + target->on_path * (double)search->instances;
-	double context = running * search->tokens / 1000;
-	double all = engine->step_ms + engine->step_ms_per_request * running +
-		     engine->step_ms_per_1k_context * context;
-
-	return pace * all * layers / engine->layers;
+	double used = target->used_token_layers + target->others.token_layers;
+	double all = kind ? capacity(engine, target, kind) : INFINITY;
+	double fill = all > 0 ? MIN(used / all, 1.0) : 1.0;
+	double spread =
+		1 + (search->rand ? SPREAD * g_rand_double(search->rand) : 0);
+	struct candidate candidate = {.target = target};
+
+	candidate.center = center_index(search, target->data_center);
+	candidate.room = all - used;
+	candidate.layer_cost = spread *
+			       token_ms(search, target, kind ? kind->pace : 1) /
+			       engine->layers;
+	candidate.fixed_cost =
+		spread * (STAGE_MS + MEMORY_MS * fill * fill * fill * fill);
+	if (is_kept(search, target)) {
+		candidate.fixed_cost *= KEPT_STAGE_PART;
+		candidate.layer_cost *= KEPT_STAGE_PART;
+		candidate.room = INFINITY;
+	}
+	if (is_doubtful(search, target))
+		candidate.fixed_cost += AVOIDED_MS;
+	candidate.may_head =
+		!target->slots ||
+		target->in_flight + target->others.in_flight < target->slots;
+	return candidate;
 }
 
-static double stage_cost(const struct search *search,
-			 const struct flt_target *target, unsigned layers)
+/* Collects the engines of a service, all or those of one data centre. */
+static void collect(struct search *search, const char *data_center)
 {
-	double cost = STAGE_MS + stage_ms(search, target, layers);
+	const struct pth_query *query = search->query;
+	const GPtrArray *targets = flt_targets(search->fleet);
+	guint i;
 
-	if (search->now < target->avoid_until)
-		cost += AVOIDED_MS;
-	if (target->state != FLT_READY)
-		cost += AVOIDED_MS;
-	return cost;
+	add_boundary(search, 0);
+	add_boundary(search, query->engine->layers);
+	if (query->present)
+		add_boundary(search, g_array_index(query->present->stages,
+						   struct pth_stage, 0)
+					     .range.end);
+	for (i = 0; i < targets->len; i++) {
+		struct flt_target *target = targets->pdata[i];
+		struct candidate candidate;
+
+		if (target->holds.first >= target->holds.end ||
+		    strcmp(target->service, query->service) != 0 ||
+		    !flt_may_send(target, search->now))
+			continue;
+		if (data_center && strcmp(target->data_center, data_center))
+			continue;
+		if (query->present && search->now < target->down_until)
+			continue;
+		candidate = make_candidate(search, target);
+		g_array_append_val(search->engines, candidate);
+		add_boundary(search, target->holds.first);
+		add_boundary(search, target->holds.end);
+	}
+	sort_boundaries(search);
 }
 
 static struct reach *reach_of(const struct search *search, int boundary,
 			      unsigned center)
 {
-	return &search->reached[(size_t)boundary * MAX_DATA_CENTERS + center];
+	return &search->reached[(size_t)boundary * search->n_centers + center];
 }
 
 /* Tries one engine from a boundary to every later one that it holds. */
 static void extend_with(struct search *search, int from, unsigned from_center,
 			guint index)
 {
-	struct flt_target *target = search->engines->pdata[index];
-	unsigned center = g_array_index(search->centers, unsigned, index);
+	const struct candidate *engine =
+		&g_array_index(search->engines, struct candidate, index);
 	const struct reach *start = reach_of(search, from, from_center);
 	unsigned first = search->boundaries[from];
+	double base = start->cost + engine->fixed_cost;
 	int to;
 
+	if (!from && !engine->may_head && !search->ignore_room)
+		return;
+	if (from && engine->center != from_center)
+		base += CROSSING_MS;
 	for (to = from + 1; to < search->n_boundaries &&
-			    search->boundaries[to] <= target->holds.end;
+			    search->boundaries[to] <= engine->target->holds.end;
 	     to++) {
 		unsigned layers = search->boundaries[to] - first;
-		struct reach *end = reach_of(search, to, center);
-		double cost = start->cost + stage_cost(search, target, layers);
+		struct reach *end = reach_of(search, to, engine->center);
+		double cost = base + engine->layer_cost * layers;
 
-		if (from && center != from_center)
-			cost += CROSSING_MS;
-		if (cost >= end->cost ||
-		    !has_room(search, target, layers, from == 0))
+		if (cost >= end->cost)
 			continue;
+		if (!search->ignore_room &&
+		    search->query->tokens * layers > engine->room)
+			return;
 		*end = (struct reach){cost, (int)index, from,
 				      (int)from_center};
 	}
@@ -215,9 +256,11 @@
 	if (isinf(reach_of(search, from, from_center)->cost))
 		return;
 	for (i = 0; i < search->engines->len; i++) {
-		struct flt_target *target = search->engines->pdata[i];
+		const struct candidate *engine =
+			&g_array_index(search->engines, struct candidate, i);
 
-		if (target->holds.first <= first && target->holds.end > first)
+		if (engine->target->holds.first <= first &&
+		    engine->target->holds.end > first)
 			extend_with(search, from, from_center, i);
 	}
 }
@@ -254,47 +297,91 @@
 	return true;
 }
 
-static struct pth_path *trace_back(const struct search *search,
-				   unsigned center)
+static struct pth_path *path_new(void)
 {
 	struct pth_path *path = g_new0(struct pth_path, 1);
-	int boundary = search->n_boundaries - 1;
 
 	path->stages = g_array_new(FALSE, TRUE, sizeof(struct pth_stage));
 	g_array_set_clear_func(path->stages, stage_clear);
-	while (boundary > 0) {
+	return path;
+}
+
+static bool is_start(const struct search *search, int boundary)
+{
+	const struct pth_path *present = search->query->present;
+
+	if (!present)
+		return boundary == 0;
+	return search->boundaries[boundary] ==
+	       g_array_index(present->stages, struct pth_stage, 0).range.end;
+}
+
+static struct pth_path *trace_back(const struct search *search,
+				   unsigned center)
+{
+	struct pth_path *path = path_new();
+	int boundary = search->n_boundaries - 1;
+
+	while (!is_start(search, boundary)) {
 		const struct reach *reach = reach_of(search, boundary, center);
+		const struct candidate *engine = &g_array_index(
+			search->engines, struct candidate, reach->target);
 		struct flt_range range = {search->boundaries[reach->from],
 					  search->boundaries[boundary]};
-		struct flt_target *target =
-			search->engines->pdata[reach->target];
 
-		if (!add_stage(path, target, range)) {
+		if (!add_stage(path, engine->target, range)) {
 			pth_free(path);
 			return NULL;
 		}
-		path->token_ms += STAGE_MS + stage_ms(search, target,
-						      range.end - range.first);
+		path->token_ms += STAGE_MS + engine->layer_cost *
+						     (range.end - range.first);
 		boundary = reach->from;
 		center = (unsigned)reach->from_center;
 	}
+	if (search->query->present) {
+		const struct pth_stage *head = &g_array_index(
+			search->query->present->stages, struct pth_stage, 0);
+
+		if (!add_stage(path, head->target, head->range)) {
+			pth_free(path);
+			return NULL;
+		}
+	}
 	return path;
 }
 
+/* Where the search begins: before the first layer, or behind the kept head. */
+static int start_search(struct search *search)
+{
+	const struct pth_path *present = search->query->present;
+	unsigned center = 0;
+	int from = 0;
+
+	while (!is_start(search, from))
+		from++;
+	if (present)
+		center = center_index(search, pth_head(present)->data_center);
+	reach_of(search, from, center)->cost = 0;
+	return from;
+}
+
 static double run_search(struct search *search, struct pth_path **out)
 {
-	size_t n = (size_t)search->n_boundaries * MAX_DATA_CENTERS;
+	size_t n = (size_t)search->n_boundaries * MAX(search->n_centers, 1);
 	unsigned best = 0;
 	double cost;
 	unsigned center;
 	size_t i;
 	int from;
 
+	*out = NULL;
+	if (!search->n_centers)
+		return INFINITY;
 	search->reached = g_new(struct reach, n);
 	for (i = 0; i < n; i++)
 		search->reached[i] = (struct reach){INFINITY, -1, 0, 0};
-	reach_of(search, 0, 0)->cost = 0;
-	for (from = 0; from + 1 < search->n_boundaries; from++) {
+	for (from = start_search(search); from + 1 < search->n_boundaries;
+	     from++) {
 		for (center = 0; center < search->n_centers; center++)
 			extend_from(search, from, center);
 	}
@@ -304,98 +391,101 @@
 			best = center;
 	}
 	cost = reach_of(search, search->n_boundaries - 1, best)->cost;
-	*out = isinf(cost) ? NULL : trace_back(search, best);
+	if (!isinf(cost))
+		*out = trace_back(search, best);
 	g_free(search->reached);
 	return *out ? cost : INFINITY;
 }
 
-static double search_in(struct search base, const char *service,
-			const char *data_center, struct pth_path **out)
+/* Searches in one data centre, or in all if it is NULL. */
+static double search_in(struct search base, const char *data_center,
+			struct pth_path **out)
 {
 	double cost;
 
-	base.engines = g_ptr_array_new();
-	base.centers = g_array_new(FALSE, TRUE, sizeof(unsigned));
-	collect(&base, service, data_center);
+	base.engines = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	if (base.query->present)
+		center_index(&base, pth_head(base.query->present)->data_center);
+	collect(&base, data_center);
 	cost = run_search(&base, out);
-	g_ptr_array_unref(base.engines);
-	g_array_unref(base.centers);
+	g_array_unref(base.engines);
 	return cost;
 }
 
-/* Data centres that have an engine of the service with layers. */
-static GPtrArray *list_centers(const struct flt_fleet *fleet,
-			       const char *service, const char *own)
+/* The data centres that have an engine of the service, the own first. */
+static GPtrArray *list_centers(const struct search *base)
 {
 	GPtrArray *centers = g_ptr_array_new();
-	const GPtrArray *targets = flt_targets(fleet);
+	const GPtrArray *targets = flt_targets(base->fleet);
 	guint i;
-	guint j;
 
-	g_ptr_array_add(centers, (gpointer)own);
+	g_ptr_array_add(centers, (gpointer)base->query->data_center);
 	for (i = 0; i < targets->len; i++) {
 		struct flt_target *target = targets->pdata[i];
 
-		if (strcmp(target->service, service) != 0 ||
+		if (strcmp(target->service, base->query->service) != 0 ||
 		    target->holds.first >= target->holds.end)
 			continue;
-		for (j = 0; j < centers->len; j++) {
-			if (!strcmp(centers->pdata[j], target->data_center))
-				break;
-		}
-		if (j == centers->len)
+		if (!g_ptr_array_find_with_equal_func(
+			    centers, target->data_center, g_str_equal, NULL))
 			g_ptr_array_add(centers, target->data_center);
 	}
 	return centers;
 }
 
-/* The cheapest path that stays in one data centre. */
-static struct pth_path *best_local(const struct search *base,
-				   const char *service,
-				   const char *data_center)
+static void keep_better(struct pth_path **best, double *best_cost,
+			struct pth_path *path, double cost)
+{
+	if (!path || cost >= *best_cost) {
+		pth_free(path);
+		return;
+	}
+	pth_free(*best);
+	*best = path;
+	*best_cost = cost;
+}
+
+/*
+ * The cheapest path: inside each data centre first. Only where all of these
+ * are full or doubtful, the much larger search over all of them is made.
+ */
+static struct pth_path *find_best(const struct search *base)
 {
-	GPtrArray *centers = list_centers(base->fleet, service, data_center);
 	struct pth_path *best = NULL;
+	struct pth_path *path;
 	double best_cost = INFINITY;
+	double cost;
+	GPtrArray *centers;
 	guint i;
 
-	for (i = 0; i < centers->len; i++) {
-		struct pth_path *path = NULL;
-		double cost = search_in(*base, service, centers->pdata[i],
-					&path);
-
-		if (i)
-			cost += CROSSING_MS;
-		if (!path || cost >= best_cost) {
-			pth_free(path);
-			continue;
+	if (!base->query->present) {
+		centers = list_centers(base);
+		for (i = 0; i < centers->len; i++) {
+			cost = search_in(*base, centers->pdata[i], &path);
+			keep_better(&best, &best_cost, path,
+				    i ? cost + CROSSING_MS : cost);
 		}
-		pth_free(best);
-		best = path;
-		best_cost = cost;
+		g_ptr_array_unref(centers);
 	}
-	g_ptr_array_unref(centers);
+	if (best_cost < AVOIDED_MS)
+		return best;
+	cost = search_in(*base, NULL, &path);
+	keep_better(&best, &best_cost, path, cost);
 	return best;
 }
 
 enum pth_result pth_find(struct flt_fleet *fleet, clk_ms now,
-			 const struct cat_engine *engine, const char *service,
-			 const char *data_center, double tokens,
-			 unsigned instances, struct pth_path **out)
+			 const struct pth_query *query, GRand *rand,
+			 struct pth_path **out)
 {
-	struct search base = {.fleet = fleet,
-			      .now = now,
-			      .engine = engine,
-			      .tokens = tokens,
-			      .instances = MAX(instances, 1)};
+	struct search base = {
+		.fleet = fleet, .now = now, .query = query, .rand = rand};
 
-	*out = best_local(&base, service, data_center);
-	if (!*out)
-		search_in(base, service, NULL, out);
+	*out = find_best(&base);
 	if (*out)
 		return PTH_FOUND;
 	base.ignore_room = true;
-	search_in(base, service, NULL, out);
+	search_in(base, NULL, out);
 	if (!*out)
 		return PTH_NO_LAYERS;
 	pth_free(*out);
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -52,6 +52,96 @@
   assert(message->base.descriptor == &wf__edge_settings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wf__load_report__init
+                     (Wf__LoadReport         *message)
+{
+  static const Wf__LoadReport init_value = WF__LOAD_REPORT__INIT;
+  *message = init_value;
+}
+size_t wf__load_report__get_packed_size
+                     (const Wf__LoadReport *message)
+{
+  assert(message->base.descriptor == &wf__load_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wf__load_report__pack
+                     (const Wf__LoadReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wf__load_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wf__load_report__pack_to_buffer
+                     (const Wf__LoadReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wf__load_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wf__LoadReport *
+       wf__load_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wf__LoadReport *)
+     protobuf_c_message_unpack (&wf__load_report__descriptor,
+                                allocator, len, data);
+}
+void   wf__load_report__free_unpacked
+                     (Wf__LoadReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wf__load_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wf__target_load__init
+                     (Wf__TargetLoad         *message)
+{
+  static const Wf__TargetLoad init_value = WF__TARGET_LOAD__INIT;
+  *message = init_value;
+}
+size_t wf__target_load__get_packed_size
+                     (const Wf__TargetLoad *message)
+{
+  assert(message->base.descriptor == &wf__target_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wf__target_load__pack
+                     (const Wf__TargetLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wf__target_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wf__target_load__pack_to_buffer
+                     (const Wf__TargetLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wf__target_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wf__TargetLoad *
+       wf__target_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wf__TargetLoad *)
+     protobuf_c_message_unpack (&wf__target_load__descriptor,
+                                allocator, len, data);
+}
+void   wf__target_load__free_unpacked
+                     (Wf__TargetLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wf__target_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const uint64_t wf__edge_settings__key_removal_ms__default_value = 5000ull;
 static const uint64_t wf__edge_settings__drain_limit_ms__default_value = 8000ull;
 static const double wf__edge_settings__retry_part__default_value = 0.2;
@@ -63,7 +153,7 @@
 static const uint64_t wf__edge_settings__engine_stall_ms__default_value = 3000ull;
 static const uint64_t wf__edge_settings__log_lines_per_second__default_value = 400ull;
 static const uint64_t wf__edge_settings__seed__default_value = 0ull;
-static const ProtobufCFieldDescriptor wf__edge_settings__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wf__edge_settings__field_descriptors[17] =
 {
   {
     "instance",
@@ -257,6 +347,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peer_address",
+    17,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wf__EdgeSettings, peer_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__edge_settings__field_indices_by_name[] = {
   2,   /* field[2] = caller_address */
@@ -269,6 +371,7 @@
   14,   /* field[14] = log_lines_per_second */
   10,   /* field[10] = max_descriptors */
   11,   /* field[11] = memory_mb */
+  16,   /* field[16] = peer_address */
   3,   /* field[3] = ready_address */
   7,   /* field[7] = retry_part */
   8,   /* field[8] = retry_slack */
@@ -279,7 +382,7 @@
 static const ProtobufCIntRange wf__edge_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wf__edge_settings__descriptor =
 {
@@ -289,10 +392,190 @@
   "Wf__EdgeSettings",
   "wf",
   sizeof(Wf__EdgeSettings),
-  16,
+  17,
   wf__edge_settings__field_descriptors,
   wf__edge_settings__field_indices_by_name,
   1,  wf__edge_settings__number_ranges,
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[6] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wf__LoadReport, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_center",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wf__LoadReport, data_center),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wf__LoadReport, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wf__LoadReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wf__LoadReport, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wf__LoadReport, n_targets),
+    offsetof(Wf__LoadReport, targets),
+    &wf__target_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wf__load_report__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  1,   /* field[1] = data_center */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = instance */
+  4,   /* field[4] = sequence */
+  5,   /* field[5] = targets */
+};
+static const ProtobufCIntRange wf__load_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wf__load_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wf.LoadReport",
+  "LoadReport",
+  "Wf__LoadReport",
+  "wf",
+  sizeof(Wf__LoadReport),
+  6,
+  wf__load_report__field_descriptors,
+  wf__load_report__field_indices_by_name,
+  1,  wf__load_report__number_ranges,
+  (ProtobufCMessageInit) wf__load_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wf__target_load__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wf__TargetLoad, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wf__TargetLoad, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "on_path",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wf__TargetLoad, on_path),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kilo_token_layers",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wf__TargetLoad, kilo_token_layers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wf__target_load__field_indices_by_name[] = {
+  1,   /* field[1] = in_flight */
+  3,   /* field[3] = kilo_token_layers */
+  2,   /* field[2] = on_path */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange wf__target_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wf__target_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wf.TargetLoad",
+  "TargetLoad",
+  "Wf__TargetLoad",
+  "wf",
+  sizeof(Wf__TargetLoad),
+  4,
+  wf__target_load__field_descriptors,
+  wf__target_load__field_indices_by_name,
+  1,  wf__target_load__number_ranges,
+  (ProtobufCMessageInit) wf__target_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -16,6 +16,8 @@
 
 
 typedef struct Wf__EdgeSettings Wf__EdgeSettings;
+typedef struct Wf__LoadReport Wf__LoadReport;
+typedef struct Wf__TargetLoad Wf__TargetLoad;
 
 
 /* --- enums --- */
@@ -90,10 +92,62 @@
   uint64_t log_lines_per_second;
   protobuf_c_boolean has_seed;
   uint64_t seed;
+  /*
+   * Peers send their load here in datagrams.
+   */
+  char *peer_address;
 };
 #define WF__EDGE_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__edge_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, 0, 5000ull, 0, 8000ull, 0, 0.2, 0, 50ull, 0, 10000ull, 0, 1024ull, 0, 256ull, 0, 1, 0, 3000ull, 0, 400ull, 0, 0ull }
+    , NULL, NULL, NULL, NULL, NULL, 0, 5000ull, 0, 8000ull, 0, 0.2, 0, 50ull, 0, 10000ull, 0, 1024ull, 0, 256ull, 0, 1, 0, 3000ull, 0, 400ull, 0, 0ull, NULL }
+
+
+/*
+ * What one instance uses of the targets, sent to peers in a datagram. Loss
+ * and reordering are harmless: each report stands for itself.
+ */
+struct  Wf__LoadReport
+{
+  ProtobufCMessage base;
+  char *instance;
+  char *data_center;
+  /*
+   * Where the instance receives reports, "IP:port".
+   */
+  char *address;
+  /*
+   * Start of the process, and number of the report since.
+   */
+  uint64_t incarnation;
+  uint64_t sequence;
+  size_t n_targets;
+  Wf__TargetLoad **targets;
+};
+#define WF__LOAD_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
+    , NULL, NULL, NULL, 0, 0, 0,NULL }
+
+
+struct  Wf__TargetLoad
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the target's id.
+   */
+  uint64_t target;
+  /*
+   * Requests sent to it, and requests whose path runs through it.
+   */
+  uint32_t in_flight;
+  uint32_t on_path;
+  /*
+   * Tokens of these requests times the layers that they use there, in 1,000.
+   */
+  uint32_t kilo_token_layers;
+};
+#define WF__TARGET_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wf__target_load__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /* Wf__EdgeSettings methods */
@@ -115,11 +169,55 @@
 void   wf__edge_settings__free_unpacked
                      (Wf__EdgeSettings *message,
                       ProtobufCAllocator *allocator);
+/* Wf__LoadReport methods */
+void   wf__load_report__init
+                     (Wf__LoadReport         *message);
+size_t wf__load_report__get_packed_size
+                     (const Wf__LoadReport   *message);
+size_t wf__load_report__pack
+                     (const Wf__LoadReport   *message,
+                      uint8_t             *out);
+size_t wf__load_report__pack_to_buffer
+                     (const Wf__LoadReport   *message,
+                      ProtobufCBuffer     *buffer);
+Wf__LoadReport *
+       wf__load_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wf__load_report__free_unpacked
+                     (Wf__LoadReport *message,
+                      ProtobufCAllocator *allocator);
+/* Wf__TargetLoad methods */
+void   wf__target_load__init
+                     (Wf__TargetLoad         *message);
+size_t wf__target_load__get_packed_size
+                     (const Wf__TargetLoad   *message);
+size_t wf__target_load__pack
+                     (const Wf__TargetLoad   *message,
+                      uint8_t             *out);
+size_t wf__target_load__pack_to_buffer
+                     (const Wf__TargetLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Wf__TargetLoad *
+       wf__target_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wf__target_load__free_unpacked
+                     (Wf__TargetLoad *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wf__EdgeSettings_Closure)
                  (const Wf__EdgeSettings *message,
                   void *closure_data);
+typedef void (*Wf__LoadReport_Closure)
+                 (const Wf__LoadReport *message,
+                  void *closure_data);
+typedef void (*Wf__TargetLoad_Closure)
+                 (const Wf__TargetLoad *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -127,6 +225,8 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor wf__edge_settings__descriptor;
+extern const ProtobufCMessageDescriptor wf__load_report__descriptor;
+extern const ProtobufCMessageDescriptor wf__target_load__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/schema/sch_edge.c
+++ b/src/schema/sch_edge.c
@@ -25,6 +25,7 @@
 	ID("data_center"),
 	ADDRESS("caller_address"),
 	ADDRESS("ready_address"),
+	ADDRESS("peer_address"),
 	ADDRESS("store_address"),
 	RANGE("key_removal_ms", MIN_KEY_REMOVAL_MS, CLK_HOUR),
 	RANGE("drain_limit_ms", 0, CLK_HOUR),
