--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 # A machine that builds only the edge has no more than the above.
 CFLAGS_BASE += $(shell pkg-config --cflags $(DAEMON_PKGS) 2>/dev/null)
 LIBS := $(shell pkg-config --libs $(PKGS)) -lm
-DAEMON_LIBS := $(shell pkg-config --libs $(DAEMON_PKGS) 2>/dev/null)
+DAEMON_LIBS := $(shell pkg-config --libs $(DAEMON_PKGS) 2>/dev/null) \
+	-lhttp_parser
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 
 LIB_DIRS := base schema rules core state member sched forward
@@ -47,12 +48,14 @@
 PLATFORM_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 TOOL_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/tool/*.c))
 # Daemon parts that the tool and tests use, without the main program.
-NET_OBJ := $(filter-out %/main.o,$(DAEMON_OBJ))
+NET_OBJ := $(sort $(filter-out %/main.o,$(DAEMON_OBJ) $(EDGE_OBJ) \
+	$(PLATFORM_OBJ)))
 # Servers, clients and a fake core on loopback, for wire tests only.
-WIRE_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/wire/*.c))
+WIRE_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/wire/*.c \
+	tests/platform/support/*.c))
 SUPPORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/*.c))
 SUPPORT := $(BUILD)/libsupport.a
-TEST_SRC := $(wildcard tests/*_test.c)
+TEST_SRC := $(wildcard tests/*_test.c tests/platform/*_test.c)
 TESTS := $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
 WIRE_TESTS := $(filter %_wire_test,$(TESTS))
 BENCH_SRC := $(wildcard tests/bench/*.c)
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -173,8 +173,8 @@
 		write_targets(edge, text);
 	} else {
 		status = is_ready(edge) ? 200 : 503;
-		g_string_append(text, is_ready(edge) ? "ready\n"
-						     : "not ready\n");
+		g_string_append(text,
+				is_ready(edge) ? "ready\n" : "not ready\n");
 	}
 	answer_text(http, status, text);
 	g_string_free(text, TRUE);
@@ -280,12 +280,12 @@
 struct rty_budget *edg_budget(struct edg_edge *edge, const char *service)
 {
 	struct rty_budget *budget = g_hash_table_lookup(edge->budgets, service);
-	double burst = BUDGET_PART * edge->retry_slack / sharers(edge);
+	double burst = MAX(BUDGET_PART * edge->retry_slack / sharers(edge), 1);
 
 	if (!budget) {
 		budget = g_new0(struct rty_budget, 1);
 		rty_init(budget, BUDGET_PART * edge->retry_part, burst);
-		budget->tokens = FIRST_BUDGET_PART * burst;
+		budget->tokens = MAX(FIRST_BUDGET_PART * burst, 1);
 		g_hash_table_insert(edge->budgets, g_strdup(service), budget);
 	}
 	budget->burst = burst;
@@ -311,8 +311,8 @@
 			     ? g_rand_new_with_seed((guint32)settings->seed)
 			     : g_rand_new();
 	edge->fleet = flt_new();
-	edge->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      g_free);
+	edge->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	edge->requests = g_hash_table_new(NULL, NULL);
 	edg_apply_settings(edge, settings);
 	set_limits(edge, settings);
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -15,8 +15,8 @@
 {
 	const struct edg_fields *fields = request->edge->fields;
 	const char *const replaced[] = {
-		fields->authorization, fields->org,	      fields->target_id,
-		fields->urgency,       fields->path,	      fields->remaining_ms,
+		fields->authorization, fields->org,  fields->target_id,
+		fields->urgency,       fields->path, fields->remaining_ms,
 		"Content-Length",      "Expect"};
 	size_t i;
 
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -135,8 +135,7 @@
 /* The request was not run and never will be; come back after a time. */
 void edg_refuse_not_run(struct edg_request *request, clk_ms retry_after,
 			const char *type, const char *message);
-void edg_log_end(struct edg_request *request, const char *outcome,
-		 int status);
+void edg_log_end(struct edg_request *request, const char *outcome, int status);
 clk_ms edg_remaining(const struct edg_request *request);
 struct rty_budget *edg_budget(struct edg_edge *edge, const char *service);
 
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -46,8 +46,8 @@
 	char *subject = g_strdup_printf("request %s", request->id);
 	clk_ms now = edg_now(edge);
 	clk_ms age = now - edge->catalog_confirmed;
-	char *counter = g_strdup_printf("wf_edge_requests_total{outcome=\"%s\"}",
-					outcome);
+	char *counter = g_strdup_printf(
+		"wf_edge_requests_total{outcome=\"%s\"}", outcome);
 
 	ctr_add(edge->counters, g_intern_string(counter), 1);
 	g_free(counter);
@@ -68,8 +68,7 @@
 			 const char *message)
 {
 	struct hsv_request *http = request->http;
-	GString *headers =
-		g_string_new("Content-Type: application/json\r\n");
+	GString *headers = g_string_new("Content-Type: application/json\r\n");
 	char *body;
 
 	if (request->id)
@@ -209,9 +208,8 @@
 {
 	const struct hdr_list *headers = &request->http->headers;
 
-	request->route = cat_find_route(request->catalog,
-					hdr_get(headers, "Host"),
-					request->http->url);
+	request->route = cat_find_route(
+		request->catalog, hdr_get(headers, "Host"), request->http->url);
 	if (request->route)
 		return true;
 	if (is_catalog_fresh(request->edge))
@@ -244,8 +242,8 @@
 	request->started = edg_now(edge);
 	request->catalog = cat_keep(edge->catalog);
 	request->id = g_strdup(id ? id : "");
-	request->tried = g_ptr_array_new_with_free_func(
-		(GDestroyNotify)flt_target_drop);
+	request->tried =
+		g_ptr_array_new_with_free_func((GDestroyNotify)flt_target_drop);
 	request->headers = g_string_new(NULL);
 	request->body = g_string_new(NULL);
 	evs_init(&request->events);
@@ -261,8 +259,8 @@
 
 static bool choose_service(struct edg_request *request)
 {
-	const char *name = cat_choose_service(
-		request->route, g_rand_int(request->edge->rand));
+	const char *name = cat_choose_service(request->route,
+					      g_rand_int(request->edge->rand));
 
 	request->service = cat_find_service(request->catalog, name);
 	if (request->service)
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -229,8 +229,8 @@
 	struct pth_path *path;
 	enum pth_result result;
 
-	result = pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
-			  &path);
+	result =
+		pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
 	if (result == PTH_FOUND) {
 		pth_reserve(path, query.tokens);
 		request->path = path;
@@ -251,10 +251,9 @@
 static bool find_target(struct edg_request *request)
 {
 	struct edg_edge *edge = request->edge;
-	struct flt_target *target =
-		flt_choose(edge->fleet, edg_now(edge), request->service->name,
-			   edge->data_center, request->tried,
-			   g_rand_int(edge->rand));
+	struct flt_target *target = flt_choose(
+		edge->fleet, edg_now(edge), request->service->name,
+		edge->data_center, request->tried, g_rand_int(edge->rand));
 
 	request->target = flt_target_keep(target);
 	if (!target)
@@ -284,13 +283,13 @@
 	const char *hint = hdr_get(headers, fields->answer_hint);
 	const char *comma = counts ? strchr(counts, ',') : NULL;
 
-	request->prompt_tokens = counts ? strtoul(counts, NULL, 10)
-					: DEFAULT_PROMPT_TOKENS;
+	request->prompt_tokens =
+		counts ? strtoul(counts, NULL, 10) : DEFAULT_PROMPT_TOKENS;
 	request->answer_tokens =
 		comma ? strtoul(comma + 1, NULL, 10) : DEFAULT_ANSWER_TOKENS;
 	if (hint && g_ascii_isdigit(*hint))
-		request->answer_tokens = MIN(request->answer_tokens,
-					     strtoul(hint, NULL, 10));
+		request->answer_tokens =
+			MIN(request->answer_tokens, strtoul(hint, NULL, 10));
 }
 
 void edg_start_stream(struct edg_request *request)
--- a/src/edge/hdr.c
+++ b/src/edge/hdr.c
@@ -82,10 +82,15 @@
 
 bool hdr_is_hop_by_hop(const struct hdr_list *list, const char *name)
 {
-	static const char *const names[] = {
-		"Connection", "Keep-Alive",	   "Proxy-Connection", "TE",
-		"Trailer",    "Transfer-Encoding", "Upgrade",
-		"Proxy-Authenticate", "Proxy-Authorization"};
+	static const char *const names[] = {"Connection",
+					    "Keep-Alive",
+					    "Proxy-Connection",
+					    "TE",
+					    "Trailer",
+					    "Transfer-Encoding",
+					    "Upgrade",
+					    "Proxy-Authenticate",
+					    "Proxy-Authorization"};
 	size_t i;
 	guint j;
 
--- a/src/edge/hsv.c
+++ b/src/edge/hsv.c
@@ -314,8 +314,7 @@
 		const struct hdr_field *field =
 			&g_array_index(headers->fields, struct hdr_field, i);
 
-		if (!hdr_is_token(field->name) ||
-		    strpbrk(field->value, "\r\n"))
+		if (!hdr_is_token(field->name) || strpbrk(field->value, "\r\n"))
 			return true;
 	}
 	return false;
--- a/src/edge/hsv.h
+++ b/src/edge/hsv.h
@@ -60,12 +60,10 @@
 void hsv_drop(struct hsv_server *server);
 
 /* Listens at IP:port. Sets ERR_IO. */
-bool hsv_listen(struct hsv_server *server, const char *address,
-		GError **error);
+bool hsv_listen(struct hsv_server *server, const char *address, GError **error);
 
 /* Later requests are held to these bounds. */
-void hsv_set_limits(struct hsv_server *server,
-		    const struct hsv_limits *limits);
+void hsv_set_limits(struct hsv_server *server, const struct hsv_limits *limits);
 
 /* Every further answer ends its connection. */
 void hsv_close_after_answers(struct hsv_server *server);
--- a/src/edge/hup.c
+++ b/src/edge/hup.c
@@ -148,8 +148,8 @@
 
 	if (!queue) {
 		queue = g_queue_new();
-		g_hash_table_insert(conn->client->idle,
-				    g_strdup(conn->address), queue);
+		g_hash_table_insert(conn->client->idle, g_strdup(conn->address),
+				    queue);
 	}
 	conn->idle_since = now_ms(conn->client);
 	g_queue_push_head(queue, conn);
@@ -236,8 +236,8 @@
 	if (!exchange)
 		return -1;
 	conn->response.status = (int)parser->status_code;
-	conn->is_skipping = parser->status_code < 200 ||
-			    !is_for(exchange, &conn->response);
+	conn->is_skipping =
+		parser->status_code < 200 || !is_for(exchange, &conn->response);
 	if (conn->is_skipping) {
 		if (parser->status_code >= 200)
 			ctr_add(conn->client->counters,
@@ -531,9 +531,9 @@
 		uv_timer_start(&exchange->timer, on_failed_start, 0, 0);
 		return exchange;
 	}
-	set_timer(exchange, exchange->timeout ? MIN(exchange->timeout,
-						    CONNECT_TIMEOUT_MS)
-					      : CONNECT_TIMEOUT_MS);
+	set_timer(exchange, exchange->timeout
+				    ? MIN(exchange->timeout, CONNECT_TIMEOUT_MS)
+				    : CONNECT_TIMEOUT_MS);
 	return exchange;
 }
 
--- a/src/edge/ord.c
+++ b/src/edge/ord.c
@@ -93,8 +93,7 @@
 		const struct edg_assignment *assignment = &g_array_index(
 			duty->assignments, struct edg_assignment, i);
 
-		edg_duty_assign(copy, assignment->target_id,
-				assignment->range);
+		edg_duty_assign(copy, assignment->target_id, assignment->range);
 	}
 	return copy;
 }
@@ -111,10 +110,9 @@
 					  const struct flt_target *target)
 {
 	const struct cat_service *service =
-		orders->edge->catalog
-			? cat_find_service(orders->edge->catalog,
-					   target->service)
-			: NULL;
+		orders->edge->catalog ? cat_find_service(orders->edge->catalog,
+							 target->service)
+				      : NULL;
 
 	return service ? service->engine : NULL;
 }
@@ -173,8 +171,7 @@
 	switch (result) {
 	case EDG_ORDER_TAKEN:
 		note_ordered(orders, order->target, order->range,
-			     expected_end(orders, order->target,
-					  order->range));
+			     expected_end(orders, order->target, order->range));
 		break;
 	case EDG_ORDER_FENCED:
 		orders->holds_duty = false;
@@ -243,8 +240,8 @@
 	for (i = 0; i < assignments->len; i++) {
 		const struct edg_assignment *assignment =
 			&g_array_index(assignments, struct edg_assignment, i);
-		struct flt_target *target = flt_find(orders->edge->fleet,
-						     assignment->target_id);
+		struct flt_target *target =
+			flt_find(orders->edge->fleet, assignment->target_id);
 
 		if (target)
 			note_ordered(orders, target, assignment->range,
@@ -316,8 +313,7 @@
 		return;
 	orders->holds_duty = holds;
 	edg_log(orders->edge, "duty of orders", holds ? "other" : "own",
-		holds ? "own" : "other",
-		"holder=%s fence=%" G_GUINT64_FORMAT,
+		holds ? "own" : "other", "holder=%s fence=%" G_GUINT64_FORMAT,
 		orders->record && orders->record->holder
 			? orders->record->holder
 			: "-",
@@ -376,9 +372,8 @@
 		orders_unref(orders);
 		return;
 	}
-	is_new = duty->revision &&
-		 (!orders->record ||
-		  duty->revision != orders->record->revision);
+	is_new = duty->revision && (!orders->record ||
+				    duty->revision != orders->record->revision);
 	set_record(orders, duty);
 	if (is_new) {
 		/* Somebody is at it. */
--- a/src/edge/prs.c
+++ b/src/edge/prs.c
@@ -86,9 +86,8 @@
 				   sign * (int)entry->load.in_flight);
 		sum->on_path = (unsigned)MAX(
 			0, (int)sum->on_path + sign * (int)entry->load.on_path);
-		sum->token_layers =
-			MAX(0, sum->token_layers +
-				       sign * entry->load.token_layers);
+		sum->token_layers = MAX(
+			0, sum->token_layers + sign * entry->load.token_layers);
 	}
 }
 
--- a/src/edge/stl.c
+++ b/src/edge/stl.c
@@ -39,7 +39,7 @@
 
 /* Requests may end while they are moved, so the list is a copy. */
 static void move_all(struct edg_edge *edge, const struct flt_target *lost,
-		       const char *why)
+		     const char *why)
 {
 	GList *requests = g_hash_table_get_keys(edge->requests);
 	GList *item;
--- a/src/edge/syn.c
+++ b/src/edge/syn.c
@@ -66,10 +66,10 @@
 	for (i = 0; i < sync->failures && pause < MAX_PAUSE_MS; i++)
 		pause *= 2;
 	sync->failures++;
-	uv_timer_start(&sync->timer, on_timer,
-		       (uint64_t)g_random_int_range((gint32)pause / 2,
-						    (gint32)pause),
-		       0);
+	uv_timer_start(
+		&sync->timer, on_timer,
+		(uint64_t)g_random_int_range((gint32)pause / 2, (gint32)pause),
+		0);
 }
 
 void syn_note_answer(struct syn_sync *sync)
--- a/src/forward/flt.c
+++ b/src/forward/flt.c
@@ -271,8 +271,8 @@
 	if (target->answer_ms <= 0)
 		target->answer_ms = sample;
 	else
-		target->answer_ms += ANSWER_MS_WEIGHT *
-				     (sample - target->answer_ms);
+		target->answer_ms +=
+			ANSWER_MS_WEIGHT * (sample - target->answer_ms);
 }
 
 void flt_note_failure(struct flt_target *target, clk_ms now)
@@ -280,8 +280,8 @@
 	unsigned doublings = MIN(target->failures, MAX_AVOID_DOUBLINGS);
 
 	target->failures++;
-	target->avoid_until = MAX(target->avoid_until,
-				  now + (FAILURE_AVOID_MS << doublings));
+	target->avoid_until =
+		MAX(target->avoid_until, now + (FAILURE_AVOID_MS << doublings));
 }
 
 void flt_note_down(struct flt_target *target, clk_ms now)
@@ -310,10 +310,10 @@
 static double choice_cost(const struct flt_target *target, clk_ms now,
 			  const char *data_center)
 {
-	double answer = target->answer_ms > 0 ? target->answer_ms
-					      : UNKNOWN_ANSWER_MS;
-	double cost = answer * (1.0 + target->in_flight +
-					target->others.in_flight);
+	double answer =
+		target->answer_ms > 0 ? target->answer_ms : UNKNOWN_ANSWER_MS;
+	double cost =
+		answer * (1.0 + target->in_flight + target->others.in_flight);
 
 	if (strcmp(target->data_center, data_center) != 0)
 		cost += OTHER_DATA_CENTER_MS;
--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -11,6 +11,9 @@
 #define REQUESTS_PER_COPY 140
 /* Steps down to what a small fleet can do. */
 #define MIN_REQUESTS_PER_COPY 4
+/* A gap is closed even if its engines keep only this part of the memory for
+ * requests: a copy that lacks a layer serves nobody. */
+#define SQUEEZED_PART 4
 
 /* The engines of one or more data centres that share a copy of the model. */
 struct group {
@@ -28,8 +31,8 @@
 unsigned plc_capacity(const struct cat_engine *engine,
 		      const struct cat_accelerator *accelerator, double tokens)
 {
-	double layer_mb = engine->layer_mb + tokens * engine->token_bytes /
-						     engine->layers / 1e6;
+	double layer_mb = engine->layer_mb +
+			  tokens * engine->token_bytes / engine->layers / 1e6;
 	double most = accelerator->memory_mb / layer_mb;
 
 	return most >= engine->layers ? engine->layers : (unsigned)most;
@@ -150,6 +153,14 @@
 	return NULL;
 }
 
+/* Layers that an engine may hold when memory for requests is given up. */
+static unsigned most_layers(const struct group *group,
+			    const struct flt_target *target)
+{
+	return plc_capacity(group->engine, accelerator_of(group, target),
+			    group->tokens / SQUEEZED_PART);
+}
+
 /* Adds the gap's edge to a neighbour that has memory for more layers. */
 static bool extend_neighbour(struct group *group, struct flt_range gap)
 {
@@ -162,9 +173,7 @@
 		struct flt_target *target = group->engines->pdata[i];
 		struct flt_range range = effective(group, target);
 		unsigned held = range.end - range.first;
-		unsigned most = plc_capacity(group->engine,
-					     accelerator_of(group, target),
-					     group->tokens / 4);
+		unsigned most = most_layers(group, target);
 		unsigned room = most > held ? most - held : 0;
 		unsigned added = MIN(room, gap.end - gap.first);
 
@@ -185,6 +194,64 @@
 	return best != NULL;
 }
 
+/* Whether the neighbour can take over all layers of the target; sets what it
+ * would hold then. */
+static bool can_absorb(const struct group *group,
+		       const struct flt_target *neighbour,
+		       struct flt_range range, struct flt_range *united)
+{
+	struct flt_range held = effective(group, neighbour);
+
+	if (is_empty(held) || group->now < neighbour->ordered_until)
+		return false;
+	*united = held;
+	if (held.end == range.first)
+		united->end = range.end;
+	else if (held.first == range.end)
+		united->first = range.first;
+	else
+		return false;
+	return united->end - united->first <= most_layers(group, neighbour);
+}
+
+/* Frees the engine with the fewest layers that a neighbour can take over. */
+static bool merge_neighbours(struct group *group, struct flt_range gap)
+{
+	struct flt_target *freed = NULL;
+	struct flt_target *heir = NULL;
+	struct flt_range best_united = {0, 0};
+	unsigned fewest = UINT_MAX;
+	guint i;
+	guint j;
+
+	for (i = 0; i < group->engines->len; i++) {
+		struct flt_target *target = group->engines->pdata[i];
+		struct flt_range range = effective(group, target);
+		struct flt_range united;
+
+		if (is_empty(range) || group->now < target->ordered_until ||
+		    range.end - range.first >= fewest)
+			continue;
+		for (j = 0; j < group->engines->len; j++) {
+			if (i == j ||
+			    !can_absorb(group, group->engines->pdata[j], range,
+					&united))
+				continue;
+			freed = target;
+			heir = group->engines->pdata[j];
+			best_united = united;
+			fewest = range.end - range.first;
+			break;
+		}
+	}
+	if (!freed || !most_layers(group, freed))
+		return false;
+	assign(group, heir, best_united);
+	gap.end = MIN(gap.end, gap.first + most_layers(group, freed));
+	assign(group, freed, gap);
+	return true;
+}
+
 static void fill_gaps(struct group *group)
 {
 	struct flt_range gap;
@@ -193,11 +260,11 @@
 		struct flt_target *target = find_candidate(group);
 
 		if (target) {
-			gap.end = MIN(gap.end, gap.first +
-						       capacity_of(group,
-								   target));
+			gap.end = MIN(gap.end,
+				      gap.first + capacity_of(group, target));
 			assign(group, target, gap);
-		} else if (!extend_neighbour(group, gap)) {
+		} else if (!extend_neighbour(group, gap) &&
+			   !merge_neighbours(group, gap)) {
 			return;
 		}
 	}
@@ -295,8 +362,7 @@
 {
 	const struct flt_target *left = *(struct flt_target *const *)a;
 	const struct flt_target *right = *(struct flt_target *const *)b;
-	double left_pace =
-		cat_find_accelerator(user, left->accelerator)->pace;
+	double left_pace = cat_find_accelerator(user, left->accelerator)->pace;
 	double right_pace =
 		cat_find_accelerator(user, right->accelerator)->pace;
 
@@ -311,8 +377,7 @@
 	struct group group = {engines, engine, NULL, now, 0, changes};
 	guint i;
 
-	g_ptr_array_sort_with_data(engines, compare_engines,
-				   (gpointer)engine);
+	g_ptr_array_sort_with_data(engines, compare_engines, (gpointer)engine);
 	group.cover = g_new0(unsigned, engine->layers);
 	for (i = 0; i < engines->len; i++)
 		count_range(&group, effective(&group, engines->pdata[i]), 1);
@@ -326,9 +391,9 @@
 static GHashTable *group_engines(const struct flt_fleet *fleet, clk_ms now,
 				 const struct cat_service *service)
 {
-	GHashTable *groups = g_hash_table_new_full(
-		g_str_hash, g_str_equal, NULL,
-		(GDestroyNotify)g_ptr_array_unref);
+	GHashTable *groups =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+				      (GDestroyNotify)g_ptr_array_unref);
 	const GPtrArray *targets = flt_targets(fleet);
 	guint i;
 
@@ -338,14 +403,12 @@
 
 		if (target->state != FLT_READY || now < target->down_until ||
 		    strcmp(target->service, service->name) != 0 ||
-		    !cat_find_accelerator(service->engine,
-					  target->accelerator))
+		    !cat_find_accelerator(service->engine, target->accelerator))
 			continue;
 		group = g_hash_table_lookup(groups, target->data_center);
 		if (!group) {
 			group = g_ptr_array_new();
-			g_hash_table_insert(groups, target->data_center,
-					    group);
+			g_hash_table_insert(groups, target->data_center, group);
 		}
 		g_ptr_array_add(group, target);
 	}
--- a/src/forward/pth.c
+++ b/src/forward/pth.c
@@ -243,8 +243,7 @@
 		if (!search->ignore_room &&
 		    search->query->tokens * layers > engine->room)
 			return;
-		*end = (struct reach){cost, (int)index, from,
-				      (int)from_center};
+		*end = (struct reach){cost, (int)index, from, (int)from_center};
 	}
 }
 
@@ -316,8 +315,7 @@
 	       g_array_index(present->stages, struct pth_stage, 0).range.end;
 }
 
-static struct pth_path *trace_back(const struct search *search,
-				   unsigned center)
+static struct pth_path *trace_back(const struct search *search, unsigned center)
 {
 	struct pth_path *path = path_new();
 	int boundary = search->n_boundaries - 1;
--- a/src/schema/sch_edge.c
+++ b/src/schema/sch_edge.c
@@ -4,16 +4,16 @@
 	{                                                                  \
 		&wf__edge_settings__descriptor, name, min, max, NULL, NULL \
 	}
-#define ADDRESS(name)                                              \
-	{                                                          \
+#define ADDRESS(name)                                                \
+	{                                                            \
 		&wf__edge_settings__descriptor, name, 0, UINT64_MAX, \
-			sch_is_address, "an address IP:port"       \
+			sch_is_address, "an address IP:port"         \
 	}
-#define ID(name)                                                       \
-	{                                                              \
-		&wf__edge_settings__descriptor, name, 0, UINT64_MAX,   \
-			sch_is_id,                                     \
-			"1 to 128 of letters, digits, '.', '_', '-'"   \
+#define ID(name)                                                     \
+	{                                                            \
+		&wf__edge_settings__descriptor, name, 0, UINT64_MAX, \
+			sch_is_id,                                   \
+			"1 to 128 of letters, digits, '.', '_', '-'" \
 	}
 /* Below, an instance would refuse requests between two polls of the store. */
 #define MIN_KEY_REMOVAL_MS 1000
@@ -40,9 +40,9 @@
 Wf__EdgeSettings *sch_edge_settings_parse(const char *text, size_t len,
 					  GError **error)
 {
-	return (Wf__EdgeSettings *)sch_load_json(
-		&wf__edge_settings__descriptor, text, len, rules,
-		G_N_ELEMENTS(rules), error);
+	return (Wf__EdgeSettings *)sch_load_json(&wf__edge_settings__descriptor,
+						 text, len, rules,
+						 G_N_ELEMENTS(rules), error);
 }
 
 Wf__EdgeSettings *sch_edge_settings_read(const char *path, GError **error)
--- a/src/schema/sch_settings.c
+++ b/src/schema/sch_settings.c
@@ -102,15 +102,15 @@
 	return *text != '\0';
 }
 
-#define ID_RULE(type, name)                                            \
-	{                                                              \
+#define ID_RULE(type, name)                                                \
+	{                                                                  \
 		&wf__##type##__descriptor, name, 0, UINT64_MAX, sch_is_id, \
-			"1 to 128 of letters, digits, '.', '_', '-'"   \
+			"1 to 128 of letters, digits, '.', '_', '-'"       \
 	}
-#define ADDRESS_RULE(name, min, max)                                   \
-	{                                                              \
+#define ADDRESS_RULE(name, min, max)                                       \
+	{                                                                  \
 		&wf__settings__descriptor, name, min, max, sch_is_address, \
-			"an address IP:port"                           \
+			"an address IP:port"                               \
 	}
 #define CURVE_RULE(type, name)                                                \
 	{                                                                     \
--- /dev/null
+++ b/tests/edge_callers_wire_test.c
@@ -0,0 +1,354 @@
+/* The server of callers: what is no proper request reaches nobody. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/hsv.h"
+#include "support/runner.h"
+#include "support/wire/wire.h"
+
+static const struct hsv_limits limits = {
+	.header_bytes = 2000,
+	.body_bytes = 5000,
+	.header_timeout = 500,
+	.idle_timeout = 1500,
+	.connections = 4,
+	.all_body_bytes = 6000,
+};
+
+struct probe {
+	struct wire_loop wire;
+	struct ctr_set *counters;
+	struct hsv_server *server;
+	char *address;
+	struct hsv_request *request;
+	unsigned requests;
+	unsigned gone;
+	/* Answer at once with the body that was received. */
+	bool echoes;
+};
+
+static void on_request(void *user, struct hsv_request *request)
+{
+	struct probe *probe = user;
+
+	probe->requests++;
+	probe->request = request;
+	if (probe->echoes)
+		hsv_answer(request, 200, "X-Own: 1\r\n", request->body->str,
+			   request->body->len);
+}
+
+static void on_gone(void *user, struct hsv_request *request)
+{
+	struct probe *probe = user;
+
+	ck_assert_ptr_eq(request, probe->request);
+	probe->gone++;
+}
+
+static const struct hsv_ops ops = {on_request, on_gone};
+
+static void setup(struct probe *probe)
+{
+	GError *error = NULL;
+
+	memset(probe, 0, sizeof(*probe));
+	wire_open(&probe->wire);
+	probe->counters = ctr_new();
+	probe->address = wire_refused_address(&probe->wire);
+	probe->server = hsv_new(&probe->wire.loop, &limits, probe->counters,
+				&ops, probe);
+	ck_assert(hsv_listen(probe->server, probe->address, &error));
+	probe->echoes = true;
+}
+
+static void teardown(struct probe *probe)
+{
+	hsv_drop(probe->server);
+	wire_close(&probe->wire);
+	ctr_drop(probe->counters);
+	g_free(probe->address);
+}
+
+struct improper {
+	const char *bytes;
+	const char *answer;
+};
+
+#define HEAD "POST /x HTTP/1.1\r\nHost: h\r\n"
+
+static const struct improper improper[] = {
+	{HEAD "Content-Length: 1\r\nContent-Length: 2\r\n\r\na",
+	 "HTTP/1.1 400 "},
+	{HEAD "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	 "HTTP/1.1 400 "},
+	{HEAD "Transfer-Encoding: chunked, identity\r\n\r\n", "HTTP/1.1 400 "},
+	{HEAD "Transfer-Encoding: xchunked\r\n\r\n", "HTTP/1.1 400 "},
+	{HEAD "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 400 "},
+	{HEAD "Content-Length: -1\r\n\r\n", "HTTP/1.1 400 "},
+	{HEAD "Content-Length: 1x\r\n\r\na", "HTTP/1.1 400 "},
+	{HEAD "Bad Name: 1\r\n\r\n", "HTTP/1.1 400 "},
+	{HEAD "Bad\t: 1\r\n\r\n", "HTTP/1.1 400 "},
+	{"POST /x HTTP/1.1\r\n\r\n", "HTTP/1.1 400 "},
+	{HEAD "Host: h2\r\n\r\n", "HTTP/1.1 400 "},
+	{"POST x HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 400 "},
+	{"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 400 "},
+	{"nonsense\r\n\r\n", "HTTP/1.1 400 "},
+	{HEAD "Content-Length: 5001\r\n\r\n", "HTTP/1.1 413 "},
+	{HEAD "Transfer-Encoding: chunked\r\n\r\nffff\r\n", NULL},
+};
+
+/* Guards against requests that two readers could understand differently. */
+START_TEST(improper_requests_are_refused)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, improper[_i].bytes);
+	if (improper[_i].answer)
+		wire_client_await(&probe.wire, client, improper[_i].answer);
+	else
+		wire_client_await(&probe.wire, client, "HTTP/1.1 408 ");
+	if (improper[_i].answer) {
+		wire_client_await(&probe.wire, client, "Connection: close");
+		wire_client_await_close(&probe.wire, client);
+	}
+	ck_assert_uint_eq(probe.requests, 0);
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+START_TEST(large_header_is_refused)
+{
+	struct probe probe;
+	struct wire_client *client;
+	char *fill = g_strnfill(2100, 'a');
+	char *text = g_strdup_printf(HEAD "X-Fill: %s\r\n\r\n", fill);
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, text);
+	wire_client_await(&probe.wire, client, "HTTP/1.1 431 ");
+	ck_assert_uint_eq(probe.requests, 0);
+	g_free(fill);
+	g_free(text);
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+/* Guards against one caller after another that fills the memory. */
+START_TEST(bodies_together_are_bounded)
+{
+	struct probe probe;
+	struct wire_client *first;
+	struct wire_client *second;
+	char *fill = g_strnfill(4000, 'a');
+
+	setup(&probe);
+	first = wire_client_new(&probe.wire, probe.address);
+	second = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(first, HEAD "Content-Length: 4001\r\n\r\n");
+	wire_client_send(first, fill);
+	wire_client_send(second, HEAD "Content-Length: 4000\r\n\r\n");
+	wire_client_send(second, fill);
+	wire_client_await(&probe.wire, second, "HTTP/1.1 503 ");
+	wire_client_send(first, "a");
+	wire_client_await(&probe.wire, first, "HTTP/1.1 200 ");
+	g_free(fill);
+	wire_client_drop(first);
+	wire_client_drop(second);
+	teardown(&probe);
+}
+END_TEST
+
+START_TEST(slow_header_is_given_up)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, "GET /x HTTP/1.1\r\nHo");
+	wire_client_await(&probe.wire, client, "HTTP/1.1 408 ");
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+START_TEST(idle_connection_is_closed_without_an_answer)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_await_close(&probe.wire, client);
+	ck_assert_str_eq(client->received->str, "");
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+/* Guards against answers in the wrong order, and bytes of a body that are
+ * read as a request. */
+START_TEST(requests_in_one_piece_are_answered_in_turn)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client,
+			 HEAD "Content-Length: 3\r\n\r\none" HEAD
+			      "Transfer-Encoding: chunked\r\n\r\n"
+			      "3\r\ntwo\r\n0\r\n\r\n" HEAD
+			      "Connection: close\r\nContent-Length: 5\r\n\r\n"
+			      "three");
+	wire_client_await(&probe.wire, client, "three");
+	wire_client_await_close(&probe.wire, client);
+	ck_assert_uint_eq(probe.requests, 3);
+	ck_assert(strstr(client->received->str, "one") <
+		  strstr(client->received->str, "two"));
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+START_TEST(caller_that_expects_it_is_told_to_go_on)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, HEAD "Expect: 100-continue\r\n"
+				      "Content-Length: 2\r\n\r\n");
+	wire_client_await(&probe.wire, client, "HTTP/1.1 100 ");
+	wire_client_send(client, "ok");
+	wire_client_await(&probe.wire, client, "HTTP/1.1 200 ");
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+static bool has_request(void *user)
+{
+	return ((struct probe *)user)->requests > 0;
+}
+
+static bool is_gone(void *user)
+{
+	return ((struct probe *)user)->gone > 0;
+}
+
+/* Guards against targets that work on for callers that have left. */
+START_TEST(leaving_is_seen_while_a_request_runs)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	probe.echoes = false;
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, HEAD "Content-Length: 0\r\n\r\n");
+	wire_until(&probe.wire, has_request, &probe);
+	wire_client_drop(client);
+	wire_until(&probe.wire, is_gone, &probe);
+	teardown(&probe);
+}
+END_TEST
+
+/* Guards against a broken stream that looks complete. */
+START_TEST(aborted_stream_has_no_last_chunk)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	probe.echoes = false;
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, HEAD "Content-Length: 0\r\n\r\n");
+	wire_until(&probe.wire, has_request, &probe);
+	hsv_begin(probe.request, 200, "");
+	ck_assert(hsv_add(probe.request, "event", 5));
+	wire_client_await(&probe.wire, client, "event");
+	hsv_abort(probe.request);
+	wire_client_await_close(&probe.wire, client);
+	ck_assert_ptr_null(strstr(client->received->str, "0\r\n\r\n"));
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+START_TEST(stream_ends_with_its_last_chunk)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	probe.echoes = false;
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, HEAD "Content-Length: 0\r\n\r\n");
+	wire_until(&probe.wire, has_request, &probe);
+	hsv_begin(probe.request, 200, "");
+	ck_assert(hsv_add(probe.request, "event", 5));
+	hsv_end(probe.request);
+	wire_client_await(&probe.wire, client, "5\r\nevent\r\n0\r\n\r\n");
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+/* Guards against callers cut off by a drain. */
+START_TEST(drain_completes_requests_and_closes_idle_connections)
+{
+	struct probe probe;
+	struct wire_client *idle;
+	struct wire_client *busy;
+
+	setup(&probe);
+	probe.echoes = false;
+	idle = wire_client_new(&probe.wire, probe.address);
+	busy = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(busy, HEAD "Content-Length: 0\r\n\r\n");
+	wire_until(&probe.wire, has_request, &probe);
+	hsv_close_after_answers(probe.server);
+	hsv_stop(probe.server);
+	wire_client_await_close(&probe.wire, idle);
+	ck_assert(!busy->closed);
+	hsv_answer(probe.request, 200, "", "done", 4);
+	wire_client_await(&probe.wire, busy, "done");
+	ck_assert_ptr_nonnull(strstr(busy->received->str, "Connection: close"));
+	wire_client_await_close(&probe.wire, busy);
+	wire_client_drop(idle);
+	wire_client_drop(busy);
+	teardown(&probe);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("edge_callers_wire");
+
+	tcase_set_timeout(tcase, 40);
+	tcase_add_loop_test(tcase, improper_requests_are_refused, 0,
+			    G_N_ELEMENTS(improper) - 1);
+	tcase_add_test(tcase, large_header_is_refused);
+	tcase_add_test(tcase, bodies_together_are_bounded);
+	tcase_add_test(tcase, slow_header_is_given_up);
+	tcase_add_test(tcase, idle_connection_is_closed_without_an_answer);
+	tcase_add_test(tcase, requests_in_one_piece_are_answered_in_turn);
+	tcase_add_test(tcase, caller_that_expects_it_is_told_to_go_on);
+	tcase_add_test(tcase, leaving_is_seen_while_a_request_runs);
+	tcase_add_test(tcase, aborted_stream_has_no_last_chunk);
+	tcase_add_test(tcase, stream_ends_with_its_last_chunk);
+	tcase_add_test(tcase,
+		       drain_completes_requests_and_closes_idle_connections);
+	return sup_run_case("edge_callers_wire", tcase);
+}
--- /dev/null
+++ b/tests/edge_parts_wire_test.c
@@ -0,0 +1,265 @@
+/* Event splitting, header lists, settings of the edge, reports of peers. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <wagtailferry/core.h>
+#include <wagtailferry/schema.h>
+
+#include "edge/evs.h"
+#include "edge/hdr.h"
+#include "edge/prs.h"
+#include "support/fleet.h"
+#include "support/runner.h"
+#include "support/wire/wire.h"
+
+static const char *const stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"
+				  ": note\n\nversion: 3\nid: 3\n\nid: 4\nda";
+#define WHOLE_EVENTS 4
+
+/* Guards against events that are cut, joined or lost where pieces of the
+ * stream arrive in any size. */
+START_TEST(events_are_whole_in_pieces_of_any_size)
+{
+	size_t piece = (size_t)_i + 1;
+	struct evs_splitter splitter;
+	GString *out = g_string_new(NULL);
+	size_t at;
+
+	evs_init(&splitter);
+	for (at = 0; at < strlen(stream); at += piece) {
+		size_t ready = evs_add(&splitter, stream + at,
+				       MIN(piece, strlen(stream) - at));
+
+		g_string_append_len(out, splitter.partial->str, (gssize)ready);
+		evs_take(&splitter, ready);
+	}
+	ck_assert_uint_eq(splitter.events, WHOLE_EVENTS);
+	ck_assert_str_eq(splitter.last_id->str, "3");
+	ck_assert_str_eq(splitter.partial->str, "id: 4\nda");
+	ck_assert_uint_eq(strlen(stream) - strlen("id: 4\nda"), out->len);
+	ck_assert(g_str_has_prefix(stream, out->str));
+	evs_discard_partial(&splitter);
+	ck_assert_uint_eq(splitter.partial->len, 0);
+	evs_clear(&splitter);
+	g_string_free(out, TRUE);
+}
+END_TEST
+
+START_TEST(hop_by_hop_fields_are_told_apart)
+{
+	struct hdr_list list;
+
+	hdr_init(&list);
+	hdr_add(&list, "Connection", "close, X-Mine");
+	hdr_add(&list, "X-Other", "1");
+	ck_assert(hdr_is_hop_by_hop(&list, "x-mine"));
+	ck_assert(hdr_is_hop_by_hop(&list, "TRANSFER-ENCODING"));
+	ck_assert(hdr_is_hop_by_hop(&list, "Keep-Alive"));
+	ck_assert(!hdr_is_hop_by_hop(&list, "X-Other"));
+	ck_assert(!hdr_is_hop_by_hop(&list, "X-Min"));
+	ck_assert_str_eq(hdr_get(&list, "x-other"), "1");
+	hdr_clear(&list);
+}
+END_TEST
+
+#define SETTINGS_HEAD                                                         \
+	"{\"instance\":\"i\",\"data_center\":\"d\","                          \
+	"\"caller_address\":\"10.0.0.1:1\",\"ready_address\":\"10.0.0.1:2\"," \
+	"\"store_address\":\"10.0.0.1:3\",\"peer_address\":\"10.0.0.1:4\""
+
+struct settings_case {
+	const char *text;
+	/* Part of the message, NULL if the settings are accepted. */
+	const char *problem;
+};
+
+static const struct settings_case settings_cases[] = {
+	{SETTINGS_HEAD "}", NULL},
+	{SETTINGS_HEAD ",\"retry_part\":0.25,\"seed\":7}", NULL},
+	{SETTINGS_HEAD ",\"retry_part\":-1}", "retry_part"},
+	{SETTINGS_HEAD ",\"retry_part\":\"x\"}", "retry_part"},
+	{SETTINGS_HEAD ",\"key_removal_ms\":10}", "key_removal_ms"},
+	{SETTINGS_HEAD ",\"memory_mb\":1}", "memory_mb"},
+	{SETTINGS_HEAD ",\"unknown\":1}", "unknown"},
+	{"{\"instance\":\"i\"}", "missing"},
+	{SETTINGS_HEAD ",\"instance\":\"j\"}", "duplicate"},
+	{"{", "line 1"},
+};
+
+START_TEST(settings_are_checked)
+{
+	const struct settings_case *one = &settings_cases[_i];
+	GError *error = NULL;
+	Wf__EdgeSettings *settings =
+		sch_edge_settings_parse(one->text, strlen(one->text), &error);
+
+	if (!one->problem) {
+		ck_assert_ptr_nonnull(settings);
+		ck_assert(settings->retry_part > 0.19);
+		sch_edge_settings_free(settings);
+		return;
+	}
+	ck_assert_ptr_null(settings);
+	ck_assert(g_error_matches(error, ERR_DOMAIN, ERR_BAD_SETTINGS));
+	ck_assert_msg(strstr(error->message, one->problem) != NULL, "%s",
+		      error->message);
+	g_error_free(error);
+}
+END_TEST
+
+/* Two instances that exchange reports without a network. */
+struct pair {
+	struct wire_loop wire;
+	struct ctr_set *counters;
+	clk_ms now;
+	struct flt_fleet *fleets[2];
+	struct prs_peers *peers[2];
+};
+
+static clk_ms pair_now(void *user)
+{
+	return ((struct pair *)user)->now;
+}
+
+static struct prs_peers *new_peers(struct pair *pair, int i)
+{
+	static const char *const names[] = {"one", "two"};
+	struct prs_config config = {
+		.loop = &pair->wire.loop,
+		.fleet = pair->fleets[i],
+		.instance = names[i],
+		.data_center = "a",
+		.address = "127.0.0.1:0",
+		.now = pair_now,
+		.user = pair,
+		.counters = pair->counters,
+	};
+
+	return prs_new(&config, NULL);
+}
+
+static void pair_open(struct pair *pair)
+{
+	struct flt_range range = {0, 10};
+	int i;
+
+	memset(pair, 0, sizeof(*pair));
+	wire_open(&pair->wire);
+	pair->counters = ctr_new();
+	pair->now = 1000;
+	for (i = 0; i < 2; i++) {
+		pair->fleets[i] = flt_new();
+		sup_list_engine(pair->fleets[i], 0, "e1", "a", "large", range);
+		pair->peers[i] = new_peers(pair, i);
+		ck_assert_ptr_nonnull(pair->peers[i]);
+	}
+}
+
+static void pair_close(struct pair *pair)
+{
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		prs_drop(pair->peers[i]);
+		flt_drop(pair->fleets[i]);
+	}
+	wire_close(&pair->wire);
+	ctr_drop(pair->counters);
+}
+
+static void pass(struct pair *pair, GBytes *report)
+{
+	gsize len;
+	const uint8_t *bytes = g_bytes_get_data(report, &len);
+
+	prs_receive(pair->peers[1], bytes, len);
+	g_bytes_unref(report);
+}
+
+static struct flt_target *engine(struct pair *pair, int i)
+{
+	return flt_find(pair->fleets[i], "e1");
+}
+
+START_TEST(load_of_a_peer_counts_once)
+{
+	struct pair pair;
+	GBytes *old;
+
+	pair_open(&pair);
+	engine(&pair, 0)->on_path = 3;
+	engine(&pair, 0)->in_flight = 2;
+	engine(&pair, 0)->used_token_layers = 30000;
+	old = prs_report(pair.peers[0]);
+	engine(&pair, 0)->on_path = 5;
+	pass(&pair, prs_report(pair.peers[0]));
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 5);
+	ck_assert_uint_eq(engine(&pair, 1)->others.in_flight, 2);
+	ck_assert(engine(&pair, 1)->others.token_layers == 30000);
+	/* A report that was overtaken changes nothing. */
+	pass(&pair, old);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 5);
+	pass(&pair, prs_report(pair.peers[0]));
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 5);
+	ck_assert_uint_eq(prs_instances(pair.peers[1]), 2);
+	pair_close(&pair);
+}
+END_TEST
+
+/* Guards against load of a dead peer that is never taken back. */
+START_TEST(load_of_a_silent_peer_is_forgotten)
+{
+	struct pair pair;
+
+	pair_open(&pair);
+	engine(&pair, 0)->on_path = 3;
+	pass(&pair, prs_report(pair.peers[0]));
+	pair.now += 2000;
+	prs_expire(pair.peers[1]);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 3);
+	pair.now += 1000;
+	prs_expire(pair.peers[1]);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 0);
+	ck_assert_uint_eq(prs_instances(pair.peers[1]), 2);
+	pair.now += CLK_MINUTE;
+	prs_expire(pair.peers[1]);
+	ck_assert_uint_eq(prs_instances(pair.peers[1]), 1);
+	pair_close(&pair);
+}
+END_TEST
+
+/* Guards against a crash or wrong load from bytes that are no report. */
+START_TEST(damaged_reports_do_no_harm)
+{
+	struct pair pair;
+	GRand *rand = g_rand_new_with_seed((guint32)_i);
+	uint8_t bytes[64];
+	size_t i;
+
+	pair_open(&pair);
+	for (i = 0; i < sizeof(bytes); i++)
+		bytes[i] = (uint8_t)g_rand_int(rand);
+	prs_receive(pair.peers[1], bytes,
+		    (size_t)g_rand_int_range(rand, 0, sizeof(bytes)));
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 0);
+	g_rand_free(rand);
+	pair_close(&pair);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("edge_parts");
+
+	tcase_add_loop_test(tcase, events_are_whole_in_pieces_of_any_size, 0,
+			    20);
+	tcase_add_test(tcase, hop_by_hop_fields_are_told_apart);
+	tcase_add_loop_test(tcase, settings_are_checked, 0,
+			    G_N_ELEMENTS(settings_cases));
+	tcase_add_test(tcase, load_of_a_peer_counts_once);
+	tcase_add_test(tcase, load_of_a_silent_peer_is_forgotten);
+	tcase_add_loop_test(tcase, damaged_reports_do_no_harm, 0, 50);
+	return sup_run_case("edge_parts", tcase);
+}
--- /dev/null
+++ b/tests/platform/edge_wire_test.c
@@ -0,0 +1,575 @@
+/* One edge instance against stand-ins of the platform. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/support/stand_in.h"
+#include "support/runner.h"
+
+#define KEY "Authorization: Token key1\r\n"
+#define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
+
+/* Two plain workers and the configuration. */
+static void open_plain(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "p1", "plain", 0, 0);
+	world_worker(world, "p2", "plain", 0, 0);
+	world_start_ready_edge(world);
+}
+
+/* Two heads and two engines for the other half of the layers. */
+static void open_engines(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "e1", "model", 0, 4);
+	world_worker(world, "e2", "model", 0, 4);
+	world_worker(world, "e3", "model", 4, 8);
+	world_worker(world, "e4", "model", 4, 8);
+	world_start_ready_edge(world);
+}
+
+static struct worker *worker(struct platform_world *world, guint i)
+{
+	return world->workers->pdata[i];
+}
+
+static void set_modes(struct platform_world *world, enum worker_mode mode)
+{
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++)
+		worker(world, i)->mode = mode;
+}
+
+static unsigned requests_of_all(struct platform_world *world)
+{
+	unsigned sum = 0;
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++)
+		sum += worker(world, i)->requests;
+	return sum;
+}
+
+/* The worker that got a request. */
+static struct worker *used_worker(struct platform_world *world)
+{
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++) {
+		if (worker(world, i)->requests)
+			return worker(world, i);
+	}
+	ck_abort_msg("no worker got the request");
+}
+
+static void expect(struct platform_world *world, const char *method,
+		   const char *path, const char *extra, const char *text)
+{
+	struct wire_client *client =
+		world_request(world, method, path, extra, "");
+
+	wire_client_await(&world->wire, client, text);
+	wire_client_drop(client);
+}
+
+/* Guards against what a target must not see, or must see unchanged. */
+START_TEST(request_is_forwarded_as_it_is)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	const char *seen;
+	long remaining;
+
+	open_plain(&world);
+	client = world_request(&world, "POST", "/once/a?b=c",
+			       KEY "X-Wagtailferry-Tenant: forged\r\n"
+				   "X-Own: 1\r\nConnection: X-Hop\r\n"
+				   "X-Hop: 1\r\n"
+				   "X-Wagtailferry-Deadline-Ms: 1000\r\n",
+			       "payload");
+	wire_client_await(&world.wire, client, "body");
+	seen = used_worker(&world)->last_request->str;
+	ck_assert(g_str_has_prefix(seen, "POST /once/a?b=c HTTP/1.1\r\n"));
+	ck_assert(g_str_has_suffix(seen, "\r\n\r\npayload"));
+	ck_assert_ptr_nonnull(strstr(seen, "X-Own: 1\r\n"));
+	ck_assert_ptr_nonnull(strstr(seen, "X-Wagtailferry-Tenant: org\r\n"));
+	ck_assert_ptr_null(strstr(seen, "forged"));
+	ck_assert_ptr_null(strstr(seen, "Authorization"));
+	ck_assert_ptr_null(strstr(seen, "X-Hop"));
+	ck_assert_ptr_nonnull(
+		strstr(seen, "X-Wagtailferry-Expect-Instance: p"));
+	remaining = strtol(strstr(seen, "Deadline-Ms: ") + 13, NULL, 10);
+	ck_assert_int_gt(remaining, 800);
+	ck_assert_int_le(remaining, 1000);
+	ck_assert_ptr_nonnull(
+		strstr(client->received->str, "Server-Stamp: sig"));
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+struct own_answer {
+	const char *path;
+	const char *headers;
+	const char *answer;
+};
+
+static const struct own_answer own_answers[] = {
+	{"/read/", "", "HTTP/1.1 401 "},
+	{"/read/", "Authorization: Token other\r\n", "HTTP/1.1 401 "},
+	{"/read/", "Authorization: Basic key1\r\n", "HTTP/1.1 401 "},
+	{"/none/", KEY, "HTTP/1.1 404 "},
+	{"/read", KEY, "HTTP/1.1 404 "},
+	{"/read/", KEY "X-Wagtailferry-Deadline-Ms: soon\r\n", "HTTP/1.1 400 "},
+	{"/read/", KEY "X-Wagtailferry-Attempt-Id: second\r\n",
+	 "HTTP/1.1 400 "},
+};
+
+START_TEST(improper_request_reaches_no_target)
+{
+	struct platform_world world;
+
+	open_plain(&world);
+	expect(&world, "GET", own_answers[_i].path, own_answers[_i].headers,
+	       own_answers[_i].answer);
+	ck_assert_uint_eq(requests_of_all(&world), 0);
+	world_close(&world);
+}
+END_TEST
+
+START_TEST(public_route_needs_no_key)
+{
+	struct platform_world world;
+
+	open_plain(&world);
+	expect(&world, "GET", "/open/", "", "body");
+	ck_assert_ptr_null(strstr(used_worker(&world)->last_request->str,
+				  "X-Wagtailferry-Tenant"));
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against refusing by a configuration that is not known yet. */
+START_TEST(instance_without_configuration_refuses_with_a_promise)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	world_open(&world);
+	world_start_edge(&world);
+	client = world_request(&world, "GET", "/read/", KEY, "");
+	wire_client_await(&world.wire, client, "HTTP/1.1 503 ");
+	wire_client_await(&world.wire, client, "Retry-After: ");
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+struct failure {
+	enum worker_mode mode;
+	const char *path;
+	const char *answer;
+	unsigned sends;
+};
+
+static const struct failure failures[] = {
+	/* What may not run twice is sent once, and promises are true. */
+	{WORKER_BREAKS, "/once/", "HTTP/1.1 502 ", 1},
+	{WORKER_CLOSES, "/once/", "HTTP/1.1 502 ", 1},
+	{WORKER_UNSIGNED, "/once/", "HTTP/1.1 502 ", 1},
+	{WORKER_REFUSES_BARE, "/once/", "HTTP/1.1 502 ", 1},
+	{WORKER_FAILS, "/once/", "HTTP/1.1 500 ", 1},
+	{WORKER_REFUSES, "/once/", "HTTP/1.1 503 ", 1},
+	{WORKER_SILENT, "/once/", "HTTP/1.1 504 ", 1},
+	/* What may run again goes to one more target. */
+	{WORKER_BREAKS, "/read/", "HTTP/1.1 502 ", 2},
+	{WORKER_UNSIGNED, "/read/", "HTTP/1.1 502 ", 2},
+	{WORKER_FAILS, "/read/", "HTTP/1.1 500 ", 2},
+	{WORKER_REFUSES, "/read/", "HTTP/1.1 503 ", 2},
+};
+
+START_TEST(failures_get_a_true_answer)
+{
+	const struct failure *failure = &failures[_i];
+	struct platform_world world;
+
+	open_plain(&world);
+	set_modes(&world, failure->mode);
+	expect(&world, "POST", failure->path,
+	       KEY "X-Wagtailferry-Deadline-Ms: 700\r\n", failure->answer);
+	ck_assert_uint_eq(requests_of_all(&world), failure->sends);
+	world_close(&world);
+}
+END_TEST
+
+START_TEST(repeatable_request_is_answered_by_another_target)
+{
+	static const enum worker_mode modes[] = {WORKER_FAILS, WORKER_BREAKS,
+						 WORKER_CLOSES, WORKER_REFUSES};
+	struct platform_world world;
+	int i;
+
+	open_plain(&world);
+	worker(&world, 0)->mode = modes[_i];
+	for (i = 0; i < 4; i++)
+		expect(&world, "GET", "/read/", KEY, "body");
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against a key that works after its removal, on an instance that
+ * can't know of it: the store is silent. */
+START_TEST(keys_are_refused_once_the_configuration_is_too_old)
+{
+	struct platform_world world;
+
+	open_plain(&world);
+	expect(&world, "GET", "/read/", KEY, "body");
+	world.store_mode = STORE_SILENT;
+	world_run(&world, 3200);
+	expect(&world, "GET", "/read/", KEY, "HTTP/1.1 503 ");
+	expect(&world, "GET", "/none/", KEY, "HTTP/1.1 503 ");
+	expect(&world, "GET", "/open/", "", "body");
+	world.store_mode = STORE_ANSWERS;
+	world_run(&world, 1500);
+	expect(&world, "GET", "/read/", KEY, "body");
+	world_close(&world);
+}
+END_TEST
+
+static bool is_version_2(void *user)
+{
+	return ctr_get(((struct platform_world *)user)->counters,
+		       "wf_edge_config_version") == 2;
+}
+
+START_TEST(newer_configuration_holds_and_an_older_one_never_comes_back)
+{
+	struct platform_world world;
+	json_t *config = world_config(2);
+	json_t *org;
+
+	open_plain(&world);
+	org = json_array_get(json_object_get(config, "tenants"), 0);
+	json_object_set_new(org, "api-keys", json_pack("[s]", "key2"));
+	world_put(&world, "config", "main", config);
+	wire_until(&world.wire, is_version_2, &world);
+	expect(&world, "GET", "/read/", KEY, "HTTP/1.1 401 ");
+	world_put(&world, "config", "main", world_config(1));
+	world_run(&world, 400);
+	expect(&world, "GET", "/read/", KEY, "HTTP/1.1 401 ");
+	expect(&world, "GET", "/read/", "Authorization: Token key2\r\n",
+	       "body");
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against changes that are lost with the store's history. */
+START_TEST(lost_history_is_replaced_by_a_list)
+{
+	struct platform_world world;
+
+	open_plain(&world);
+	world.store_mode = STORE_GONE;
+	json_array_clear(world.events);
+	world_put(&world, "config", "main", world_config(2));
+	json_array_clear(world.events);
+	wire_until(&world.wire, is_version_2, &world);
+	world.store_mode = STORE_ANSWERS;
+	expect(&world, "GET", "/read/", KEY, "body");
+	world_close(&world);
+}
+END_TEST
+
+static bool has_one_target(void *user)
+{
+	struct platform_world *world = user;
+
+	return flt_targets(edg_fleet(world->edge))->len == 1;
+}
+
+/* Guards against a target that is kept after its entry is gone: the span for
+ * lapsed entries was applied to every removal after the first outage. */
+START_TEST(entries_stay_only_right_after_an_outage)
+{
+	struct platform_world world;
+
+	open_plain(&world);
+	world.store_mode = STORE_BUSY;
+	world_run(&world, 2500);
+	world_delete(&world, "servers", "p1");
+	world.store_mode = STORE_ANSWERS;
+	world_run(&world, 1200);
+	ck_assert_uint_eq(flt_targets(edg_fleet(world.edge))->len, 2);
+	wire_until(&world.wire, has_one_target, &world);
+	world_put(&world, "servers", "p1",
+		  json_deep_copy(worker(&world, 0)->entry));
+	world_run(&world, 600);
+	ck_assert_uint_eq(flt_targets(edg_fleet(world.edge))->len, 2);
+	world_delete(&world, "servers", "p1");
+	world_run(&world, 500);
+	ck_assert_uint_eq(flt_targets(edg_fleet(world.edge))->len, 1);
+	world_close(&world);
+}
+END_TEST
+
+static bool sees_stream(void *user)
+{
+	return requests_of_all(user) > 0;
+}
+
+/* Guards against gaps, repeats and torn events where a stream goes on at
+ * another head. */
+START_TEST(broken_stream_continues_after_its_last_event)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *first;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_BREAKS_STREAM);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_until(&world.wire, sees_stream, &world);
+	first = used_worker(&world);
+	set_modes(&world, WORKER_ANSWERS);
+	first->mode = WORKER_BREAKS_STREAM;
+	wire_client_await(&world.wire, client,
+			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	ck_assert_ptr_null(
+		strstr(strstr(client->received->str, "id: 2") + 5, "id: 2"));
+	ck_assert_ptr_null(
+		strstr(strstr(client->received->str, "id: 1") + 5, "id: 1"));
+	ck_assert_ptr_null(strstr(client->received->str + 9, "HTTP/1.1"));
+	ck_assert_uint_eq(requests_of_all(&world), 2);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+START_TEST(path_runs_every_layer_once)
+{
+	struct platform_world world;
+	char **stages;
+	char *path;
+
+	open_engines(&world);
+	expect(&world, "POST", "/stream/", KEY TOKENS, "data: two");
+	path = strstr(used_worker(&world)->last_request->str, "Hop-Count: ");
+	ck_assert_ptr_nonnull(path);
+	path = g_strndup(path + 11, strcspn(path + 11, "\r"));
+	stages = g_strsplit(path, ",", -1);
+	ck_assert_uint_eq(g_strv_length(stages), 2);
+	ck_assert(g_str_has_suffix(stages[0], "=0-4"));
+	ck_assert(g_str_has_suffix(stages[1], "=4-8"));
+	ck_assert(g_str_has_prefix(
+		stages[0], wire_server_address(used_worker(&world)->server)));
+	g_strfreev(stages);
+	g_free(path);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against a request that is computed anew, or that waits for its
+ * stall, where its head can change the path. */
+START_TEST(stalled_stream_changes_its_path)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+	const char *path;
+	guint lost;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_STALLS_STREAM);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_until(&world.wire, sees_stream, &world);
+	head = used_worker(&world);
+	path = strstr(head->last_request->str, "Hop-Count: ");
+	lost = strstr(path, wire_server_address(worker(&world, 2)->server)) ? 2
+									    : 3;
+	head->stalled = wire_server_address(worker(&world, lost)->server);
+	wire_client_await(&world.wire, client, "data: two");
+	ck_assert_uint_eq(head->orders->len, 1);
+	ck_assert_ptr_nonnull(strstr(head->orders->pdata[0], "repath"));
+	ck_assert_ptr_null(strstr(head->orders->pdata[0], head->stalled));
+	ck_assert_uint_eq(requests_of_all(&world), 1);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+START_TEST(stream_resumes_where_the_path_cannot_change)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+	guint i;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_STALLS_STREAM);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_until(&world.wire, sees_stream, &world);
+	head = used_worker(&world);
+	for (i = 0; i < 4; i++) {
+		worker(&world, i)->order_status = 409;
+		worker(&world, i)->mode = WORKER_ANSWERS;
+	}
+	head->stalled =
+		strstr(head->last_request->str,
+		       wire_server_address(worker(&world, 2)->server))
+			? wire_server_address(worker(&world, 2)->server)
+			: wire_server_address(worker(&world, 3)->server);
+	wire_client_await(&world.wire, client, "data: two");
+	ck_assert_uint_eq(requests_of_all(&world), 2);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+static bool holds_everything(void *user)
+{
+	struct platform_world *world = user;
+	const GPtrArray *targets = flt_targets(edg_fleet(world->edge));
+	unsigned held = 0;
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+
+		held += target->holds.end - target->holds.first;
+	}
+	return held >= 8;
+}
+
+START_TEST(empty_engines_are_ordered_to_hold_layers)
+{
+	struct platform_world world;
+	const char *order;
+
+	world_open(&world);
+	world_put(&world, "config", "main", world_config(1));
+	world_worker(&world, "e1", "model", 0, 0);
+	world_worker(&world, "e2", "model", 0, 0);
+	world_start_edge(&world);
+	wire_until(&world.wire, holds_everything, &world);
+	ck_assert_uint_eq(worker(&world, 0)->orders->len, 1);
+	order = worker(&world, 0)->orders->pdata[0];
+	ck_assert_ptr_nonnull(strstr(order, "\"operation\":\"place\""));
+	ck_assert_ptr_nonnull(strstr(order, "\"fencing-token\":1"));
+	ck_assert_ptr_nonnull(strstr(order, "\"expect\":0"));
+	expect(&world, "POST", "/stream/", KEY TOKENS, "data: two");
+	world_close(&world);
+}
+END_TEST
+
+static bool has_second_fence(void *user)
+{
+	struct worker *one = worker(user, 0);
+
+	return one->orders->len > 1 &&
+	       strstr(one->orders->pdata[one->orders->len - 1],
+		      "\"fencing-token\":6");
+}
+
+/* Guards against orders with the fence of an earlier holder. */
+START_TEST(duty_is_taken_over_from_a_silent_holder)
+{
+	struct platform_world world;
+
+	world_open(&world);
+	world_put(&world, "config", "main", world_config(1));
+	world_put(&world, PTF_DUTY_KIND, PTF_DUTY_NAME,
+		  json_pack("{s:s,s:i,s:{s:[i,i]}}", "holder", "dead", "fence",
+			    5, "assignments", "e1", 0, 4));
+	world_worker(&world, "e1", "model", 0, 0);
+	world_worker(&world, "e2", "model", 0, 0);
+	worker(&world, 0)->order_status = 503;
+	world_start_edge(&world);
+	wire_until(&world.wire, has_second_fence, &world);
+	world_close(&world);
+}
+END_TEST
+
+static bool worker_lost_its_caller(void *user)
+{
+	struct platform_world *world = user;
+
+	return !wire_is_open(used_worker(world)->server,
+			     used_worker(world)->stream);
+}
+
+/* Guards against targets that work on after the caller has left. */
+START_TEST(leaving_caller_ends_the_work)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_STALLS_STREAM);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	wire_client_drop(client);
+	wire_until(&world.wire, worker_lost_its_caller, &world);
+	world_close(&world);
+}
+END_TEST
+
+static bool is_drained(void *user)
+{
+	return ((struct platform_world *)user)->is_drained;
+}
+
+START_TEST(drain_leaves_the_balancer_and_serves_on)
+{
+	struct platform_world world;
+	struct wire_client *ready;
+
+	open_plain(&world);
+	edg_drain(world.edge);
+	ready = wire_client_new(&world.wire, world.ready_address);
+	wire_client_send(ready, "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+	wire_client_await(&world.wire, ready, "HTTP/1.1 503 ");
+	expect(&world, "GET", "/read/", KEY, "Connection: close");
+	wire_until(&world.wire, is_drained, &world);
+	wire_client_drop(ready);
+	world_close(&world);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("edge_wire");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, request_is_forwarded_as_it_is);
+	tcase_add_loop_test(tcase, improper_request_reaches_no_target, 0,
+			    G_N_ELEMENTS(own_answers));
+	tcase_add_test(tcase, public_route_needs_no_key);
+	tcase_add_test(tcase,
+		       instance_without_configuration_refuses_with_a_promise);
+	tcase_add_loop_test(tcase, failures_get_a_true_answer, 0,
+			    G_N_ELEMENTS(failures));
+	tcase_add_loop_test(
+		tcase, repeatable_request_is_answered_by_another_target, 0, 4);
+	tcase_add_test(tcase,
+		       keys_are_refused_once_the_configuration_is_too_old);
+	tcase_add_test(
+		tcase,
+		newer_configuration_holds_and_an_older_one_never_comes_back);
+	tcase_add_test(tcase, lost_history_is_replaced_by_a_list);
+	tcase_add_test(tcase, entries_stay_only_right_after_an_outage);
+	tcase_add_test(tcase, broken_stream_continues_after_its_last_event);
+	tcase_add_test(tcase, path_runs_every_layer_once);
+	tcase_add_test(tcase, stalled_stream_changes_its_path);
+	tcase_add_test(tcase, stream_resumes_where_the_path_cannot_change);
+	tcase_add_test(tcase, empty_engines_are_ordered_to_hold_layers);
+	tcase_add_test(tcase, duty_is_taken_over_from_a_silent_holder);
+	tcase_add_test(tcase, leaving_caller_ends_the_work);
+	tcase_add_test(tcase, drain_leaves_the_balancer_and_serves_on);
+	return sup_run_case("edge_wire", tcase);
+}
--- /dev/null
+++ b/tests/platform/support/stand_in.h
@@ -0,0 +1,116 @@
+#ifndef PLATFORM_STAND_IN_H
+#define PLATFORM_STAND_IN_H
+
+/*
+ * Stand-ins for the users' platform on loopback: its store and its workers,
+ * and one edge instance that runs against them on the same loop.
+ */
+
+#include <jansson.h>
+
+#include "edge/edg.h"
+#include "platform/ptf.h"
+#include "support/wire/wire.h"
+
+/* What a worker does with the next requests. */
+enum worker_mode {
+	WORKER_ANSWERS,
+	/* A 500 of its own. */
+	WORKER_FAILS,
+	/* Refuses with proof that it did not run the request. */
+	WORKER_REFUSES,
+	/* A 503 without proof. */
+	WORKER_REFUSES_BARE,
+	/* Breaks off in the middle of the answer. */
+	WORKER_BREAKS,
+	/* Closes without an answer. */
+	WORKER_CLOSES,
+	/* A success without its signature. */
+	WORKER_UNSIGNED,
+	/* Never answers. */
+	WORKER_SILENT,
+	/* Sends the events, but breaks off inside the second. */
+	WORKER_BREAKS_STREAM,
+	/* Sends one event and then nothing. */
+	WORKER_STALLS_STREAM,
+};
+
+struct platform_world;
+
+struct worker {
+	struct platform_world *world;
+	struct wire_server *server;
+	char *id;
+	enum worker_mode mode;
+	/* Requests that it was sent, without reports and orders. */
+	unsigned requests;
+	GString *last_request;
+	/* Bodies of orders, in the sequence of their arrival. */
+	GPtrArray *orders;
+	int order_status;
+	/* Address that its report names as stalled, or NULL. */
+	const char *stalled;
+	/* Connection of a stalled stream. */
+	struct wire_conn *stream;
+	json_t *entry;
+};
+
+enum store_mode { STORE_ANSWERS, STORE_SILENT, STORE_BUSY, STORE_GONE };
+
+struct platform_world {
+	struct wire_loop wire;
+	struct wire_server *store;
+	enum store_mode store_mode;
+	int64_t revision;
+	/* Kind to an object of name to stored object. */
+	json_t *objects;
+	/* Events since the start, with their revision. */
+	json_t *events;
+	unsigned store_calls;
+	GPtrArray *held;
+	uv_timer_t poll;
+	GPtrArray *workers;
+
+	struct ctr_set *counters;
+	struct log_logger *log;
+	GString *log_text;
+	Wf__EdgeSettings *settings;
+	struct edg_edge *edge;
+	struct ptf_platform *platform;
+	bool is_drained;
+	char *address;
+	char *ready_address;
+};
+
+/* Opens the store; no object is in it. */
+void world_open(struct platform_world *world);
+void world_close(struct platform_world *world);
+
+/* Writes an object, as the operator or a worker would. Takes spec over. */
+void world_put(struct platform_world *world, const char *kind, const char *name,
+	       json_t *spec);
+void world_delete(struct platform_world *world, const char *kind,
+		  const char *name);
+
+/* A configuration with a route of each kind below host "h". */
+json_t *world_config(int version);
+
+/* Starts and lists a worker; layers are empty for a plain service. */
+struct worker *world_worker(struct platform_world *world, const char *id,
+			    const char *service, unsigned first, unsigned end);
+
+/* Starts the edge. */
+void world_start_edge(struct platform_world *world);
+/* The same, and waits until it is ready. */
+void world_start_ready_edge(struct platform_world *world);
+
+/* Sends a request with an id and a key to the edge, and awaits the text. */
+struct wire_client *world_request(struct platform_world *world,
+				  const char *method, const char *path,
+				  const char *extra, const char *body);
+
+bool world_is_ready(void *user);
+/* Runs the loop for a span. */
+void world_run(struct platform_world *world, clk_ms span);
+
+#endif
--- a/tests/support/wire/wire.h
+++ b/tests/support/wire/wire.h
@@ -54,9 +54,16 @@
 /* Sends a whole answer with Content-Length. extra: header lines or "". */
 void wire_answer(struct wire_conn *conn, int status, const char *extra,
 		 const char *body);
+/* Whether the connection is still open; conn may be gone already. */
+bool wire_is_open(const struct wire_server *server, const void *conn);
 /* Ends the connection after what was sent. */
 void wire_hang_up(struct wire_conn *conn);
 
+/* Resets the connection after what was sent. */
+void wire_reset(struct wire_conn *conn);
+/* Ends the connection and resets it before the other side has read on. */
+void wire_end_and_reset(struct wire_conn *conn, const char *last_bytes);
+
 /* An address on which nothing listens. Free with g_free(). */
 char *wire_refused_address(struct wire_loop *wire);
 
--- a/tests/support/wire/wire_server.c
+++ b/tests/support/wire/wire_server.c
@@ -3,6 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <check.h>
+#include <sys/socket.h>
+
 #include "wire.h"
 
 struct wire_server {
@@ -174,6 +177,14 @@
 	release(server);
 }
 
+bool wire_is_open(const struct wire_server *server, const void *conn)
+{
+	return g_hash_table_contains(server->conns, conn) &&
+	       !uv_is_closing(
+		       (const uv_handle_t *)&((const struct wire_conn *)conn)
+			       ->tcp);
+}
+
 void wire_server_drop(struct wire_server *server)
 {
 	GHashTableIter iter;
@@ -232,6 +243,28 @@
 	}
 }
 
+void wire_reset(struct wire_conn *conn)
+{
+	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+	uv_os_fd_t fd;
+
+	uv_fileno((uv_handle_t *)&conn->tcp, &fd);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	close_conn(conn);
+}
+
+/* Done on the descriptor itself, so that no turn of the loop is between. */
+void wire_end_and_reset(struct wire_conn *conn, const char *last_bytes)
+{
+	uv_os_fd_t fd;
+
+	uv_fileno((uv_handle_t *)&conn->tcp, &fd);
+	ck_assert_int_eq(send(fd, last_bytes, strlen(last_bytes), 0),
+			 strlen(last_bytes));
+	shutdown(fd, SHUT_WR);
+	wire_reset(conn);
+}
+
 /* The port was bound a moment ago and is free again. */
 char *wire_refused_address(struct wire_loop *wire)
 {
