--- a/scripts/checks/guards.sh
+++ b/scripts/checks/guards.sh
@@ -1,24 +1,35 @@
 #!/bin/sh
 # Builds the library with one guard removed at a time and runs the test that
 # guards it. Fails unless the test fails. tests/guards*.txt have lines
-# "GUARD TEST_PROGRAM".
+# "GUARD TEST_PROGRAM". Only the sources that name the guard are compiled
+# anew; the other objects are those of build/.
 set -u
 cd "$(dirname "$0")/../.."
 results=build/guard-results
 mkdir -p "$results"
 rm -f "$results"/*
 
-# Unoptimized builds compile in a third of the time.
 cat tests/guards*.txt | grep . | xargs -P 4 -L 1 sh -c '
 	guard=$1 program=$2
 	build=build/guard-$guard
+	rm -rf "$build"
+	mkdir -p "$build"
+	for part in src tests platform
+	do
+		test -d "build/$part" && cp -al "build/$part" "$build/$part"
+	done
+	rm -f "$build/tests/$program"
+	for source in $(grep -rl "WF_GUARD_OFF_$guard\$" src platform)
+	do
+		rm -f "$build/${source%.c}.o" "$build/${source%.c}.d"
+	done
 	if ! make -s -j2 GUARD_OFF="$guard" CFLAGS=-O0 \
 		"$build/tests/$program"
 	then
 		echo "guard $guard: $program does not build"
 		exit 0
 	fi
-	output=$build/$program.txt
+	output=$build/output.txt
 	timeout 600 "$build/tests/$program" >"$output" 2>&1
 	rc=$?
 	if test $rc -eq 1 && grep -q ":[FE]:" "$output"
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -108,6 +108,9 @@
 	int64_t version = cat_version(catalog);
 	int64_t present = edge->catalog ? cat_version(edge->catalog) : -1;
 
+#ifdef WF_GUARD_OFF_EDGE_CONFIG_MONOTONIC
+	present = -1;
+#endif
 	if (version <= present) {
 		if (version < present)
 			edg_log(edge, "config", "offered", "dropped",
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -168,6 +168,9 @@
 /* Statuses that tell a caller that its request was not run. */
 static bool promises_not_run(int status)
 {
+#ifdef WF_GUARD_OFF_EDGE_PROMISE
+	return false;
+#endif
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
@@ -200,8 +203,10 @@
 	}
 	if (outcome != EDG_OUTCOME_NOT_RUN) {
 		request->may_have_run = true;
+#ifndef WF_GUARD_OFF_EDGE_ONCE
 		if (request->route->repeat == CAT_REPEAT_NEVER)
 			return false;
+#endif
 	}
 	if (request->sends >= most || edg_remaining(request) <= 0)
 		return false;
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -203,6 +203,9 @@
 /* Whether the catalog is new enough to refuse or to accept a key by it. */
 static bool is_catalog_fresh(const struct edg_edge *edge)
 {
+#ifdef WF_GUARD_OFF_EDGE_KEY_AGE
+	return edge->catalog != NULL;
+#endif
 	return edg_now(edge) - edge->catalog_confirmed < edge->key_removal;
 }
 
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -194,6 +194,11 @@
 
 	request->exchange = NULL;
 	uv_timer_stop(&request->pause_timer);
+#ifdef WF_GUARD_OFF_EDGE_WHOLE_EVENTS
+	evs_discard_partial(&request->events);
+	is_partial = false;
+	outcome = EDG_OUTCOME_ANSWERED;
+#endif
 	if (outcome == EDG_OUTCOME_ANSWERED && is_stream_answer(request) &&
 	    !is_partial) {
 		complete(request);
--- a/src/edge/hup.c
+++ b/src/edge/hup.c
@@ -221,6 +221,9 @@
 {
 	const char *id;
 
+#ifdef WF_GUARD_OFF_EDGE_ANSWER_ID
+	return true;
+#endif
 	if (!exchange->id_header)
 		return true;
 	id = hdr_get(&response->headers, exchange->id_header);
@@ -324,6 +327,9 @@
 	socklen_t len = sizeof(error);
 	uv_os_fd_t fd;
 
+#ifdef WF_GUARD_OFF_EDGE_RESET_CHECK
+	return false;
+#endif
 	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd))
 		return true;
 	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) || error;
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -52,6 +52,7 @@
 	const char *stalled;
 	/* Connection of a stalled stream. */
 	struct wire_conn *stream;
+	uint64_t stream_serial;
 	json_t *entry;
 };
 
--- /dev/null
+++ b/tests/soak/client.c
@@ -0,0 +1,260 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define REQUEST_TIMEOUT_MS 4000
+#define MAX_IN_PROGRESS 60
+/* A removed key may be used for so long after its removal. */
+#define KEY_REMOVAL_MS 5000
+/* Requests may reach a leaving worker for so long. */
+#define DRAIN_MS 2000
+/* Machines that were harmed less than this ago are excused. */
+#define TOUCH_MS 3000
+/* The way of a request through proxies, and scheduling of this machine. */
+#define SLACK_MS 300
+
+static bool is_promise(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+bool soak_note_run(struct soak *soak, struct soak_worker *worker,
+		   const char *id)
+{
+	struct soak_request *request = g_hash_table_lookup(soak->requests, id);
+	clk_ms now = soak_now(soak);
+	clk_ms removed;
+
+	if (!request) {
+		soak_violation(soak, "UNASKED: %s", id);
+		return false;
+	}
+	request->runs++;
+	removed = soak->key_removed_at[request->key];
+	if (removed && request->sent_at > removed + KEY_REMOVAL_MS)
+		soak_violation(soak,
+			       "CONFIG: %s ran with a key removed "
+			       "%" G_GINT64_FORMAT " ms before",
+			       id, request->sent_at - removed);
+	if (request->kind == SOAK_ONCE && request->runs > 1)
+		soak_violation(soak, "TWICE: %s", id);
+	if (request->is_refused && request->kind == SOAK_ONCE)
+		soak_violation(soak, "REFUSED: %s runs later", id);
+	if (worker->is_draining &&
+	    now - worker->draining_since > DRAIN_MS + SLACK_MS &&
+	    request->sent_at > worker->draining_since &&
+	    now - request->edge->harmed_until > TOUCH_MS &&
+	    now - soak->store_harmed_until > TOUCH_MS)
+		soak_violation(soak,
+			       "DRAIN: %s reaches %s %" G_GINT64_FORMAT
+			       " ms late",
+			       id, worker->id, now - worker->draining_since);
+	return true;
+}
+
+static void on_head(void *user, const struct hup_response *response)
+{
+	struct soak_request *request = user;
+	const char *signature =
+		hdr_get(&response->headers, "X-Wagtailferry-Server-Stamp");
+
+	request->status = response->status;
+	request->is_signed = signature != NULL;
+	if (response->status == 200 &&
+	    (!signature || strcmp(signature + 2, request->id) != 0))
+		soak_violation(request->soak, "MIXED: signature of %s is %s",
+			       request->id, signature ? signature : "none");
+}
+
+static void on_data(void *user, const char *bytes, size_t len)
+{
+	g_string_append_len(((struct soak_request *)user)->body, bytes,
+			    (gssize)len);
+}
+
+/* The events that a client has are the first ones, each once, in order. */
+static void check_events(struct soak_request *request, bool is_complete)
+{
+	GString *expected = g_string_new(NULL);
+	unsigned n;
+
+	for (n = 1; n <= SOAK_EVENTS; n++)
+		g_string_append_printf(expected, "id: %u\ndata: %s:%u\n\n", n,
+				       request->id, n);
+	if (strncmp(expected->str, request->body->str, request->body->len) ||
+	    request->body->len > expected->len)
+		soak_violation(request->soak, "ORDER: events of %s: %s",
+			       request->id, request->body->str);
+	else if (is_complete && request->body->len != expected->len)
+		soak_violation(request->soak, "ORDER: %s ends after %zu bytes",
+			       request->id, request->body->len);
+	g_string_free(expected, TRUE);
+}
+
+static void check_body(struct soak_request *request)
+{
+	char *expected = g_strdup_printf("own %s", request->id);
+
+	if (strcmp(expected, request->body->str) != 0)
+		soak_violation(request->soak, "MIXED: body of %s is %s",
+			       request->id, request->body->str);
+	g_free(expected);
+}
+
+static void note_served(struct soak_request *request)
+{
+	struct soak *soak = request->soak;
+
+	soak->served++;
+	if (request->is_late)
+		soak->late_served++;
+}
+
+/* All configurations that may be in force allow the request. */
+static bool must_be_allowed(const struct soak_request *request)
+{
+	const struct soak *soak = request->soak;
+
+	if (soak->key_removed_at[request->key])
+		return false;
+	return !soak->keys_restored_at ||
+	       request->sent_at - soak->keys_restored_at > KEY_REMOVAL_MS;
+}
+
+static void on_end(void *user, enum hup_end how)
+{
+	struct soak_request *request = user;
+	bool is_complete = how == HUP_COMPLETE;
+
+	request->exchange = NULL;
+	request->has_ended = true;
+	uv_timer_stop(&request->leave);
+	if (request->status == 200 && request->kind == SOAK_STREAM)
+		check_events(request, is_complete);
+	else if (request->status == 200 && is_complete)
+		check_body(request);
+	if (is_complete && request->status == 200)
+		note_served(request);
+	if (is_complete && is_promise(request->status)) {
+		request->is_refused = true;
+		if (request->runs && request->kind == SOAK_ONCE)
+			soak_violation(request->soak,
+				       "REFUSED: %s has run, answer %d",
+				       request->id, request->status);
+	}
+	if (is_complete && request->status >= 400 && request->status < 500 &&
+	    !is_promise(request->status) && must_be_allowed(request))
+		soak_violation(request->soak, "DENIED: %s answer %d",
+			       request->id, request->status);
+}
+
+static const struct hup_ops ops = {on_head, on_data, on_end};
+
+static void on_leave(uv_timer_t *timer)
+{
+	struct soak_request *request = timer->data;
+
+	if (request->exchange)
+		hup_cancel(request->exchange);
+	request->exchange = NULL;
+	request->has_ended = true;
+}
+
+static struct soak_edge *choose_edge(struct soak *soak)
+{
+	unsigned tries;
+
+	for (tries = 0; tries < 10; tries++) {
+		struct soak_edge *edge = soak->edges->pdata[g_rand_int_range(
+			soak->rand, 0, (gint32)soak->edges->len)];
+
+		if (edge->is_running && !edge->is_stopped &&
+		    !edge->terminated_at &&
+		    soak_now(soak) - edge->started_at > 400)
+			return edge;
+	}
+	return NULL;
+}
+
+static unsigned choose_key(struct soak *soak)
+{
+	return (unsigned)g_rand_int_range(soak->rand, 0, 4);
+}
+
+static void send_one(struct soak *soak)
+{
+	static const char *const paths[] = {"GET /read/x", "POST /once/x",
+					    "POST /stream/x"};
+	struct soak_edge *edge = choose_edge(soak);
+	struct soak_request *request;
+	struct hup_request send = {.timeout = REQUEST_TIMEOUT_MS};
+
+	if (!edge)
+		return;
+	request = g_new0(struct soak_request, 1);
+	request->soak = soak;
+	request->edge = edge;
+	request->kind = (enum soak_kind)g_rand_int_range(soak->rand, 0, 3);
+	request->key = choose_key(soak);
+	request->sent_at = soak_now(soak);
+	request->body = g_string_new(NULL);
+	g_snprintf(request->id, sizeof(request->id), "r%u", ++soak->next_id);
+	g_hash_table_insert(soak->requests, request->id, request);
+	uv_timer_init(&soak->world.wire.loop, &request->leave);
+	request->leave.data = request;
+	send.address = edge->address;
+	send.bytes = g_string_new(NULL);
+	g_string_printf(send.bytes,
+			"%s HTTP/1.1\r\nHost: h\r\n"
+			"X-Wagtailferry-Attempt-Id: %s\r\n"
+			"X-Wagtailferry-Deadline-Ms: %d\r\n"
+			"X-Wagtailferry-Token-Counts: 20,20\r\n"
+			"Authorization: Token key%u\r\n"
+			"Content-Length: 2\r\n\r\nhi",
+			paths[request->kind], request->id, REQUEST_TIMEOUT_MS,
+			request->key);
+	send.max_idle = 60000;
+	soak->sent++;
+	request->is_late = soak->is_recovered;
+	if (request->is_late)
+		soak->late_sent++;
+	request->exchange = hup_send(soak->client, &send, &ops, request);
+	if (!soak->is_recovered && g_rand_double(soak->rand) < 0.05)
+		uv_timer_start(&request->leave, on_leave,
+			       (uint64_t)g_rand_int_range(soak->rand, 1, 300),
+			       0);
+}
+
+static unsigned in_progress(struct soak *soak)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned count = 0;
+
+	g_hash_table_iter_init(&iter, soak->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((struct soak_request *)value)->exchange != NULL;
+	return count;
+}
+
+void soak_send_some(struct soak *soak)
+{
+	if (in_progress(soak) < MAX_IN_PROGRESS)
+		send_one(soak);
+}
+
+void soak_cancel_all(struct soak *soak)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, soak->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct soak_request *request = value;
+
+		if (request->exchange)
+			hup_cancel(request->exchange);
+		request->exchange = NULL;
+	}
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,213 @@
+#include <popt.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define EDGES 4
+#define ENGINES 6
+#define PLAIN_WORKERS 3
+#define SEND_INTERVAL_MS 8
+#define START_MS 2500
+/* The last fault's end, lapsed entries, loads of layers, fresh watches. */
+#define RECOVERY_MS 12000
+/* What is served after the recovery, at least. */
+#define MIN_SERVED_PART 0.85
+#define MEASURE_MS 3000
+#define STOP_MS 9000
+#define STOP_STEP_MS 200
+
+clk_ms soak_now(const struct soak *soak)
+{
+	return (clk_ms)uv_now(&soak->world.wire.loop);
+}
+
+void soak_violation(struct soak *soak, const char *format, ...)
+{
+	va_list args;
+
+	soak->violations++;
+	printf("seed %u at %.3f s: ", soak->seed,
+	       (double)soak_now(soak) / CLK_SECOND);
+	va_start(args, format);
+	vprintf(format, args);
+	va_end(args);
+	printf("\n");
+}
+
+void soak_put_config(struct soak *soak)
+{
+	json_t *config = world_config(++soak->version);
+	json_t *org = json_array_get(json_object_get(config, "tenants"), 0);
+	json_t *keys = json_array();
+	unsigned key;
+
+	for (key = 0; key < G_N_ELEMENTS(soak->key_removed_at); key++) {
+		char *name = g_strdup_printf("key%u", key);
+
+		if (!soak->key_removed_at[key])
+			json_array_append_new(keys, json_string(name));
+		g_free(name);
+	}
+	json_object_set_new(org, "api-keys", keys);
+	world_put(&soak->world, "config", "main", config);
+}
+
+static void on_send(uv_timer_t *timer)
+{
+	soak_send_some(timer->data);
+}
+
+static void on_span(uv_timer_t *timer)
+{
+	uv_stop(timer->loop);
+}
+
+static void run_for(struct soak *soak, clk_ms span)
+{
+	uv_timer_t timer;
+
+	uv_update_time(&soak->world.wire.loop);
+	uv_timer_init(&soak->world.wire.loop, &timer);
+	uv_timer_start(&timer, on_span, (uint64_t)span, 0);
+	uv_run(&soak->world.wire.loop, UV_RUN_DEFAULT);
+	uv_close((uv_handle_t *)&timer, NULL);
+	uv_run(&soak->world.wire.loop, UV_RUN_NOWAIT);
+}
+
+static void open_soak(struct soak *soak)
+{
+	unsigned i;
+
+	world_open(&soak->world);
+	soak->rand = g_rand_new_with_seed(soak->seed);
+	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
+	soak->edges = g_ptr_array_new();
+	soak->workers = g_ptr_array_new();
+	soak->requests = g_hash_table_new(g_str_hash, g_str_equal);
+	soak->client = hup_new(&soak->world.wire.loop, soak->world.counters);
+	uv_timer_init(&soak->world.wire.loop, &soak->send_timer);
+	uv_timer_init(&soak->world.wire.loop, &soak->fault_timer);
+	soak->send_timer.data = soak;
+	soak->fault_timer.data = soak;
+	soak_put_config(soak);
+	for (i = 0; i < ENGINES + PLAIN_WORKERS; i++)
+		g_ptr_array_add(soak->workers,
+				soak_worker_new(soak, i < ENGINES));
+	for (i = 0; i < EDGES; i++) {
+		struct soak_edge *edge = soak_edge_new(soak, i);
+
+		g_ptr_array_add(soak->edges, edge);
+		soak_edge_start(edge);
+	}
+}
+
+static bool is_any_running(const struct soak *soak)
+{
+	guint i;
+
+	for (i = 0; i < soak->edges->len; i++) {
+		if (((struct soak_edge *)soak->edges->pdata[i])->is_running)
+			return true;
+	}
+	return false;
+}
+
+static void stop_edges(struct soak *soak)
+{
+	clk_ms end = soak_now(soak) + STOP_MS;
+	guint i;
+
+	for (i = 0; i < soak->edges->len; i++) {
+		struct soak_edge *edge = soak->edges->pdata[i];
+
+		edge->restarts = false;
+		soak_edge_signal(edge, SIGCONT);
+		soak_edge_signal(edge, SIGTERM);
+	}
+	while (is_any_running(soak) && soak_now(soak) < end)
+		run_for(soak, STOP_STEP_MS);
+	for (i = 0; i < soak->edges->len; i++) {
+		struct soak_edge *edge = soak->edges->pdata[i];
+
+		if (!edge->is_running)
+			continue;
+		soak_violation(soak, "%s does not end", edge->name);
+		soak_edge_signal(edge, SIGKILL);
+	}
+	run_for(soak, CLK_SECOND);
+}
+
+static void check_recovery(struct soak *soak)
+{
+	double part = soak->late_sent
+			      ? (double)soak->late_served / soak->late_sent
+			      : 0;
+
+	if (part < MIN_SERVED_PART)
+		soak_violation(soak, "RECOVER: %u of %u served",
+			       soak->late_served, soak->late_sent);
+}
+
+static void measure_recovery(struct soak *soak)
+{
+	guint key;
+
+	for (key = 0; key < G_N_ELEMENTS(soak->key_removed_at); key++)
+		soak->key_removed_at[key] = 0;
+	soak->keys_restored_at = soak_now(soak);
+	soak_put_config(soak);
+	run_for(soak, RECOVERY_MS);
+	soak->is_recovered = true;
+	run_for(soak, MEASURE_MS);
+	uv_timer_stop(&soak->send_timer);
+	run_for(soak, 4 * CLK_SECOND);
+	check_recovery(soak);
+}
+
+static int run_soak(struct soak *soak, clk_ms length)
+{
+	open_soak(soak);
+	run_for(soak, START_MS);
+	uv_timer_start(&soak->send_timer, on_send, 0, SEND_INTERVAL_MS);
+	soak_schedule_faults(soak, length);
+	run_for(soak, length);
+	measure_recovery(soak);
+	uv_timer_stop(&soak->fault_timer);
+	stop_edges(soak);
+	soak_cancel_all(soak);
+	printf("seed %u: %u faults, %u requests, %u served, %u of %u after "
+	       "recovery, %u violations%s%s\n",
+	       soak->seed, soak->faults, soak->sent, soak->served,
+	       soak->late_served, soak->late_sent, soak->violations,
+	       soak->violations ? ", logs in " : "",
+	       soak->violations ? soak->folder : "");
+	fflush(stdout);
+	return soak->violations ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, const char **argv)
+{
+	struct soak soak = {.seed = 1, .program = "build/wagtailferry-edge"};
+	int seconds = 10;
+	const struct poptOption options[] = {
+		{"seed", 's', POPT_ARG_INT, &soak.seed, 0, "seed of the run",
+		 "N"},
+		{"seconds", 't', POPT_ARG_INT, &seconds, 0,
+		 "time in which faults come", "N"},
+		{"program", 'p', POPT_ARG_STRING, &soak.program, 0,
+		 "the edge daemon", "FILE"},
+		POPT_AUTOHELP POPT_TABLEEND};
+	poptContext context = poptGetContext("soak", argc, argv, options, 0);
+
+	if (poptGetNextOpt(context) < -1 || seconds < 1) {
+		poptPrintUsage(context, stderr, 0);
+		return 2;
+	}
+	poptFreeContext(context);
+	/* The process ends at once: the loop's handles go with it. */
+	exit(run_soak(&soak, seconds * CLK_SECOND));
+}
