Let peers confirm the configuration, probe silent connections

Peers now echo each other's reports and confirm the version. Silent connections were noticed after a watch's time-out of 4.8 s only; keep-alive probes take three.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -10,6 +10,15 @@
 /* A catalog is refused so much before a removed key may no longer be used:
  * the way of the store's answer, and changes that a watch missed. */
 #define CONFIRM_MARGIN_MS 1200
+/* Instances confirm the configuration to each other, so the more there are,
+ * the longer each one's watch may be held: the fleet asks about every 0.4 s. */
+#define CONFIG_WATCH_MS 400
+#define MIN_CONFIG_WATCH_MS 1200
+#define MAX_CONFIG_WATCH_MS 3000
+/* Each watch is held for a random part of that time, from this one up: a
+ * change wakes all watches at once, and in step they would confirm nothing to
+ * each other. */
+#define MIN_CONFIG_WATCH_PART 0.4
 /* Steps of the drain, each so long: leave the balancer, then stop listening,
  * then wait for what runs. */
 #define DRAIN_STEP_MS 100
@@ -129,6 +138,16 @@
 		version, present, cat_route_count(catalog));
 }
 
+clk_ms edg_config_watch(const struct edg_edge *edge)
+{
+	clk_ms wait = CONFIG_WATCH_MS * prs_instances(edge->peers);
+
+	wait = CLAMP(wait, MIN_CONFIG_WATCH_MS, MAX_CONFIG_WATCH_MS);
+	return (clk_ms)((double)wait *
+			g_rand_double_range(edge->rand, MIN_CONFIG_WATCH_PART,
+					    1));
+}
+
 void edg_confirm_catalog(struct edg_edge *edge, clk_ms at)
 {
 	edge->catalog_confirmed = MAX(edge->catalog_confirmed, at);
@@ -228,6 +247,22 @@
 	return edg_now(user);
 }
 
+static int64_t peers_config(void *user, clk_ms *confirmed)
+{
+	const struct edg_edge *edge = user;
+
+	*confirmed = edge->catalog_confirmed;
+	return edge->catalog ? cat_version(edge->catalog) : -1;
+}
+
+static void peers_confirm(void *user, int64_t version, clk_ms at)
+{
+	struct edg_edge *edge = user;
+
+	if (edge->catalog && cat_version(edge->catalog) == version)
+		edg_confirm_catalog(edge, at);
+}
+
 static bool open_peers(struct edg_edge *edge, GError **error)
 {
 	struct prs_config config = {
@@ -237,6 +272,8 @@
 		.data_center = edge->data_center,
 		.address = edge->peer_address,
 		.now = peers_now,
+		.config = peers_config,
+		.confirm = peers_confirm,
 		.user = edge,
 		.counters = edge->counters,
 	};
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -204,6 +204,9 @@
  * dropped with a log line. */
 void edg_set_catalog(struct edg_edge *edge, struct cat_catalog *catalog);
 
+/* How long a watch of the configuration may be held, in ms. */
+clk_ms edg_config_watch(const struct edg_edge *edge);
+
 /* No newer version than the present one existed at that time. */
 void edg_confirm_catalog(struct edg_edge *edge, clk_ms at);
 
--- a/src/edge/hup.c
+++ b/src/edge/hup.c
@@ -1,4 +1,5 @@
 #include <http_parser.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -8,8 +9,12 @@
 
 /* A host that answers at all accepts within a few round trips. */
 #define CONNECT_TIMEOUT_MS 700
-/* Silent peers are noticed after about three seconds. */
+/* Silent peers are noticed after about three seconds: a probe after one
+ * second, and two more without an answer. */
 #define KEEPALIVE_DELAY_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+#define UNANSWERED_MS 3000
 /* Used where an answer does not say how long it stays open. */
 #define DEFAULT_KEEP_ALIVE_MS 4000
 /* A connection is given up this long before its peer may close it. */
@@ -447,6 +452,26 @@
 	return conn;
 }
 
+/* Also bounds how long sent bytes may stay unacknowledged. */
+static void set_keepalive(struct conn *conn)
+{
+	unsigned unanswered = UNANSWERED_MS;
+	int interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+	uv_os_fd_t fd;
+
+	uv_tcp_keepalive(&conn->tcp, 1, KEEPALIVE_DELAY_S);
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd))
+		return;
+	if (setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval,
+		       sizeof(interval)) ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes)) ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unanswered,
+		       sizeof(unanswered)))
+		ctr_add(conn->client->counters,
+			"wf_upstream_without_keepalive_total", 1);
+}
+
 static bool start_connect(struct conn *conn)
 {
 	uv_connect_t *request;
@@ -455,7 +480,6 @@
 	if (!net_parse_address(conn->address, &address))
 		return false;
 	uv_tcp_nodelay(&conn->tcp, 1);
-	uv_tcp_keepalive(&conn->tcp, 1, KEEPALIVE_DELAY_S);
 	request = g_new0(uv_connect_t, 1);
 	request->data = conn;
 	if (uv_tcp_connect(request, &conn->tcp,
@@ -463,6 +487,7 @@
 		g_free(request);
 		return false;
 	}
+	set_keepalive(conn);
 	return true;
 }
 
--- a/src/edge/prs.c
+++ b/src/edge/prs.c
@@ -33,6 +33,8 @@
 	uint64_t incarnation;
 	uint64_t sequence;
 	clk_ms heard_at;
+	/* Time at the peer's clock in its last report. */
+	clk_ms sent_at;
 	/* Of struct peer_load, as counted at the targets. */
 	GArray *loads;
 };
@@ -172,6 +174,19 @@
 	count_loads(peers, peer, 1);
 }
 
+/* The peer's confirmation is at least as new as our report that it echoes. */
+static void take_confirmation(struct prs_peers *peers,
+			      const Wf__LoadReport *report)
+{
+	if (!report->has_config_version || !report->has_config_age_ms ||
+	    !report->has_echo_ms ||
+	    report->echo_incarnation != peers->incarnation ||
+	    report->echo_ms > now_ms(peers))
+		return;
+	peers->config.confirm(peers->config.user, report->config_version,
+			      report->echo_ms - (clk_ms)report->config_age_ms);
+}
+
 void prs_receive(struct prs_peers *peers, const uint8_t *bytes, size_t len)
 {
 	Wf__LoadReport *report = wf__load_report__unpack(NULL, len, bytes);
@@ -188,7 +203,9 @@
 		peer->incarnation = report->incarnation;
 		peer->sequence = report->sequence;
 		peer->heard_at = now_ms(peers);
+		peer->sent_at = report->sent_ms;
 		take_loads(peers, peer, report);
+		take_confirmation(peers, report);
 	}
 	if (report)
 		wf__load_report__free_unpacked(report, NULL);
@@ -235,14 +252,34 @@
 	return true;
 }
 
-GBytes *prs_report(struct prs_peers *peers)
+static void add_config(struct prs_peers *peers, Wf__LoadReport *report)
+{
+	clk_ms confirmed;
+	int64_t version = peers->config.config(peers->config.user, &confirmed);
+
+	if (version < 0)
+		return;
+	report->has_config_version = 1;
+	report->config_version = version;
+	report->has_config_age_ms = 1;
+	report->config_age_ms = (uint64_t)MAX(now_ms(peers) - confirmed, 0);
+}
+
+static GBytes *pack_report(const Wf__LoadReport *report)
+{
+	size_t len = wf__load_report__get_packed_size(report);
+	uint8_t *bytes = g_malloc(len);
+
+	wf__load_report__pack(report, bytes);
+	return g_bytes_new_take(bytes, len);
+}
+
+static GBytes *make_report(struct prs_peers *peers, const struct peer *peer)
 {
 	const GPtrArray *targets = flt_targets(peers->config.fleet);
 	Wf__LoadReport report = WF__LOAD_REPORT__INIT;
 	Wf__TargetLoad loads[MAX_REPORT_TARGETS];
 	Wf__TargetLoad *pointers[MAX_REPORT_TARGETS];
-	uint8_t *bytes;
-	size_t len;
 	guint i;
 
 	report.instance = peers->instance;
@@ -250,6 +287,14 @@
 	report.address = peers->address;
 	report.incarnation = peers->incarnation;
 	report.sequence = ++peers->sequence;
+	report.sent_ms = now_ms(peers);
+	add_config(peers, &report);
+	if (peer && peer->incarnation) {
+		report.has_echo_incarnation = 1;
+		report.echo_incarnation = peer->incarnation;
+		report.has_echo_ms = 1;
+		report.echo_ms = peer->sent_at;
+	}
 	for (i = 0; i < targets->len && report.n_targets < MAX_REPORT_TARGETS;
 	     i++) {
 		Wf__TargetLoad *load = &loads[report.n_targets];
@@ -258,10 +303,12 @@
 			pointers[report.n_targets++] = load;
 	}
 	report.targets = pointers;
-	len = wf__load_report__get_packed_size(&report);
-	bytes = g_malloc(len);
-	wf__load_report__pack(&report, bytes);
-	return g_bytes_new_take(bytes, len);
+	return pack_report(&report);
+}
+
+GBytes *prs_report(struct prs_peers *peers, const char *instance)
+{
+	return make_report(peers, find_peer(peers, instance));
 }
 
 static void on_sent(uv_udp_send_t *request, int status)
@@ -274,8 +321,7 @@
 	g_free(datagram);
 }
 
-static void send_to(struct prs_peers *peers, const struct peer *peer,
-		    GBytes *bytes)
+static void send_to(struct prs_peers *peers, const struct peer *peer)
 {
 	struct datagram *datagram;
 	gsize len;
@@ -284,9 +330,9 @@
 	if (!peer->to.sin_port)
 		return;
 	datagram = g_new0(struct datagram, 1);
-	datagram->bytes = g_bytes_ref(bytes);
+	datagram->bytes = make_report(peers, peer);
 	datagram->request.data = datagram;
-	buffer.base = (char *)g_bytes_get_data(bytes, &len);
+	buffer.base = (char *)g_bytes_get_data(datagram->bytes, &len);
 	buffer.len = len;
 	if (uv_udp_send(&datagram->request, &peers->socket, &buffer, 1,
 			(const struct sockaddr *)&peer->to, on_sent))
@@ -294,22 +340,20 @@
 }
 
 static void send_some(struct prs_peers *peers, GPtrArray *list, unsigned *next,
-		      unsigned count, GBytes *bytes)
+		      unsigned count)
 {
 	unsigned i;
 
 	for (i = 0; i < MIN(count, list->len); i++)
-		send_to(peers, list->pdata[(*next)++ % list->len], bytes);
+		send_to(peers, list->pdata[(*next)++ % list->len]);
 }
 
 static void on_timer(uv_timer_t *timer)
 {
 	struct prs_peers *peers = timer->data;
-	GBytes *bytes = prs_report(peers);
 
-	send_some(peers, peers->near, &peers->next_near, NEAR_REPORTS, bytes);
-	send_some(peers, peers->far, &peers->next_far, FAR_REPORTS, bytes);
-	g_bytes_unref(bytes);
+	send_some(peers, peers->near, &peers->next_near, NEAR_REPORTS);
+	send_some(peers, peers->far, &peers->next_far, FAR_REPORTS);
 	prs_expire(peers);
 }
 
--- a/src/edge/prs.h
+++ b/src/edge/prs.h
@@ -7,6 +7,11 @@
  * centre, which use the same engines. Peers are known from the platform's
  * store and from their reports. The load is a hint: it decides which path is
  * chosen and never whether a request may run.
+ *
+ * Reports also carry how long ago the sender knew its configuration to be the
+ * newest. A receiver with the same version takes that over, counted from its
+ * own last report that the sender has seen, so that neither clocks nor delays
+ * make it look newer than it is.
  */
 
 #include <uv.h>
@@ -23,6 +28,11 @@
 	/* "IP:port" to send from and to receive at. */
 	const char *address;
 	clk_ms (*now)(void *user);
+	/* The configuration's version, -1 for none, and since when it is not
+	 * known to be the newest. */
+	int64_t (*config)(void *user, clk_ms *confirmed);
+	/* A peer knew at that time that the version was the newest. */
+	void (*confirm)(void *user, int64_t version, clk_ms at);
 	void *user;
 	struct ctr_set *counters;
 };
@@ -41,8 +51,8 @@
 /* Applies a report as if it had arrived. For the socket and for tests. */
 void prs_receive(struct prs_peers *peers, const uint8_t *bytes, size_t len);
 
-/* The report on the present own load. To be unreferenced. */
-GBytes *prs_report(struct prs_peers *peers);
+/* The report on the present own load, for one peer. To be unreferenced. */
+GBytes *prs_report(struct prs_peers *peers, const char *instance);
 
 /* Forgets the load of peers that are silent. */
 void prs_expire(struct prs_peers *peers);
--- a/src/edge/syn.c
+++ b/src/edge/syn.c
@@ -14,7 +14,6 @@
 struct syn_sync {
 	uv_timer_t timer;
 	clk_ms (*now)(void *user);
-	clk_ms wait;
 	const struct syn_ops *ops;
 	void *user;
 	int64_t revision;
@@ -37,7 +36,7 @@
 {
 	/* After a failure the store is asked for an answer at once, which
 	 * tells whether the copy is complete. */
-	sync->asked_wait = sync->failures ? 0 : sync->wait;
+	sync->asked_wait = sync->failures ? 0 : sync->ops->wait(sync->user);
 	sync->asked_at = sync->now(sync->user);
 	sync->ops->ask_watch(sync->user, sync->revision, sync->asked_wait,
 			     sync->asked_wait + WATCH_SLACK_MS);
@@ -85,12 +84,11 @@
 }
 
 struct syn_sync *syn_new(uv_loop_t *loop, clk_ms (*now)(void *user),
-			 clk_ms wait, const struct syn_ops *ops, void *user)
+			 const struct syn_ops *ops, void *user)
 {
 	struct syn_sync *sync = g_new0(struct syn_sync, 1);
 
 	sync->now = now;
-	sync->wait = wait;
 	sync->ops = ops;
 	sync->user = user;
 	sync->last_good = now(user);
--- a/src/edge/syn.h
+++ b/src/edge/syn.h
@@ -37,13 +37,15 @@
 			  clk_ms timeout);
 	/* The copy was complete at that time. */
 	void (*confirm)(void *user, clk_ms at);
+	/* For how long the store may hold the next watch. */
+	clk_ms (*wait)(void *user);
 };
 
 struct syn_sync;
 
-/* now tells the time; wait is how long a watch is held by the store. */
+/* now tells the time. */
 struct syn_sync *syn_new(uv_loop_t *loop, clk_ms (*now)(void *user),
-			 clk_ms wait, const struct syn_ops *ops, void *user);
+			 const struct syn_ops *ops, void *user);
 void syn_start(struct syn_sync *sync);
 void syn_drop(struct syn_sync *sync);
 
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -386,7 +386,7 @@
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[11] =
 {
   {
     "instance",
@@ -460,19 +460,84 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Wf__LoadReport, has_config_version),
+    offsetof(Wf__LoadReport, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_ms",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wf__LoadReport, has_config_age_ms),
+    offsetof(Wf__LoadReport, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms",
+    9,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wf__LoadReport, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_incarnation",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wf__LoadReport, has_echo_incarnation),
+    offsetof(Wf__LoadReport, echo_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_ms",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Wf__LoadReport, has_echo_ms),
+    offsetof(Wf__LoadReport, echo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__load_report__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  7,   /* field[7] = config_age_ms */
+  6,   /* field[6] = config_version */
   1,   /* field[1] = data_center */
+  9,   /* field[9] = echo_incarnation */
+  10,   /* field[10] = echo_ms */
   3,   /* field[3] = incarnation */
   0,   /* field[0] = instance */
+  8,   /* field[8] = sent_ms */
   4,   /* field[4] = sequence */
   5,   /* field[5] = targets */
 };
 static const ProtobufCIntRange wf__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wf__load_report__descriptor =
 {
@@ -482,7 +547,7 @@
   "Wf__LoadReport",
   "wf",
   sizeof(Wf__LoadReport),
-  6,
+  11,
   wf__load_report__field_descriptors,
   wf__load_report__field_indices_by_name,
   1,  wf__load_report__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -120,10 +120,30 @@
   uint64_t sequence;
   size_t n_targets;
   Wf__TargetLoad **targets;
+  /*
+   * Version of the configuration that the sender knows, and how long ago it
+   * was known to be the newest. Absent before the first.
+   */
+  protobuf_c_boolean has_config_version;
+  int64_t config_version;
+  protobuf_c_boolean has_config_age_ms;
+  uint64_t config_age_ms;
+  /*
+   * Time at the sender's own clock.
+   */
+  int64_t sent_ms;
+  /*
+   * incarnation and sent_ms of the receiver's last report to the sender:
+   * config_age_ms was measured after that.
+   */
+  protobuf_c_boolean has_echo_incarnation;
+  uint64_t echo_incarnation;
+  protobuf_c_boolean has_echo_ms;
+  int64_t echo_ms;
 };
 #define WF__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0,NULL }
+    , NULL, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wf__TargetLoad
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -116,6 +116,12 @@
 	clk_ms now;
 	struct flt_fleet *fleets[2];
 	struct prs_peers *peers[2];
+	/* Of both: the version and the time of its confirmation. */
+	int64_t version;
+	clk_ms confirmed;
+	/* What a report has confirmed last. */
+	int64_t heard_version;
+	clk_ms heard_at;
 };
 
 static clk_ms pair_now(void *user)
@@ -123,6 +129,22 @@
 	return ((struct pair *)user)->now;
 }
 
+static int64_t pair_config(void *user, clk_ms *confirmed)
+{
+	struct pair *pair = user;
+
+	*confirmed = pair->confirmed;
+	return pair->version;
+}
+
+static void pair_confirm(void *user, int64_t version, clk_ms at)
+{
+	struct pair *pair = user;
+
+	pair->heard_version = version;
+	pair->heard_at = at;
+}
+
 static struct prs_peers *new_peers(struct pair *pair, int i)
 {
 	static const char *const names[] = {"one", "two"};
@@ -133,6 +155,8 @@
 		.data_center = "a",
 		.address = "127.0.0.1:0",
 		.now = pair_now,
+		.config = pair_config,
+		.confirm = pair_confirm,
 		.user = pair,
 		.counters = pair->counters,
 	};
@@ -169,15 +193,20 @@
 	ctr_drop(pair->counters);
 }
 
-static void pass(struct pair *pair, GBytes *report)
+static void pass_to(struct pair *pair, int to, GBytes *report)
 {
 	gsize len;
 	const uint8_t *bytes = g_bytes_get_data(report, &len);
 
-	prs_receive(pair->peers[1], bytes, len);
+	prs_receive(pair->peers[to], bytes, len);
 	g_bytes_unref(report);
 }
 
+static void pass(struct pair *pair, GBytes *report)
+{
+	pass_to(pair, 1, report);
+}
+
 static struct flt_target *engine(struct pair *pair, int i)
 {
 	return flt_find(pair->fleets[i], "e1");
@@ -192,16 +221,16 @@
 	engine(&pair, 0)->on_path = 3;
 	engine(&pair, 0)->in_flight = 2;
 	engine(&pair, 0)->used_token_layers = 30000;
-	old = prs_report(pair.peers[0]);
+	old = prs_report(pair.peers[0], "two");
 	engine(&pair, 0)->on_path = 5;
-	pass(&pair, prs_report(pair.peers[0]));
+	pass(&pair, prs_report(pair.peers[0], "two"));
 	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 5);
 	ck_assert_uint_eq(engine(&pair, 1)->others.in_flight, 2);
 	ck_assert(engine(&pair, 1)->others.token_layers == 30000);
 	/* A report that was overtaken changes nothing. */
 	pass(&pair, old);
 	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 5);
-	pass(&pair, prs_report(pair.peers[0]));
+	pass(&pair, prs_report(pair.peers[0], "two"));
 	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 5);
 	ck_assert_uint_eq(prs_instances(pair.peers[1]), 2);
 	pair_close(&pair);
@@ -215,7 +244,7 @@
 
 	pair_open(&pair);
 	engine(&pair, 0)->on_path = 3;
-	pass(&pair, prs_report(pair.peers[0]));
+	pass(&pair, prs_report(pair.peers[0], "two"));
 	pair.now += 2000;
 	prs_expire(pair.peers[1]);
 	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 3);
@@ -230,6 +259,60 @@
 }
 END_TEST
 
+/* Guards against a configuration that looks newer than it is where a report
+ * is delayed: its age counts from our own report that the peer had seen. */
+START_TEST(confirmation_counts_from_the_echo)
+{
+	struct pair pair;
+	GBytes *delayed;
+
+	pair_open(&pair);
+	pair.version = 4;
+	pair.confirmed = 700;
+	pass_to(&pair, 0, prs_report(pair.peers[1], "one"));
+	pair.now = 1500;
+	pair.confirmed = 1400;
+	delayed = prs_report(pair.peers[0], "two");
+	pair.now = 9000;
+	pass(&pair, delayed);
+	ck_assert_int_eq(pair.heard_version, 4);
+	ck_assert_int_eq(pair.heard_at, 1000 - (1500 - 1400));
+	pair_close(&pair);
+}
+END_TEST
+
+/* Guards against an echo of an earlier process on this machine. */
+START_TEST(echo_of_another_process_confirms_nothing)
+{
+	struct pair pair;
+
+	pair_open(&pair);
+	pair.version = 4;
+	pair.confirmed = 900;
+	pass_to(&pair, 0, prs_report(pair.peers[1], "one"));
+	prs_drop(pair.peers[1]);
+	pair.now = 2000;
+	pair.peers[1] = new_peers(&pair, 1);
+	pair.heard_version = -1;
+	pass(&pair, prs_report(pair.peers[0], "two"));
+	ck_assert_int_eq(pair.heard_version, -1);
+	pair_close(&pair);
+}
+END_TEST
+
+START_TEST(report_without_an_echo_confirms_nothing)
+{
+	struct pair pair;
+
+	pair_open(&pair);
+	pair.version = 4;
+	pair.heard_version = -1;
+	pass(&pair, prs_report(pair.peers[0], "two"));
+	ck_assert_int_eq(pair.heard_version, -1);
+	pair_close(&pair);
+}
+END_TEST
+
 /* Guards against a crash or wrong load from bytes that are no report. */
 START_TEST(damaged_reports_do_no_harm)
 {
@@ -260,6 +343,9 @@
 			    G_N_ELEMENTS(settings_cases));
 	tcase_add_test(tcase, load_of_a_peer_counts_once);
 	tcase_add_test(tcase, load_of_a_silent_peer_is_forgotten);
+	tcase_add_test(tcase, confirmation_counts_from_the_echo);
+	tcase_add_test(tcase, echo_of_another_process_confirms_nothing);
+	tcase_add_test(tcase, report_without_an_echo_confirms_nothing);
 	tcase_add_loop_test(tcase, damaged_reports_do_no_harm, 0, 50);
 	return sup_run_case("edge_parts", tcase);
 }
--- a/tests/soak/edge.c
+++ b/tests/soak/edge.c
@@ -1,10 +1,34 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "soak.h"
 
-/* Ports are taken anew for each run. */
+/* Below the ports that the system gives to outgoing connections. */
+#define FIRST_PORT 10000
+#define LAST_PORT 30000
+
+/* A port on which nothing listens; drawn apart from the run's seed, because
+ * several runs may share the machine. */
+static char *free_address(void)
+{
+	for (;;) {
+		struct sockaddr_in address = {.sin_family = AF_INET};
+		int port = g_random_int_range(FIRST_PORT, LAST_PORT);
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		bool is_free;
+
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		address.sin_port = htons((uint16_t)port);
+		is_free =
+			!bind(fd, (struct sockaddr *)&address, sizeof(address));
+		close(fd);
+		if (is_free)
+			return g_strdup_printf("127.0.0.1:%d", port);
+	}
+}
+
 struct soak_edge *soak_edge_new(struct soak *soak, unsigned index)
 {
 	struct soak_edge *edge = g_new0(struct soak_edge, 1);
@@ -13,9 +37,9 @@
 	edge->soak = soak;
 	edge->index = index;
 	edge->name = g_strdup_printf("edge-%u", index);
-	edge->address = wire_refused_address(wire);
-	edge->ready_address = wire_refused_address(wire);
-	edge->peer_address = wire_refused_address(wire);
+	edge->address = free_address();
+	edge->ready_address = free_address();
+	edge->peer_address = free_address();
 	edge->store =
 		proxy_new(&wire->loop, wire_server_address(soak->world.store));
 	edge->settings_file =
