--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -80,7 +80,10 @@
 	EDG_ORDER_UNKNOWN,
 };
 
-typedef void (*edg_order_fn)(void *user, enum edg_order_result result);
+/* at is the address of the engine that was the reason for a refusal, or
+ * NULL. */
+typedef void (*edg_order_fn)(void *user, enum edg_order_result result,
+			     const char *at);
 
 /* Layers that were ordered, as the duty's record has them. */
 struct edg_assignment {
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -163,7 +163,8 @@
 {
 	unsigned limit = request->route->max_attempts + MAX_LOST_PATHS;
 
-	if (outcome == EDG_OUTCOME_NOT_SENT || outcome == EDG_OUTCOME_NOT_RUN)
+	if (outcome == EDG_OUTCOME_NOT_SENT ||
+	    (outcome == EDG_OUTCOME_NOT_RUN && !request->has_begun))
 		return edg_may_repeat(request, outcome);
 	request->may_have_run = true;
 	if (request->route->repeat == CAT_REPEAT_NEVER ||
@@ -333,32 +334,48 @@
 	       request->next_path && request->exchange == reroute->exchange;
 }
 
-static void on_rerouted(void *user, enum edg_order_result result)
+static void take_path(struct edg_request *request)
 {
-	struct reroute *reroute = user;
-	struct edg_request *request = reroute->request;
-	struct pth_path *path;
+	double tokens = request->path->tokens;
+
+	pth_free(request->path);
+	request->path = request->next_path;
+	request->next_path = NULL;
+	pth_reserve(request->path, tokens);
+	request->last_event_at = edg_now(request->edge);
+}
+
+static bool reroute(struct edg_request *request);
 
-	if (is_current(reroute)) {
-		path = request->next_path;
-		request->next_path = NULL;
-		edg_log(request->edge, "send", request->id,
-			result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
-			"head=%s result=%d after_event=%s", request->target->id,
-			(int)result, request->events.last_id->str);
-		if (result == EDG_ORDER_TAKEN) {
-			double tokens = request->path->tokens;
-
-			pth_free(request->path);
-			request->path = path;
-			pth_reserve(path, tokens);
-			request->last_event_at = edg_now(request->edge);
-		} else {
-			pth_free(path);
-			resume(request, "reroute_failed");
-		}
+static void on_rerouted(void *user, enum edg_order_result result,
+			const char *at)
+{
+	struct reroute *reroute_state = user;
+	struct edg_request *request = reroute_state->request;
+	struct edg_edge *edge = reroute_state->edge;
+	struct flt_target *full = NULL;
+
+	if (!is_current(reroute_state)) {
+		g_free(reroute_state);
+		return;
+	}
+	g_free(reroute_state);
+	edg_log(edge, "send", request->id,
+		result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
+		"head=%s result=%d at=%s after_event=%s", request->target->id,
+		(int)result, at ? at : "-", request->events.last_id->str);
+	if (result == EDG_ORDER_TAKEN) {
+		take_path(request);
+		return;
 	}
-	g_free(reroute);
+	pth_free(request->next_path);
+	request->next_path = NULL;
+	if (at)
+		full = flt_find_address(edge->fleet, at);
+	if (full)
+		flt_note_full(full, edg_now(edge));
+	if (!full || result != EDG_ORDER_REFUSED || !reroute(request))
+		resume(request, "reroute_failed");
 }
 
 /* Keeps what the other engines have computed, and needs no repeat. */
@@ -366,7 +383,7 @@
 {
 	struct edg_edge *edge = request->edge;
 	struct pth_query query = make_query(request);
-	struct reroute *reroute;
+	struct reroute *state;
 
 	query.present = request->path;
 	if (request->reroutes >= MAX_REROUTES ||
@@ -375,13 +392,13 @@
 		     &request->next_path) != PTH_FOUND)
 		return false;
 	request->reroutes++;
-	reroute = g_new0(struct reroute, 1);
-	reroute->edge = edge;
-	reroute->request = request;
-	reroute->exchange = request->exchange;
+	state = g_new0(struct reroute, 1);
+	state->edge = edge;
+	state->request = request;
+	state->exchange = request->exchange;
 	edge->platform->ops->reroute(edge->platform, request->target,
 				     request->id, request->next_path,
-				     on_rerouted, reroute);
+				     on_rerouted, state);
 	return true;
 }
 
--- a/src/edge/ord.c
+++ b/src/edge/ord.c
@@ -158,7 +158,7 @@
 	g_free(order);
 }
 
-static void on_ordered(void *user, enum edg_order_result result)
+static void on_ordered(void *user, enum edg_order_result result, const char *at)
 {
 	static const char *const names[] = {"taken", "refused", "fenced",
 					    "failed", "unknown"};
@@ -166,6 +166,7 @@
 	struct ord_orders *orders = order->orders;
 	clk_ms now = edg_now(orders->edge);
 
+	(void)at;
 	log_order(order, names[result],
 		  orders->record ? orders->record->fence : 0);
 	switch (result) {
--- a/src/edge/syn.c
+++ b/src/edge/syn.c
@@ -3,7 +3,7 @@
 /* An answer may take this much longer than the watch is held. */
 #define WATCH_SLACK_MS 800
 /* After changes the next watch waits, so that one answer brings several. */
-#define BATCH_MS 150
+#define BATCH_MS 250
 /* First pause after a failure; doubled up to the longest. */
 #define MIN_PAUSE_MS 80
 #define MAX_PAUSE_MS 640
--- a/src/forward/flt.c
+++ b/src/forward/flt.c
@@ -15,8 +15,8 @@
  * leaving; requests are sent to them only where no other target is left. */
 #define DRAINING_USE_MS 1500
 /* A target that refused for want of room is avoided for this span, in which
- * about a tenth of its requests end. */
-#define FULL_AVOID_MS 200
+ * some of its requests end. */
+#define FULL_AVOID_MS 400
 /* Extra cost of a target in another data centre, in ms. */
 #define OTHER_DATA_CENTER_MS 3.0
 /* Assumed time of an answer where none was seen, in ms. */
--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -14,14 +14,21 @@
 /* A gap is closed even if its engines keep only this part of the memory for
  * requests: a copy that lacks a layer serves nobody. */
 #define SQUEEZED_PART 4
+/* Rooms that differ by less than this part count as equal. */
+#define ROOM_TIE_PART 0.1
+/* Layers with less than this part of the room that a copy should have get
+ * another engine, if one can be spared elsewhere. */
+#define RELIEF_PART 0.5
 
 /* The engines of one or more data centres that share a copy of the model. */
 struct group {
 	/* Of struct flt_target pointers. */
 	GPtrArray *engines;
 	const struct cat_engine *engine;
-	/* Engines that hold each layer. */
+	/* Engines that hold each layer, and the tokens of requests that these
+	 * have memory for together. */
 	unsigned *cover;
+	double *room;
 	clk_ms now;
 	/* Memory kept for requests, in tokens. */
 	double tokens;
@@ -66,13 +73,30 @@
 	return range.first >= range.end;
 }
 
-static void count_range(struct group *group, struct flt_range range, int sign)
+/* Tokens that an engine has memory for if it holds the range. */
+static double room_of(const struct group *group,
+		      const struct flt_target *target, struct flt_range range)
 {
+	unsigned held = range.end - range.first;
+	double free_mb = accelerator_of(group, target)->memory_mb -
+			 held * group->engine->layer_mb;
+	double token_mb =
+		group->engine->token_bytes / group->engine->layers / 1e6;
+
+	return held ? MAX(free_mb, 0) / held / token_mb : 0;
+}
+
+static void count_range(struct group *group, const struct flt_target *target,
+			struct flt_range range, int sign)
+{
+	double room = room_of(group, target, range);
 	unsigned layer;
 
 	for (layer = range.first;
-	     layer < range.end && layer < group->engine->layers; layer++)
+	     layer < range.end && layer < group->engine->layers; layer++) {
 		group->cover[layer] += (unsigned)sign;
+		group->room[layer] += sign * room;
+	}
 }
 
 static void assign(struct group *group, struct flt_target *target,
@@ -81,8 +105,8 @@
 	struct plc_change change = {target, range};
 	guint i;
 
-	count_range(group, effective(group, target), -1);
-	count_range(group, range, 1);
+	count_range(group, target, effective(group, target), -1);
+	count_range(group, target, range, 1);
 	for (i = 0; i < group->changes->len; i++) {
 		struct plc_change *known =
 			&g_array_index(group->changes, struct plc_change, i);
@@ -132,8 +156,7 @@
 			    group->tokens);
 }
 
-/* An engine for a gap: a free one, else one whose layers are held twice. */
-static struct flt_target *find_candidate(const struct group *group)
+static struct flt_target *find_free(const struct group *group)
 {
 	guint i;
 
@@ -144,13 +167,41 @@
 		    capacity_of(group, target))
 			return target;
 	}
+	return NULL;
+}
+
+/* The smallest engine that holds copies only and fits the gap, else the
+ * largest such engine. */
+static struct flt_target *find_redundant(const struct group *group,
+					 unsigned gap)
+{
+	struct flt_target *best = NULL;
+	unsigned best_capacity = 0;
+	guint i;
+
 	for (i = 0; i < group->engines->len; i++) {
 		struct flt_target *target = group->engines->pdata[i];
+		unsigned capacity = capacity_of(group, target);
+		bool is_better =
+			best_capacity < gap
+				? capacity > best_capacity
+				: capacity >= gap && capacity < best_capacity;
 
-		if (is_redundant(group, target) && capacity_of(group, target))
-			return target;
+		if (!is_better || !is_redundant(group, target))
+			continue;
+		best = target;
+		best_capacity = capacity;
 	}
-	return NULL;
+	return best;
+}
+
+/* An engine for a gap: a free one, else one whose layers are held twice. */
+static struct flt_target *find_candidate(const struct group *group,
+					 struct flt_range gap)
+{
+	struct flt_target *target = find_free(group);
+
+	return target ? target : find_redundant(group, gap.end - gap.first);
 }
 
 /* Layers that an engine may hold when memory for requests is given up. */
@@ -257,7 +308,7 @@
 	struct flt_range gap;
 
 	while (find_gap(group, &gap)) {
-		struct flt_target *target = find_candidate(group);
+		struct flt_target *target = find_candidate(group, gap);
 
 		if (target) {
 			gap.end = MIN(gap.end,
@@ -287,8 +338,8 @@
 }
 
 /*
- * Where a further copy helps most: at a layer that fewest engines hold, and
- * among these at the engine that takes longest to replace.
+ * Where a further copy helps most: at a layer with the least room for
+ * requests, and among these at the engine that takes longest to replace.
  */
 static unsigned weakest_layer(const struct group *group)
 {
@@ -297,12 +348,13 @@
 	unsigned layer;
 
 	for (layer = 0; layer < group->engine->layers; layer++) {
+		double margin = group->room[best] * ROOM_TIE_PART;
 		unsigned holder;
 
-		if (group->cover[layer] > group->cover[best])
+		if (group->room[layer] > group->room[best] + margin)
 			continue;
 		holder = largest_holder(group, layer);
-		if (group->cover[layer] == group->cover[best] &&
+		if (group->room[layer] >= group->room[best] - margin &&
 		    holder <= best_holder)
 			continue;
 		best = layer;
@@ -332,6 +384,49 @@
 	}
 }
 
+/* Whether all layers of the target keep so much room without it. */
+static bool can_spare(const struct group *group,
+		      const struct flt_target *target, double room)
+{
+	struct flt_range range = effective(group, target);
+	double own = room_of(group, target, range);
+	unsigned layer;
+
+	if (!is_redundant(group, target))
+		return false;
+	for (layer = range.first; layer < range.end; layer++) {
+		if (group->room[layer] - own < room)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Moves one copy to layers that have far less room than they should, as after
+ * a repair with too little memory.
+ */
+static void relieve(struct group *group)
+{
+	unsigned weakest = weakest_layer(group);
+	double wanted = group->tokens * RELIEF_PART;
+	guint i;
+
+	if (group->changes->len || group->room[weakest] >= wanted)
+		return;
+	for (i = 0; i < group->engines->len; i++) {
+		struct flt_target *target = group->engines->pdata[i];
+		struct flt_range range;
+		unsigned capacity = capacity_of(group, target);
+
+		if (!capacity || !can_spare(group, target, wanted))
+			continue;
+		range.first = weakest;
+		range.end = MIN(weakest + capacity, group->engine->layers);
+		assign(group, target, range);
+		return;
+	}
+}
+
 static unsigned total_capacity(const struct group *group)
 {
 	unsigned total = 0;
@@ -374,17 +469,24 @@
 static void plan_group(GPtrArray *engines, const struct cat_engine *engine,
 		       clk_ms now, GArray *changes)
 {
-	struct group group = {engines, engine, NULL, now, 0, changes};
+	struct group group = {.engines = engines,
+			      .engine = engine,
+			      .now = now,
+			      .changes = changes};
 	guint i;
 
 	g_ptr_array_sort_with_data(engines, compare_engines, (gpointer)engine);
 	group.cover = g_new0(unsigned, engine->layers);
+	group.room = g_new0(double, engine->layers);
 	for (i = 0; i < engines->len; i++)
-		count_range(&group, effective(&group, engines->pdata[i]), 1);
+		count_range(&group, engines->pdata[i],
+			    effective(&group, engines->pdata[i]), 1);
 	set_tokens(&group);
 	fill_gaps(&group);
 	add_copies(&group);
+	relieve(&group);
 	g_free(group.cover);
+	g_free(group.room);
 }
 
 /* Engines that can be ordered to hold layers, by data centre. */
@@ -418,7 +520,8 @@
 static bool holds_model(const struct cat_engine *engine,
 			const GPtrArray *engines)
 {
-	struct group group = {(GPtrArray *)engines, engine, NULL, 0, 0, NULL};
+	struct group group = {.engines = (GPtrArray *)engines,
+			      .engine = engine};
 
 	group.tokens = MIN_REQUESTS_PER_COPY * (engine->usual_prompt_tokens +
 						engine->usual_answer_tokens);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -65,7 +65,8 @@
 		soak_edge_signal(edge, SIGCONT);
 		return;
 	}
-	if (repair->fault == FAULT_EDGE_TERM)
+	/* Unless it has drained and was started again meanwhile. */
+	if (repair->fault == FAULT_EDGE_TERM && edge->terminated_at)
 		soak_edge_signal(edge, SIGKILL);
 	if (!edge->is_running && edge->restarts)
 		soak_edge_start(edge);
