--- a/src/tool/cmd.h
+++ b/src/tool/cmd.h
@@ -79,6 +79,8 @@
 enum cmd_exit cmd_status(struct cmd_env *env);
 enum cmd_exit cmd_audit(struct cmd_env *env);
 enum cmd_exit cmd_settings_check(struct cmd_env *env);
+enum cmd_exit cmd_settings_check_edge(struct cmd_env *env);
+enum cmd_exit cmd_explain(struct cmd_env *env);
 enum cmd_exit cmd_version(struct cmd_env *env);
 
 /* Output */
--- /dev/null
+++ b/src/tool/cmd_explain.c
@@ -0,0 +1,268 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <wagtailferry/base.h>
+
+#include "cmd.h"
+
+/* What an instance learned about the targets of a request, and about the
+ * store and its configuration, this long before its end belongs to it. */
+#define TARGET_SPAN (5 * CLK_SECOND)
+#define STORE_SPAN (10 * CLK_SECOND)
+
+/* One line of a log. */
+struct entry {
+	clk_ms time;
+	/* Borrowed from the arguments. */
+	const char *file;
+	const char *subject;
+	const char *from;
+	const char *to;
+	const char *detail;
+	json_t *line;
+	bool is_chosen;
+};
+
+struct search {
+	const char *id;
+	/* Of struct entry, from all files. */
+	GArray *entries;
+	/* Files and targets that the request's own lines name. */
+	GHashTable *files;
+	GHashTable *targets;
+	clk_ms begin;
+	clk_ms end;
+	unsigned unread;
+};
+
+static void entry_clear(gpointer data)
+{
+	json_decref(((struct entry *)data)->line);
+}
+
+static const char *text_of(const json_t *line, const char *key)
+{
+	const char *text = json_string_value(json_object_get(line, key));
+
+	return text ? text : "";
+}
+
+/* Adds a line; what is no line of an instance's log is counted. */
+static void add_line(struct search *search, const char *file, const char *text)
+{
+	struct entry entry = {.file = file};
+
+	if (!*text)
+		return;
+	entry.line = json_loads(text, 0, NULL);
+	if (!json_is_integer(json_object_get(entry.line, "time_ms"))) {
+		json_decref(entry.line);
+		search->unread++;
+		return;
+	}
+	entry.time = json_integer_value(json_object_get(entry.line, "time_ms"));
+	entry.subject = text_of(entry.line, "subject");
+	entry.from = text_of(entry.line, "from");
+	entry.to = text_of(entry.line, "to");
+	entry.detail = text_of(entry.line, "detail");
+	g_array_append_val(search->entries, entry);
+}
+
+static bool read_file(struct search *search, const char *file, GError **error)
+{
+	GError *problem = NULL;
+	char **lines;
+	char *text;
+	size_t i;
+
+	if (!g_file_get_contents(file, &text, NULL, &problem)) {
+		g_set_error(error, ERR_DOMAIN, ERR_IO, "%s", problem->message);
+		g_error_free(problem);
+		return false;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (i = 0; lines[i]; i++)
+		add_line(search, file, lines[i]);
+	g_strfreev(lines);
+	g_free(text);
+	return true;
+}
+
+static struct entry *entry_at(const struct search *search, guint i)
+{
+	return &g_array_index(search->entries, struct entry, i);
+}
+
+static bool is_own(const struct search *search, const struct entry *entry)
+{
+	if (g_str_has_prefix(entry->subject, "request "))
+		return !strcmp(entry->subject + strlen("request "), search->id);
+	return !strcmp(entry->subject, "send") &&
+	       !strcmp(entry->from, search->id);
+}
+
+/* The span that a request's last line tells of. */
+static clk_ms duration(const struct entry *entry)
+{
+	const char *took = strstr(entry->detail, "took_ms=");
+
+	return took ? (clk_ms)g_ascii_strtoll(took + strlen("took_ms="), NULL,
+					      10)
+		    : 0;
+}
+
+static void note_targets(struct search *search, const char *detail)
+{
+	char **words = g_strsplit(detail, " ", -1);
+	size_t i;
+
+	for (i = 0; words[i]; i++) {
+		const char *value = strchr(words[i], '=');
+
+		if (value && (g_str_has_prefix(words[i], "target=") ||
+			      g_str_has_prefix(words[i], "head=")))
+			g_hash_table_add(search->targets, g_strdup(value + 1));
+	}
+	g_strfreev(words);
+}
+
+static void choose_own(struct search *search)
+{
+	guint i;
+
+	search->begin = CLK_NEVER;
+	for (i = 0; i < search->entries->len; i++) {
+		struct entry *entry = entry_at(search, i);
+
+		if (!is_own(search, entry))
+			continue;
+		entry->is_chosen = true;
+		g_hash_table_add(search->files, (gpointer)entry->file);
+		note_targets(search, entry->detail);
+		search->begin =
+			clk_min(search->begin, entry->time - duration(entry));
+		search->end = MAX(search->end, entry->time);
+	}
+}
+
+static bool is_about_target(const struct search *search,
+			    const struct entry *entry)
+{
+	const char *space = strchr(entry->subject, ' ');
+
+	return (g_str_has_prefix(entry->subject, "target ") ||
+		g_str_has_prefix(entry->subject, "order ")) &&
+	       space && g_hash_table_contains(search->targets, space + 1);
+}
+
+static bool is_about_belief(const struct entry *entry)
+{
+	return !strcmp(entry->subject, "store") ||
+	       !strcmp(entry->subject, "config") ||
+	       !strcmp(entry->subject, "instance");
+}
+
+/* What the instances that had the request learned around it. */
+static void choose_related(struct search *search)
+{
+	guint i;
+
+	for (i = 0; i < search->entries->len; i++) {
+		struct entry *entry = entry_at(search, i);
+
+		if (entry->time > search->end ||
+		    !g_hash_table_contains(search->files, entry->file))
+			continue;
+		if (is_about_target(search, entry) &&
+		    entry->time >= search->begin - TARGET_SPAN)
+			entry->is_chosen = true;
+		if (is_about_belief(entry) &&
+		    entry->time >= search->begin - STORE_SPAN)
+			entry->is_chosen = true;
+	}
+}
+
+static gint compare_entries(gconstpointer a, gconstpointer b)
+{
+	const struct entry *left = a;
+	const struct entry *right = b;
+
+	return left->time < right->time ? -1 : left->time > right->time;
+}
+
+static void print_text(const struct search *search)
+{
+	guint i;
+
+	for (i = 0; i < search->entries->len; i++) {
+		const struct entry *entry = entry_at(search, i);
+
+		if (entry->is_chosen)
+			printf("%+8" G_GINT64_FORMAT " ms  %s  %s: %s -> %s"
+			       "  %s\n",
+			       entry->time - search->begin, entry->file,
+			       entry->subject, entry->from, entry->to,
+			       entry->detail);
+	}
+}
+
+static void print_json(const struct search *search)
+{
+	json_t *lines = json_array();
+	guint i;
+
+	for (i = 0; i < search->entries->len; i++) {
+		const struct entry *entry = entry_at(search, i);
+
+		if (!entry->is_chosen)
+			continue;
+		json_object_set_new(entry->line, "file",
+				    json_string(entry->file));
+		json_array_append(lines, entry->line);
+	}
+	cmd_print_json(
+		json_pack("{s:s,s:o}", "request", search->id, "lines", lines));
+}
+
+static enum cmd_exit explain(struct cmd_env *env, struct search *search)
+{
+	GError *error = NULL;
+	size_t i;
+
+	for (i = 1; i < env->n_args; i++) {
+		if (!read_file(search, env->args[i], &error))
+			return cmd_report(env, error);
+	}
+	choose_own(search);
+	if (!g_hash_table_size(search->files)) {
+		g_set_error(&error, ERR_DOMAIN, ERR_NOT_FOUND,
+			    "no line about request %s in %u lines (%u could "
+			    "not be read)",
+			    search->id, search->entries->len, search->unread);
+		return cmd_report(env, error);
+	}
+	choose_related(search);
+	g_array_sort(search->entries, compare_entries);
+	if (env->json)
+		print_json(search);
+	else
+		print_text(search);
+	return CMD_DONE;
+}
+
+enum cmd_exit cmd_explain(struct cmd_env *env)
+{
+	struct search search = {.id = env->args[0]};
+	enum cmd_exit code;
+
+	search.entries = g_array_new(FALSE, FALSE, sizeof(struct entry));
+	g_array_set_clear_func(search.entries, entry_clear);
+	search.files = g_hash_table_new(g_str_hash, g_str_equal);
+	search.targets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	code = explain(env, &search);
+	g_array_unref(search.entries);
+	g_hash_table_unref(search.files);
+	g_hash_table_unref(search.targets);
+	return code;
+}
--- a/src/tool/cmd_settings.c
+++ b/src/tool/cmd_settings.c
@@ -47,21 +47,45 @@
 	return CMD_REFUSED;
 }
 
+static enum cmd_exit report_valid(const struct cmd_env *env, const char *path,
+				  const char *instance, const char *data_center)
+{
+	if (env->json)
+		cmd_print_json(json_pack("{s:b,s:s,s:s}", "valid", 1,
+					 "instance", instance, "data_center",
+					 data_center));
+	else
+		printf("%s is valid: instance %s in data centre %s\n", path,
+		       instance, data_center);
+	return CMD_DONE;
+}
+
 enum cmd_exit cmd_settings_check(struct cmd_env *env)
 {
 	const char *path = env->args[0];
 	GError *error = NULL;
 	Wf__Settings *settings = sch_settings_read(path, &error);
+	enum cmd_exit code;
 
 	if (!settings)
 		return report_problem(env, path, error);
-	if (env->json)
-		cmd_print_json(json_pack("{s:b,s:s,s:s}", "valid", 1,
-					 "instance", settings->instance,
-					 "data_center", settings->data_center));
-	else
-		printf("%s is valid: instance %s in data centre %s\n", path,
-		       settings->instance, settings->data_center);
+	code = report_valid(env, path, settings->instance,
+			    settings->data_center);
 	sch_settings_free(settings);
-	return CMD_DONE;
+	return code;
+}
+
+enum cmd_exit cmd_settings_check_edge(struct cmd_env *env)
+{
+	const char *path = env->args[0];
+	GError *error = NULL;
+	Wf__EdgeSettings *settings = sch_edge_settings_read(path, &error);
+	enum cmd_exit code;
+
+	if (!settings)
+		return report_problem(env, path, error);
+	code = report_valid(env, path, settings->instance,
+			    settings->data_center);
+	sch_edge_settings_free(settings);
+	return code;
 }
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -11,6 +11,8 @@
 #define DEFAULT_TIMEOUT_MS 5000
 #define DEFAULT_WAIT_S 30
 #define DEFAULT_LIMIT 20
+/* Files of one "explain", of as many instances. */
+#define MAX_LOGS 512
 
 static const struct cmd_command commands[] = {
 	{"rules check", "FILE", "checks a rules file and reports all problems",
@@ -37,6 +39,12 @@
 	 CMD_REMOTE | CMD_BIT(CMD_OPT_LIMIT), 0, 0, cmd_audit},
 	{"settings check", "FILE", "checks the settings file of an instance",
 	 CMD_COMMON, 1, 1, cmd_settings_check},
+	{"settings check-edge", "FILE",
+	 "checks the settings file of an edge instance", CMD_COMMON, 1, 1,
+	 cmd_settings_check_edge},
+	{"explain", "ID LOG...",
+	 "shows what edge instances logged about a request", CMD_COMMON, 2,
+	 MAX_LOGS, cmd_explain},
 	{"version", "", "prints the version", CMD_COMMON, 0, 0, cmd_version},
 };
 
@@ -98,7 +106,7 @@
 
 	fprintf(out, "usage: wagtailferry COMMAND [OPTIONS] [ARGUMENTS]\n\n");
 	for (i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(out, "  %-15s %-12s %s\n", commands[i].name,
+		fprintf(out, "  %-19s %-12s %s\n", commands[i].name,
 			commands[i].usage, commands[i].summary);
 	fprintf(out, "\n\"wagtailferry COMMAND --help\" lists the options.\n"
 		     "Exit codes: 0 done, 1 refused or invalid, 2 usage, "
