Ask all engines of a silent path, count the reading of tokens

A stalled engine shows in its head's report after 200 ms only, so all engines of the path are asked; slow ones show too.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -64,6 +64,8 @@
 	double used_token_layers;
 	/* The same of other instances, as far as they have reported it. */
 	struct flt_load others;
+	/* When it has read the tokens of the own requests so far. */
+	double read_until;
 	/* Mean time of an answer, in ms; 0 before the first. */
 	double answer_ms;
 	/* Not chosen before this time if another target can be. */
@@ -78,6 +80,10 @@
 	clk_ms ordered_until;
 	/* When it was last asked for a report because of a silent path. */
 	clk_ms asked_at;
+	/* Factor on its times by its last report, 0 for none, and until when
+	 * that counts. */
+	double slowdown;
+	clk_ms slow_until;
 };
 
 struct flt_fleet;
@@ -150,6 +156,9 @@
 struct pth_stage {
 	struct flt_target *target;
 	struct flt_range range;
+	/* Time to read the request's tokens there, in ms; 0 for a stage that
+	 * a reroute keeps. */
+	double read_ms;
 };
 
 /* A path runs every layer once, in order. */
@@ -177,8 +186,10 @@
 	const char *service;
 	/* Of the instance that asks. */
 	const char *data_center;
-	/* Tokens that the request will have in the end. */
+	/* Tokens that the request will have in the end, and those that are to
+	 * be read before the next event. */
 	double tokens;
+	double read_tokens;
 	/* The new path replaces this one, whose head and its layers it keeps;
 	 * NULL for a new request. */
 	const struct pth_path *present;
@@ -195,8 +206,11 @@
 
 void pth_free(struct pth_path *path);
 
-/* Counts a request of the path at its targets, until pth_release(). */
-void pth_reserve(struct pth_path *path, double tokens);
+/*
+ * Counts a request of the path at its targets, until pth_release(), and the
+ * reading of its tokens, until that is done.
+ */
+void pth_reserve(struct pth_path *path, clk_ms now, double tokens);
 void pth_release(struct pth_path *path);
 
 /* Whether the path runs through a target. */
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -109,6 +109,8 @@
 	clk_ms first_event_at;
 	clk_ms last_event_at;
 	clk_ms longest_pause;
+	/* Mean of its pauses, in ms; 0 before the first. */
+	double usual_pause;
 	uv_timer_t pause_timer;
 	/* A new path for the running request, until its head has taken it. */
 	struct pth_path *next_path;
@@ -173,8 +175,10 @@
 void edg_move(struct edg_request *request, const char *why);
 
 /* stl.c */
-/* Asks the head of the request's path if it is silent for too long. */
+/* Asks the engines of the request's path once it is silent for too long. */
 void stl_watch(struct edg_request *request);
+/* Takes a pause between two events into account. */
+void stl_note_pause(struct edg_request *request, clk_ms pause);
 
 /* ord.c */
 struct ord_orders *ord_new(struct edg_edge *edge, bool is_fenced);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -12,6 +12,8 @@
 #define MAX_LOST_PATHS 3
 /* A request changes its path so often at most. */
 #define MAX_REROUTES 4
+/* Estimate of what a stream has written. */
+#define TOKENS_PER_EVENT 4
 
 /* A refusal within this part of an engine's stall is one for want of room. */
 #define FULL_ANSWER_PART 3
@@ -54,13 +56,14 @@
 static void note_event(struct edg_request *request)
 {
 	clk_ms now = edg_now(request->edge);
+	clk_ms pause = now - request->last_event_at;
 
-	if (!request->first_event_at) {
+	if (request->first_event_at) {
+		request->longest_pause = MAX(request->longest_pause, pause);
+		stl_note_pause(request, pause);
+	} else {
 		request->first_event_at = now;
 		edg_observe(request->edge, true, now - request->started);
-	} else {
-		request->longest_pause = MAX(request->longest_pause,
-					     now - request->last_event_at);
 	}
 	request->last_event_at = now;
 }
@@ -237,6 +240,7 @@
 		.service = request->service->name,
 		.data_center = request->edge->data_center,
 		.tokens = request->prompt_tokens + request->answer_tokens,
+		.read_tokens = request->prompt_tokens,
 	};
 
 	return query;
@@ -252,7 +256,7 @@
 	result =
 		pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
 	if (result == PTH_FOUND) {
-		pth_reserve(path, query.tokens);
+		pth_reserve(path, edg_now(edge), query.tokens);
 		request->path = path;
 		request->target = flt_target_keep(pth_head(path));
 		return true;
@@ -336,12 +340,9 @@
 
 static void take_path(struct edg_request *request)
 {
-	double tokens = request->path->tokens;
-
 	pth_free(request->path);
 	request->path = request->next_path;
 	request->next_path = NULL;
-	pth_reserve(request->path, tokens);
 	request->last_event_at = edg_now(request->edge);
 }
 
@@ -386,11 +387,16 @@
 	struct reroute *state;
 
 	query.present = request->path;
+	query.read_tokens = request->prompt_tokens +
+			    request->events.events * TOKENS_PER_EVENT;
 	if (request->reroutes >= MAX_REROUTES ||
 	    edg_now(edge) < request->target->down_until ||
 	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
 		     &request->next_path) != PTH_FOUND)
 		return false;
+	/* Counted at once, so that other requests of the lost engine find its
+	 * load. */
+	pth_reserve(request->next_path, edg_now(edge), query.tokens);
 	request->reroutes++;
 	state = g_new0(struct reroute, 1);
 	state->edge = edge;
--- a/src/edge/stl.c
+++ b/src/edge/stl.c
@@ -4,37 +4,61 @@
 
 /*
  * Stalled paths. A path stands still while one of its engines is lost, and
- * is cut off only seconds later. When a stream is silent for longer than its
- * path explains, its head is asked which engines it waits for; these are
- * avoided, and every request on them continues on another path. A head that
- * does not answer is itself the lost engine.
+ * is cut off only seconds later. When streams of a head fall silent, every
+ * engine of the path is asked for a report at once: one that refuses, or that
+ * a report names as stalled, is lost; one that does not answer soon is
+ * avoided until it is known better. Requests on such engines continue on
+ * another path.
  */
 
-/* Silence after which a head is asked, in expected times of an event. */
-#define PAUSE_FACTOR 4
-#define MIN_PAUSE_MS 200
-/* Tokens of an event; only sets when to ask. */
-#define TOKENS_PER_EVENT 4
-/* A head is asked at most this often. */
-#define ASK_INTERVAL_MS 400
+/* Silence of a stream, in its usual pauses between events. */
+#define PAUSE_FACTOR 2.2
+#define MIN_PAUSE_MS 110
+/* Weight of the newest pause in the usual one. */
+#define PAUSE_WEIGHT 0.2
+/* Several streams of a head that are silent at once, or one for so long, are
+ * reason to ask. */
+#define MIN_SILENT_STREAMS 2
+#define SILENT_PART 0.4
+#define LONG_SILENCE_MS 250
+/* The engines of a head's paths are asked at most this often. */
+#define ASK_INTERVAL_MS 1000
+/* An engine answers within some milliseconds; lost packets are sent again
+ * after about 200 ms. */
+#define SOON_MS 80
+/* A slow engine is taken for one until it was asked again. */
+#define SLOW_SPAN_MS 3000
+#define MIN_SLOWDOWN 1.5
 
 struct inquiry {
 	struct edg_edge *edge;
-	struct flt_target *head;
+	struct flt_target *target;
+	uv_timer_t timer;
+	bool is_answered;
 };
 
-static clk_ms expected_pause(const struct edg_request *request)
+static clk_ms silence(const struct edg_request *request, clk_ms now)
 {
-	double event_ms = request->path->token_ms * TOKENS_PER_EVENT;
+	return now - MAX(request->last_event_at, request->sent_at);
+}
 
-	return MAX((clk_ms)(event_ms * PAUSE_FACTOR), MIN_PAUSE_MS);
+static clk_ms usual_silence(const struct edg_request *request)
+{
+	return MAX((clk_ms)(request->usual_pause * PAUSE_FACTOR), MIN_PAUSE_MS);
 }
 
 static bool is_silent(const struct edg_request *request, clk_ms now)
 {
-	clk_ms since = MAX(request->last_event_at, request->sent_at);
+	return silence(request, now) >= usual_silence(request);
+}
 
-	return now - since >= expected_pause(request);
+void stl_note_pause(struct edg_request *request, clk_ms pause)
+{
+	if (!request->usual_pause)
+		request->usual_pause = (double)pause;
+	else
+		request->usual_pause +=
+			PAUSE_WEIGHT * ((double)pause - request->usual_pause);
 }
 
 /* Requests may end while they are moved, so the list is a copy. */
@@ -55,68 +79,135 @@
 	g_list_free(requests);
 }
 
-static void lose(struct edg_edge *edge, struct flt_target *target,
-		 const char *why)
+static void log_avoided(struct edg_edge *edge, const struct flt_target *target,
+			const char *why)
 {
-	clk_ms now = edg_now(edge);
 	char *subject = g_strdup_printf("target %s", target->id);
 
-	if (now >= target->avoid_until)
+	if (edg_now(edge) >= target->avoid_until)
 		edg_log(edge, subject, "in use", "avoided", "reason=%s", why);
 	g_free(subject);
+}
+
+static void lose(struct edg_edge *edge, struct flt_target *target,
+		 const char *why)
+{
+	log_avoided(edge, target, why);
 	flt_target_keep(target);
-	flt_note_down(target, now);
+	flt_note_down(target, edg_now(edge));
 	move_all(edge, target, why);
 	flt_target_drop(target);
 }
 
-static void on_report(void *user, const struct edg_report *report)
+static void on_inquiry_closed(uv_handle_t *handle)
+{
+	struct inquiry *inquiry = handle->data;
+
+	flt_target_drop(inquiry->target);
+	g_free(inquiry);
+}
+
+/* No answer yet: the engine is dark, or the way to it is bad. */
+static void on_soon(uv_timer_t *timer)
+{
+	struct inquiry *inquiry = timer->data;
+
+	log_avoided(inquiry->edge, inquiry->target, "no_report_yet");
+	flt_note_full(inquiry->target, edg_now(inquiry->edge));
+	move_all(inquiry->edge, inquiry->target, "no_report_yet");
+}
+
+static void read_report(struct edg_edge *edge, struct flt_target *target,
+			const struct edg_report *report)
 {
-	struct inquiry *inquiry = user;
-	struct edg_edge *edge = inquiry->edge;
-	struct flt_target *target;
 	guint i;
 
-	if (!report) {
-		lose(edge, inquiry->head, "head_is_silent");
-	} else {
-		for (i = 0; i < report->stalled->len; i++) {
-			target = flt_find_address(edge->fleet,
-						  report->stalled->pdata[i]);
-			if (target)
-				lose(edge, target, "path_is_stalled");
-		}
+	target->slowdown =
+		report->slowdown >= MIN_SLOWDOWN ? report->slowdown : 0;
+	target->slow_until = edg_now(edge) + SLOW_SPAN_MS;
+	for (i = 0; i < report->stalled->len; i++) {
+		struct flt_target *stalled = flt_find_address(
+			edge->fleet, report->stalled->pdata[i]);
+
+		if (stalled)
+			lose(edge, stalled, "path_is_stalled");
 	}
-	flt_target_drop(inquiry->head);
-	g_free(inquiry);
 }
 
-static void ask(struct edg_request *request)
+static void on_report(void *user, const struct edg_report *report)
+{
+	struct inquiry *inquiry = user;
+
+	uv_timer_stop(&inquiry->timer);
+	if (report)
+		read_report(inquiry->edge, inquiry->target, report);
+	else
+		lose(inquiry->edge, inquiry->target, "no_report");
+	uv_close((uv_handle_t *)&inquiry->timer, on_inquiry_closed);
+}
+
+static void ask(struct edg_edge *edge, struct flt_target *target)
 {
-	struct edg_edge *edge = request->edge;
-	struct flt_target *head = request->target;
 	struct inquiry *inquiry;
 	clk_ms now = edg_now(edge);
 
-	if (now - head->asked_at < ASK_INTERVAL_MS)
+	if (now - target->asked_at < ASK_INTERVAL_MS)
 		return;
-	head->asked_at = now;
+	target->asked_at = now;
 	inquiry = g_new0(struct inquiry, 1);
 	inquiry->edge = edge;
-	inquiry->head = flt_target_keep(head);
+	inquiry->target = flt_target_keep(target);
+	uv_timer_init(edge->loop, &inquiry->timer);
+	inquiry->timer.data = inquiry;
+	uv_timer_start(&inquiry->timer, on_soon, SOON_MS, 0);
 	ctr_add(edge->counters, "wf_edge_stall_inquiries_total", 1);
-	edge->platform->ops->ask_report(edge->platform, head, on_report,
+	edge->platform->ops->ask_report(edge->platform, target, on_report,
 					inquiry);
 }
 
+/* Whether enough streams of the request's head are silent together. */
+static bool is_head_silent(const struct edg_request *request, clk_ms now)
+{
+	GHashTableIter iter;
+	gpointer key;
+	unsigned streams = 0;
+	unsigned silent = 0;
+
+	if (silence(request, now) >= LONG_SILENCE_MS)
+		return true;
+	g_hash_table_iter_init(&iter, request->edge->requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct edg_request *other = key;
+
+		if (other->target != request->target || !other->path ||
+		    !other->exchange)
+			continue;
+		streams++;
+		silent += is_silent(other, now);
+	}
+	return silent >= MIN_SILENT_STREAMS && silent >= SILENT_PART * streams;
+}
+
+static void ask_path(struct edg_request *request)
+{
+	guint i;
+
+	for (i = 0; i < request->path->stages->len; i++)
+		ask(request->edge,
+		    g_array_index(request->path->stages, struct pth_stage, i)
+			    .target);
+}
+
 static void on_pause(uv_timer_t *timer)
 {
 	struct edg_request *request = timer->data;
+	clk_ms now = edg_now(request->edge);
 
 	if (request->is_freed || !request->path || !request->exchange)
 		return;
-	if (is_silent(request, edg_now(request->edge)))
-		ask(request);
+	if (is_silent(request, now) && !request->next_path &&
+	    is_head_silent(request, now))
+		ask_path(request);
 	stl_watch(request);
 }
 
@@ -124,10 +215,10 @@
 {
 	clk_ms now = edg_now(request->edge);
 	clk_ms since = MAX(request->last_event_at, request->sent_at);
-	clk_ms due = since + expected_pause(request);
+	clk_ms due = since + usual_silence(request);
 
 	if (due <= now)
-		due = now + ASK_INTERVAL_MS;
+		due = now + MIN_PAUSE_MS;
 	/* Each event moves the time; a running timer checks by itself. */
 	if (uv_is_active((uv_handle_t *)&request->pause_timer))
 		return;
--- a/src/forward/flt.c
+++ b/src/forward/flt.c
@@ -110,6 +110,7 @@
 	target->down_until = 0;
 	target->failures = 0;
 	target->ordered_until = 0;
+	target->slowdown = 0;
 	target->state = FLT_READY;
 }
 
--- a/src/forward/pth.c
+++ b/src/forward/pth.c
@@ -21,6 +21,12 @@
 #define AVOIDED_MS 1000.0
 /* A stage of the present path keeps what it has computed. */
 #define KEPT_STAGE_PART 0.3
+/* Cost of each ms that an engine still reads tokens of earlier requests:
+ * these come first, and all tokens of a request wait for the slowest stage. */
+#define BACKLOG_PART 0.15
+/* A path inside a data centre whose cost exceeds its time of a token by this
+ * is full, busy or doubtful: crossing to another one may be better. */
+#define LOADED_MS (2 * CROSSING_MS)
 #define MAX_BOUNDARIES 512
 #define MAX_DATA_CENTERS 64
 
@@ -42,6 +48,8 @@
 	/* Cost of a layer without the stage's fixed part. */
 	double layer_cost;
 	double fixed_cost;
+	/* Time to read the request's tokens in one layer. */
+	double layer_read_ms;
 	/* Token layers that are left. */
 	double room;
 	bool may_head;
@@ -153,19 +161,29 @@
 	double used = target->used_token_layers + target->others.token_layers;
 	double all = kind ? capacity(engine, target, kind) : INFINITY;
 	double fill = all > 0 ? MIN(used / all, 1.0) : 1.0;
+	double pace = kind ? kind->pace : 1;
 	double spread =
 		1 + (search->rand ? SPREAD * g_rand_double(search->rand) : 0);
 	struct candidate candidate = {.target = target};
 
+	if (search->now < target->slow_until && target->slowdown > 1)
+		pace *= target->slowdown;
 	candidate.center = center_index(search, target->data_center);
 	candidate.room = all - used;
-	candidate.layer_cost = spread *
-			       token_ms(search, target, kind ? kind->pace : 1) /
-			       engine->layers;
+	candidate.layer_cost =
+		spread * token_ms(search, target, pace) / engine->layers;
 	candidate.fixed_cost =
 		spread * (STAGE_MS + MEMORY_MS * fill * fill * fill * fill);
+	if (engine->read_tokens_per_ms > 0)
+		candidate.layer_read_ms = search->query->read_tokens /
+					  engine->read_tokens_per_ms *
+					  (kind ? kind->read_factor : 1) /
+					  engine->layers;
+	candidate.fixed_cost +=
+		BACKLOG_PART * MAX(target->read_until - (double)search->now, 0);
 	if (is_kept(search, target)) {
-		candidate.fixed_cost *= KEPT_STAGE_PART;
+		candidate.fixed_cost = STAGE_MS * KEPT_STAGE_PART;
+		candidate.layer_read_ms = 0;
 		candidate.layer_cost *= KEPT_STAGE_PART;
 		candidate.room = INFINITY;
 	}
@@ -270,10 +288,9 @@
 }
 
 /* Joins neighbouring stages at the same engine; an engine may appear once. */
-static bool add_stage(struct pth_path *path, struct flt_target *target,
-		      struct flt_range range)
+static bool add_stage(struct pth_path *path, struct pth_stage stage)
 {
-	struct pth_stage stage = {target, range};
+	struct flt_target *target = stage.target;
 	guint i;
 
 	if (path->stages->len) {
@@ -281,8 +298,9 @@
 			&g_array_index(path->stages, struct pth_stage, 0);
 
 		if (first->target == target &&
-		    first->range.first == range.end) {
-			first->range.first = range.first;
+		    first->range.first == stage.range.end) {
+			first->range.first = stage.range.first;
+			first->read_ms += stage.read_ms;
 			return true;
 		}
 	}
@@ -324,23 +342,28 @@
 		const struct reach *reach = reach_of(search, boundary, center);
 		const struct candidate *engine = &g_array_index(
 			search->engines, struct candidate, reach->target);
-		struct flt_range range = {search->boundaries[reach->from],
-					  search->boundaries[boundary]};
-
-		if (!add_stage(path, engine->target, range)) {
+		struct pth_stage stage = {
+			.target = engine->target,
+			.range = {search->boundaries[reach->from],
+				  search->boundaries[boundary]},
+		};
+		unsigned layers = stage.range.end - stage.range.first;
+
+		stage.read_ms = engine->layer_read_ms * layers;
+		if (!add_stage(path, stage)) {
 			pth_free(path);
 			return NULL;
 		}
-		path->token_ms += STAGE_MS + engine->layer_cost *
-						     (range.end - range.first);
+		path->token_ms += STAGE_MS + engine->layer_cost * layers;
 		boundary = reach->from;
 		center = (unsigned)reach->from_center;
 	}
 	if (search->query->present) {
-		const struct pth_stage *head = &g_array_index(
+		struct pth_stage head = g_array_index(
 			search->query->present->stages, struct pth_stage, 0);
 
-		if (!add_stage(path, head->target, head->range)) {
+		head.read_ms = 0;
+		if (!add_stage(path, head)) {
 			pth_free(path);
 			return NULL;
 		}
@@ -445,7 +468,7 @@
 
 /*
  * The cheapest path: inside each data centre first. Only where all of these
- * are full or doubtful, the much larger search over all of them is made.
+ * are loaded or doubtful, the much larger search over all of them is made.
  */
 static struct pth_path *find_best(const struct search *base)
 {
@@ -465,7 +488,7 @@
 		}
 		g_ptr_array_unref(centers);
 	}
-	if (best_cost < AVOIDED_MS)
+	if (best && best_cost - best->token_ms < LOADED_MS)
 		return best;
 	cost = search_in(*base, NULL, &path);
 	keep_better(&best, &best_cost, path, cost);
@@ -516,13 +539,28 @@
 	pth_head(path)->in_flight += (unsigned)sign;
 }
 
-void pth_reserve(struct pth_path *path, double tokens)
+static void add_reading(struct pth_path *path, clk_ms now)
+{
+	guint i;
+
+	for (i = 0; i < path->stages->len; i++) {
+		struct pth_stage *stage =
+			&g_array_index(path->stages, struct pth_stage, i);
+
+		stage->target->read_until =
+			MAX(stage->target->read_until, (double)now) +
+			stage->read_ms;
+	}
+}
+
+void pth_reserve(struct pth_path *path, clk_ms now, double tokens)
 {
 	if (path->is_counted)
 		return;
 	path->tokens = tokens;
 	path->is_counted = true;
 	count_path(path, 1);
+	add_reading(path, now);
 }
 
 void pth_release(struct pth_path *path)
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -124,7 +124,7 @@
 		if (find(&world, i, "a", &path) != PTH_FOUND)
 			continue;
 		check_path(path);
-		pth_reserve(path, TOKENS);
+		pth_reserve(path, 0, TOKENS);
 		pth_free(path);
 	}
 	teardown(&world);
@@ -196,7 +196,7 @@
 	hold(&world, "e3", "a", "middle", 78, 80);
 	while (n < G_N_ELEMENTS(paths) &&
 	       find(&world, 0, "a", &paths[n]) == PTH_FOUND)
-		pth_reserve(paths[n++], TOKENS);
+		pth_reserve(paths[n++], 0, TOKENS);
 	ck_assert_uint_ge(n, 8);
 	ck_assert_uint_le(n, 12);
 	ck_assert_int_eq(find(&world, 0, "a", &path), PTH_NO_ROOM);
@@ -229,6 +229,40 @@
 }
 END_TEST
 
+/* Guards against one engine that reads the tokens of all requests that a lost
+ * engine had, while others could read a part of them. */
+START_TEST(reading_spreads_over_data_centers)
+{
+	struct world world;
+	struct pth_path *paths[40];
+	unsigned on_first = 0;
+	int i;
+
+	setup(&world, 1);
+	hold(&world, "e1", "a", "large", 0, 29);
+	hold(&world, "e2", "a", "large", 29, 58);
+	hold(&world, "e3", "a", "small", 58, 69);
+	hold(&world, "e4", "a", "small", 69, 80);
+	hold(&world, "e5", "b", "small", 58, 69);
+	hold(&world, "e6", "b", "small", 69, 80);
+	for (i = 0; i < 40; i++) {
+		struct pth_query query = query_for(&world, "a");
+
+		query.read_tokens = TOKENS;
+		ck_assert_int_eq(
+			pth_find(world.fleet, 0, &query, world.rand, &paths[i]),
+			PTH_FOUND);
+		pth_reserve(paths[i], 0, 100);
+		on_first += pth_has(paths[i], flt_find(world.fleet, "e3"));
+	}
+	ck_assert_uint_ge(on_first, 12);
+	ck_assert_uint_le(on_first, 30);
+	for (i = 0; i < 40; i++)
+		pth_free(paths[i]);
+	teardown(&world);
+}
+END_TEST
+
 /* Guards against all instances choosing the same engines. */
 START_TEST(load_spreads_over_equal_engines)
 {
@@ -244,7 +278,7 @@
 	hold(&world, "e4", "a", "large", 58, 80);
 	for (i = 0; i < 60; i++) {
 		ck_assert_int_eq(find(&world, 0, "a", &paths[i]), PTH_FOUND);
-		pth_reserve(paths[i], TOKENS);
+		pth_reserve(paths[i], 0, TOKENS);
 	}
 	first = flt_find(world.fleet, "e1")->in_flight;
 	ck_assert_uint_ge(first, 20);
@@ -295,7 +329,7 @@
 	sup_list_fleet(world.fleet, 0);
 	sup_carry_out(world.fleet, 0, world.service);
 	ck_assert_int_eq(find(&world, 0, "b", &path), PTH_FOUND);
-	pth_reserve(path, TOKENS);
+	pth_reserve(path, 0, TOKENS);
 	lost = stage_at(path, path->stages->len - 1)->target;
 	flt_note_down(lost, 0);
 	query = query_for(&world, "b");
@@ -347,6 +381,7 @@
 	tcase_add_test(tcase, missing_layer_gives_no_path);
 	tcase_add_test(tcase, memory_of_own_and_other_requests_counts);
 	tcase_add_test(tcase, full_head_takes_no_further_request);
+	tcase_add_test(tcase, reading_spreads_over_data_centers);
 	tcase_add_test(tcase, load_spreads_over_equal_engines);
 	tcase_add_test(tcase, lost_and_leaving_engines_serve_last);
 	tcase_add_test(tcase,
