--- a/src/edge/ord.c
+++ b/src/edge/ord.c
@@ -1,5 +1,7 @@
 #include <string.h>
 
+#include <wagtailferry/core.h>
+
 #include "edge/edg_private.h"
 
 /*
@@ -38,6 +40,9 @@
 	clk_ms patience;
 	uint64_t seen_revision;
 	clk_ms changed_at;
+	/* What the last plan was made from, and whether it was empty. */
+	uint64_t planned_from;
+	bool is_plan_empty;
 	unsigned running;
 	int refs;
 };
@@ -403,13 +408,39 @@
 		base + g_rand_int_range(orders->edge->rand, 0, (gint32)base);
 }
 
-static bool is_plan_empty(struct ord_orders *orders)
+/* Changes whenever the plan may do so. */
+static uint64_t plan_input(const struct ord_orders *orders)
 {
-	GArray *plan = make_plan(orders);
-	bool is_empty = !plan->len;
+	const struct edg_edge *edge = orders->edge;
+	const GPtrArray *targets = flt_targets(edge->fleet);
+	clk_ms now = edg_now(edge);
+	uint64_t input[] = {flt_revision(edge->fleet), 0, 0};
+	guint i;
 
+	if (edge->catalog)
+		input[1] = (uint64_t)cat_version(edge->catalog) + 1;
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+		uint64_t bits = (now < target->ordered_until ? 1 : 0) |
+				(now < target->down_until ? 2 : 0);
+
+		input[2] = input[2] * 5 + bits;
+	}
+	return wf_hash(input, sizeof(input), 0);
+}
+
+static bool is_plan_empty(struct ord_orders *orders)
+{
+	uint64_t input = plan_input(orders);
+	GArray *plan;
+
+	if (input == orders->planned_from)
+		return orders->is_plan_empty;
+	plan = make_plan(orders);
+	orders->planned_from = input;
+	orders->is_plan_empty = !plan->len;
 	g_array_unref(plan);
-	return is_empty;
+	return orders->is_plan_empty;
 }
 
 static bool holds_layers(const struct flt_fleet *fleet)
--- a/src/forward/flt.c
+++ b/src/forward/flt.c
@@ -27,6 +27,7 @@
 struct flt_fleet {
 	GPtrArray *targets;
 	GHashTable *by_id;
+	GHashTable *by_hash;
 	uint64_t revision;
 	unsigned list;
 };
@@ -69,6 +70,7 @@
 
 	fleet->targets = g_ptr_array_new_with_free_func(target_destroy);
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
 	return fleet;
 }
 
@@ -77,6 +79,7 @@
 	if (!fleet)
 		return;
 	g_hash_table_unref(fleet->by_id);
+	g_hash_table_unref(fleet->by_hash);
 	g_ptr_array_unref(fleet->targets);
 	g_free(fleet);
 }
@@ -157,6 +160,7 @@
 		entry->left_at = now;
 	g_ptr_array_add(fleet->targets, entry);
 	g_hash_table_insert(fleet->by_id, entry->id, entry);
+	g_hash_table_insert(fleet->by_hash, &entry->id_hash, entry);
 	fleet->revision++;
 }
 
@@ -165,6 +169,7 @@
 {
 	note_leaving(target, now, FLT_GONE);
 	g_hash_table_remove(fleet->by_id, target->id);
+	g_hash_table_remove(fleet->by_hash, &target->id_hash);
 	g_ptr_array_remove(fleet->targets, target);
 	fleet->revision++;
 }
@@ -232,15 +237,7 @@
 
 struct flt_target *flt_find_hash(const struct flt_fleet *fleet, uint64_t hash)
 {
-	guint i;
-
-	for (i = 0; i < fleet->targets->len; i++) {
-		struct flt_target *target = fleet->targets->pdata[i];
-
-		if (target->id_hash == hash)
-			return target;
-	}
-	return NULL;
+	return g_hash_table_lookup(fleet->by_hash, &hash);
 }
 
 uint64_t flt_revision(const struct flt_fleet *fleet)
--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -22,8 +22,10 @@
 
 /* The engines of one or more data centres that share a copy of the model. */
 struct group {
-	/* Of struct flt_target pointers. */
+	/* Of struct flt_target pointers, and what each will hold. */
 	GPtrArray *engines;
+	struct flt_range *ranges;
+	bool *is_changed;
 	const struct cat_engine *engine;
 	/* Engines that hold each layer, and the tokens of requests that these
 	 * have memory for together. */
@@ -32,7 +34,6 @@
 	clk_ms now;
 	/* Memory kept for requests, in tokens. */
 	double tokens;
-	GArray *changes;
 };
 
 unsigned plc_capacity(const struct cat_engine *engine,
@@ -52,20 +53,10 @@
 }
 
 /* What a target holds, or will hold as soon as an order is carried out. */
-static struct flt_range effective(const struct group *group,
-				  const struct flt_target *target)
+static struct flt_range expected_range(const struct flt_target *target,
+				       clk_ms now)
 {
-	guint i;
-
-	for (i = 0; i < group->changes->len; i++) {
-		struct plc_change *change =
-			&g_array_index(group->changes, struct plc_change, i);
-
-		if (change->target == target)
-			return change->range;
-	}
-	return group->now < target->ordered_until ? target->ordered
-						  : target->holds;
+	return now < target->ordered_until ? target->ordered : target->holds;
 }
 
 static bool is_empty(struct flt_range range)
@@ -99,24 +90,17 @@
 	}
 }
 
-static void assign(struct group *group, struct flt_target *target,
-		   struct flt_range range)
+static struct flt_target *engine_at(const struct group *group, guint i)
 {
-	struct plc_change change = {target, range};
-	guint i;
-
-	count_range(group, target, effective(group, target), -1);
-	count_range(group, target, range, 1);
-	for (i = 0; i < group->changes->len; i++) {
-		struct plc_change *known =
-			&g_array_index(group->changes, struct plc_change, i);
+	return group->engines->pdata[i];
+}
 
-		if (known->target != target)
-			continue;
-		known->range = range;
-		return;
-	}
-	g_array_append_val(group->changes, change);
+static void assign(struct group *group, guint i, struct flt_range range)
+{
+	count_range(group, engine_at(group, i), group->ranges[i], -1);
+	count_range(group, engine_at(group, i), range, 1);
+	group->ranges[i] = range;
+	group->is_changed[i] = true;
 }
 
 static bool find_gap(const struct group *group, struct flt_range *gap)
@@ -132,14 +116,13 @@
 	return gap->first < layers;
 }
 
-/* All layers of the target are held by another one too. */
-static bool is_redundant(const struct group *group,
-			 const struct flt_target *target)
+/* All layers of the engine are held by another one too. */
+static bool is_redundant(const struct group *group, guint i)
 {
-	struct flt_range range = effective(group, target);
+	struct flt_range range = group->ranges[i];
 	unsigned layer;
 
-	if (is_empty(range) || group->now < target->ordered_until)
+	if (is_empty(range) || group->now < engine_at(group, i)->ordered_until)
 		return false;
 	for (layer = range.first;
 	     layer < range.end && layer < group->engine->layers; layer++) {
@@ -149,82 +132,69 @@
 	return true;
 }
 
-static unsigned capacity_of(const struct group *group,
-			    const struct flt_target *target)
+static unsigned capacity_of(const struct group *group, guint i)
 {
-	return plc_capacity(group->engine, accelerator_of(group, target),
+	return plc_capacity(group->engine,
+			    accelerator_of(group, engine_at(group, i)),
 			    group->tokens);
 }
 
-static struct flt_target *find_free(const struct group *group)
+static bool find_free(const struct group *group, guint *found)
 {
 	guint i;
 
 	for (i = 0; i < group->engines->len; i++) {
-		struct flt_target *target = group->engines->pdata[i];
-
-		if (is_empty(effective(group, target)) &&
-		    capacity_of(group, target))
-			return target;
+		if (is_empty(group->ranges[i]) && capacity_of(group, i)) {
+			*found = i;
+			return true;
+		}
 	}
-	return NULL;
+	return false;
 }
 
 /* The smallest engine that holds copies only and fits the gap, else the
  * largest such engine. */
-static struct flt_target *find_redundant(const struct group *group,
-					 unsigned gap)
+static bool find_redundant(const struct group *group, unsigned gap,
+			   guint *found)
 {
-	struct flt_target *best = NULL;
 	unsigned best_capacity = 0;
 	guint i;
 
 	for (i = 0; i < group->engines->len; i++) {
-		struct flt_target *target = group->engines->pdata[i];
-		unsigned capacity = capacity_of(group, target);
+		unsigned capacity = capacity_of(group, i);
 		bool is_better =
 			best_capacity < gap
 				? capacity > best_capacity
 				: capacity >= gap && capacity < best_capacity;
 
-		if (!is_better || !is_redundant(group, target))
+		if (!is_better || !is_redundant(group, i))
 			continue;
-		best = target;
+		*found = i;
 		best_capacity = capacity;
 	}
-	return best;
-}
-
-/* An engine for a gap: a free one, else one whose layers are held twice. */
-static struct flt_target *find_candidate(const struct group *group,
-					 struct flt_range gap)
-{
-	struct flt_target *target = find_free(group);
-
-	return target ? target : find_redundant(group, gap.end - gap.first);
+	return best_capacity > 0;
 }
 
 /* Layers that an engine may hold when memory for requests is given up. */
-static unsigned most_layers(const struct group *group,
-			    const struct flt_target *target)
+static unsigned most_layers(const struct group *group, guint i)
 {
-	return plc_capacity(group->engine, accelerator_of(group, target),
+	return plc_capacity(group->engine,
+			    accelerator_of(group, engine_at(group, i)),
 			    group->tokens / SQUEEZED_PART);
 }
 
 /* Adds the gap's edge to a neighbour that has memory for more layers. */
 static bool extend_neighbour(struct group *group, struct flt_range gap)
 {
-	struct flt_target *best = NULL;
 	struct flt_range best_range = {0, 0};
 	unsigned best_room = 0;
+	guint best = 0;
 	guint i;
 
 	for (i = 0; i < group->engines->len; i++) {
-		struct flt_target *target = group->engines->pdata[i];
-		struct flt_range range = effective(group, target);
+		struct flt_range range = group->ranges[i];
 		unsigned held = range.end - range.first;
-		unsigned most = most_layers(group, target);
+		unsigned most = most_layers(group, i);
 		unsigned room = most > held ? most - held : 0;
 		unsigned added = MIN(room, gap.end - gap.first);
 
@@ -236,24 +206,24 @@
 			range.first -= added;
 		else
 			continue;
-		best = target;
+		best = i;
 		best_range = range;
 		best_room = room;
 	}
-	if (best)
+	if (best_room)
 		assign(group, best, best_range);
-	return best != NULL;
+	return best_room > 0;
 }
 
-/* Whether the neighbour can take over all layers of the target; sets what it
+/* Whether the neighbour can take over all layers of a range; sets what it
  * would hold then. */
-static bool can_absorb(const struct group *group,
-		       const struct flt_target *neighbour,
+static bool can_absorb(const struct group *group, guint neighbour,
 		       struct flt_range range, struct flt_range *united)
 {
-	struct flt_range held = effective(group, neighbour);
+	struct flt_range held = group->ranges[neighbour];
 
-	if (is_empty(held) || group->now < neighbour->ordered_until)
+	if (is_empty(held) ||
+	    group->now < engine_at(group, neighbour)->ordered_until)
 		return false;
 	*united = held;
 	if (held.end == range.first)
@@ -268,34 +238,32 @@
 /* Frees the engine with the fewest layers that a neighbour can take over. */
 static bool merge_neighbours(struct group *group, struct flt_range gap)
 {
-	struct flt_target *freed = NULL;
-	struct flt_target *heir = NULL;
 	struct flt_range best_united = {0, 0};
 	unsigned fewest = UINT_MAX;
+	guint freed = 0;
+	guint heir = 0;
 	guint i;
 	guint j;
 
 	for (i = 0; i < group->engines->len; i++) {
-		struct flt_target *target = group->engines->pdata[i];
-		struct flt_range range = effective(group, target);
+		struct flt_range range = group->ranges[i];
 		struct flt_range united;
 
-		if (is_empty(range) || group->now < target->ordered_until ||
-		    range.end - range.first >= fewest)
+		if (is_empty(range) ||
+		    group->now < engine_at(group, i)->ordered_until ||
+		    range.end - range.first >= fewest || !most_layers(group, i))
 			continue;
 		for (j = 0; j < group->engines->len; j++) {
-			if (i == j ||
-			    !can_absorb(group, group->engines->pdata[j], range,
-					&united))
+			if (i == j || !can_absorb(group, j, range, &united))
 				continue;
-			freed = target;
-			heir = group->engines->pdata[j];
+			freed = i;
+			heir = j;
 			best_united = united;
 			fewest = range.end - range.first;
 			break;
 		}
 	}
-	if (!freed || !most_layers(group, freed))
+	if (fewest == UINT_MAX)
 		return false;
 	assign(group, heir, best_united);
 	gap.end = MIN(gap.end, gap.first + most_layers(group, freed));
@@ -303,17 +271,18 @@
 	return true;
 }
 
+/* Free engines first, then those that hold copies, then neighbours. */
 static void fill_gaps(struct group *group)
 {
 	struct flt_range gap;
+	guint i;
 
 	while (find_gap(group, &gap)) {
-		struct flt_target *target = find_candidate(group, gap);
-
-		if (target) {
-			gap.end = MIN(gap.end,
-				      gap.first + capacity_of(group, target));
-			assign(group, target, gap);
+		if (find_free(group, &i) ||
+		    find_redundant(group, gap.end - gap.first, &i)) {
+			gap.end =
+				MIN(gap.end, gap.first + capacity_of(group, i));
+			assign(group, i, gap);
 		} else if (!extend_neighbour(group, gap) &&
 			   !merge_neighbours(group, gap)) {
 			return;
@@ -321,20 +290,22 @@
 	}
 }
 
-/* Layers of the largest engine that holds the layer. */
-static unsigned largest_holder(const struct group *group, unsigned layer)
+/* Layers of the largest engine that holds each layer. */
+static void find_holders(const struct group *group, unsigned *largest)
 {
-	unsigned largest = 0;
 	guint i;
 
+	memset(largest, 0, group->engine->layers * sizeof(*largest));
 	for (i = 0; i < group->engines->len; i++) {
-		struct flt_range range =
-			effective(group, group->engines->pdata[i]);
-
-		if (range.first <= layer && layer < range.end)
-			largest = MAX(largest, range.end - range.first);
+		struct flt_range range = group->ranges[i];
+		unsigned layer;
+
+		for (layer = range.first;
+		     layer < range.end && layer < group->engine->layers;
+		     layer++)
+			largest[layer] =
+				MAX(largest[layer], range.end - range.first);
 	}
-	return largest;
 }
 
 /*
@@ -343,23 +314,26 @@
  */
 static unsigned weakest_layer(const struct group *group)
 {
+	unsigned *largest = g_new(unsigned, group->engine->layers);
 	unsigned best = 0;
 	unsigned best_holder = 0;
 	unsigned layer;
 
+	find_holders(group, largest);
+
 	for (layer = 0; layer < group->engine->layers; layer++) {
 		double margin = group->room[best] * ROOM_TIE_PART;
-		unsigned holder;
+		unsigned holder = largest[layer];
 
 		if (group->room[layer] > group->room[best] + margin)
 			continue;
-		holder = largest_holder(group, layer);
 		if (group->room[layer] >= group->room[best] - margin &&
 		    holder <= best_holder)
 			continue;
 		best = layer;
 		best_holder = holder;
 	}
+	g_free(largest);
 	return best;
 }
 
@@ -368,31 +342,29 @@
 	guint i;
 
 	for (i = 0; i < group->engines->len; i++) {
-		struct flt_target *target = group->engines->pdata[i];
-		unsigned capacity;
 		struct flt_range range;
+		unsigned capacity;
 
-		if (!is_empty(effective(group, target)))
+		if (!is_empty(group->ranges[i]))
 			continue;
-		capacity = capacity_of(group, target);
+		capacity = capacity_of(group, i);
 		if (!capacity)
 			continue;
 		range.first = weakest_layer(group);
 		range.end = MIN(range.first + capacity, group->engine->layers);
 		range.first = range.end - capacity;
-		assign(group, target, range);
+		assign(group, i, range);
 	}
 }
 
-/* Whether all layers of the target keep so much room without it. */
-static bool can_spare(const struct group *group,
-		      const struct flt_target *target, double room)
+/* Whether all layers of the engine keep so much room without it. */
+static bool can_spare(const struct group *group, guint i, double room)
 {
-	struct flt_range range = effective(group, target);
-	double own = room_of(group, target, range);
+	struct flt_range range = group->ranges[i];
+	double own = room_of(group, engine_at(group, i), range);
 	unsigned layer;
 
-	if (!is_redundant(group, target))
+	if (!is_redundant(group, i))
 		return false;
 	for (layer = range.first; layer < range.end; layer++) {
 		if (group->room[layer] - own < room)
@@ -401,6 +373,17 @@
 	return true;
 }
 
+static bool has_changes(const struct group *group)
+{
+	guint i;
+
+	for (i = 0; i < group->engines->len; i++) {
+		if (group->is_changed[i])
+			return true;
+	}
+	return false;
+}
+
 /*
  * Moves one copy to layers that have far less room than they should, as after
  * a repair with too little memory.
@@ -411,18 +394,17 @@
 	double wanted = group->tokens * RELIEF_PART;
 	guint i;
 
-	if (group->changes->len || group->room[weakest] >= wanted)
+	if (has_changes(group) || group->room[weakest] >= wanted)
 		return;
 	for (i = 0; i < group->engines->len; i++) {
-		struct flt_target *target = group->engines->pdata[i];
 		struct flt_range range;
-		unsigned capacity = capacity_of(group, target);
+		unsigned capacity = capacity_of(group, i);
 
-		if (!capacity || !can_spare(group, target, wanted))
+		if (!capacity || !can_spare(group, i, wanted))
 			continue;
 		range.first = weakest;
 		range.end = MIN(weakest + capacity, group->engine->layers);
-		assign(group, target, range);
+		assign(group, i, range);
 		return;
 	}
 }
@@ -433,7 +415,7 @@
 	guint i;
 
 	for (i = 0; i < group->engines->len; i++)
-		total += capacity_of(group, group->engines->pdata[i]);
+		total += capacity_of(group, i);
 	return total;
 }
 
@@ -466,25 +448,41 @@
 	return strcmp(left->id, right->id);
 }
 
+static void report_changes(const struct group *group, GArray *changes)
+{
+	guint i;
+
+	for (i = 0; i < group->engines->len; i++) {
+		struct plc_change change = {engine_at(group, i),
+					    group->ranges[i]};
+
+		if (group->is_changed[i])
+			g_array_append_val(changes, change);
+	}
+}
+
 static void plan_group(GPtrArray *engines, const struct cat_engine *engine,
 		       clk_ms now, GArray *changes)
 {
-	struct group group = {.engines = engines,
-			      .engine = engine,
-			      .now = now,
-			      .changes = changes};
+	struct group group = {.engines = engines, .engine = engine, .now = now};
 	guint i;
 
 	g_ptr_array_sort_with_data(engines, compare_engines, (gpointer)engine);
+	group.ranges = g_new0(struct flt_range, engines->len);
+	group.is_changed = g_new0(bool, engines->len);
 	group.cover = g_new0(unsigned, engine->layers);
 	group.room = g_new0(double, engine->layers);
-	for (i = 0; i < engines->len; i++)
-		count_range(&group, engines->pdata[i],
-			    effective(&group, engines->pdata[i]), 1);
+	for (i = 0; i < engines->len; i++) {
+		group.ranges[i] = expected_range(engine_at(&group, i), now);
+		count_range(&group, engine_at(&group, i), group.ranges[i], 1);
+	}
 	set_tokens(&group);
 	fill_gaps(&group);
 	add_copies(&group);
 	relieve(&group);
+	report_changes(&group, changes);
+	g_free(group.ranges);
+	g_free(group.is_changed);
 	g_free(group.cover);
 	g_free(group.room);
 }
--- a/src/forward/pth.c
+++ b/src/forward/pth.c
@@ -466,9 +466,15 @@
 	*best_cost = cost;
 }
 
+static bool is_good(const struct pth_path *path, double cost)
+{
+	return path && cost - path->token_ms < LOADED_MS;
+}
+
 /*
- * The cheapest path: inside each data centre first. Only where all of these
- * are loaded or doubtful, the much larger search over all of them is made.
+ * A path inside the own data centre, or inside another one where that is
+ * loaded or doubtful. Only where all are, the much larger search over all of
+ * them is made.
  */
 static struct pth_path *find_best(const struct search *base)
 {
@@ -485,10 +491,12 @@
 			cost = search_in(*base, centers->pdata[i], &path);
 			keep_better(&best, &best_cost, path,
 				    i ? cost + CROSSING_MS : cost);
+			if (is_good(best, best_cost))
+				break;
 		}
 		g_ptr_array_unref(centers);
 	}
-	if (best && best_cost - best->token_ms < LOADED_MS)
+	if (is_good(best, best_cost))
 		return best;
 	cost = search_in(*base, NULL, &path);
 	keep_better(&best, &best_cost, path, cost);
