--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -47,6 +47,7 @@
 	case $name in
 	control)
 		run_bench control_bench ${json:+"$json"} || code=1
+		run_bench fleet_bench ${json:+"$json"} || code=1
 		run_bench limits_bench ${json:+"$json"} || code=1
 		;;
 	overhead)
