--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -16,7 +16,8 @@
 	known_list=$(sed -n 's/^test: *//p' KNOWN-RED.txt)
 fi
 programs=$*
-test -n "$programs" || programs=$(ls "$build"/tests/*_test)
+test -n "$programs" ||
+	programs=$(ls "$build"/tests/*_test "$build"/tests/platform/*_test)
 mkdir -p "$build/test-output"
 run_one()
 {
