--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -252,13 +252,10 @@
 START_TEST(newer_configuration_holds_and_an_older_one_never_comes_back)
 {
 	struct platform_world world;
-	json_t *config = world_config(2);
-	json_t *org;
 
 	open_plain(&world);
-	org = json_array_get(json_object_get(config, "tenants"), 0);
-	json_object_set_new(org, "api-keys", json_pack("[s]", "key2"));
-	world_put(&world, "config", "main", config);
+	world_put(&world, "config", "main",
+		  world_config_with_keys(2, json_pack("[s]", "key2")));
 	wire_until(&world.wire, is_version_2, &world);
 	expect(&world, "GET", "/read/", KEY, "HTTP/1.1 401 ");
 	world_put(&world, "config", "main", world_config(1));
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -443,6 +443,15 @@
 			 "name", "org", "api-keys", "key1", "key2");
 }
 
+json_t *world_config_with_keys(int version, json_t *keys)
+{
+	json_t *config = world_config(version);
+	json_t *org = json_array_get(json_object_get(config, "tenants"), 0);
+
+	json_object_set_new(org, "api-keys", keys);
+	return config;
+}
+
 /* Edge */
 
 static void keep_line(void *user, const char *line)
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -95,6 +95,8 @@
 
 /* A configuration with a route of each kind below host "h". */
 json_t *world_config(int version);
+/* The same with other keys of its organisation; takes them over. */
+json_t *world_config_with_keys(int version, json_t *keys);
 
 /* Starts and lists a worker; layers are empty for a plain service. */
 struct worker *world_worker(struct platform_world *world, const char *id,
--- a/tests/soak/client.c
+++ b/tests/soak/client.c
@@ -57,7 +57,7 @@
 {
 	struct soak_request *request = user;
 	const char *signature =
-		hdr_get(&response->headers, "X-Wagtailferry-Server-Stamp");
+		hdr_get(&response->headers, ptf_fields.signature);
 
 	request->status = response->status;
 	request->is_signed = signature != NULL;
@@ -206,13 +206,13 @@
 	send.address = edge->address;
 	send.bytes = g_string_new(NULL);
 	g_string_printf(send.bytes,
-			"%s HTTP/1.1\r\nHost: h\r\n"
-			"X-Wagtailferry-Attempt-Id: %s\r\n"
-			"X-Wagtailferry-Deadline-Ms: %d\r\n"
-			"X-Wagtailferry-Token-Counts: 20,20\r\n"
-			"Authorization: Token key%u\r\n"
+			"%s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\n"
+			"%s: 20,20\r\n%s: %s key%u\r\n"
 			"Content-Length: 2\r\n\r\nhi",
-			paths[request->kind], request->id, REQUEST_TIMEOUT_MS,
+			paths[request->kind], ptf_fields.attempt_id,
+			request->id, ptf_fields.remaining_ms,
+			REQUEST_TIMEOUT_MS, ptf_fields.token_counts,
+			ptf_fields.authorization, ptf_fields.key_scheme,
 			request->key);
 	send.max_idle = 60000;
 	soak->sent++;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -40,8 +40,6 @@
 
 void soak_put_config(struct soak *soak)
 {
-	json_t *config = world_config(++soak->version);
-	json_t *org = json_array_get(json_object_get(config, "tenants"), 0);
 	json_t *keys = json_array();
 	unsigned key;
 
@@ -52,8 +50,8 @@
 			json_array_append_new(keys, json_string(name));
 		g_free(name);
 	}
-	json_object_set_new(org, "api-keys", keys);
-	world_put(&soak->world, "config", "main", config);
+	world_put(&soak->world, "config", "main",
+		  world_config_with_keys(++soak->version, keys));
 }
 
 static void on_send(uv_timer_t *timer)
--- a/tests/soak/worker.c
+++ b/tests/soak/worker.c
@@ -87,7 +87,10 @@
 
 static void refuse(struct wire_conn *conn, int status)
 {
-	wire_answer(conn, status, "X-Wagtailferry-Not-Executed: 1\r\n", "");
+	char *proof = g_strdup_printf("%s: 1\r\n", ptf_fields.not_run);
+
+	wire_answer(conn, status, proof, "");
+	g_free(proof);
 }
 
 static void send_event(struct soak_stream *stream)
@@ -102,16 +105,23 @@
 	g_free(chunk);
 }
 
+/* Begin of a success that is the worker's own answer to the id. */
+static char *signed_head(const char *id)
+{
+	return g_strdup_printf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\n",
+			       ptf_fields.attempt_id, id, ptf_fields.signature,
+			       id);
+}
+
 static void send_stream_head(struct soak_stream *stream)
 {
-	char *head = g_strdup_printf(
-		"HTTP/1.1 200 OK\r\nX-Wagtailferry-Attempt-Id: %s\r\n"
-		"X-Wagtailferry-Server-Stamp: s-%s\r\n"
-		"Transfer-Encoding: chunked\r\n\r\n",
-		stream->id, stream->id);
+	char *begin = signed_head(stream->id);
+	char *head =
+		g_strdup_printf("%sTransfer-Encoding: chunked\r\n\r\n", begin);
 
 	stream->has_head = true;
 	wire_send(stream->conn, head);
+	g_free(begin);
 	g_free(head);
 }
 
@@ -166,8 +176,8 @@
 {
 	struct soak_stream *stream;
 	struct soak_worker *lost;
-	char *path = header_of(request, "X-Wagtailferry-Hop-Count");
-	char *last = header_of(request, "Last-Event-Id");
+	char *path = header_of(request, ptf_fields.path);
+	char *last = header_of(request, ptf_fields.last_event_id);
 
 	if (!path || !check_path(worker->soak, path, &lost)) {
 		refuse(conn, 421);
@@ -190,10 +200,7 @@
 {
 	struct soak *soak = work->worker->soak;
 	double draw = g_rand_double(soak->rand);
-	char *text = g_strdup_printf(
-		"HTTP/1.1 200 OK\r\nX-Wagtailferry-Attempt-Id: %s\r\n"
-		"X-Wagtailferry-Server-Stamp: s-%s\r\n",
-		work->id, work->id);
+	char *text = signed_head(work->id);
 	char *whole = g_strdup_printf("%sContent-Length: %zu\r\n\r\nown %s",
 				      text, strlen(work->id) + 4, work->id);
 
@@ -206,8 +213,11 @@
 	} else if (draw < 0.04) {
 		wire_hang_up(work->conn);
 	} else if (draw < 0.06) {
-		wire_answer(work->conn, 500,
-			    "X-Wagtailferry-Server-Stamp: s\r\n", "failed");
+		char *signature =
+			g_strdup_printf("%s: s\r\n", ptf_fields.signature);
+
+		wire_answer(work->conn, 500, signature, "failed");
+		g_free(signature);
 	} else if (draw < 0.08) {
 		wire_send(work->conn, whole);
 		wire_send(work->conn, whole);
@@ -371,8 +381,8 @@
 		take_order(worker, conn, strstr(request, "\r\n\r\n") + 4);
 		return;
 	}
-	id = header_of(request, "X-Wagtailferry-Attempt-Id");
-	expected = header_of(request, "X-Wagtailferry-Expect-Instance");
+	id = header_of(request, ptf_fields.attempt_id);
+	expected = header_of(request, ptf_fields.target_id);
 	if (!id || (expected && strcmp(expected, worker->id) != 0))
 		refuse(conn, id ? 421 : 400);
 	else if (worker->is_engine)
