--- a/include/wagtailferry/catalog.h
+++ b/include/wagtailferry/catalog.h
@@ -73,8 +73,6 @@
 	double step_ms_per_request;
 	double step_ms_per_1k_context;
 	double read_tokens_per_ms;
-	/* Loads of weights that run at full speed at the same time. */
-	unsigned parallel_loads;
 	/* Time to load all layers on an unloaded weight store. */
 	clk_ms load_time;
 	double usual_prompt_tokens;
@@ -85,8 +83,6 @@
 
 struct cat_service {
 	char *name;
-	/* Connections that a target accepts from all callers together. */
-	unsigned max_connections;
 	/* NULL for a plain service. */
 	struct cat_engine *engine;
 };
@@ -129,7 +125,7 @@
 
 /* Adds a service; takes engine over (may be NULL). */
 void cat_add_service(struct cat_catalog *catalog, const char *name,
-		     unsigned max_connections, struct cat_engine *engine);
+		     struct cat_engine *engine);
 
 /* Adds an organisation; the result is borrowed, for cat_add_key(). */
 struct cat_org *cat_add_org(struct cat_catalog *catalog, const char *name,
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -183,7 +183,5 @@
 /* ord.c */
 struct ord_orders *ord_new(struct edg_edge *edge, bool is_fenced);
 void ord_drop(struct ord_orders *orders);
-/* The fleet or the catalog changed. */
-void ord_wake(struct ord_orders *orders);
 
 #endif
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -62,6 +62,21 @@
 	}
 }
 
+/* Whether the answer, or an event of it, came later than the route's
+ * objective. */
+static bool is_late(const struct edg_request *request, clk_ms now)
+{
+	const struct cat_route *route = request->route;
+	clk_ms took = now - request->started;
+
+	if (!route)
+		return false;
+	if (route->is_stream && request->first_event_at)
+		took = request->first_event_at - request->started;
+	return (route->objective && took > route->objective) ||
+	       (route->max_pause && request->longest_pause > route->max_pause);
+}
+
 void edg_log_end(struct edg_request *request, const char *outcome, int status)
 {
 	struct edg_edge *edge = request->edge;
@@ -73,13 +88,14 @@
 
 	ctr_add(edge->counters, g_intern_string(counter), 1);
 	g_string_printf(detail,
-			"status=%d route=%s org=%s target=%s sends=%u "
+			"status=%d route=%s org=%s target=%s sends=%u late=%d "
 			"took_ms=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT
 			" config_age_ms=%" G_GINT64_FORMAT,
 			status, request->route ? request->route->name : "-",
 			request->org ? request->org->name : "-",
 			request->target ? request->target->id : "-",
-			request->sends, now - request->started,
+			request->sends, is_late(request, now),
+			now - request->started,
 			request->catalog ? cat_version(request->catalog) : -1,
 			now - edge->catalog_confirmed);
 	if (request->route && request->route->is_stream)
--- a/src/edge/hsv.c
+++ b/src/edge/hsv.c
@@ -634,11 +634,6 @@
 	}
 }
 
-unsigned hsv_connections(const struct hsv_server *server)
-{
-	return server->n_conns;
-}
-
 /* The answer is written: goes on with the connection's next request. */
 static void next_request(struct hsv_conn *conn)
 {
--- a/src/edge/hsv.h
+++ b/src/edge/hsv.h
@@ -71,9 +71,6 @@
 /* Stops listening and closes connections that have no request. */
 void hsv_stop(struct hsv_server *server);
 
-/* Connections that are open. */
-unsigned hsv_connections(const struct hsv_server *server);
-
 /*
  * Writes a whole answer. headers are complete lines, each with its end, and
  * have no length and no Connection field. The request is invalid afterwards.
--- a/src/edge/hup.c
+++ b/src/edge/hup.c
@@ -52,7 +52,6 @@
 	void *user;
 	GString *bytes;
 	bool is_head;
-	bool is_reused;
 	char *id_header;
 	char *id;
 	uv_timer_t timer;
@@ -546,7 +545,6 @@
 	exchange->id = g_strdup(request->id);
 	exchange->timeout = request->timeout;
 	exchange->started = now_ms(client);
-	exchange->is_reused = conn != NULL;
 	uv_timer_init(client->loop, &exchange->timer);
 	exchange->timer.data = exchange;
 	ctr_add(client->counters, "wf_upstream_requests_total", 1);
@@ -579,19 +577,6 @@
 	free_exchange(exchange);
 }
 
-bool hup_is_reused(const struct hup_exchange *exchange)
-{
-	return exchange->is_reused;
-}
-
-void hup_forget(struct hup_client *client, const char *address)
-{
-	GQueue *queue = g_hash_table_lookup(client->idle, address);
-
-	while (queue && queue->length)
-		close_conn(g_queue_peek_head(queue));
-}
-
 static void on_sweep(uv_timer_t *timer)
 {
 	struct hup_client *client = timer->data;
--- a/src/edge/hup.h
+++ b/src/edge/hup.h
@@ -75,10 +75,4 @@
 /* Ends an exchange without a call and closes its connection. */
 void hup_cancel(struct hup_exchange *exchange);
 
-/* Whether the exchange's request went over a connection used before. */
-bool hup_is_reused(const struct hup_exchange *exchange);
-
-/* Closes idle connections to an address. */
-void hup_forget(struct hup_client *client, const char *address);
-
 #endif
--- a/src/forward/cat.c
+++ b/src/forward/cat.c
@@ -161,12 +161,11 @@
 }
 
 void cat_add_service(struct cat_catalog *catalog, const char *name,
-		     unsigned max_connections, struct cat_engine *engine)
+		     struct cat_engine *engine)
 {
 	struct cat_service *service = g_new0(struct cat_service, 1);
 
 	service->name = g_strdup(name);
-	service->max_connections = max_connections;
 	service->engine = engine;
 	g_ptr_array_add(catalog->services, service);
 }
--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <wagtailferry/fleet.h>
+#include "forward/plc_private.h"
 
 /*
  * Requests of usual length that every copy of the model has memory for. More
@@ -11,47 +11,6 @@
 #define REQUESTS_PER_COPY 140
 /* Steps down to what a small fleet can do. */
 #define MIN_REQUESTS_PER_COPY 4
-/* A gap is closed even if its engines keep only this part of the memory for
- * requests: a copy that lacks a layer serves nobody. */
-#define SQUEEZED_PART 4
-/* Rooms that differ by less than this part count as equal. */
-#define ROOM_TIE_PART 0.1
-/* Layers with less than this part of the room that a copy should have get
- * another engine, if one can be spared elsewhere. */
-#define RELIEF_PART 0.5
-
-/* The engines of one or more data centres that share a copy of the model. */
-struct group {
-	/* Of struct flt_target pointers, and what each will hold. */
-	GPtrArray *engines;
-	struct flt_range *ranges;
-	bool *is_changed;
-	const struct cat_engine *engine;
-	/* Engines that hold each layer, and the tokens of requests that these
-	 * have memory for together. */
-	unsigned *cover;
-	double *room;
-	clk_ms now;
-	/* Memory kept for requests, in tokens. */
-	double tokens;
-};
-
-unsigned plc_capacity(const struct cat_engine *engine,
-		      const struct cat_accelerator *accelerator, double tokens)
-{
-	double layer_mb = engine->layer_mb +
-			  tokens * engine->token_bytes / engine->layers / 1e6;
-	double most = accelerator->memory_mb / layer_mb;
-
-	return most >= engine->layers ? engine->layers : (unsigned)most;
-}
-
-static const struct cat_accelerator *
-accelerator_of(const struct group *group, const struct flt_target *target)
-{
-	return cat_find_accelerator(group->engine, target->accelerator);
-}
-
 /* What a target holds, or will hold as soon as an order is carried out. */
 static struct flt_range expected_range(const struct flt_target *target,
 				       clk_ms now)
@@ -59,368 +18,18 @@
 	return now < target->ordered_until ? target->ordered : target->holds;
 }
 
-static bool is_empty(struct flt_range range)
-{
-	return range.first >= range.end;
-}
-
-/* Tokens that an engine has memory for if it holds the range. */
-static double room_of(const struct group *group,
-		      const struct flt_target *target, struct flt_range range)
-{
-	unsigned held = range.end - range.first;
-	double free_mb = accelerator_of(group, target)->memory_mb -
-			 held * group->engine->layer_mb;
-	double token_mb =
-		group->engine->token_bytes / group->engine->layers / 1e6;
-
-	return held ? MAX(free_mb, 0) / held / token_mb : 0;
-}
-
-static void count_range(struct group *group, const struct flt_target *target,
-			struct flt_range range, int sign)
-{
-	double room = room_of(group, target, range);
-	unsigned layer;
-
-	for (layer = range.first;
-	     layer < range.end && layer < group->engine->layers; layer++) {
-		group->cover[layer] += (unsigned)sign;
-		group->room[layer] += sign * room;
-	}
-}
-
-static struct flt_target *engine_at(const struct group *group, guint i)
-{
-	return group->engines->pdata[i];
-}
-
-static void assign(struct group *group, guint i, struct flt_range range)
-{
-	count_range(group, engine_at(group, i), group->ranges[i], -1);
-	count_range(group, engine_at(group, i), range, 1);
-	group->ranges[i] = range;
-	group->is_changed[i] = true;
-}
-
-static bool find_gap(const struct group *group, struct flt_range *gap)
-{
-	unsigned layers = group->engine->layers;
-
-	gap->first = 0;
-	while (gap->first < layers && group->cover[gap->first])
-		gap->first++;
-	gap->end = gap->first;
-	while (gap->end < layers && !group->cover[gap->end])
-		gap->end++;
-	return gap->first < layers;
-}
-
-/* All layers of the engine are held by another one too. */
-static bool is_redundant(const struct group *group, guint i)
-{
-	struct flt_range range = group->ranges[i];
-	unsigned layer;
-
-	if (is_empty(range) || group->now < engine_at(group, i)->ordered_until)
-		return false;
-	for (layer = range.first;
-	     layer < range.end && layer < group->engine->layers; layer++) {
-		if (group->cover[layer] < 2)
-			return false;
-	}
-	return true;
-}
-
-static unsigned capacity_of(const struct group *group, guint i)
-{
-	return plc_capacity(group->engine,
-			    accelerator_of(group, engine_at(group, i)),
-			    group->tokens);
-}
-
-static bool find_free(const struct group *group, guint *found)
-{
-	guint i;
-
-	for (i = 0; i < group->engines->len; i++) {
-		if (is_empty(group->ranges[i]) && capacity_of(group, i)) {
-			*found = i;
-			return true;
-		}
-	}
-	return false;
-}
-
-/* The smallest engine that holds copies only and fits the gap, else the
- * largest such engine. */
-static bool find_redundant(const struct group *group, unsigned gap,
-			   guint *found)
-{
-	unsigned best_capacity = 0;
-	guint i;
-
-	for (i = 0; i < group->engines->len; i++) {
-		unsigned capacity = capacity_of(group, i);
-		bool is_better =
-			best_capacity < gap
-				? capacity > best_capacity
-				: capacity >= gap && capacity < best_capacity;
-
-		if (!is_better || !is_redundant(group, i))
-			continue;
-		*found = i;
-		best_capacity = capacity;
-	}
-	return best_capacity > 0;
-}
-
-/* Layers that an engine may hold when memory for requests is given up. */
-static unsigned most_layers(const struct group *group, guint i)
-{
-	return plc_capacity(group->engine,
-			    accelerator_of(group, engine_at(group, i)),
-			    group->tokens / SQUEEZED_PART);
-}
-
-/* Adds the gap's edge to a neighbour that has memory for more layers. */
-static bool extend_neighbour(struct group *group, struct flt_range gap)
-{
-	struct flt_range best_range = {0, 0};
-	unsigned best_room = 0;
-	guint best = 0;
-	guint i;
-
-	for (i = 0; i < group->engines->len; i++) {
-		struct flt_range range = group->ranges[i];
-		unsigned held = range.end - range.first;
-		unsigned most = most_layers(group, i);
-		unsigned room = most > held ? most - held : 0;
-		unsigned added = MIN(room, gap.end - gap.first);
-
-		if (is_empty(range) || room <= best_room)
-			continue;
-		if (range.end == gap.first)
-			range.end += added;
-		else if (range.first == gap.end)
-			range.first -= added;
-		else
-			continue;
-		best = i;
-		best_range = range;
-		best_room = room;
-	}
-	if (best_room)
-		assign(group, best, best_range);
-	return best_room > 0;
-}
-
-/* Whether the neighbour can take over all layers of a range; sets what it
- * would hold then. */
-static bool can_absorb(const struct group *group, guint neighbour,
-		       struct flt_range range, struct flt_range *united)
-{
-	struct flt_range held = group->ranges[neighbour];
-
-	if (is_empty(held) ||
-	    group->now < engine_at(group, neighbour)->ordered_until)
-		return false;
-	*united = held;
-	if (held.end == range.first)
-		united->end = range.end;
-	else if (held.first == range.end)
-		united->first = range.first;
-	else
-		return false;
-	return united->end - united->first <= most_layers(group, neighbour);
-}
-
-/* Frees the engine with the fewest layers that a neighbour can take over. */
-static bool merge_neighbours(struct group *group, struct flt_range gap)
-{
-	struct flt_range best_united = {0, 0};
-	unsigned fewest = UINT_MAX;
-	guint freed = 0;
-	guint heir = 0;
-	guint i;
-	guint j;
-
-	for (i = 0; i < group->engines->len; i++) {
-		struct flt_range range = group->ranges[i];
-		struct flt_range united;
-
-		if (is_empty(range) ||
-		    group->now < engine_at(group, i)->ordered_until ||
-		    range.end - range.first >= fewest || !most_layers(group, i))
-			continue;
-		for (j = 0; j < group->engines->len; j++) {
-			if (i == j || !can_absorb(group, j, range, &united))
-				continue;
-			freed = i;
-			heir = j;
-			best_united = united;
-			fewest = range.end - range.first;
-			break;
-		}
-	}
-	if (fewest == UINT_MAX)
-		return false;
-	assign(group, heir, best_united);
-	gap.end = MIN(gap.end, gap.first + most_layers(group, freed));
-	assign(group, freed, gap);
-	return true;
-}
-
-/* Free engines first, then those that hold copies, then neighbours. */
-static void fill_gaps(struct group *group)
-{
-	struct flt_range gap;
-	guint i;
-
-	while (find_gap(group, &gap)) {
-		if (find_free(group, &i) ||
-		    find_redundant(group, gap.end - gap.first, &i)) {
-			gap.end =
-				MIN(gap.end, gap.first + capacity_of(group, i));
-			assign(group, i, gap);
-		} else if (!extend_neighbour(group, gap) &&
-			   !merge_neighbours(group, gap)) {
-			return;
-		}
-	}
-}
-
-/* Layers of the largest engine that holds each layer. */
-static void find_holders(const struct group *group, unsigned *largest)
-{
-	guint i;
-
-	memset(largest, 0, group->engine->layers * sizeof(*largest));
-	for (i = 0; i < group->engines->len; i++) {
-		struct flt_range range = group->ranges[i];
-		unsigned layer;
-
-		for (layer = range.first;
-		     layer < range.end && layer < group->engine->layers;
-		     layer++)
-			largest[layer] =
-				MAX(largest[layer], range.end - range.first);
-	}
-}
-
-/*
- * Where a further copy helps most: at a layer with the least room for
- * requests, and among these at the engine that takes longest to replace.
- */
-static unsigned weakest_layer(const struct group *group)
-{
-	unsigned *largest = g_new(unsigned, group->engine->layers);
-	unsigned best = 0;
-	unsigned best_holder = 0;
-	unsigned layer;
-
-	find_holders(group, largest);
-
-	for (layer = 0; layer < group->engine->layers; layer++) {
-		double margin = group->room[best] * ROOM_TIE_PART;
-		unsigned holder = largest[layer];
-
-		if (group->room[layer] > group->room[best] + margin)
-			continue;
-		if (group->room[layer] >= group->room[best] - margin &&
-		    holder <= best_holder)
-			continue;
-		best = layer;
-		best_holder = holder;
-	}
-	g_free(largest);
-	return best;
-}
-
-static void add_copies(struct group *group)
-{
-	guint i;
-
-	for (i = 0; i < group->engines->len; i++) {
-		struct flt_range range;
-		unsigned capacity;
-
-		if (!is_empty(group->ranges[i]))
-			continue;
-		capacity = capacity_of(group, i);
-		if (!capacity)
-			continue;
-		range.first = weakest_layer(group);
-		range.end = MIN(range.first + capacity, group->engine->layers);
-		range.first = range.end - capacity;
-		assign(group, i, range);
-	}
-}
-
-/* Whether all layers of the engine keep so much room without it. */
-static bool can_spare(const struct group *group, guint i, double room)
-{
-	struct flt_range range = group->ranges[i];
-	double own = room_of(group, engine_at(group, i), range);
-	unsigned layer;
-
-	if (!is_redundant(group, i))
-		return false;
-	for (layer = range.first; layer < range.end; layer++) {
-		if (group->room[layer] - own < room)
-			return false;
-	}
-	return true;
-}
-
-static bool has_changes(const struct group *group)
-{
-	guint i;
-
-	for (i = 0; i < group->engines->len; i++) {
-		if (group->is_changed[i])
-			return true;
-	}
-	return false;
-}
-
-/*
- * Moves one copy to layers that have far less room than they should, as after
- * a repair with too little memory.
- */
-static void relieve(struct group *group)
-{
-	unsigned weakest = weakest_layer(group);
-	double wanted = group->tokens * RELIEF_PART;
-	guint i;
-
-	if (has_changes(group) || group->room[weakest] >= wanted)
-		return;
-	for (i = 0; i < group->engines->len; i++) {
-		struct flt_range range;
-		unsigned capacity = capacity_of(group, i);
-
-		if (!capacity || !can_spare(group, i, wanted))
-			continue;
-		range.first = weakest;
-		range.end = MIN(weakest + capacity, group->engine->layers);
-		assign(group, i, range);
-		return;
-	}
-}
-
-static unsigned total_capacity(const struct group *group)
+static unsigned total_capacity(const struct plc_group *group)
 {
 	unsigned total = 0;
 	guint i;
 
 	for (i = 0; i < group->engines->len; i++)
-		total += capacity_of(group, i);
+		total += plc_capacity_of(group, i);
 	return total;
 }
 
 /* Keeps as much memory for requests as one copy of the model leaves. */
-static void set_tokens(struct group *group)
+static void set_tokens(struct plc_group *group)
 {
 	double usual = group->engine->usual_prompt_tokens +
 		       group->engine->usual_answer_tokens;
@@ -448,12 +57,12 @@
 	return strcmp(left->id, right->id);
 }
 
-static void report_changes(const struct group *group, GArray *changes)
+static void report_changes(const struct plc_group *group, GArray *changes)
 {
 	guint i;
 
 	for (i = 0; i < group->engines->len; i++) {
-		struct plc_change change = {engine_at(group, i),
+		struct plc_change change = {group->engines->pdata[i],
 					    group->ranges[i]};
 
 		if (group->is_changed[i])
@@ -464,7 +73,8 @@
 static void plan_group(GPtrArray *engines, const struct cat_engine *engine,
 		       clk_ms now, GArray *changes)
 {
-	struct group group = {.engines = engines, .engine = engine, .now = now};
+	struct plc_group group = {
+		.engines = engines, .engine = engine, .now = now};
 	guint i;
 
 	g_ptr_array_sort_with_data(engines, compare_engines, (gpointer)engine);
@@ -473,13 +83,14 @@
 	group.cover = g_new0(unsigned, engine->layers);
 	group.room = g_new0(double, engine->layers);
 	for (i = 0; i < engines->len; i++) {
-		group.ranges[i] = expected_range(engine_at(&group, i), now);
-		count_range(&group, engine_at(&group, i), group.ranges[i], 1);
+		group.ranges[i] = expected_range(
+			(struct flt_target *)engines->pdata[i], now);
+		plc_count(&group, i, 1);
 	}
 	set_tokens(&group);
-	fill_gaps(&group);
-	add_copies(&group);
-	relieve(&group);
+	plc_fill_gaps(&group);
+	plc_add_copies(&group);
+	plc_relieve(&group);
 	report_changes(&group, changes);
 	g_free(group.ranges);
 	g_free(group.is_changed);
@@ -518,8 +129,8 @@
 static bool holds_model(const struct cat_engine *engine,
 			const GPtrArray *engines)
 {
-	struct group group = {.engines = (GPtrArray *)engines,
-			      .engine = engine};
+	struct plc_group group = {.engines = (GPtrArray *)engines,
+				  .engine = engine};
 
 	group.tokens = MIN_REQUESTS_PER_COPY * (engine->usual_prompt_tokens +
 						engine->usual_answer_tokens);
--- /dev/null
+++ b/src/forward/plc_private.h
@@ -0,0 +1,40 @@
+#ifndef FORWARD_PLC_PRIVATE_H
+#define FORWARD_PLC_PRIVATE_H
+
+/* Placement inside one group of engines. */
+
+#include <wagtailferry/fleet.h>
+
+/* The engines of one or more data centres that share a copy of the model. */
+struct plc_group {
+	/* Of struct flt_target pointers, and what each will hold. */
+	GPtrArray *engines;
+	struct flt_range *ranges;
+	bool *is_changed;
+	const struct cat_engine *engine;
+	/* Engines that hold each layer, and the tokens of requests that these
+	 * have memory for together. */
+	unsigned *cover;
+	double *room;
+	clk_ms now;
+	/* Memory kept for requests, in tokens. */
+	double tokens;
+};
+
+/* Layers that an engine may hold beside the group's tokens. */
+unsigned plc_capacity_of(const struct plc_group *group, guint i);
+
+/* Counts what an engine holds in, or with a sign of -1 out. */
+void plc_count(struct plc_group *group, guint i, int sign);
+
+/* Lets every layer be held: by free engines first, then by those that hold
+ * copies, then by neighbours. */
+void plc_fill_gaps(struct plc_group *group);
+
+/* Gives free engines copies of what has the least room. */
+void plc_add_copies(struct plc_group *group);
+
+/* Moves one copy to layers that have far less room than they should. */
+void plc_relieve(struct plc_group *group);
+
+#endif
--- /dev/null
+++ b/src/forward/pth_search.c
@@ -0,0 +1,523 @@
+#include <math.h>
+#include <string.h>
+
+#include <wagtailferry/fleet.h>
+
+/* Time for activations and queueing at each further stage, in ms. */
+#define STAGE_MS 0.3
+/* Cost of leaving a data centre inside a path: the delay, and the price of
+ * the activations that every token sends. */
+#define CROSSING_MS 4.0
+/* Memory that is left unused, because requests are longer than expected. */
+#define USABLE_MEMORY 0.92
+/* Cost of a stage at an engine whose memory is used up. It rises with the
+ * fourth power of the used part, so that paths avoid engines that fill. */
+#define MEMORY_MS 2.5
+/* Costs are raised by up to this part at random: instances that decide at
+ * the same time would all choose the same path. */
+#define SPREAD 0.15
+/* Added to the cost of engines that failed lately or leave: they serve only
+ * where no other engine has the layers. */
+#define AVOIDED_MS 1000.0
+/* A stage of the present path keeps what it has computed. */
+#define KEPT_STAGE_PART 0.3
+/* Cost of each ms that an engine still reads tokens of earlier requests:
+ * these come first, and all tokens of a request wait for the slowest stage. */
+#define BACKLOG_PART 0.15
+/* A path inside a data centre whose cost exceeds its time of a token by this
+ * is full, busy or doubtful: crossing to another one may be better. */
+#define LOADED_MS (2 * CROSSING_MS)
+#define MAX_BOUNDARIES 512
+#define MAX_DATA_CENTERS 64
+
+/* The best way to have run the layers up to a boundary. */
+struct reach {
+	double cost;
+	/* Stage that ends here, -1 at the start. */
+	int target;
+	/* Boundary and data centre where that stage starts. */
+	int from;
+	int from_center;
+};
+
+/* An engine that may serve. */
+struct candidate {
+	struct flt_target *target;
+	/* Index of its data centre. */
+	unsigned center;
+	/* Cost of a layer without the stage's fixed part. */
+	double layer_cost;
+	double fixed_cost;
+	/* Time to read the request's tokens in one layer. */
+	double layer_read_ms;
+	/* Token layers that are left. */
+	double room;
+	bool may_head;
+};
+
+struct search {
+	struct flt_fleet *fleet;
+	clk_ms now;
+	const struct pth_query *query;
+	GRand *rand;
+	/* Of struct candidate. */
+	GArray *engines;
+	unsigned n_centers;
+	const char *center_names[MAX_DATA_CENTERS];
+	unsigned boundaries[MAX_BOUNDARIES];
+	int n_boundaries;
+	struct reach *reached;
+	bool ignore_room;
+};
+
+static int compare_unsigned(const void *a, const void *b)
+{
+	unsigned left = *(const unsigned *)a;
+	unsigned right = *(const unsigned *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+static void add_boundary(struct search *search, unsigned layer)
+{
+	if (search->n_boundaries < MAX_BOUNDARIES &&
+	    layer <= search->query->engine->layers)
+		search->boundaries[search->n_boundaries++] = layer;
+}
+
+static void sort_boundaries(struct search *search)
+{
+	int kept = 0;
+	int i;
+
+	qsort(search->boundaries, (size_t)search->n_boundaries,
+	      sizeof(unsigned), compare_unsigned);
+	for (i = 0; i < search->n_boundaries; i++) {
+		if (!kept ||
+		    search->boundaries[kept - 1] != search->boundaries[i])
+			search->boundaries[kept++] = search->boundaries[i];
+	}
+	search->n_boundaries = kept;
+}
+
+static unsigned center_index(struct search *search, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < search->n_centers; i++) {
+		if (!strcmp(search->center_names[i], name))
+			return i;
+	}
+	if (search->n_centers == MAX_DATA_CENTERS)
+		return MAX_DATA_CENTERS - 1;
+	search->center_names[search->n_centers] = name;
+	return search->n_centers++;
+}
+
+/* Token layers that an engine has memory for beside the layers it holds. */
+static double capacity(const struct cat_engine *engine,
+		       const struct flt_target *target,
+		       const struct cat_accelerator *kind)
+{
+	unsigned held = target->holds.end - target->holds.first;
+	double free_mb = kind->memory_mb - held * engine->layer_mb;
+
+	return USABLE_MEMORY * free_mb * 1e6 /
+	       (engine->token_bytes / engine->layers);
+}
+
+/* Time of a token in all layers of the model at this engine. */
+static double token_ms(const struct search *search,
+		       const struct flt_target *target, double pace)
+{
+	const struct cat_engine *engine = search->query->engine;
+	double running = 1.0 + target->on_path + target->others.on_path;
+	double context = running * search->query->tokens / 1000;
+
+	return pace * (engine->step_ms + engine->step_ms_per_request * running +
+		       engine->step_ms_per_1k_context * context);
+}
+
+static bool is_doubtful(const struct search *search,
+			const struct flt_target *target)
+{
+	return search->now < target->avoid_until ||
+	       target->state != FLT_READY || target->removed_at;
+}
+
+static bool is_kept(const struct search *search,
+		    const struct flt_target *target)
+{
+	return search->query->present &&
+	       pth_has(search->query->present, target);
+}
+
+static struct candidate make_candidate(struct search *search,
+				       struct flt_target *target)
+{
+	const struct cat_engine *engine = search->query->engine;
+	const struct cat_accelerator *kind =
+		cat_find_accelerator(engine, target->accelerator);
+	double used = target->used_token_layers + target->others.token_layers;
+	double all = kind ? capacity(engine, target, kind) : INFINITY;
+	double fill = all > 0 ? MIN(used / all, 1.0) : 1.0;
+	double pace = kind ? kind->pace : 1;
+	double spread =
+		1 + (search->rand ? SPREAD * g_rand_double(search->rand) : 0);
+	struct candidate candidate = {.target = target};
+
+	if (search->now < target->slow_until && target->slowdown > 1)
+		pace *= target->slowdown;
+	candidate.center = center_index(search, target->data_center);
+	candidate.room = all - used;
+	candidate.layer_cost =
+		spread * token_ms(search, target, pace) / engine->layers;
+	candidate.fixed_cost =
+		spread * (STAGE_MS + MEMORY_MS * fill * fill * fill * fill);
+	if (engine->read_tokens_per_ms > 0)
+		candidate.layer_read_ms = search->query->read_tokens /
+					  engine->read_tokens_per_ms *
+					  (kind ? kind->read_factor : 1) /
+					  engine->layers;
+	candidate.fixed_cost +=
+		BACKLOG_PART * MAX(target->read_until - (double)search->now, 0);
+	if (is_kept(search, target)) {
+		candidate.fixed_cost = STAGE_MS * KEPT_STAGE_PART;
+		candidate.layer_read_ms = 0;
+		candidate.layer_cost *= KEPT_STAGE_PART;
+		candidate.room = INFINITY;
+	}
+	if (is_doubtful(search, target))
+		candidate.fixed_cost += AVOIDED_MS;
+	candidate.may_head =
+		!target->slots ||
+		target->in_flight + target->others.in_flight < target->slots;
+	return candidate;
+}
+
+/* Collects the engines of a service, all or those of one data centre. */
+static void collect(struct search *search, const char *data_center)
+{
+	const struct pth_query *query = search->query;
+	const GPtrArray *targets = flt_targets(search->fleet);
+	guint i;
+
+	add_boundary(search, 0);
+	add_boundary(search, query->engine->layers);
+	if (query->present)
+		add_boundary(search, g_array_index(query->present->stages,
+						   struct pth_stage, 0)
+					     .range.end);
+	for (i = 0; i < targets->len; i++) {
+		struct flt_target *target = targets->pdata[i];
+		struct candidate candidate;
+
+		if (target->holds.first >= target->holds.end ||
+		    strcmp(target->service, query->service) != 0 ||
+		    !flt_may_send(target, search->now))
+			continue;
+		if (data_center && strcmp(target->data_center, data_center))
+			continue;
+		if (query->present && search->now < target->down_until)
+			continue;
+		candidate = make_candidate(search, target);
+		g_array_append_val(search->engines, candidate);
+		add_boundary(search, target->holds.first);
+		add_boundary(search, target->holds.end);
+	}
+	sort_boundaries(search);
+}
+
+static struct reach *reach_of(const struct search *search, int boundary,
+			      unsigned center)
+{
+	return &search->reached[(size_t)boundary * search->n_centers + center];
+}
+
+/* Tries one engine from a boundary to every later one that it holds. */
+static void extend_with(struct search *search, int from, unsigned from_center,
+			guint index)
+{
+	const struct candidate *engine =
+		&g_array_index(search->engines, struct candidate, index);
+	const struct reach *start = reach_of(search, from, from_center);
+	unsigned first = search->boundaries[from];
+	double base = start->cost + engine->fixed_cost;
+	int to;
+
+	if (!from && !engine->may_head && !search->ignore_room)
+		return;
+	if (from && engine->center != from_center)
+		base += CROSSING_MS;
+	for (to = from + 1; to < search->n_boundaries &&
+			    search->boundaries[to] <= engine->target->holds.end;
+	     to++) {
+		unsigned layers = search->boundaries[to] - first;
+		struct reach *end = reach_of(search, to, engine->center);
+		double cost = base + engine->layer_cost * layers;
+
+		if (cost >= end->cost)
+			continue;
+		if (!search->ignore_room &&
+		    search->query->tokens * layers > engine->room)
+			return;
+		*end = (struct reach){cost, (int)index, from, (int)from_center};
+	}
+}
+
+static void extend_from(struct search *search, int from, unsigned from_center)
+{
+	unsigned first = search->boundaries[from];
+	guint i;
+
+	if (isinf(reach_of(search, from, from_center)->cost))
+		return;
+	for (i = 0; i < search->engines->len; i++) {
+		const struct candidate *engine =
+			&g_array_index(search->engines, struct candidate, i);
+
+		if (engine->target->holds.first <= first &&
+		    engine->target->holds.end > first)
+			extend_with(search, from, from_center, i);
+	}
+}
+
+static void stage_clear(gpointer data)
+{
+	flt_target_drop(((struct pth_stage *)data)->target);
+}
+
+/* Joins neighbouring stages at the same engine; an engine may appear once. */
+static bool add_stage(struct pth_path *path, struct pth_stage stage)
+{
+	struct flt_target *target = stage.target;
+	guint i;
+
+	if (path->stages->len) {
+		struct pth_stage *first =
+			&g_array_index(path->stages, struct pth_stage, 0);
+
+		if (first->target == target &&
+		    first->range.first == stage.range.end) {
+			first->range.first = stage.range.first;
+			first->read_ms += stage.read_ms;
+			return true;
+		}
+	}
+	for (i = 0; i < path->stages->len; i++) {
+		if (g_array_index(path->stages, struct pth_stage, i).target ==
+		    target)
+			return false;
+	}
+	flt_target_keep(target);
+	g_array_prepend_val(path->stages, stage);
+	return true;
+}
+
+static struct pth_path *path_new(void)
+{
+	struct pth_path *path = g_new0(struct pth_path, 1);
+
+	path->stages = g_array_new(FALSE, TRUE, sizeof(struct pth_stage));
+	g_array_set_clear_func(path->stages, stage_clear);
+	return path;
+}
+
+static bool is_start(const struct search *search, int boundary)
+{
+	const struct pth_path *present = search->query->present;
+
+	if (!present)
+		return boundary == 0;
+	return search->boundaries[boundary] ==
+	       g_array_index(present->stages, struct pth_stage, 0).range.end;
+}
+
+static struct pth_path *trace_back(const struct search *search, unsigned center)
+{
+	struct pth_path *path = path_new();
+	int boundary = search->n_boundaries - 1;
+
+	while (!is_start(search, boundary)) {
+		const struct reach *reach = reach_of(search, boundary, center);
+		const struct candidate *engine = &g_array_index(
+			search->engines, struct candidate, reach->target);
+		struct pth_stage stage = {
+			.target = engine->target,
+			.range = {search->boundaries[reach->from],
+				  search->boundaries[boundary]},
+		};
+		unsigned layers = stage.range.end - stage.range.first;
+
+		stage.read_ms = engine->layer_read_ms * layers;
+		if (!add_stage(path, stage)) {
+			pth_free(path);
+			return NULL;
+		}
+		path->token_ms += STAGE_MS + engine->layer_cost * layers;
+		boundary = reach->from;
+		center = (unsigned)reach->from_center;
+	}
+	if (search->query->present) {
+		struct pth_stage head = g_array_index(
+			search->query->present->stages, struct pth_stage, 0);
+
+		head.read_ms = 0;
+		if (!add_stage(path, head)) {
+			pth_free(path);
+			return NULL;
+		}
+	}
+	return path;
+}
+
+/* Where the search begins: before the first layer, or behind the kept head. */
+static int start_search(struct search *search)
+{
+	const struct pth_path *present = search->query->present;
+	unsigned center = 0;
+	int from = 0;
+
+	while (!is_start(search, from))
+		from++;
+	if (present)
+		center = center_index(search, pth_head(present)->data_center);
+	reach_of(search, from, center)->cost = 0;
+	return from;
+}
+
+static double run_search(struct search *search, struct pth_path **out)
+{
+	size_t n = (size_t)search->n_boundaries * MAX(search->n_centers, 1);
+	unsigned best = 0;
+	double cost;
+	unsigned center;
+	size_t i;
+	int from;
+
+	*out = NULL;
+	if (!search->n_centers || search->n_boundaries < 2)
+		return INFINITY;
+	search->reached = g_new(struct reach, n);
+	for (i = 0; i < n; i++)
+		search->reached[i] = (struct reach){INFINITY, -1, 0, 0};
+	for (from = start_search(search); from + 1 < search->n_boundaries;
+	     from++) {
+		for (center = 0; center < search->n_centers; center++)
+			extend_from(search, from, center);
+	}
+	for (center = 1; center < search->n_centers; center++) {
+		if (reach_of(search, search->n_boundaries - 1, center)->cost <
+		    reach_of(search, search->n_boundaries - 1, best)->cost)
+			best = center;
+	}
+	cost = reach_of(search, search->n_boundaries - 1, best)->cost;
+	if (!isinf(cost))
+		*out = trace_back(search, best);
+	g_free(search->reached);
+	return *out ? cost : INFINITY;
+}
+
+/* Searches in one data centre, or in all if it is NULL. */
+static double search_in(struct search base, const char *data_center,
+			struct pth_path **out)
+{
+	double cost;
+
+	base.engines = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	if (base.query->present)
+		center_index(&base, pth_head(base.query->present)->data_center);
+	collect(&base, data_center);
+	cost = run_search(&base, out);
+	g_array_unref(base.engines);
+	return cost;
+}
+
+/* The data centres that have an engine of the service, the own first. */
+static GPtrArray *list_centers(const struct search *base)
+{
+	GPtrArray *centers = g_ptr_array_new();
+	const GPtrArray *targets = flt_targets(base->fleet);
+	guint i;
+
+	g_ptr_array_add(centers, (gpointer)base->query->data_center);
+	for (i = 0; i < targets->len; i++) {
+		struct flt_target *target = targets->pdata[i];
+
+		if (strcmp(target->service, base->query->service) != 0 ||
+		    target->holds.first >= target->holds.end)
+			continue;
+		if (!g_ptr_array_find_with_equal_func(
+			    centers, target->data_center, g_str_equal, NULL))
+			g_ptr_array_add(centers, target->data_center);
+	}
+	return centers;
+}
+
+static void keep_better(struct pth_path **best, double *best_cost,
+			struct pth_path *path, double cost)
+{
+	if (!path || cost >= *best_cost) {
+		pth_free(path);
+		return;
+	}
+	pth_free(*best);
+	*best = path;
+	*best_cost = cost;
+}
+
+static bool is_good(const struct pth_path *path, double cost)
+{
+	return path && cost - path->token_ms < LOADED_MS;
+}
+
+/*
+ * A path inside the own data centre, or inside another one where that is
+ * loaded or doubtful. Only where all are, the much larger search over all of
+ * them is made.
+ */
+static struct pth_path *find_best(const struct search *base)
+{
+	struct pth_path *best = NULL;
+	struct pth_path *path;
+	double best_cost = INFINITY;
+	double cost;
+	GPtrArray *centers;
+	guint i;
+
+	if (!base->query->present) {
+		centers = list_centers(base);
+		for (i = 0; i < centers->len; i++) {
+			cost = search_in(*base, centers->pdata[i], &path);
+			keep_better(&best, &best_cost, path,
+				    i ? cost + CROSSING_MS : cost);
+			if (is_good(best, best_cost))
+				break;
+		}
+		g_ptr_array_unref(centers);
+	}
+	if (is_good(best, best_cost))
+		return best;
+	cost = search_in(*base, NULL, &path);
+	keep_better(&best, &best_cost, path, cost);
+	return best;
+}
+
+enum pth_result pth_find(struct flt_fleet *fleet, clk_ms now,
+			 const struct pth_query *query, GRand *rand,
+			 struct pth_path **out)
+{
+	struct search base = {
+		.fleet = fleet, .now = now, .query = query, .rand = rand};
+
+	*out = find_best(&base);
+	if (*out)
+		return PTH_FOUND;
+	base.ignore_room = true;
+	search_in(base, NULL, out);
+	if (!*out)
+		return PTH_NO_LAYERS;
+	pth_free(*out);
+	*out = NULL;
+	return PTH_NO_ROOM;
+}
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -35,8 +35,8 @@
 	add_accelerator(engine, "large", 72000, 2.4);
 	add_accelerator(engine, "middle", 14400, 5.3);
 	add_accelerator(engine, "small", 21600, 16);
-	cat_add_service(catalog, "model", 900, engine);
-	cat_add_service(catalog, "plain", 100, NULL);
+	cat_add_service(catalog, "model", engine);
+	cat_add_service(catalog, "plain", NULL);
 	return catalog;
 }
 
