--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -14,7 +14,7 @@
  * the longer each one's watch may be held: the fleet asks about every 0.4 s. */
 #define CONFIG_WATCH_MS 400
 #define MIN_CONFIG_WATCH_MS 1200
-#define MAX_CONFIG_WATCH_MS 3000
+#define MAX_CONFIG_WATCH_MS 2000
 /* Each watch is held for a random part of that time, from this one up: a
  * change wakes all watches at once, and in step they would confirm nothing to
  * each other. */
--- a/src/forward/flt.c
+++ b/src/forward/flt.c
@@ -13,7 +13,7 @@
 #define DOWN_AVOID_MS 5000
 /* Targets may finish what reaches them shortly after they announce their
  * leaving; requests are sent to them only where no other target is left. */
-#define DRAINING_USE_MS 1500
+#define DRAINING_USE_MS 1200
 /* A target that refused for want of room is avoided for this span, in which
  * some of its requests end. */
 #define FULL_AVOID_MS 400
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -316,6 +316,36 @@
 }
 END_TEST
 
+static bool has_draining_target(void *user)
+{
+	struct platform_world *world = user;
+	struct flt_target *target = flt_find(edg_fleet(world->edge), "p1");
+
+	return target && target->state == FLT_DRAINING;
+}
+
+/* Guards against news that is missed for as long as a watch is held, where
+ * the store has lost the watch but not its connection: requests reached a
+ * leaving target 2.5 s after its news (soak seed 239). */
+START_TEST(lost_watch_is_given_up_within_three_seconds)
+{
+	struct platform_world world;
+	json_t *entry;
+	clk_ms lost_at;
+
+	open_plain(&world);
+	world_run(&world, 600);
+	g_ptr_array_set_size(world.held, 0);
+	lost_at = edg_now(world.edge);
+	entry = json_deep_copy(worker(&world, 0)->entry);
+	json_object_set_new(entry, "state", json_string("draining"));
+	world_put(&world, "servers", "p1", entry);
+	wire_until(&world.wire, has_draining_target, &world);
+	ck_assert_int_lt(edg_now(world.edge) - lost_at, 3000);
+	world_close(&world);
+}
+END_TEST
+
 static bool sees_stream(void *user)
 {
 	return requests_of_all(user) > 0;
@@ -562,6 +592,7 @@
 		newer_configuration_holds_and_an_older_one_never_comes_back);
 	tcase_add_test(tcase, lost_history_is_replaced_by_a_list);
 	tcase_add_test(tcase, entries_stay_only_right_after_an_outage);
+	tcase_add_test(tcase, lost_watch_is_given_up_within_three_seconds);
 	tcase_add_test(tcase, broken_stream_continues_after_its_last_event);
 	tcase_add_test(tcase, path_runs_every_layer_once);
 	tcase_add_test(tcase, stalled_stream_changes_its_path);
