--- a/src/edge/hup.c
+++ b/src/edge/hup.c
@@ -624,13 +624,10 @@
 		return;
 	client->is_closed = true;
 	while (client->conns) {
-		struct conn *conn = client->conns;
-		struct hup_exchange *exchange = conn->exchange;
-
-		close_conn(conn);
-		conn->exchange = NULL;
-		if (exchange)
-			free_exchange(exchange);
+		if (client->conns->exchange)
+			finish(client->conns, HUP_BROKEN);
+		else
+			close_conn(client->conns);
 	}
 	uv_close((uv_handle_t *)&client->sweep, on_sweep_closed);
 	client_unref(client);
--- a/src/edge/hup.h
+++ b/src/edge/hup.h
@@ -64,7 +64,7 @@
 
 struct hup_client *hup_new(uv_loop_t *loop, struct ctr_set *counters);
 
-/* Closes all connections; exchanges end without a call. */
+/* Closes all connections; exchanges end as broken. */
 void hup_drop(struct hup_client *client);
 
 /* Begins an exchange. ops->end may not be called before this returns. */
