Answer with a target's answer in one place

edg_plain.c and edg_stream.c had the same function; edg_deliver() serves both. Drops three parameters that nothing read.

--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -217,18 +217,33 @@
 	return true;
 }
 
-void edg_fail(struct edg_request *request, enum edg_outcome outcome)
+void edg_fail(struct edg_request *request)
 {
 	if (!request->may_have_run) {
 		edg_refuse_not_run(request, OVERLOADED_RETRY_MS, "no_target",
 				   "no target took the request");
 		return;
 	}
-	(void)outcome;
 	edg_refuse(request, 502, "target_failed",
 		   "the target gave no proper answer");
 }
 
+void edg_deliver(struct edg_request *request)
+{
+	struct hsv_request *http = request->http;
+	GString *headers = request->headers;
+	GString *body = request->body;
+	int status = request->status;
+
+	request->headers = g_string_new(NULL);
+	request->body = g_string_new(NULL);
+	edg_log_end(request, "answered", status);
+	edg_request_free(request);
+	hsv_answer(http, status, headers->str, body->str, body->len);
+	g_string_free(headers, TRUE);
+	g_string_free(body, TRUE);
+}
+
 const char *edg_outcome_name(enum edg_outcome outcome)
 {
 	static const char *const names[] = {"answered", "not_sent", "not_run",
--- a/src/edge/edg_plain.c
+++ b/src/edge/edg_plain.c
@@ -24,20 +24,9 @@
 
 static void deliver(struct edg_request *request)
 {
-	struct hsv_request *http = request->http;
-	GString *headers = request->headers;
-	GString *body = request->body;
-	int status = request->status;
-
-	request->headers = g_string_new(NULL);
-	request->body = g_string_new(NULL);
 	edg_observe(request->edge, false,
 		    edg_now(request->edge) - request->started);
-	edg_log_end(request, "answered", status);
-	edg_request_free(request);
-	hsv_answer(http, status, headers->str, body->str, body->len);
-	g_string_free(headers, TRUE);
-	g_string_free(body, TRUE);
+	edg_deliver(request);
 }
 
 /* Takes what the send says of its target into account. */
@@ -74,7 +63,7 @@
 	if (outcome == EDG_OUTCOME_FAILED)
 		deliver(request);
 	else
-		edg_fail(request, outcome);
+		edg_fail(request);
 }
 
 static const struct hup_ops ops = {on_head, on_data, on_end};
@@ -90,7 +79,7 @@
 	edg_release_send(request);
 	if (!target) {
 		if (request->may_have_run)
-			edg_fail(request, EDG_OUTCOME_UNKNOWN);
+			edg_fail(request);
 		else
 			edg_refuse_not_run(request, NO_TARGET_RETRY_MS,
 					   "no_target",
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -161,7 +161,9 @@
  * the budget if so. */
 bool edg_may_repeat(struct edg_request *request, enum edg_outcome outcome);
 /* The final error where no answer can be given. */
-void edg_fail(struct edg_request *request, enum edg_outcome outcome);
+void edg_fail(struct edg_request *request);
+/* Answers with the whole answer of the present send and frees the request. */
+void edg_deliver(struct edg_request *request);
 const char *edg_outcome_name(enum edg_outcome outcome);
 
 /* edg_plain.c */
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -108,29 +108,12 @@
 	hsv_end(http);
 }
 
-/* Passes a target's own failure on. */
-static void deliver_failure(struct edg_request *request)
-{
-	struct hsv_request *http = request->http;
-	GString *headers = request->headers;
-	GString *body = request->body;
-	int status = request->status;
-
-	request->headers = g_string_new(NULL);
-	request->body = g_string_new(NULL);
-	edg_log_end(request, "answered", status);
-	edg_request_free(request);
-	hsv_answer(http, status, headers->str, body->str, body->len);
-	g_string_free(headers, TRUE);
-	g_string_free(body, TRUE);
-}
-
-static void give_up(struct edg_request *request, enum edg_outcome outcome)
+static void give_up(struct edg_request *request)
 {
 	struct hsv_request *http = request->http;
 
 	if (!request->has_begun) {
-		edg_fail(request, outcome);
+		edg_fail(request);
 		return;
 	}
 	edg_log_end(request, "stream_broken", request->status);
@@ -183,7 +166,7 @@
 		request->target ? request->target->id : "-",
 		request->events.last_id->str, request->sends);
 	if (!may_resume(request, EDG_OUTCOME_UNKNOWN)) {
-		give_up(request, EDG_OUTCOME_UNKNOWN);
+		give_up(request);
 		return;
 	}
 	evs_discard_partial(&request->events);
@@ -210,7 +193,7 @@
 	}
 	if (outcome == EDG_OUTCOME_ANSWERED && !request->has_begun &&
 	    !is_stream_answer(request)) {
-		deliver_failure(request);
+		edg_deliver(request);
 		return;
 	}
 	if (outcome == EDG_OUTCOME_ANSWERED)
@@ -225,9 +208,9 @@
 		evs_discard_partial(&request->events);
 		send_next(request);
 	} else if (outcome == EDG_OUTCOME_FAILED && !request->has_begun) {
-		deliver_failure(request);
+		edg_deliver(request);
 	} else {
-		give_up(request, outcome);
+		give_up(request);
 	}
 }
 
@@ -262,7 +245,7 @@
 		return true;
 	}
 	if (request->has_begun || request->may_have_run)
-		give_up(request, EDG_OUTCOME_UNKNOWN);
+		give_up(request);
 	else if (result == PTH_NO_LAYERS)
 		edg_refuse_not_run(request, NO_PATH_RETRY_MS, "no_path",
 				   "no path of engines has all layers");
@@ -281,7 +264,7 @@
 
 	request->target = flt_target_keep(target);
 	if (!target)
-		give_up(request, EDG_OUTCOME_NOT_SENT);
+		give_up(request);
 	return target != NULL;
 }
 
--- a/src/edge/ord.c
+++ b/src/edge/ord.c
@@ -136,10 +136,9 @@
 	return edg_now(orders->edge) + load + ORDER_MARGIN_MS;
 }
 
-static void note_ordered(struct ord_orders *orders, struct flt_target *target,
-			 struct flt_range range, clk_ms until)
+static void note_ordered(struct flt_target *target, struct flt_range range,
+			 clk_ms until)
 {
-	(void)orders;
 	target->ordered = range;
 	target->ordered_until = until;
 }
@@ -176,7 +175,7 @@
 		  orders->record ? orders->record->fence : 0);
 	switch (result) {
 	case EDG_ORDER_TAKEN:
-		note_ordered(orders, order->target, order->range,
+		note_ordered(order->target, order->range,
 			     expected_end(orders, order->target, order->range));
 		break;
 	case EDG_ORDER_FENCED:
@@ -225,8 +224,7 @@
 	order->range = range;
 	orders->refs++;
 	orders->running++;
-	note_ordered(orders, target, range,
-		     expected_end(orders, target, range));
+	note_ordered(target, range, expected_end(orders, target, range));
 	orders->edge->platform->ops->ask_report(orders->edge->platform, target,
 						on_report, order);
 }
@@ -250,7 +248,7 @@
 			flt_find(orders->edge->fleet, assignment->target_id);
 
 		if (target)
-			note_ordered(orders, target, assignment->range,
+			note_ordered(target, assignment->range,
 				     expected_end(orders, target,
 						  assignment->range));
 	}
