Count living heads against a route's limit; order a path again

Now the limit counts the heads on which a request ran, but those known to be lost since: gone from the list, started anew, or without a report. Before the limit ends a broken stream its head is asked for a report; one that lives runs it again itself, one that doesn't leaves room for another. A change of path without an answer is ordered up to three times; the order is the same. A run that may not be moved is left to itself, as its head may go on with it.

Ruled out: a count that was off by one (the trace shows both former heads alive when the third got the request).

--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -217,6 +217,38 @@
 	return true;
 }
 
+void edg_note_run(struct edg_request *request)
+{
+	struct edg_run run = {request->target, request->target->born};
+	guint i;
+
+	request->may_have_run = true;
+	for (i = 0; i < request->runs->len; i++) {
+		if (g_array_index(request->runs, struct edg_run, i).target ==
+		    run.target)
+			return;
+	}
+	flt_target_keep(run.target);
+	g_array_append_val(request->runs, run);
+}
+
+unsigned edg_living_runs(const struct edg_request *request)
+{
+	clk_ms now = edg_now(request->edge);
+	unsigned living = 0;
+	guint i;
+
+	for (i = 0; i < request->runs->len; i++) {
+		const struct edg_run *run =
+			&g_array_index(request->runs, struct edg_run, i);
+
+		living += run->target->state != FLT_GONE &&
+			  now >= run->target->down_until &&
+			  run->target->born == run->born;
+	}
+	return living;
+}
+
 void edg_fail(struct edg_request *request)
 {
 	if (!request->may_have_run) {
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -63,6 +63,13 @@
 	unsigned log_suppressed;
 };
 
+/* A target on which a request ran, or may have run. */
+struct edg_run {
+	struct flt_target *target;
+	/* Tells its process from a later one. */
+	int64_t born;
+};
+
 /* One attempt of a caller. */
 struct edg_request {
 	struct edg_edge *edge;
@@ -87,6 +94,8 @@
 	GPtrArray *tried;
 	/* Sends that reached a target, counted against the route's limit. */
 	unsigned sends;
+	/* Of struct edg_run, each target once. */
+	GArray *runs;
 	unsigned connect_failures;
 	/* A send may have been executed. */
 	bool may_have_run;
@@ -115,6 +124,8 @@
 	/* A new path for the running request, until its head has taken it. */
 	struct pth_path *next_path;
 	unsigned reroutes;
+	/* Times that the present change of path was ordered. */
+	unsigned reroute_orders;
 	unsigned handles;
 	bool is_freed;
 };
@@ -160,6 +171,10 @@
 /* Whether the request may be sent once more after the outcome; takes from
  * the budget if so. */
 bool edg_may_repeat(struct edg_request *request, enum edg_outcome outcome);
+/* Records that the request ran, or may have run, at its target. */
+void edg_note_run(struct edg_request *request);
+/* Targets on which it ran and that are not known to be lost since. */
+unsigned edg_living_runs(const struct edg_request *request);
 /* The final error where no answer can be given. */
 void edg_fail(struct edg_request *request);
 /* Answers with the whole answer of the present send and frees the request. */
@@ -171,7 +186,12 @@
 
 /* edg_stream.c */
 void edg_start_stream(struct edg_request *request);
+struct pth_query edg_path_query(const struct edg_request *request);
+/* Continues the request at another head after its last event if it may be;
+ * else its run is left to itself unless the head is lost. */
+void edg_resume(struct edg_request *request, const char *why);
 
+/* edg_reroute.c */
 /* Lets a request whose path has lost an engine go on over another path: its
  * head changes the path, or another head continues after the last event. */
 void edg_move(struct edg_request *request, const char *why);
@@ -179,6 +199,9 @@
 /* stl.c */
 /* Asks the engines of the request's path once it is silent for too long. */
 void stl_watch(struct edg_request *request);
+/* Takes the target for lost; streams that it holds up are moved. */
+void stl_lose(struct edg_edge *edge, struct flt_target *target,
+	      const char *why);
 /* Takes a pause between two events into account. */
 void stl_note_pause(struct edg_request *request, clk_ms pause);
 
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -20,6 +20,11 @@
 	g_free(request);
 }
 
+static void clear_run(void *run)
+{
+	flt_target_drop(((struct edg_run *)run)->target);
+}
+
 void edg_request_free(struct edg_request *request)
 {
 	if (request->is_freed)
@@ -30,6 +35,7 @@
 	edg_release_send(request);
 	g_hash_table_remove(request->edge->requests, request);
 	g_ptr_array_unref(request->tried);
+	g_array_unref(request->runs);
 	g_string_free(request->headers, TRUE);
 	g_string_free(request->body, TRUE);
 	evs_clear(&request->events);
@@ -288,6 +294,8 @@
 	request->started = edg_now(edge);
 	request->catalog = cat_keep(edge->catalog);
 	request->id = g_strdup(id ? id : "");
+	request->runs = g_array_new(FALSE, FALSE, sizeof(struct edg_run));
+	g_array_set_clear_func(request->runs, clear_run);
 	request->tried =
 		g_ptr_array_new_with_free_func((GDestroyNotify)flt_target_drop);
 	request->headers = g_string_new(NULL);
--- /dev/null
+++ b/src/edge/edg_reroute.c
@@ -0,0 +1,126 @@
+#include "edge/edg_private.h"
+
+/* A request changes its path so often at most. */
+#define MAX_REROUTES 4
+/* An order without an answer is given so often; the engine may carry out the
+ * first one late, and the path is the same. */
+#define MAX_REROUTE_ORDERS 3
+/* Estimate of what a stream has written. */
+#define TOKENS_PER_EVENT 4
+
+/* A running request whose head was asked to use another path. */
+struct reroute {
+	struct edg_edge *edge;
+	/* Identifies the send: the request may have ended or been sent anew. */
+	struct edg_request *request;
+	struct hup_exchange *exchange;
+};
+
+static bool is_current(const struct reroute *reroute)
+{
+	struct edg_request *request = reroute->request;
+
+	return g_hash_table_contains(reroute->edge->requests, request) &&
+	       request->next_path && request->exchange == reroute->exchange;
+}
+
+static void take_path(struct edg_request *request)
+{
+	pth_free(request->path);
+	request->path = request->next_path;
+	request->next_path = NULL;
+	request->last_event_at = edg_now(request->edge);
+}
+
+static bool reroute(struct edg_request *request);
+static void order_path(struct edg_request *request);
+
+static void on_refused(struct edg_request *request, const char *at)
+{
+	struct edg_edge *edge = request->edge;
+	struct flt_target *full = at ? flt_find_address(edge->fleet, at) : NULL;
+
+	if (full)
+		flt_note_full(full, edg_now(edge));
+	if (!full || !reroute(request))
+		edg_resume(request, "reroute_failed");
+}
+
+static void on_rerouted(void *user, enum edg_order_result result,
+			const char *at)
+{
+	struct reroute *reroute_state = user;
+	struct edg_request *request = reroute_state->request;
+	struct edg_edge *edge = reroute_state->edge;
+	bool still_asked = is_current(reroute_state);
+
+	g_free(reroute_state);
+	if (!still_asked)
+		return;
+	edg_log(edge, "send", request->id,
+		result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
+		"head=%s result=%d at=%s after_event=%s order=%u",
+		request->target->id, (int)result, at ? at : "-",
+		request->events.last_id->str, request->reroute_orders);
+	if (result == EDG_ORDER_TAKEN) {
+		take_path(request);
+		return;
+	}
+	if (result == EDG_ORDER_UNKNOWN &&
+	    request->reroute_orders < MAX_REROUTE_ORDERS &&
+	    edg_now(edge) >= request->target->down_until) {
+		order_path(request);
+		return;
+	}
+	pth_free(request->next_path);
+	request->next_path = NULL;
+	if (result == EDG_ORDER_REFUSED)
+		on_refused(request, at);
+	else
+		edg_resume(request, "reroute_failed");
+}
+
+static void order_path(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct reroute *state = g_new0(struct reroute, 1);
+
+	state->edge = edge;
+	state->request = request;
+	state->exchange = request->exchange;
+	request->reroute_orders++;
+	edge->platform->ops->reroute(edge->platform, request->target,
+				     request->id, request->next_path,
+				     on_rerouted, state);
+}
+
+/* Keeps what the other engines have computed, and needs no repeat. */
+static bool reroute(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct pth_query query = edg_path_query(request);
+
+	query.present = request->path;
+	query.read_tokens = request->prompt_tokens +
+			    request->events.events * TOKENS_PER_EVENT;
+	if (request->reroutes >= MAX_REROUTES ||
+	    edg_now(edge) < request->target->down_until ||
+	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
+		     &request->next_path) != PTH_FOUND)
+		return false;
+	/* Counted at once, so that other requests of the lost engine find its
+	 * load. */
+	pth_reserve(request->next_path, edg_now(edge), query.tokens);
+	request->reroutes++;
+	request->reroute_orders = 0;
+	order_path(request);
+	return true;
+}
+
+void edg_move(struct edg_request *request, const char *why)
+{
+	if (request->next_path)
+		return;
+	if (!reroute(request))
+		edg_resume(request, why);
+}
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -7,18 +7,14 @@
 /* Assumed where a request states no tokens. */
 #define DEFAULT_PROMPT_TOKENS 1000
 #define DEFAULT_ANSWER_TOKENS 300
-/* Sends beyond the route's limit, each after the loss of an engine on the
- * path, which the limit does not count. */
-#define MAX_LOST_PATHS 3
-/* A request changes its path so often at most. */
-#define MAX_REROUTES 4
-/* Estimate of what a stream has written. */
-#define TOKENS_PER_EVENT 4
+/* Sends beyond the route's limit of engines: after the loss of a head, or to
+ * one that ran the request before. */
+#define MAX_EXTRA_SENDS 3
 
 /* A refusal within this part of an engine's stall is one for want of room. */
 #define FULL_ANSWER_PART 3
 
-static void send_next(struct edg_request *request);
+static void send_next(struct edg_request *request, bool keeps_head);
 
 static bool is_stream_answer(const struct edg_request *request)
 {
@@ -144,33 +140,105 @@
 		flt_note_failure(failed, now);
 }
 
+static bool may_run_again(const struct edg_request *request)
+{
+	unsigned limit = request->route->max_attempts + MAX_EXTRA_SENDS;
+
+	return request->route->repeat != CAT_REPEAT_NEVER &&
+	       request->sends < limit && edg_remaining(request) > 0;
+}
+
+/* The limit counts engines, so a head that lives may run it again. */
+static bool is_at_limit(const struct edg_request *request)
+{
+	return edg_living_runs(request) >= MAX(request->route->max_attempts, 1);
+}
+
+static bool take_retry(struct edg_request *request)
+{
+	return rty_take(edg_budget(request->edge, request->service->name));
+}
+
 /* A run that ended in the middle may be continued at another path. */
 static bool may_resume(struct edg_request *request, enum edg_outcome outcome)
 {
-	unsigned limit = request->route->max_attempts + MAX_LOST_PATHS;
-
 	if (outcome == EDG_OUTCOME_NOT_SENT ||
 	    (outcome == EDG_OUTCOME_NOT_RUN && !request->has_begun))
 		return edg_may_repeat(request, outcome);
-	request->may_have_run = true;
-	if (request->route->repeat == CAT_REPEAT_NEVER ||
-	    request->sends >= limit || edg_remaining(request) <= 0)
-		return false;
-	return rty_take(edg_budget(request->edge, request->service->name));
+	if (outcome != EDG_OUTCOME_NOT_RUN)
+		edg_note_run(request);
+	return may_run_again(request) && !is_at_limit(request) &&
+	       take_retry(request);
 }
 
-static void resume(struct edg_request *request, const char *why)
+/* Whether the head of a broken run still lives. */
+struct head_inquiry {
+	struct edg_edge *edge;
+	/* Identify the request, which may end before the answer. */
+	struct edg_request *request;
+	char *id;
+};
+
+static void on_head_report(void *user, const struct edg_report *report)
 {
-	edg_log(request->edge, "send", request->id, "resumed",
-		"reason=%s head=%s after_event=%s send=%u", why,
-		request->target ? request->target->id : "-",
-		request->events.last_id->str, request->sends);
-	if (!may_resume(request, EDG_OUTCOME_UNKNOWN)) {
-		give_up(request);
+	struct head_inquiry *inquiry = user;
+	struct edg_request *request = inquiry->request;
+	bool is_current =
+		g_hash_table_contains(inquiry->edge->requests, request) &&
+		!strcmp(request->id, inquiry->id) && !request->exchange;
+
+	g_free(inquiry->id);
+	g_free(inquiry);
+	if (!is_current)
 		return;
+	if (!report)
+		stl_lose(request->edge, request->target, "no_report");
+	if (report ? take_retry(request)
+		   : may_resume(request, EDG_OUTCOME_UNKNOWN))
+		send_next(request, report != NULL);
+	else
+		give_up(request);
+}
+
+static void ask_head(struct edg_request *request)
+{
+	struct head_inquiry *inquiry = g_new0(struct head_inquiry, 1);
+
+	inquiry->edge = request->edge;
+	inquiry->request = request;
+	inquiry->id = g_strdup(request->id);
+	request->edge->platform->ops->ask_report(request->edge->platform,
+						 request->target,
+						 on_head_report, inquiry);
+}
+
+static void go_on(struct edg_request *request, enum edg_outcome outcome)
+{
+	if (may_resume(request, outcome))
+		send_next(request, false);
+	else if (outcome == EDG_OUTCOME_FAILED && !request->has_begun)
+		edg_deliver(request);
+	else if (outcome == EDG_OUTCOME_UNKNOWN && may_run_again(request) &&
+		 is_at_limit(request))
+		ask_head(request);
+	else
+		give_up(request);
+}
+
+void edg_resume(struct edg_request *request, const char *why)
+{
+	bool is_lost = edg_now(request->edge) < request->target->down_until;
+
+	if (may_resume(request, EDG_OUTCOME_UNKNOWN)) {
+		edg_log(request->edge, "send", request->id, "resumed",
+			"reason=%s head=%s after_event=%s send=%u", why,
+			request->target->id, request->events.last_id->str,
+			request->sends);
+		send_next(request, false);
+	} else if (is_lost) {
+		give_up(request);
 	}
-	evs_discard_partial(&request->events);
-	send_next(request);
+	/* Otherwise the run may still go on by itself. */
 }
 
 static void on_end(void *user, enum hup_end how)
@@ -204,19 +272,12 @@
 		request->target->id, request->status, (int)how,
 		request->failed_address ? request->failed_address : "-",
 		request->events.last_id->str, request->sends);
-	if (may_resume(request, outcome)) {
-		evs_discard_partial(&request->events);
-		send_next(request);
-	} else if (outcome == EDG_OUTCOME_FAILED && !request->has_begun) {
-		edg_deliver(request);
-	} else {
-		give_up(request);
-	}
+	go_on(request, outcome);
 }
 
 static const struct hup_ops ops = {on_head, on_data, on_end};
 
-static struct pth_query make_query(const struct edg_request *request)
+struct pth_query edg_path_query(const struct edg_request *request)
 {
 	struct pth_query query = {
 		.engine = request->service->engine,
@@ -229,15 +290,20 @@
 	return query;
 }
 
-static bool find_path(struct edg_request *request)
+/* Finds a path for the next send and lets go of the present one. */
+static bool find_path(struct edg_request *request, bool keeps_head)
 {
 	struct edg_edge *edge = request->edge;
-	struct pth_query query = make_query(request);
+	struct pth_query query = edg_path_query(request);
 	struct pth_path *path;
 	enum pth_result result;
 
+	if (!keeps_head)
+		edg_release_send(request);
+	query.present = request->path;
 	result =
 		pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	edg_release_send(request);
 	if (result == PTH_FOUND) {
 		pth_reserve(path, edg_now(edge), query.tokens);
 		request->path = path;
@@ -262,18 +328,19 @@
 		edge->fleet, edg_now(edge), request->service->name,
 		edge->data_center, request->tried, g_rand_int(edge->rand));
 
+	edg_release_send(request);
 	request->target = flt_target_keep(target);
 	if (!target)
 		give_up(request);
 	return target != NULL;
 }
 
-static void send_next(struct edg_request *request)
+static void send_next(struct edg_request *request, bool keeps_head)
 {
 	bool found;
 
-	edg_release_send(request);
-	found = request->service->engine ? find_path(request)
+	evs_discard_partial(&request->events);
+	found = request->service->engine ? find_path(request, keeps_head)
 					 : find_target(request);
 	if (!found)
 		return;
@@ -302,99 +369,5 @@
 void edg_start_stream(struct edg_request *request)
 {
 	read_tokens(request);
-	send_next(request);
-}
-
-/* A running request whose head was asked to use another path. */
-struct reroute {
-	struct edg_edge *edge;
-	/* Identifies the send: the request may have ended or been sent anew. */
-	struct edg_request *request;
-	struct hup_exchange *exchange;
-};
-
-static bool is_current(const struct reroute *reroute)
-{
-	struct edg_request *request = reroute->request;
-
-	return g_hash_table_contains(reroute->edge->requests, request) &&
-	       request->next_path && request->exchange == reroute->exchange;
-}
-
-static void take_path(struct edg_request *request)
-{
-	pth_free(request->path);
-	request->path = request->next_path;
-	request->next_path = NULL;
-	request->last_event_at = edg_now(request->edge);
-}
-
-static bool reroute(struct edg_request *request);
-
-static void on_rerouted(void *user, enum edg_order_result result,
-			const char *at)
-{
-	struct reroute *reroute_state = user;
-	struct edg_request *request = reroute_state->request;
-	struct edg_edge *edge = reroute_state->edge;
-	struct flt_target *full = NULL;
-
-	if (!is_current(reroute_state)) {
-		g_free(reroute_state);
-		return;
-	}
-	g_free(reroute_state);
-	edg_log(edge, "send", request->id,
-		result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
-		"head=%s result=%d at=%s after_event=%s", request->target->id,
-		(int)result, at ? at : "-", request->events.last_id->str);
-	if (result == EDG_ORDER_TAKEN) {
-		take_path(request);
-		return;
-	}
-	pth_free(request->next_path);
-	request->next_path = NULL;
-	if (at)
-		full = flt_find_address(edge->fleet, at);
-	if (full)
-		flt_note_full(full, edg_now(edge));
-	if (!full || result != EDG_ORDER_REFUSED || !reroute(request))
-		resume(request, "reroute_failed");
-}
-
-/* Keeps what the other engines have computed, and needs no repeat. */
-static bool reroute(struct edg_request *request)
-{
-	struct edg_edge *edge = request->edge;
-	struct pth_query query = make_query(request);
-	struct reroute *state;
-
-	query.present = request->path;
-	query.read_tokens = request->prompt_tokens +
-			    request->events.events * TOKENS_PER_EVENT;
-	if (request->reroutes >= MAX_REROUTES ||
-	    edg_now(edge) < request->target->down_until ||
-	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
-		     &request->next_path) != PTH_FOUND)
-		return false;
-	/* Counted at once, so that other requests of the lost engine find its
-	 * load. */
-	pth_reserve(request->next_path, edg_now(edge), query.tokens);
-	request->reroutes++;
-	state = g_new0(struct reroute, 1);
-	state->edge = edge;
-	state->request = request;
-	state->exchange = request->exchange;
-	edge->platform->ops->reroute(edge->platform, request->target,
-				     request->id, request->next_path,
-				     on_rerouted, state);
-	return true;
-}
-
-void edg_move(struct edg_request *request, const char *why)
-{
-	if (request->next_path)
-		return;
-	if (!reroute(request))
-		resume(request, why);
+	send_next(request, false);
 }
--- a/src/edge/stl.c
+++ b/src/edge/stl.c
@@ -89,8 +89,7 @@
 	g_free(subject);
 }
 
-static void lose(struct edg_edge *edge, struct flt_target *target,
-		 const char *why)
+void stl_lose(struct edg_edge *edge, struct flt_target *target, const char *why)
 {
 	log_avoided(edge, target, why);
 	flt_target_keep(target);
@@ -130,7 +129,7 @@
 			edge->fleet, report->stalled->pdata[i]);
 
 		if (stalled)
-			lose(edge, stalled, "path_is_stalled");
+			stl_lose(edge, stalled, "path_is_stalled");
 	}
 }
 
@@ -142,7 +141,7 @@
 	if (report)
 		read_report(inquiry->edge, inquiry->target, report);
 	else
-		lose(inquiry->edge, inquiry->target, "no_report");
+		stl_lose(inquiry->edge, inquiry->target, "no_report");
 	uv_close((uv_handle_t *)&inquiry->timer, on_inquiry_closed);
 }
 
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -55,6 +55,16 @@
 	return sum;
 }
 
+static unsigned workers_used(struct platform_world *world)
+{
+	unsigned used = 0;
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++)
+		used += worker(world, i)->requests > 0;
+	return used;
+}
+
 /* The worker that got a request. */
 static struct worker *used_worker(struct platform_world *world)
 {
@@ -459,6 +469,83 @@
 }
 END_TEST
 
+/* Two more heads. */
+static void add_heads(struct platform_world *world)
+{
+	world_worker(world, "e5", "model", 0, 4);
+	world_worker(world, "e6", "model", 0, 4);
+	world_run(world, 600);
+}
+
+/* Guards against a stream that runs on more engines than its route allows
+ * where a later engine is lost and every head lives on (hunt on
+ * isbrytaren-order-grown, workers-replaced --vary --seed 314014770029). */
+START_TEST(stream_runs_on_no_more_living_heads_than_its_limit)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	open_engines(&world);
+	add_heads(&world);
+	set_modes(&world, WORKER_BREAKS_STREAM);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await_close(&world.wire, client);
+	ck_assert_ptr_nonnull(strstr(client->received->str, "data: one"));
+	ck_assert_uint_eq(workers_used(&world), 2);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* A head that is lost does not count against the limit. */
+START_TEST(lost_heads_leave_room_for_another)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	guint i;
+
+	open_engines(&world);
+	add_heads(&world);
+	set_modes(&world, WORKER_BREAKS_STREAM);
+	for (i = 0; i < world.workers->len; i++)
+		worker(&world, i)->has_no_reports = true;
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await_close(&world.wire, client);
+	ck_assert_uint_gt(workers_used(&world), 2);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against a run that is given up for an order whose answer was lost:
+ * the engine may carry it out late, and takes it the second time. */
+START_TEST(unanswered_change_of_path_is_ordered_again)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+	guint lost;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_STALLS_STREAM);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_until(&world.wire, sees_stream, &world);
+	head = used_worker(&world);
+	head->lost_order_answers = 1;
+	lost = strstr(head->last_request->str,
+		      wire_server_address(worker(&world, 2)->server))
+		       ? 2
+		       : 3;
+	head->stalled = wire_server_address(worker(&world, lost)->server);
+	wire_client_await(&world.wire, client, "data: two");
+	ck_assert_uint_eq(head->orders->len, 2);
+	ck_assert_str_eq(head->orders->pdata[0], head->orders->pdata[1]);
+	ck_assert_uint_eq(requests_of_all(&world), 1);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 static bool holds_everything(void *user)
 {
 	struct platform_world *world = user;
@@ -597,6 +684,10 @@
 	tcase_add_test(tcase, path_runs_every_layer_once);
 	tcase_add_test(tcase, stalled_stream_changes_its_path);
 	tcase_add_test(tcase, stream_resumes_where_the_path_cannot_change);
+	tcase_add_test(tcase,
+		       stream_runs_on_no_more_living_heads_than_its_limit);
+	tcase_add_test(tcase, lost_heads_leave_room_for_another);
+	tcase_add_test(tcase, unanswered_change_of_path_is_ordered_again);
 	tcase_add_test(tcase, empty_engines_are_ordered_to_hold_layers);
 	tcase_add_test(tcase, duty_is_taken_over_from_a_silent_holder);
 	tcase_add_test(tcase, leaving_caller_ends_the_work);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -271,6 +271,11 @@
 		json_string_value(json_object_get(order, "operation"));
 
 	g_ptr_array_add(worker->orders, g_strdup(body));
+	if (worker->lost_order_answers) {
+		worker->lost_order_answers--;
+		json_decref(order);
+		return;
+	}
 	answer_json(conn, worker->order_status, json_object());
 	if (worker->order_status == 202 && !strcmp(operation, "place")) {
 		json_object_set_new(worker->entry, "layers",
@@ -368,7 +373,10 @@
 	struct worker *worker = user;
 
 	if (g_str_has_prefix(request, "GET /report")) {
-		answer_report(worker, conn);
+		if (worker->has_no_reports)
+			wire_hang_up(conn);
+		else
+			answer_report(worker, conn);
 		return;
 	}
 	if (g_str_has_prefix(request, "POST /order")) {
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -48,6 +48,10 @@
 	/* Bodies of orders, in the sequence of their arrival. */
 	GPtrArray *orders;
 	int order_status;
+	/* So many of the next orders are neither answered nor carried out. */
+	unsigned lost_order_answers;
+	/* Closes connections on which it is asked for a report. */
+	bool has_no_reports;
 	/* Address that its report names as stalled, or NULL. */
 	const char *stalled;
 	/* Connection of a stalled stream. */
