Answer callers who connect in the last moment of a drain

Cause of the known red test (system_drain_wire_test: rolling_replacement_loses_nothing, 'booking at entry-4: 0'): at the end of its grace an instance stopped in the same turn of the loop, without a look at the callers who had connected meanwhile. Their connections were reset: those not accepted yet by the system, those not read yet by the instance. A loaded machine makes that moment long.

Now an instance accepts who waits, closes its listener and gives connections without a request one second.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 LIB := $(BUILD)/libwagtailferry.a
 DAEMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/daemon/*.c))
 EDGE_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/edge/*.c)) \
-	$(BUILD)/src/daemon/drv_clock.o
+	$(BUILD)/src/daemon/drv_clock.o $(BUILD)/src/daemon/net.o
 PLATFORM_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
 TOOL_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/tool/*.c))
 # Daemon parts that the tool and tests use, without the main program.
--- a/src/daemon/drv.c
+++ b/src/daemon/drv.c
@@ -9,6 +9,9 @@
 /* For callers to take the end of their answers after WF_ACT_EXIT. */
 #define EXIT_LIMIT_MS (5 * CLK_SECOND)
 #define EXIT_CHECK_MS 10
+/* For callers who connected in the last moment to send their request: the
+ * first packet of a connection is sent again after 1 s (RFC 6298). */
+#define LAST_REQUEST_MS (1 * CLK_SECOND)
 /* Service calls whose caller left and whose operation is remembered. */
 #define MAX_LEFT_CALLS 4096
 
@@ -28,7 +31,8 @@
 	uv_timer_t wakeup;
 	uv_timer_t exit_timer;
 	unsigned open_timers;
-	clk_ms exit_limit; /* when answers that are still leaving are cut */
+	clk_ms request_limit; /* when new connections are cut */
+	clk_ms exit_limit;    /* when answers that are still leaving are cut */
 	GHashTable *operations; /* call id to operation of a service call */
 	GQueue *left; /* ids in operations whose caller left, by age */
 	bool executing;
@@ -99,9 +103,12 @@
 static void on_exit_check(uv_timer_t *timer)
 {
 	struct drv_driver *driver = timer->data;
+	clk_ms now = drv_clock_now(&driver->clock);
 
-	if (srv_count_open(driver->server) &&
-	    drv_clock_now(&driver->clock) < driver->exit_limit)
+	srv_stop_listening(driver->server);
+	if (srv_count_open(driver->server) && now < driver->exit_limit)
+		return;
+	if (srv_count_unread(driver->server) && now < driver->request_limit)
 		return;
 	driver->done = true;
 	uv_timer_stop(timer);
@@ -114,6 +121,7 @@
 		return;
 	driver->exiting = true;
 	driver->exit_limit = drv_clock_now(&driver->clock) + EXIT_LIMIT_MS;
+	driver->request_limit = drv_clock_now(&driver->clock) + LAST_REQUEST_MS;
 	uv_timer_start(&driver->exit_timer, on_exit_check, 0, EXIT_CHECK_MS);
 }
 
--- a/src/edge/net.c
+++ b/src/daemon/net.c
@@ -1,6 +1,8 @@
+#include <sys/socket.h>
+
 #include <wagtailferry/schema.h>
 
-#include "edge/net.h"
+#include "daemon/net.h"
 
 bool net_parse_address(const char *text, struct sockaddr_in *out)
 {
@@ -10,3 +12,13 @@
 	return sch_split_address(text, host, sizeof(host), &port) &&
 	       !uv_ip4_addr(host, port, out);
 }
+
+bool net_accept_waiting(uv_tcp_t *listener, uv_os_sock_t *out)
+{
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)listener, &fd))
+		return false;
+	*out = accept(fd, NULL, NULL);
+	return *out >= 0;
+}
--- a/src/daemon/srv.c
+++ b/src/daemon/srv.c
@@ -1,9 +1,11 @@
 #include <openssl/ssl.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <wagtailferry/schema.h>
 
+#include "daemon/net.h"
 #include "daemon/srv_internal.h"
 
 #define LISTEN_BACKLOG 1024
@@ -78,6 +80,8 @@
 struct connection {
 	struct srv_server *server;
 	h2o_socket_t *socket;
+	bool is_callers;
+	bool has_request; /* a whole one */
 };
 
 static void on_socket_close(void *data)
@@ -101,13 +105,23 @@
 
 	connection->server = server;
 	connection->socket = socket;
+	connection->is_callers = listener == &server->caller;
 	socket->on_close.cb = on_socket_close;
 	socket->on_close.data = connection;
-	g_hash_table_add(server->sockets, socket);
+	g_hash_table_insert(server->sockets, socket, connection);
 	uv_tcp_nodelay(tcp, 1);
 	h2o_accept(&listener->accept, socket);
 }
 
+void srv_note_request(struct srv_server *server, h2o_req_t *req)
+{
+	struct connection *connection = g_hash_table_lookup(
+		server->sockets, req->conn->callbacks->get_socket(req->conn));
+
+	if (connection)
+		connection->has_request = true;
+}
+
 static void on_connection(uv_stream_t *stream, int status)
 {
 	struct srv_listener *listener =
@@ -337,6 +351,48 @@
 	h2o_context_request_shutdown(&server->context);
 }
 
+static void accept_waiting(struct srv_listener *listener)
+{
+	uv_os_sock_t socket;
+
+	while (g_hash_table_size(listener->server->sockets) < MAX_CONNECTIONS &&
+	       net_accept_waiting(&listener->tcp, &socket)) {
+		uv_tcp_t *tcp = h2o_mem_alloc(sizeof(*tcp));
+
+		uv_tcp_init(listener->server->loop, tcp);
+		if (!uv_tcp_open(tcp, socket)) {
+			accept_socket(listener, tcp);
+			continue;
+		}
+		ctr_add(listener->server->counters,
+			"wf_connections_refused_total", 1);
+		close(socket);
+		uv_close((uv_handle_t *)tcp, (uv_close_cb)free);
+	}
+}
+
+void srv_stop_listening(struct srv_server *server)
+{
+	if (server->caller.open)
+		accept_waiting(&server->caller);
+	close_listener(&server->caller);
+}
+
+size_t srv_count_unread(const struct srv_server *server)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t unread = 0;
+
+	g_hash_table_iter_init(&iter, server->sockets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct connection *connection = value;
+
+		unread += connection->is_callers && !connection->has_request;
+	}
+	return unread;
+}
+
 size_t srv_count_open(const struct srv_server *server)
 {
 	return g_hash_table_size(server->open);
--- a/src/daemon/srv.h
+++ b/src/daemon/srv.h
@@ -62,6 +62,15 @@
  */
 void srv_announce_end(struct srv_server *server);
 
+/*
+ * Accepts the callers who wait for it and then no more. Those who come later
+ * are refused by the system.
+ */
+void srv_stop_listening(struct srv_server *server);
+
+/* Connections of callers that have brought no whole request yet. */
+size_t srv_count_unread(const struct srv_server *server);
+
 /*
  * Cuts all connections; reports no caller as gone. The memory is released by
  * the loop, which must run.
--- a/src/daemon/srv_internal.h
+++ b/src/daemon/srv_internal.h
@@ -41,7 +41,7 @@
 	GHashTable *calls;  /* id to struct srv_call without final reply */
 	GHashTable *open;   /* set of all struct srv_call, with finished ones */
 	GArray *gone;	    /* ids of calls whose caller left */
-	GHashTable *sockets; /* open h2o sockets */
+	GHashTable *sockets; /* open h2o sockets to their connection */
 	uv_timer_t stall_timer;
 	uv_timer_t gone_timer;
 	uint64_t next_call;
@@ -117,6 +117,9 @@
 /* Whether a header line's value is set; value is copied with g_strndup(). */
 char *srv_header(h2o_req_t *req, const char *name);
 
+/* srv.c: the request's connection has brought a whole request. */
+void srv_note_request(struct srv_server *server, h2o_req_t *req);
+
 /* srv_token.c: the organisation of a request's token, or NULL. Borrowed. */
 const char *srv_authenticate(struct srv_server *server, h2o_req_t *req);
 GHashTable *srv_tokens_new(const struct srv_token *tokens, size_t n);
--- a/src/daemon/srv_route.c
+++ b/src/daemon/srv_route.c
@@ -241,6 +241,7 @@
 	char *path;
 
 	ctr_add(server->counters, "wf_http_requests_total", 1);
+	srv_note_request(server, req);
 	if (!org) {
 		refuse(req, ERR_UNAUTHENTICATED,
 		       "a bearer token of a known organisation is required");
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -440,15 +440,18 @@
 static void on_drain_step(uv_timer_t *timer)
 {
 	struct edg_edge *edge = timer->data;
-	clk_ms passed = ++edge->drain_step * (clk_ms)DRAIN_STEP_MS;
+	clk_ms passed = edg_now(edge) - edge->drain_since;
 
 	if (passed < DRAIN_LISTEN_MS)
 		return;
 	hsv_stop(edge->callers);
-	if (passed >= edge->drain_limit - DRAIN_MARGIN_MS)
+	if (passed >= edge->drain_limit - DRAIN_MARGIN_MS) {
 		free_requests(edge, true);
-	if (!g_hash_table_size(edge->requests))
 		finish_drain(edge);
+	} else if (!g_hash_table_size(edge->requests) &&
+		   !hsv_is_reading(edge->callers)) {
+		finish_drain(edge);
+	}
 }
 
 void edg_drain(struct edg_edge *edge)
@@ -456,6 +459,7 @@
 	if (edge->is_draining)
 		return;
 	edge->is_draining = true;
+	edge->drain_since = edg_now(edge);
 	edg_log(edge, "instance", "serving", "draining", "open_requests=%u",
 		g_hash_table_size(edge->requests));
 	hsv_close_after_answers(edge->callers);
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -55,7 +55,7 @@
 	bool is_done;
 	clk_ms drain_limit;
 	uv_timer_t drain_timer;
-	unsigned drain_step;
+	clk_ms drain_since;
 
 	clk_ms log_second;
 	unsigned log_lines;
--- a/src/edge/hsv.c
+++ b/src/edge/hsv.c
@@ -1,8 +1,9 @@
 #include <http_parser.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "daemon/net.h"
 #include "edge/hsv.h"
-#include "edge/net.h"
 
 #define BACKLOG 1024
 #define READ_BYTES 16384
@@ -14,6 +15,9 @@
 #define MAX_AHEAD_BYTES 65536
 /* A caller that leaves so much of a stream unread is given up. */
 #define MAX_UNWRITTEN_BYTES (1 << 20)
+/* After the end of listening, for the first request of a connection: its first
+ * packet is sent again after 1 s (RFC 6298). */
+#define FIRST_REQUEST_MS 1000
 /* A request's body may pause for this long. */
 #define BODY_PAUSE_MS 10000
 
@@ -40,6 +44,8 @@
 	clk_ms phase_since;
 	/* Bytes that arrived while a request was answered. */
 	GString *ahead;
+	/* Has brought a whole one. */
+	bool has_request;
 	bool is_closing;
 	bool is_chunked;
 	bool keeps_alive;
@@ -362,6 +368,7 @@
 	struct hsv_conn *conn = parser->data;
 
 	conn->keeps_alive = http_should_keep_alive(parser) != 0;
+	conn->has_request = true;
 	set_phase(conn, PHASE_ANSWER);
 	http_parser_pause(parser, 1);
 	return 0;
@@ -462,14 +469,10 @@
 		parse(conn, buffer->base, (size_t)n);
 }
 
-static void on_connection(uv_stream_t *listener, int status)
+static struct hsv_conn *new_conn(struct hsv_server *server)
 {
-	struct hsv_server *server = listener->data;
-	struct hsv_conn *conn;
+	struct hsv_conn *conn = g_new0(struct hsv_conn, 1);
 
-	if (status)
-		return;
-	conn = g_new0(struct hsv_conn, 1);
 	conn->server = server;
 	server->refs++;
 	uv_tcp_init(server->loop, &conn->tcp);
@@ -488,8 +491,15 @@
 	server->conns = conn;
 	server->n_conns++;
 	set_phase(conn, PHASE_IDLE);
-	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) ||
-	    server->n_conns > server->limits.connections) {
+	return conn;
+}
+
+/* result: of accepting its socket. */
+static void open_conn(struct hsv_conn *conn, int result)
+{
+	struct hsv_server *server = conn->server;
+
+	if (result || server->n_conns > server->limits.connections) {
 		ctr_add(server->counters, "wf_edge_connections_refused_total",
 			1);
 		close_conn(conn);
@@ -500,6 +510,16 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+static void on_connection(uv_stream_t *listener, int status)
+{
+	struct hsv_conn *conn;
+
+	if (status)
+		return;
+	conn = new_conn(listener->data);
+	open_conn(conn, uv_accept(listener, (uv_stream_t *)&conn->tcp));
+}
+
 static void check_time(struct hsv_conn *conn, clk_ms now)
 {
 	const struct hsv_limits *limits = &conn->server->limits;
@@ -573,6 +593,40 @@
 	uv_close((uv_handle_t *)&server->listener, on_handle_closed);
 }
 
+static void accept_waiting(struct hsv_server *server)
+{
+	uv_os_sock_t socket;
+
+	while (net_accept_waiting(&server->listener, &socket)) {
+		struct hsv_conn *conn = new_conn(server);
+		int result = uv_tcp_open(&conn->tcp, socket);
+
+		if (result)
+			close(socket);
+		open_conn(conn, result);
+	}
+}
+
+/* New connections have a while to send their first request. */
+static bool is_awaited(const struct hsv_conn *conn)
+{
+	clk_ms passed = (clk_ms)uv_now(conn->server->loop) - conn->phase_since;
+
+	return !conn->has_request && passed < FIRST_REQUEST_MS;
+}
+
+bool hsv_is_reading(const struct hsv_server *server)
+{
+	const struct hsv_conn *conn;
+
+	for (conn = server->conns; conn; conn = conn->next) {
+		if (conn->phase == PHASE_HEADER || conn->phase == PHASE_BODY ||
+		    (conn->phase == PHASE_IDLE && is_awaited(conn)))
+			return true;
+	}
+	return false;
+}
+
 void hsv_drop(struct hsv_server *server)
 {
 	if (!server)
@@ -622,13 +676,16 @@
 
 void hsv_stop(struct hsv_server *server)
 {
-	struct hsv_conn *conn = server->conns;
+	struct hsv_conn *conn;
 
+	if (server->is_listening)
+		accept_waiting(server);
 	stop_listening(server);
+	conn = server->conns;
 	while (conn) {
 		struct hsv_conn *next = conn->next;
 
-		if (conn->phase == PHASE_IDLE)
+		if (conn->phase == PHASE_IDLE && !is_awaited(conn))
 			close_conn(conn);
 		conn = next;
 	}
--- a/src/edge/hsv.h
+++ b/src/edge/hsv.h
@@ -68,9 +68,15 @@
 /* Every further answer ends its connection. */
 void hsv_close_after_answers(struct hsv_server *server);
 
-/* Stops listening and closes connections that have no request. */
+/*
+ * Accepts those who wait for it and then no more; closes connections that have
+ * no request. New ones have a second to send their first.
+ */
 void hsv_stop(struct hsv_server *server);
 
+/* Whether a request is on its way that the owner does not have yet. */
+bool hsv_is_reading(const struct hsv_server *server);
+
 /*
  * Writes a whole answer. headers are complete lines, each with its end, and
  * have no length and no Connection field. The request is invalid afterwards.
--- a/src/edge/hup.c
+++ b/src/edge/hup.c
@@ -5,7 +5,7 @@
 #include <sys/socket.h>
 
 #include "edge/hup.h"
-#include "edge/net.h"
+#include "daemon/net.h"
 
 /* A host that answers at all accepts within a few round trips. */
 #define CONNECT_TIMEOUT_MS 700
--- a/src/edge/prs.c
+++ b/src/edge/prs.c
@@ -4,7 +4,7 @@
 #include <schema/edge.pb-c.h>
 #include <wagtailferry/core.h>
 
-#include "edge/net.h"
+#include "daemon/net.h"
 #include "edge/prs.h"
 
 #define REPORT_INTERVAL_MS 100
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -657,6 +657,41 @@
 }
 END_TEST
 
+/* Until shortly before the instance stops listening. */
+#define DRAIN_TO_LAST_MOMENT_MS 2750
+#define PAST_LAST_MOMENT_US 300000
+
+/*
+ * Guards against callers who connect in the last moment and get no answer:
+ * one waits to be accepted, the other has not sent its request yet.
+ */
+START_TEST(callers_of_the_last_moment_are_answered)
+{
+	struct platform_world world;
+	struct wire_client *slow;
+	struct wire_client *waiting;
+	const char *request = "GET /read/ HTTP/1.1\r\nHost: h\r\n"
+			      "X-Wagtailferry-Attempt-Id: last\r\n" KEY "\r\n";
+
+	open_plain(&world);
+	edg_drain(world.edge);
+	world_run(&world, DRAIN_TO_LAST_MOMENT_MS);
+	slow = wire_client_new(&world.wire, world.address);
+	world_run(&world, 20);
+	/* The system completes the connection; the loop sleeps. */
+	waiting = wire_client_new(&world.wire, world.address);
+	g_usleep(PAST_LAST_MOMENT_US);
+	wire_client_send(waiting, request);
+	wire_client_send(slow, request);
+	wire_client_await(&world.wire, waiting, "HTTP/1.1 200 ");
+	wire_client_await(&world.wire, slow, "HTTP/1.1 200 ");
+	wire_until(&world.wire, is_drained, &world);
+	wire_client_drop(waiting);
+	wire_client_drop(slow);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("edge_wire");
@@ -692,5 +727,6 @@
 	tcase_add_test(tcase, duty_is_taken_over_from_a_silent_holder);
 	tcase_add_test(tcase, leaving_caller_ends_the_work);
 	tcase_add_test(tcase, drain_leaves_the_balancer_and_serves_on);
+	tcase_add_test(tcase, callers_of_the_last_moment_are_answered);
 	return sup_run_case("edge_wire", tcase);
 }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -2,7 +2,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include "edge/net.h"
+#include "daemon/net.h"
 #include "soak.h"
 
 #define DELAY_MS 120
--- a/tests/system_drain_wire_test.c
+++ b/tests/system_drain_wire_test.c
@@ -175,12 +175,57 @@
 }
 END_TEST
 
+/* Time for what the process does at once, and more than its grace. */
+#define SETTLE_US 200000
+#define PAST_GRACE_US 3500000
+
+/*
+ * Guards against callers who connect in the last moment and get no answer,
+ * since the instance ends while they wait to be accepted: the instance sleeps
+ * through the end of its grace.
+ */
+START_TEST(callers_of_the_last_moment_are_answered)
+{
+	struct clu_cluster cluster;
+	struct clu_config config;
+	struct sup_request *requests[N_CLIENTS];
+	struct sup_answer answer;
+	char *run;
+	unsigned i;
+
+	clu_config_init(&config, 1);
+	clu_start(&cluster, &config);
+	kill(cluster.entries[0].child.pid, SIGTERM);
+	g_usleep(SETTLE_US);
+	kill(cluster.entries[0].child.pid, SIGSTOP);
+	for (i = 0; i < N_CLIENTS; i++) {
+		char *key = clu_new_key();
+
+		requests[i] = clu_send_booking(&cluster, 0, "a", key, "body");
+		g_free(key);
+	}
+	g_usleep(PAST_GRACE_US);
+	kill(cluster.entries[0].child.pid, SIGCONT);
+	for (i = 0; i < N_CLIENTS; i++) {
+		sup_finish(requests[i], &answer);
+		run = clu_answer_run(&answer);
+		ck_assert_int_ne(answer.status, 0);
+		ck_assert(answer.status == 200 || !strcmp(run, "not_run"));
+		g_free(run);
+		sup_answer_clear(&answer);
+	}
+	ck_assert_int_eq(sup_join(&cluster.entries[0].child), 0);
+	clu_stop(&cluster);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("system_drain");
 
 	tcase_set_timeout(tcase, 90);
 	tcase_add_test(tcase, shutdown_completes_open_streams);
+	tcase_add_test(tcase, callers_of_the_last_moment_are_answered);
 	tcase_add_test(tcase, rolling_replacement_loses_nothing);
 	return sup_run_case("system_drain", tcase);
 }
