Keep load reports to 12 KB/s a node

Cause: five reports ten times a second, each with every target in use, are up to 60 KB/s at the planned size (43 instances a data centre), over the 22 KB/s that control may use. Now a report is sent only while its allowance lasts, near and far peers in turn as before; a report states how long ago the receiver got the last one, and its load counts for three such spans. Measured at 389 peers and 80 targets in use by a test: 20 s of reports take no more than 21 s of 12 KB/s, and every peer of the data centre is told within 10 s. Weighed: heard load scaled up from a part of the peers (no state of the others is then ever whole), reports of changes only (a lost one would need a repeat).

--- a/src/edge/prs.c
+++ b/src/edge/prs.c
@@ -8,11 +8,21 @@
 #include "edge/prs.h"
 
 #define REPORT_INTERVAL_MS 100
-/* Peers that get each report: in the own data centre, and in others. */
-#define NEAR_REPORTS 4
-#define FAR_REPORTS 1
-/* A peer that was silent for so long uses nothing any more. */
+/* Reports of each interval, and every which one goes to another data centre. */
+#define INTERVAL_REPORTS 5
+#define FAR_TURN 5
+/* Of the 22 KB/s that control may use on a node (letter 1); watches, store
+ * calls and reports of engines take the rest. */
+#define REPORT_BYTES_PER_S 12000
+/* Allowance that is saved up, in ms of it. */
+#define MAX_SAVED_MS 500
+/* IPv4 and UDP. */
+#define HEADER_BYTES 28
+/* A peer that was silent for so long uses nothing any more, or for so many of
+ * the intervals that it states. */
 #define SILENT_MS 2500
+#define SILENT_INTERVALS 3
+#define MAX_INTERVAL_MS (20 * CLK_SECOND)
 /* A peer that never reported, or is silent for so long, is not counted as an
  * instance. Dead ones that count only make budgets smaller. */
 #define FORGET_MS (60 * CLK_SECOND)
@@ -35,6 +45,10 @@
 	clk_ms heard_at;
 	/* Time at the peer's clock in its last report. */
 	clk_ms sent_at;
+	/* Between its reports, by its last one. */
+	clk_ms interval;
+	/* When it was sent a report; 0 before the first. */
+	clk_ms told_at;
 	/* Of struct peer_load, as counted at the targets. */
 	GArray *loads;
 };
@@ -55,6 +69,10 @@
 	GPtrArray *far;
 	unsigned next_near;
 	unsigned next_far;
+	unsigned turn;
+	/* Bytes that may be sent, and when they were last added to. */
+	double allowance;
+	clk_ms allowed_at;
 	char buffer[2048];
 };
 
@@ -204,6 +222,8 @@
 		peer->sequence = report->sequence;
 		peer->heard_at = now_ms(peers);
 		peer->sent_at = report->sent_ms;
+		peer->interval = (clk_ms)MIN(report->interval_ms,
+					     (uint64_t)MAX_INTERVAL_MS);
 		take_loads(peers, peer, report);
 		take_confirmation(peers, report);
 	}
@@ -211,6 +231,11 @@
 		wf__load_report__free_unpacked(report, NULL);
 }
 
+static clk_ms longest_silence(const struct peer *peer)
+{
+	return MAX(SILENT_MS, SILENT_INTERVALS * peer->interval);
+}
+
 static void expire_list(struct prs_peers *peers, GPtrArray *list)
 {
 	clk_ms now = now_ms(peers);
@@ -219,7 +244,7 @@
 	while (i-- > 0) {
 		struct peer *peer = list->pdata[i];
 
-		if (now - peer->heard_at < SILENT_MS)
+		if (now - peer->heard_at < longest_silence(peer))
 			continue;
 		count_loads(peers, peer, -1);
 		g_array_set_size(peer->loads, 0);
@@ -295,6 +320,10 @@
 		report.has_echo_ms = 1;
 		report.echo_ms = peer->sent_at;
 	}
+	if (peer && peer->told_at) {
+		report.has_interval_ms = 1;
+		report.interval_ms = (uint64_t)(now_ms(peers) - peer->told_at);
+	}
 	for (i = 0; i < targets->len && report.n_targets < MAX_REPORT_TARGETS;
 	     i++) {
 		Wf__TargetLoad *load = &loads[report.n_targets];
@@ -321,7 +350,7 @@
 	g_free(datagram);
 }
 
-static void send_to(struct prs_peers *peers, const struct peer *peer)
+static void send_to(struct prs_peers *peers, struct peer *peer)
 {
 	struct datagram *datagram;
 	gsize len;
@@ -334,26 +363,52 @@
 	datagram->request.data = datagram;
 	buffer.base = (char *)g_bytes_get_data(datagram->bytes, &len);
 	buffer.len = len;
+	peer->told_at = now_ms(peers);
+	peers->allowance -= (double)(len + HEADER_BYTES);
+	ctr_add(peers->config.counters, "wf_peer_report_bytes_total",
+		(int64_t)(len + HEADER_BYTES));
 	if (uv_udp_send(&datagram->request, &peers->socket, &buffer, 1,
 			(const struct sockaddr *)&peer->to, on_sent))
 		on_sent(&datagram->request, -1);
 }
 
-static void send_some(struct prs_peers *peers, GPtrArray *list, unsigned *next,
-		      unsigned count)
+static void add_allowance(struct prs_peers *peers)
+{
+	clk_ms now = now_ms(peers);
+	double passed = (double)MIN(now - peers->allowed_at, MAX_SAVED_MS);
+	double most = REPORT_BYTES_PER_S * MAX_SAVED_MS / (double)CLK_SECOND;
+
+	peers->allowance += REPORT_BYTES_PER_S * passed / (double)CLK_SECOND;
+	peers->allowance = MIN(peers->allowance, most);
+	peers->allowed_at = now;
+}
+
+void prs_send_round(struct prs_peers *peers)
 {
+	unsigned near = 0;
+	unsigned far = 0;
 	unsigned i;
 
-	for (i = 0; i < MIN(count, list->len); i++)
-		send_to(peers, list->pdata[(*next)++ % list->len]);
+	add_allowance(peers);
+	for (i = 0; i < INTERVAL_REPORTS && peers->allowance > 0; i++) {
+		bool is_far = peers->turn++ % FAR_TURN == 0;
+
+		if (is_far && far < peers->far->len)
+			send_to(peers, peers->far->pdata[(peers->next_far++) %
+							 peers->far->len]);
+		if (!is_far && near < peers->near->len)
+			send_to(peers, peers->near->pdata[(peers->next_near++) %
+							  peers->near->len]);
+		far += is_far;
+		near += !is_far;
+	}
 }
 
 static void on_timer(uv_timer_t *timer)
 {
 	struct prs_peers *peers = timer->data;
 
-	send_some(peers, peers->near, &peers->next_near, NEAR_REPORTS);
-	send_some(peers, peers->far, &peers->next_far, FAR_REPORTS);
+	prs_send_round(peers);
 	prs_expire(peers);
 }
 
@@ -401,6 +456,7 @@
 	peers->data_center = g_strdup(config->data_center);
 	peers->address = g_strdup(config->address);
 	peers->incarnation = (uint64_t)now_ms(peers);
+	peers->allowed_at = now_ms(peers);
 	peers->near = g_ptr_array_new_with_free_func(peer_free);
 	peers->far = g_ptr_array_new_with_free_func(peer_free);
 	peers->refs = 2;
--- a/src/edge/prs.h
+++ b/src/edge/prs.h
@@ -4,7 +4,8 @@
 /*
  * Peers: the other instances, and what they use of the targets. Each sends
  * its load to a few peers ten times a second, mostly to those of its own data
- * centre, which use the same engines. Peers are known from the platform's
+ * centre, which use the same engines; less often where that would take more
+ * than a fixed number of bytes a second. Peers are known from the platform's
  * store and from their reports. The load is a hint: it decides which path is
  * chosen and never whether a request may run.
  *
@@ -54,6 +55,9 @@
 /* The report on the present own load, for one peer. To be unreferenced. */
 GBytes *prs_report(struct prs_peers *peers, const char *instance);
 
+/* Sends the reports of one interval. For the timer and for tests. */
+void prs_send_round(struct prs_peers *peers);
+
 /* Forgets the load of peers that are silent. */
 void prs_expire(struct prs_peers *peers);
 
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -386,7 +386,7 @@
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[12] =
 {
   {
     "instance",
@@ -520,6 +520,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wf__LoadReport, has_interval_ms),
+    offsetof(Wf__LoadReport, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__load_report__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -530,6 +542,7 @@
   10,   /* field[10] = echo_ms */
   3,   /* field[3] = incarnation */
   0,   /* field[0] = instance */
+  11,   /* field[11] = interval_ms */
   8,   /* field[8] = sent_ms */
   4,   /* field[4] = sequence */
   5,   /* field[5] = targets */
@@ -537,7 +550,7 @@
 static const ProtobufCIntRange wf__load_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wf__load_report__descriptor =
 {
@@ -547,7 +560,7 @@
   "Wf__LoadReport",
   "wf",
   sizeof(Wf__LoadReport),
-  11,
+  12,
   wf__load_report__field_descriptors,
   wf__load_report__field_indices_by_name,
   1,  wf__load_report__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -140,10 +140,16 @@
   uint64_t echo_incarnation;
   protobuf_c_boolean has_echo_ms;
   int64_t echo_ms;
+  /*
+   * Time since the last report to the same receiver, in ms: how long it may
+   * be until the next one. Absent in the first.
+   */
+  protobuf_c_boolean has_interval_ms;
+  uint64_t interval_ms;
 };
 #define WF__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wf__TargetLoad
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -259,6 +259,84 @@
 }
 END_TEST
 
+/* The planned size: 43 instances a data centre, 390 in all. */
+#define NEAR_PEERS 42
+#define FAR_PEERS 347
+#define MANY_TARGETS 80
+/* Of 22 KB/s for control (letter 1). */
+#define REPORT_BYTES_PER_S 12000
+#define REPORT_SECONDS 20
+
+/* Guards against reports that grow with the peers and the targets in use. */
+START_TEST(reports_keep_to_their_bytes_at_the_planned_size)
+{
+	struct pair pair;
+	Wf__LoadReport *report;
+	GBytes *bytes;
+	gsize len;
+	const uint8_t *data;
+	char name[16];
+	int i;
+
+	pair_open(&pair);
+	for (i = 0; i < MANY_TARGETS; i++) {
+		g_snprintf(name, sizeof(name), "t%d", i);
+		sup_list_engine(pair.fleets[0], 0, name, "a", "large",
+				(struct flt_range){0, 10});
+		flt_find(pair.fleets[0], name)->on_path = 3;
+	}
+	for (i = 0; i < NEAR_PEERS + FAR_PEERS; i++) {
+		g_snprintf(name, sizeof(name), "p%d", i);
+		prs_add(pair.peers[0], name, i < NEAR_PEERS ? "a" : "b",
+			"127.0.0.1:9");
+	}
+	for (i = 0; i < REPORT_SECONDS * 10; i++) {
+		pair.now += 100;
+		prs_send_round(pair.peers[0]);
+		uv_run(&pair.wire.loop, UV_RUN_NOWAIT);
+	}
+	ck_assert_int_gt(ctr_get(pair.counters, "wf_peer_report_bytes_total"),
+			 REPORT_BYTES_PER_S * REPORT_SECONDS / 2);
+	ck_assert_int_le(ctr_get(pair.counters, "wf_peer_report_bytes_total"),
+			 REPORT_BYTES_PER_S * (REPORT_SECONDS + 1));
+	/* Every instance of the own data centre is told in turn. */
+	for (i = 0; i < NEAR_PEERS; i++) {
+		g_snprintf(name, sizeof(name), "p%d", i);
+		bytes = prs_report(pair.peers[0], name);
+		data = g_bytes_get_data(bytes, &len);
+		report = wf__load_report__unpack(NULL, len, data);
+		ck_assert(report->has_interval_ms);
+		ck_assert_uint_lt(report->interval_ms, 10000);
+		wf__load_report__free_unpacked(report, NULL);
+		g_bytes_unref(bytes);
+	}
+	pair_close(&pair);
+}
+END_TEST
+
+/* Guards against load that is dropped and counted in turn, where a peer has
+ * so many others to tell that its reports are far apart. */
+START_TEST(seldom_reports_count_until_the_next)
+{
+	struct pair pair;
+
+	pair_open(&pair);
+	prs_add(pair.peers[0], "two", "a", "127.0.0.1:9");
+	engine(&pair, 0)->on_path = 3;
+	pair.now += 100;
+	prs_send_round(pair.peers[0]);
+	pair.now += 4000;
+	pass(&pair, prs_report(pair.peers[0], "two"));
+	pair.now += 4000;
+	prs_expire(pair.peers[1]);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 3);
+	pair.now += 9000;
+	prs_expire(pair.peers[1]);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 0);
+	pair_close(&pair);
+}
+END_TEST
+
 /* Guards against a configuration that looks newer than it is where a report
  * is delayed: its age counts from our own report that the peer had seen. */
 START_TEST(confirmation_counts_from_the_echo)
@@ -343,6 +421,8 @@
 			    G_N_ELEMENTS(settings_cases));
 	tcase_add_test(tcase, load_of_a_peer_counts_once);
 	tcase_add_test(tcase, load_of_a_silent_peer_is_forgotten);
+	tcase_add_test(tcase, reports_keep_to_their_bytes_at_the_planned_size);
+	tcase_add_test(tcase, seldom_reports_count_until_the_next);
 	tcase_add_test(tcase, confirmation_counts_from_the_echo);
 	tcase_add_test(tcase, echo_of_another_process_confirms_nothing);
 	tcase_add_test(tcase, report_without_an_echo_confirms_nothing);
