Give the edge's log a budget of lines and bytes by class

Cause: one limit of 400 lines a second for all lines; a flood of improper requests took it whole, and requests with trouble lost theirs.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -52,41 +52,6 @@
 	return edge->fleet;
 }
 
-/* Whether the line may be written within this second's limit. */
-static bool log_allows(struct edg_edge *edge, clk_ms now)
-{
-	if (now / CLK_SECOND == edge->log_second) {
-		if (edge->log_lines++ < edge->log_limit)
-			return true;
-		edge->log_suppressed++;
-		ctr_add(edge->counters, "wf_log_lines_suppressed_total", 1);
-		return false;
-	}
-	if (edge->log_suppressed)
-		log_change(edge->log, now, "log", "limited", "open",
-			   "suppressed=%u", edge->log_suppressed);
-	edge->log_second = now / CLK_SECOND;
-	edge->log_lines = 1;
-	edge->log_suppressed = 0;
-	return true;
-}
-
-void edg_log(struct edg_edge *edge, const char *subject, const char *from,
-	     const char *to, const char *detail, ...)
-{
-	clk_ms now = edg_now(edge);
-	va_list args;
-	char *text;
-
-	if (!log_allows(edge, now))
-		return;
-	va_start(args, detail);
-	text = g_strdup_vprintf(detail, args);
-	va_end(args);
-	log_change(edge->log, now, subject, from, to, "%s", text);
-	g_free(text);
-}
-
 static bool is_ready(const struct edg_edge *edge)
 {
 	return edge->catalog && edge->fleet_known && !edge->is_draining &&
@@ -221,7 +186,8 @@
 	edge->engine_stall = (clk_ms)settings->engine_stall_ms;
 	edge->retry_part = settings->retry_part;
 	edge->retry_slack = (double)settings->retry_slack;
-	edge->log_limit = (unsigned)settings->log_lines_per_second;
+	lgb_init(&edge->log_budget, (unsigned)settings->log_lines_per_second,
+		 settings->log_bytes_per_second);
 	g_hash_table_remove_all(edge->budgets);
 }
 
--- /dev/null
+++ b/src/edge/edg_log.c
@@ -0,0 +1,160 @@
+#include <stdarg.h>
+#include <string.h>
+
+#include "edge/edg_private.h"
+
+/* Of a line beside its texts: the JSON around them and the time. */
+#define LINE_FRAME_BYTES 70
+/* Statuses of callers' mistakes. */
+#define FIRST_CALLER_STATUS 400
+#define LAST_CALLER_STATUS 499
+
+static void report_suppressed(struct edg_edge *edge, clk_ms now)
+{
+	unsigned suppressed[LGB_CLASSES];
+
+	if (!lgb_take_suppressed(&edge->log_budget, now, suppressed))
+		return;
+	log_change(edge->log, now, "log", "limited", "open",
+		   "suppressed: state=%u trouble=%u routine=%u improper=%u",
+		   suppressed[LGB_STATE], suppressed[LGB_TROUBLE],
+		   suppressed[LGB_ROUTINE], suppressed[LGB_IMPROPER]);
+}
+
+static void G_GNUC_PRINTF(7, 0)
+	write_line(struct edg_edge *edge, enum lgb_class class, uint64_t hash,
+		   const char *subject, const char *from, const char *to,
+		   const char *detail, va_list args)
+{
+	clk_ms now = edg_now(edge);
+	char *text;
+
+	report_suppressed(edge, now);
+	if (!lgb_allows(&edge->log_budget, now, class, hash)) {
+		ctr_add(edge->counters, "wf_log_lines_suppressed_total", 1);
+		return;
+	}
+	text = g_strdup_vprintf(detail, args);
+	lgb_count(&edge->log_budget, class,
+		  LINE_FRAME_BYTES + strlen(subject) + strlen(from) +
+			  strlen(to) + strlen(text));
+	log_change(edge->log, now, subject, from, to, "%s", text);
+	g_free(text);
+}
+
+void edg_log(struct edg_edge *edge, const char *subject, const char *from,
+	     const char *to, const char *detail, ...)
+{
+	va_list args;
+
+	va_start(args, detail);
+	write_line(edge, LGB_STATE, 0, subject, from, to, detail, args);
+	va_end(args);
+}
+
+void edg_log_send(struct edg_request *request, const char *to,
+		  const char *detail, ...)
+{
+	va_list args;
+
+	va_start(args, detail);
+	write_line(request->edge, LGB_TROUBLE, 0, "send", request->id, to,
+		   detail, args);
+	va_end(args);
+}
+
+/* What a stream's line adds: when its events came and over which path. */
+static void add_stream_details(const struct edg_request *request, GString *out)
+{
+	clk_ms first = request->first_event_at
+			       ? request->first_event_at - request->started
+			       : -1;
+
+	g_string_append_printf(out,
+			       " events=%u first_event_ms=%" G_GINT64_FORMAT
+			       " longest_pause_ms=%" G_GINT64_FORMAT
+			       " reroutes=%u",
+			       request->events.events, first,
+			       request->longest_pause, request->reroutes);
+	if (request->path) {
+		char *path =
+			request->edge->platform->ops->write_path(request->path);
+
+		g_string_append_printf(out, " path=%s", path);
+		g_free(path);
+	}
+}
+
+/* Whether the answer, or an event of it, came later than the route's
+ * objective. */
+static bool is_late(const struct edg_request *request, clk_ms now)
+{
+	const struct cat_route *route = request->route;
+	clk_ms took = now - request->started;
+
+	if (!route)
+		return false;
+	if (route->is_stream && request->first_event_at)
+		took = request->first_event_at - request->started;
+	return (route->objective && took > route->objective) ||
+	       (route->max_pause && request->longest_pause > route->max_pause);
+}
+
+static enum lgb_class class_of(const struct edg_request *request,
+			       const char *outcome, int status)
+{
+	bool has_answer =
+		!strcmp(outcome, "answered") || !strcmp(outcome, "streamed");
+
+	if (!request->service && status >= FIRST_CALLER_STATUS &&
+	    status <= LAST_CALLER_STATUS)
+		return LGB_IMPROPER;
+	if (has_answer && status <= LAST_CALLER_STATUS && request->sends == 1 &&
+	    !request->reroutes && !is_late(request, edg_now(request->edge)))
+		return LGB_ROUTINE;
+	return LGB_TROUBLE;
+}
+
+static void G_GNUC_PRINTF(5, 6)
+	write_end(struct edg_request *request, enum lgb_class class,
+		  const char *subject, const char *outcome, const char *detail,
+		  ...)
+{
+	va_list args;
+
+	va_start(args, detail);
+	write_line(request->edge, class,
+		   wf_hash(request->id, strlen(request->id), 0), subject,
+		   "accepted", outcome, detail, args);
+	va_end(args);
+}
+
+void edg_log_end(struct edg_request *request, const char *outcome, int status)
+{
+	struct edg_edge *edge = request->edge;
+	char *subject = g_strdup_printf("request %s", request->id);
+	clk_ms now = edg_now(edge);
+	char *counter = g_strdup_printf(
+		"wf_edge_requests_total{outcome=\"%s\"}", outcome);
+	GString *detail = g_string_new(NULL);
+
+	ctr_add(edge->counters, g_intern_string(counter), 1);
+	g_string_printf(detail,
+			"status=%d route=%s org=%s target=%s sends=%u late=%d "
+			"took_ms=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT
+			" config_age_ms=%" G_GINT64_FORMAT,
+			status, request->route ? request->route->name : "-",
+			request->org ? request->org->name : "-",
+			request->target ? request->target->id : "-",
+			request->sends, is_late(request, now),
+			now - request->started,
+			request->catalog ? cat_version(request->catalog) : -1,
+			now - edge->catalog_confirmed);
+	if (request->route && request->route->is_stream)
+		add_stream_details(request, detail);
+	write_end(request, class_of(request, outcome, status), subject, outcome,
+		  "%s", detail->str);
+	g_string_free(detail, TRUE);
+	g_free(counter);
+	g_free(subject);
+}
--- a/src/edge/edg_plain.c
+++ b/src/edge/edg_plain.c
@@ -53,9 +53,9 @@
 		deliver(request);
 		return;
 	}
-	edg_log(request->edge, "send", request->id, edg_outcome_name(outcome),
-		"target=%s status=%d end=%d send=%u", request->target->id,
-		request->status, (int)how, request->sends);
+	edg_log_send(request, edg_outcome_name(outcome),
+		     "target=%s status=%d end=%d send=%u", request->target->id,
+		     request->status, (int)how, request->sends);
 	if (edg_may_repeat(request, outcome)) {
 		send_next(request);
 		return;
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -7,6 +7,7 @@
 #include "edge/edg.h"
 #include "edge/evs.h"
 #include "edge/hsv.h"
+#include "edge/lgb.h"
 #include "edge/prs.h"
 
 struct ord_orders;
@@ -57,10 +58,7 @@
 	uv_timer_t drain_timer;
 	clk_ms drain_since;
 
-	clk_ms log_second;
-	unsigned log_lines;
-	unsigned log_limit;
-	unsigned log_suppressed;
+	struct lgb_budget log_budget;
 };
 
 /* A target on which a request ran, or may have run. */
@@ -151,10 +149,17 @@
 /* The request was not run and never will be; come back after a time. */
 void edg_refuse_not_run(struct edg_request *request, clk_ms retry_after,
 			const char *type, const char *message);
-void edg_log_end(struct edg_request *request, const char *outcome, int status);
 clk_ms edg_remaining(const struct edg_request *request);
 struct rty_budget *edg_budget(struct edg_edge *edge, const char *service);
 
+/* edg_log.c */
+/* A send that did not go as it should, or the change of a path. */
+G_GNUC_PRINTF(3, 4)
+void edg_log_send(struct edg_request *request, const char *to,
+		  const char *detail, ...);
+/* The end of a request. */
+void edg_log_end(struct edg_request *request, const char *outcome, int status);
+
 /* edg_metrics.c */
 /* Counts a request that was answered or whose stream began after so long. */
 void edg_observe(struct edg_edge *edge, bool is_stream, clk_ms took);
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -57,11 +57,11 @@
 	g_free(reroute_state);
 	if (!still_asked)
 		return;
-	edg_log(edge, "send", request->id,
-		result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
-		"head=%s result=%d at=%s after_event=%s order=%u",
-		request->target->id, (int)result, at ? at : "-",
-		request->events.last_id->str, request->reroute_orders);
+	edg_log_send(request,
+		     result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
+		     "head=%s result=%d at=%s after_event=%s order=%u",
+		     request->target->id, (int)result, at ? at : "-",
+		     request->events.last_id->str, request->reroute_orders);
 	if (result == EDG_ORDER_TAKEN) {
 		take_path(request);
 		return;
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -230,10 +230,10 @@
 	bool is_lost = edg_now(request->edge) < request->target->down_until;
 
 	if (may_resume(request, EDG_OUTCOME_UNKNOWN)) {
-		edg_log(request->edge, "send", request->id, "resumed",
-			"reason=%s head=%s after_event=%s send=%u", why,
-			request->target->id, request->events.last_id->str,
-			request->sends);
+		edg_log_send(request, "resumed",
+			     "reason=%s head=%s after_event=%s send=%u", why,
+			     request->target->id, request->events.last_id->str,
+			     request->sends);
 		send_next(request, false);
 	} else if (is_lost) {
 		give_up(request);
@@ -267,11 +267,11 @@
 	if (outcome == EDG_OUTCOME_ANSWERED)
 		outcome = EDG_OUTCOME_UNKNOWN;
 	note_failure(request, outcome);
-	edg_log(request->edge, "send", request->id, edg_outcome_name(outcome),
-		"head=%s status=%d end=%d at=%s after_event=%s send=%u",
-		request->target->id, request->status, (int)how,
-		request->failed_address ? request->failed_address : "-",
-		request->events.last_id->str, request->sends);
+	edg_log_send(request, edg_outcome_name(outcome),
+		     "head=%s status=%d end=%d at=%s after_event=%s send=%u",
+		     request->target->id, request->status, (int)how,
+		     request->failed_address ? request->failed_address : "-",
+		     request->events.last_id->str, request->sends);
 	go_on(request, outcome);
 }
 
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -151,8 +151,9 @@
 static const protobuf_c_boolean wf__edge_settings__fences_orders__default_value = 1;
 static const uint64_t wf__edge_settings__engine_stall_ms__default_value = 3000ull;
 static const uint64_t wf__edge_settings__log_lines_per_second__default_value = 400ull;
+static const uint64_t wf__edge_settings__log_bytes_per_second__default_value = 160000ull;
 static const uint64_t wf__edge_settings__seed__default_value = 0ull;
-static const ProtobufCFieldDescriptor wf__edge_settings__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wf__edge_settings__field_descriptors[17] =
 {
   {
     "instance",
@@ -346,6 +347,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "log_bytes_per_second",
+    18,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wf__EdgeSettings, has_log_bytes_per_second),
+    offsetof(Wf__EdgeSettings, log_bytes_per_second),
+    NULL,
+    &wf__edge_settings__log_bytes_per_second__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__edge_settings__field_indices_by_name[] = {
   2,   /* field[2] = caller_address */
@@ -355,6 +368,7 @@
   11,   /* field[11] = fences_orders */
   0,   /* field[0] = instance */
   5,   /* field[5] = key_removal_ms */
+  16,   /* field[16] = log_bytes_per_second */
   13,   /* field[13] = log_lines_per_second */
   9,   /* field[9] = max_descriptors */
   10,   /* field[10] = memory_mb */
@@ -369,7 +383,7 @@
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wf__edge_settings__descriptor =
 {
@@ -379,7 +393,7 @@
   "Wf__EdgeSettings",
   "wf",
   sizeof(Wf__EdgeSettings),
-  16,
+  17,
   wf__edge_settings__field_descriptors,
   wf__edge_settings__field_indices_by_name,
   2,  wf__edge_settings__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -84,10 +84,13 @@
   protobuf_c_boolean has_engine_stall_ms;
   uint64_t engine_stall_ms;
   /*
-   * Lines of the log in a second; more are counted, not written.
+   * Lines and bytes of the log in a second, shared out among classes of
+   * lines; more are counted, not written.
    */
   protobuf_c_boolean has_log_lines_per_second;
   uint64_t log_lines_per_second;
+  protobuf_c_boolean has_log_bytes_per_second;
+  uint64_t log_bytes_per_second;
   protobuf_c_boolean has_seed;
   uint64_t seed;
   /*
@@ -97,7 +100,7 @@
 };
 #define WF__EDGE_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__edge_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, 0, 5000ull, 0, 8000ull, 0, 0.2, 0, 50ull, 0, 1024ull, 0, 256ull, 0, 1, 0, 3000ull, 0, 400ull, 0, 0ull, NULL }
+    , NULL, NULL, NULL, NULL, NULL, 0, 5000ull, 0, 8000ull, 0, 0.2, 0, 50ull, 0, 1024ull, 0, 256ull, 0, 1, 0, 3000ull, 0, 400ull, 0, 160000ull, 0, 0ull, NULL }
 
 
 /*
--- a/src/schema/sch_edge.c
+++ b/src/schema/sch_edge.c
@@ -34,6 +34,7 @@
 	RANGE("memory_mb", MIN_MEMORY_MB, UINT32_MAX),
 	RANGE("engine_stall_ms", 1, CLK_HOUR),
 	RANGE("log_lines_per_second", 0, UINT32_MAX),
+	RANGE("log_bytes_per_second", 0, UINT32_MAX),
 };
 
 Wf__EdgeSettings *sch_edge_settings_parse(const char *text, size_t len,
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -8,6 +8,7 @@
 #include <wagtailferry/schema.h>
 
 #include "edge/evs.h"
+#include "edge/lgb.h"
 #include "edge/hdr.h"
 #include "edge/prs.h"
 #include "support/fleet.h"
@@ -259,6 +260,69 @@
 }
 END_TEST
 
+#define LOG_LINES 400
+#define LOG_BYTES 160000
+#define FLOOD_LINES 10000
+#define LINE_BYTES 300
+
+/* Lines of a class that are written in one second of a flood of them. */
+static unsigned flood(struct lgb_budget *budget, clk_ms at,
+		      enum lgb_class class)
+{
+	unsigned written = 0;
+	unsigned i;
+
+	for (i = 0; i < FLOOD_LINES; i++) {
+		clk_ms now = at + i * CLK_SECOND / FLOOD_LINES;
+
+		if (!lgb_allows(budget, now, class, wf_hash(&i, sizeof(i), 0)))
+			continue;
+		lgb_count(budget, class, LINE_BYTES);
+		written++;
+	}
+	return written;
+}
+
+/* Guards against a flood of improper requests that fills the log, or takes
+ * the lines of requests with trouble. */
+START_TEST(flood_leaves_other_lines_their_share)
+{
+	struct lgb_budget budget;
+	unsigned suppressed[LGB_CLASSES];
+	unsigned written;
+
+	lgb_init(&budget, LOG_LINES, LOG_BYTES);
+	ck_assert_uint_le(flood(&budget, 1000, LGB_IMPROPER), LOG_LINES / 20);
+	ck_assert_uint_ge(flood(&budget, 1000, LGB_TROUBLE), LOG_LINES / 4);
+	ck_assert(!lgb_take_suppressed(&budget, 1999, suppressed));
+	ck_assert(lgb_take_suppressed(&budget, 2000, suppressed));
+	ck_assert_uint_ge(suppressed[LGB_IMPROPER],
+			  FLOOD_LINES - LOG_LINES / 20);
+	ck_assert_uint_eq(suppressed[LGB_STATE], 0);
+	/* Later seconds are sampled evenly, near their share. */
+	written = flood(&budget, 2000, LGB_IMPROPER);
+	ck_assert_uint_le(written, LOG_LINES / 20);
+	ck_assert_uint_ge(written, LOG_LINES / 40);
+	ck_assert(lgb_allows(&budget, 2999, LGB_STATE, 0));
+}
+END_TEST
+
+/* Guards against long lines that exceed the bytes with few lines. */
+START_TEST(log_keeps_to_its_bytes)
+{
+	struct lgb_budget budget;
+	size_t bytes = 0;
+
+	lgb_init(&budget, LOG_LINES, LOG_BYTES);
+	while (lgb_allows(&budget, 1000, LGB_TROUBLE, 0)) {
+		lgb_count(&budget, LGB_TROUBLE, 4096);
+		bytes += 4096;
+	}
+	ck_assert_uint_le(bytes, LOG_BYTES / 2);
+	ck_assert_uint_gt(bytes, 0);
+}
+END_TEST
+
 /* The planned size: 43 instances a data centre, 390 in all. */
 #define NEAR_PEERS 42
 #define FAR_PEERS 347
@@ -420,6 +484,8 @@
 	tcase_add_loop_test(tcase, settings_are_checked, 0,
 			    G_N_ELEMENTS(settings_cases));
 	tcase_add_test(tcase, load_of_a_peer_counts_once);
+	tcase_add_test(tcase, flood_leaves_other_lines_their_share);
+	tcase_add_test(tcase, log_keeps_to_its_bytes);
 	tcase_add_test(tcase, load_of_a_silent_peer_is_forgotten);
 	tcase_add_test(tcase, reports_keep_to_their_bytes_at_the_planned_size);
 	tcase_add_test(tcase, seldom_reports_count_until_the_next);
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -635,6 +635,70 @@
 }
 END_TEST
 
+/* A second of a flood, over a few connections that stay open. */
+#define FLOOD_REQUESTS 10000
+#define FLOOD_CONNECTIONS 10
+/* A twentieth of the default setting's lines a second. */
+#define IMPROPER_LINES 20
+
+static unsigned lines_with(const struct platform_world *world, const char *text)
+{
+	const char *at = world->log_text->str;
+	unsigned lines = 0;
+
+	while ((at = strstr(at, text)) != NULL) {
+		at += strlen(text);
+		lines++;
+	}
+	return lines;
+}
+
+static bool has_refused_all(void *user)
+{
+	struct platform_world *world = user;
+
+	return ctr_get(world->counters,
+		       "wf_edge_requests_total{outcome=\"unauthenticated\"}") ==
+	       FLOOD_REQUESTS;
+}
+
+/* Guards against a flood of improper requests that fills the log, hides the
+ * requests with trouble, or leaves the others without an answer. */
+START_TEST(flood_of_improper_requests_neither_blocks_nor_fills_the_log)
+{
+	struct platform_world world;
+	struct wire_client *clients[FLOOD_CONNECTIONS];
+	const char *bad = "GET /read/ HTTP/1.1\r\nHost: h\r\n"
+			  "X-Wagtailferry-Attempt-Id: bad\r\n"
+			  "Authorization: Token none\r\n\r\n";
+	clk_ms began;
+	clk_ms seconds;
+	unsigned i;
+
+	open_plain(&world);
+	set_modes(&world, WORKER_FAILS);
+	began = edg_now(world.edge);
+	for (i = 0; i < FLOOD_CONNECTIONS; i++)
+		clients[i] = wire_client_new(&world.wire, world.address);
+	for (i = 0; i < FLOOD_REQUESTS; i++) {
+		wire_client_send(clients[i % FLOOD_CONNECTIONS], bad);
+		if (i % 100 == 0)
+			world_run(&world, 1);
+		if (i % (FLOOD_REQUESTS / 4) == 0)
+			expect(&world, "GET", "/read/", KEY, "HTTP/1.1 500 ");
+	}
+	wire_until(&world.wire, has_refused_all, &world);
+	seconds = (edg_now(world.edge) - began) / CLK_SECOND + 2;
+	ck_assert_uint_ge(lines_with(&world, "unauthenticated"), 1);
+	ck_assert_uint_le(lines_with(&world, "unauthenticated"),
+			  IMPROPER_LINES * (unsigned)seconds);
+	ck_assert_uint_eq(lines_with(&world, "\"answered\""), 4);
+	for (i = 0; i < FLOOD_CONNECTIONS; i++)
+		wire_client_drop(clients[i]);
+	world_close(&world);
+}
+END_TEST
+
 static bool is_drained(void *user)
 {
 	return ((struct platform_world *)user)->is_drained;
@@ -726,6 +790,9 @@
 	tcase_add_test(tcase, empty_engines_are_ordered_to_hold_layers);
 	tcase_add_test(tcase, duty_is_taken_over_from_a_silent_holder);
 	tcase_add_test(tcase, leaving_caller_ends_the_work);
+	tcase_add_test(
+		tcase,
+		flood_of_improper_requests_neither_blocks_nor_fills_the_log);
 	tcase_add_test(tcase, drain_leaves_the_balancer_and_serves_on);
 	tcase_add_test(tcase, callers_of_the_last_moment_are_answered);
 	return sup_run_case("edge_wire", tcase);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -510,7 +510,7 @@
 		"\"caller_address\":\"%s\",\"ready_address\":\"%s\","
 		"\"peer_address\":\"127.0.0.1:0\",\"store_address\":\"%s\","
 		"\"key_removal_ms\":3000,\"drain_limit_ms\":4000,\"seed\":7,"
-		"\"log_lines_per_second\":10000,\"retry_slack\":1000}",
+		"\"retry_slack\":1000}",
 		world->address, world->ready_address,
 		wire_server_address(world->store));
 	world->settings = sch_edge_settings_parse(text, strlen(text), &error);
