Let extended engines give up layers that others hold again

Now a plan without other changes trims such engines from the edge that others have more room for. Nothing is loaded for it.

--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -91,6 +91,7 @@
 	plc_fill_gaps(&group);
 	plc_add_copies(&group);
 	plc_relieve(&group);
+	plc_trim(&group);
 	report_changes(&group, changes);
 	g_free(group.ranges);
 	g_free(group.is_changed);
--- a/src/forward/plc_group.c
+++ b/src/forward/plc_group.c
@@ -359,6 +359,56 @@
 	return false;
 }
 
+/* Whether others have the room that the layer should have. */
+static bool can_give_up(const struct plc_group *group, guint i, unsigned layer)
+{
+	double own = room_of(group, engine_at(group, i), group->ranges[i]);
+
+	return group->cover[layer] > 1 &&
+	       group->room[layer] - own >= group->tokens * RELIEF_PART;
+}
+
+/* What is left of an engine's range; the edge goes first that others have
+ * more room for. */
+static struct flt_range trimmed(const struct plc_group *group, guint i)
+{
+	struct flt_range range = group->ranges[i];
+	unsigned most = plc_capacity_of(group, i);
+
+	while (range.end - range.first > most) {
+		bool from_end =
+			group->room[range.end - 1] > group->room[range.first];
+
+		if (!can_give_up(group, i,
+				 from_end ? range.end - 1 : range.first))
+			break;
+		if (from_end)
+			range.end--;
+		else
+			range.first++;
+	}
+	return range;
+}
+
+void plc_trim(struct plc_group *group)
+{
+	guint i;
+
+	if (has_changes(group))
+		return;
+	for (i = 0; i < group->engines->len; i++) {
+		struct flt_range range;
+
+		if (is_empty(group->ranges[i]) ||
+		    group->now < engine_at(group, i)->ordered_until)
+			continue;
+		range = trimmed(group, i);
+		if (range.first != group->ranges[i].first ||
+		    range.end != group->ranges[i].end)
+			assign(group, i, range);
+	}
+}
+
 /*
  * Moves one copy to layers that have far less room than they should, as after
  * a repair with too little memory.
--- a/src/forward/plc_private.h
+++ b/src/forward/plc_private.h
@@ -34,6 +34,10 @@
 /* Gives free engines copies of what has the least room. */
 void plc_add_copies(struct plc_group *group);
 
+/* Lets engines that hold more than leaves memory for the group's tokens give
+ * up layers at their edges that others have room for. */
+void plc_trim(struct plc_group *group);
+
 /* Moves one copy to layers that have far less room than they should. */
 void plc_relieve(struct plc_group *group);
 
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -162,6 +162,44 @@
 }
 END_TEST
 
+/*
+ * Guards against engines that keep the layers of lost neighbours, and little
+ * memory for requests, after others hold these layers again.
+ */
+START_TEST(extended_engine_gives_up_what_others_hold)
+{
+	struct world world;
+	const GPtrArray *targets;
+	struct flt_target *large = NULL;
+	struct flt_range before;
+	guint i;
+
+	build(&world);
+	targets = flt_targets(world.fleet);
+	for (i = 0; i < targets->len && !large; i++) {
+		struct flt_target *target = targets->pdata[i];
+
+		if (!strcmp(target->accelerator, "large") &&
+		    !strcmp(target->data_center, "b"))
+			large = target;
+	}
+	ck_assert_ptr_nonnull(large);
+	if (!large)
+		return;
+	before = large->holds;
+	if (before.first >= 4)
+		large->holds.first -= 4;
+	if (before.end + 4 <= FLT_TEST_LAYERS)
+		large->holds.end += 4;
+	ck_assert_uint_le(sup_carry_out(world.fleet, 10, world.service), 2);
+	ck_assert_uint_eq(large->holds.end - large->holds.first,
+			  before.end - before.first);
+	check_limits(&world);
+	ck_assert(has_copy(&world, 10, "b"));
+	teardown(&world);
+}
+END_TEST
+
 /* Guards against orders that follow each other without end. */
 START_TEST(random_events_end_in_a_stable_plan)
 {
@@ -266,6 +304,7 @@
 	tcase_add_test(
 		tcase,
 		engine_known_to_be_lost_is_replaced_before_its_entry_lapses);
+	tcase_add_test(tcase, extended_engine_gives_up_what_others_hold);
 	tcase_add_loop_test(tcase, random_events_end_in_a_stable_plan, 0,
 			    SEEDS);
 	tcase_add_test(tcase, orders_on_their_way_count);
