--- a/include/wagtailferry/schema.h
+++ b/include/wagtailferry/schema.h
@@ -39,6 +39,10 @@
 				const struct sch_rule *rules, size_t n_rules,
 				GError **error);
 
+/* The text of a file, to be freed with g_free(). NULL and ERR_IO if it can't be
+ * read. */
+char *sch_read_file(const char *path, size_t *len, GError **error);
+
 /*
  * Reads and checks the settings of an instance. Returns NULL and sets
  * ERR_BAD_SETTINGS if the text is refused. Free with sch_settings_free().
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "daemon/drv.h"
+#include "daemon/net.h"
 
 /* Same exit codes as the operators' command. */
 #define EXIT_REFUSED 1
@@ -75,25 +76,6 @@
 	uv_signal_start(signal, on_signal, number);
 }
 
-static void on_close_limit(uv_timer_t *timer)
-{
-	uv_stop(timer->loop);
-}
-
-/* Lets the loop finish what the closed parts still hold. */
-static void finish_loop(uv_loop_t *loop)
-{
-	uv_timer_t limit;
-
-	uv_timer_init(loop, &limit);
-	uv_timer_start(&limit, on_close_limit, CLOSE_LIMIT_MS, 0);
-	uv_unref((uv_handle_t *)&limit);
-	uv_run(loop, UV_RUN_DEFAULT);
-	uv_close((uv_handle_t *)&limit, NULL);
-	uv_run(loop, UV_RUN_NOWAIT);
-	uv_loop_close(loop);
-}
-
 static int run_driver(struct drv_config *config)
 {
 	uv_signal_t terminate;
@@ -104,7 +86,7 @@
 	if (!driver) {
 		fprintf(stderr, "wagtailferryd: %s\n", error->message);
 		g_error_free(error);
-		finish_loop(config->loop);
+		net_finish_loop(config->loop, CLOSE_LIMIT_MS);
 		return EXIT_REFUSED;
 	}
 	watch_signal(config->loop, &terminate, SIGTERM, driver);
@@ -125,7 +107,7 @@
 	uv_close((uv_handle_t *)&terminate, NULL);
 	uv_close((uv_handle_t *)&interrupt, NULL);
 	drv_drop(driver);
-	finish_loop(config->loop);
+	net_finish_loop(config->loop, CLOSE_LIMIT_MS);
 	return EXIT_SUCCESS;
 }
 
--- a/src/daemon/net.c
+++ b/src/daemon/net.c
@@ -22,3 +22,21 @@
 	*out = accept(fd, NULL, NULL);
 	return *out >= 0;
 }
+
+static void on_close_limit(uv_timer_t *timer)
+{
+	uv_stop(timer->loop);
+}
+
+void net_finish_loop(uv_loop_t *loop, clk_ms limit)
+{
+	uv_timer_t timer;
+
+	uv_timer_init(loop, &timer);
+	uv_timer_start(&timer, on_close_limit, (uint64_t)limit, 0);
+	uv_unref((uv_handle_t *)&timer);
+	uv_run(loop, UV_RUN_DEFAULT);
+	uv_close((uv_handle_t *)&timer, NULL);
+	uv_run(loop, UV_RUN_NOWAIT);
+	uv_loop_close(loop);
+}
--- a/src/daemon/net.h
+++ b/src/daemon/net.h
@@ -15,4 +15,8 @@
  */
 bool net_accept_waiting(uv_tcp_t *listener, uv_os_sock_t *out);
 
+/* Lets a loop finish the handles that are being closed, for a time at most,
+ * and closes it. */
+void net_finish_loop(uv_loop_t *loop, clk_ms limit);
+
 #endif
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -103,6 +103,7 @@
 };
 
 struct edg_duty *edg_duty_new(void);
+struct edg_duty *edg_duty_copy(const struct edg_duty *duty);
 void edg_duty_free(struct edg_duty *duty);
 void edg_duty_assign(struct edg_duty *duty, const char *target_id,
 		     struct flt_range range);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -151,6 +151,9 @@
 /* The limit counts engines, so a head that lives may run it again. */
 static bool is_at_limit(const struct edg_request *request)
 {
+#ifdef WF_GUARD_OFF_EDGE_LIVING_RUNS
+	return false;
+#endif
 	return edg_living_runs(request) >= MAX(request->route->max_attempts, 1);
 }
 
--- /dev/null
+++ b/src/edge/hsv_conn.c
@@ -0,0 +1,319 @@
+#include <string.h>
+
+#include "edge/hsv_private.h"
+
+/* A caller that leaves so much of a stream unread is given up. */
+#define MAX_UNWRITTEN_BYTES (1 << 20)
+
+struct write {
+	uv_write_t request;
+	GString *bytes;
+};
+
+void hsv_set_phase(struct hsv_conn *conn, enum hsv_phase phase)
+{
+	conn->phase = phase;
+	conn->phase_since = (clk_ms)uv_now(conn->server->loop);
+}
+
+static void on_conn_closed(uv_handle_t *handle)
+{
+	struct hsv_conn *conn = handle->data;
+
+	hdr_builder_clear(&conn->builder);
+	hdr_clear(&conn->request.headers);
+	g_free(conn->request.method);
+	g_free(conn->request.url);
+	g_string_free(conn->request.body, TRUE);
+	g_string_free(conn->url, TRUE);
+	g_string_free(conn->ahead, TRUE);
+	hsv_server_unref(conn->server);
+	g_free(conn);
+}
+
+static void uncount_body(struct hsv_conn *conn)
+{
+	conn->server->body_bytes -= conn->counted_body;
+	conn->counted_body = 0;
+}
+
+void hsv_close(struct hsv_conn *conn)
+{
+	struct hsv_server *server = conn->server;
+
+	if (conn->is_closing)
+		return;
+	conn->is_closing = true;
+	uncount_body(conn);
+	if (conn->prev)
+		conn->prev->next = conn->next;
+	else
+		server->conns = conn->next;
+	if (conn->next)
+		conn->next->prev = conn->prev;
+	server->n_conns--;
+	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
+static void on_written(uv_write_t *request, int status)
+{
+	struct write *write = request->data;
+
+	/* A failed write shows as an end when reading. */
+	(void)status;
+	g_string_free(write->bytes, TRUE);
+	g_free(write);
+}
+
+void hsv_send(struct hsv_conn *conn, GString *bytes)
+{
+	struct write *write;
+	uv_buf_t buffer;
+
+	if (conn->is_closing) {
+		g_string_free(bytes, TRUE);
+		return;
+	}
+	write = g_new0(struct write, 1);
+	write->bytes = bytes;
+	write->request.data = write;
+	buffer = uv_buf_init(bytes->str, (unsigned)bytes->len);
+	if (uv_write(&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
+		     on_written)) {
+		g_string_free(bytes, TRUE);
+		g_free(write);
+	}
+}
+
+static void on_shutdown(uv_shutdown_t *request, int status)
+{
+	(void)status;
+	g_free(request);
+}
+
+/* Sends the end of our side and waits for that of the caller. */
+static void linger(struct hsv_conn *conn)
+{
+	uv_shutdown_t *request = g_new0(uv_shutdown_t, 1);
+
+	hsv_set_phase(conn, PHASE_LINGER);
+	if (uv_shutdown(request, (uv_stream_t *)&conn->tcp, on_shutdown)) {
+		g_free(request);
+		hsv_close(conn);
+	}
+}
+
+static const char *reason(int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 401:
+		return "Unauthorized";
+	case 404:
+		return "Not Found";
+	case 408:
+		return "Request Timeout";
+	case 413:
+		return "Content Too Large";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 500:
+		return "Internal Server Error";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Status";
+	}
+}
+
+static bool will_close(const struct hsv_conn *conn)
+{
+	return !conn->keeps_alive || conn->server->closes_after_answers;
+}
+
+static GString *start_head(struct hsv_conn *conn, int status,
+			   const char *headers)
+{
+	GString *out = g_string_new(NULL);
+
+	g_string_printf(out, "HTTP/1.1 %d %s\r\n", status, reason(status));
+	g_string_append(out, headers);
+	if (will_close(conn))
+		g_string_append(out, "Connection: close\r\n");
+	return out;
+}
+
+/* Refuses what is no proper request, and ends the connection. */
+void hsv_refuse(struct hsv_conn *conn, int status)
+{
+	char *body = g_strdup_printf(
+		"{\"error\":{\"type\":\"bad_request\",\"message\":\"%s\"}}",
+		reason(status));
+	GString *out;
+
+	ctr_add(conn->server->counters, "wf_edge_improper_requests_total", 1);
+	conn->keeps_alive = false;
+	out = start_head(conn, status, "Content-Type: application/json\r\n");
+	g_string_append_printf(out, "Content-Length: %zu\r\n\r\n%s",
+			       strlen(body), body);
+	g_free(body);
+	hsv_send(conn, out);
+	linger(conn);
+}
+
+static void leave(struct hsv_conn *conn)
+{
+	struct hsv_server *server = conn->server;
+	bool had_request = conn->phase == PHASE_ANSWER;
+
+	hsv_close(conn);
+	if (had_request)
+		server->ops->gone(server->user, &conn->request);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	struct hsv_conn *conn = handle->data;
+
+	(void)suggested;
+	*buffer = uv_buf_init(conn->server->buffer, HSV_READ_BYTES);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buffer)
+{
+	struct hsv_conn *conn = stream->data;
+
+	if (conn->is_closing || !n)
+		return;
+	if (n < 0) {
+		leave(conn);
+		return;
+	}
+	if (conn->phase == PHASE_LINGER)
+		return;
+	if (conn->phase == PHASE_ANSWER)
+		hsv_keep_ahead(conn, buffer->base, (size_t)n);
+	else
+		hsv_parse(conn, buffer->base, (size_t)n);
+}
+
+struct hsv_conn *hsv_conn_new(struct hsv_server *server)
+{
+	struct hsv_conn *conn = g_new0(struct hsv_conn, 1);
+
+	conn->server = server;
+	server->refs++;
+	uv_tcp_init(server->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	conn->request.conn = conn;
+	conn->request.body = g_string_new(NULL);
+	conn->url = g_string_new(NULL);
+	conn->ahead = g_string_new(NULL);
+	hdr_init(&conn->request.headers);
+	hdr_builder_init(&conn->builder);
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+	conn->next = server->conns;
+	if (server->conns)
+		server->conns->prev = conn;
+	server->conns = conn;
+	server->n_conns++;
+	hsv_set_phase(conn, PHASE_IDLE);
+	return conn;
+}
+
+void hsv_conn_open(struct hsv_conn *conn, int result)
+{
+	struct hsv_server *server = conn->server;
+
+	if (result || server->n_conns > server->limits.connections) {
+		ctr_add(server->counters, "wf_edge_connections_refused_total",
+			1);
+		hsv_close(conn);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_tcp_keepalive(&conn->tcp, 1, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+/* The answer is written: goes on with the connection's next request. */
+static void next_request(struct hsv_conn *conn)
+{
+	GString *ahead;
+
+	uncount_body(conn);
+	conn->is_chunked = false;
+	if (will_close(conn)) {
+		linger(conn);
+		return;
+	}
+	hsv_set_phase(conn, PHASE_IDLE);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	if (!conn->ahead->len)
+		return;
+	ahead = conn->ahead;
+	conn->ahead = g_string_new(NULL);
+	hsv_parse(conn, ahead->str, ahead->len);
+	g_string_free(ahead, TRUE);
+}
+
+void hsv_answer(struct hsv_request *request, int status, const char *headers,
+		const char *body, size_t len)
+{
+	struct hsv_conn *conn = request->conn;
+	GString *out = start_head(conn, status, headers);
+
+	g_string_append_printf(out, "Content-Length: %zu\r\n\r\n", len);
+	if (strcmp(request->method, "HEAD") != 0)
+		g_string_append_len(out, body, (gssize)len);
+	hsv_send(conn, out);
+	next_request(conn);
+}
+
+void hsv_begin(struct hsv_request *request, int status, const char *headers)
+{
+	GString *out = start_head(request->conn, status, headers);
+
+	g_string_append(out, "Transfer-Encoding: chunked\r\n\r\n");
+	request->conn->is_chunked = true;
+	hsv_send(request->conn, out);
+}
+
+bool hsv_add(struct hsv_request *request, const char *bytes, size_t len)
+{
+	struct hsv_conn *conn = request->conn;
+	GString *out;
+
+	if (!len)
+		return true;
+	if (uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp) >
+	    MAX_UNWRITTEN_BYTES) {
+		hsv_close(conn);
+		return false;
+	}
+	out = g_string_sized_new(len + 16);
+	g_string_printf(out, "%zx\r\n", len);
+	g_string_append_len(out, bytes, (gssize)len);
+	g_string_append(out, "\r\n");
+	hsv_send(conn, out);
+	return true;
+}
+
+void hsv_end(struct hsv_request *request)
+{
+	hsv_send(request->conn, g_string_new("0\r\n\r\n"));
+	next_request(request->conn);
+}
+
+void hsv_abort(struct hsv_request *request)
+{
+	hsv_close(request->conn);
+}
--- /dev/null
+++ b/src/edge/hup_parse.c
@@ -0,0 +1,140 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/hup_private.h"
+
+/* Used where an answer does not say how long it stays open. */
+#define DEFAULT_KEEP_ALIVE_MS 4000
+
+static struct hup_exchange *active(const struct hup_conn *conn)
+{
+	return conn->is_closing ? NULL : conn->exchange;
+}
+
+static int on_message_begin(http_parser *parser)
+{
+	struct hup_conn *conn = parser->data;
+
+	hdr_reset(&conn->response.headers);
+	conn->is_skipping = false;
+	return active(conn) ? 0 : -1;
+}
+
+static int on_header_field(http_parser *parser, const char *at, size_t len)
+{
+	struct hup_conn *conn = parser->data;
+
+	hdr_builder_name(&conn->builder, &conn->response.headers, at, len);
+	return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *at, size_t len)
+{
+	struct hup_conn *conn = parser->data;
+
+	hdr_builder_value(&conn->builder, at, len);
+	return 0;
+}
+
+static clk_ms stated_keep_alive(const struct hdr_list *headers)
+{
+	const char *value = hdr_get(headers, "Keep-Alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+
+	if (!timeout)
+		return DEFAULT_KEEP_ALIVE_MS;
+	return (clk_ms)strtoul(timeout + strlen("timeout="), NULL, 10) *
+	       CLK_SECOND;
+}
+
+static bool is_for(const struct hup_exchange *exchange,
+		   const struct hup_response *response)
+{
+	const char *id;
+
+#ifdef WF_GUARD_OFF_EDGE_ANSWER_ID
+	return true;
+#endif
+	if (!exchange->id_header)
+		return true;
+	id = hdr_get(&response->headers, exchange->id_header);
+	return !id || !strcmp(id, exchange->id);
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	struct hup_conn *conn = parser->data;
+	struct hup_exchange *exchange = active(conn);
+
+	hdr_builder_end(&conn->builder, &conn->response.headers);
+	if (!exchange)
+		return -1;
+	conn->response.status = (int)parser->status_code;
+	conn->is_skipping =
+		parser->status_code < 200 || !is_for(exchange, &conn->response);
+	if (conn->is_skipping) {
+		if (parser->status_code >= 200)
+			ctr_add(conn->client->counters,
+				"wf_upstream_stale_answers_total", 1);
+		return 0;
+	}
+	conn->keep_alive = stated_keep_alive(&conn->response.headers);
+	exchange->ops->head(exchange->user, &conn->response);
+	if (!active(conn))
+		return -1;
+	return exchange->is_head ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct hup_conn *conn = parser->data;
+	struct hup_exchange *exchange = active(conn);
+
+	if (!exchange)
+		return -1;
+	if (conn->is_skipping)
+		return 0;
+	exchange->ops->data(exchange->user, at, len);
+	return active(conn) ? 0 : -1;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	struct hup_conn *conn = parser->data;
+
+	if (!active(conn))
+		return -1;
+	if (conn->is_skipping)
+		return 0;
+	conn->is_complete = true;
+	conn->may_keep = http_should_keep_alive(parser) != 0;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+void hup_parse(struct hup_conn *conn, const char *bytes, size_t len)
+{
+	size_t used = http_parser_execute(&conn->parser, &parser_settings,
+					  bytes, len);
+
+	if (conn->is_closing || !conn->exchange)
+		return;
+	if (conn->is_complete) {
+		if (used < len)
+			conn->may_keep = false;
+		http_parser_pause(&conn->parser, 0);
+		hup_finish(conn, HUP_COMPLETE);
+		return;
+	}
+	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+		hup_finish(conn, len ? HUP_GARBLED : HUP_BROKEN);
+}
--- /dev/null
+++ b/src/edge/hup_private.h
@@ -0,0 +1,69 @@
+#ifndef EDGE_HUP_PRIVATE_H
+#define EDGE_HUP_PRIVATE_H
+
+/* Private to the client of targets. */
+
+#include <http_parser.h>
+
+#include "edge/hup.h"
+
+#define HUP_READ_BYTES 16384
+
+struct hup_conn {
+	uv_tcp_t tcp;
+	struct hup_client *client;
+	char *address;
+	http_parser parser;
+	struct hdr_builder builder;
+	struct hup_response response;
+	/* NULL while idle. */
+	struct hup_exchange *exchange;
+	bool is_connected;
+	bool is_closing;
+	/* The message that is read now belongs to another request. */
+	bool is_skipping;
+	/* The exchange's answer is whole. */
+	bool is_complete;
+	bool may_keep;
+	unsigned writes;
+	clk_ms idle_since;
+	clk_ms keep_alive;
+	struct hup_conn *next;
+	struct hup_conn *prev;
+};
+
+struct hup_exchange {
+	struct hup_conn *conn;
+	const struct hup_ops *ops;
+	void *user;
+	GString *bytes;
+	bool is_head;
+	char *id_header;
+	char *id;
+	uv_timer_t timer;
+	clk_ms timeout;
+	clk_ms started;
+};
+
+struct hup_client {
+	uv_loop_t *loop;
+	struct ctr_set *counters;
+	/* Address to GQueue of idle connections, the newest first. */
+	GHashTable *idle;
+	struct hup_conn *conns;
+	uv_timer_t sweep;
+	/* One for the owner and one for each open handle. */
+	int refs;
+	bool is_closed;
+	char buffer[HUP_READ_BYTES];
+};
+
+/* hup.c */
+/* Ends the connection's exchange; keeps the connection if it may be. */
+void hup_finish(struct hup_conn *conn, enum hup_end how);
+
+/* hup_parse.c */
+/* Reads a part of an answer; len 0 tells the end of the connection. */
+void hup_parse(struct hup_conn *conn, const char *bytes, size_t len);
+
+#endif
--- a/src/forward/pth.c
+++ b/src/forward/pth.c
@@ -1,4 +1,44 @@
-#include <wagtailferry/fleet.h>
+#include "forward/pth_private.h"
+
+static void stage_clear(gpointer data)
+{
+	flt_target_drop(((struct pth_stage *)data)->target);
+}
+
+bool pth_prepend(struct pth_path *path, struct pth_stage stage)
+{
+	struct flt_target *target = stage.target;
+	guint i;
+
+	if (path->stages->len) {
+		struct pth_stage *first =
+			&g_array_index(path->stages, struct pth_stage, 0);
+
+		if (first->target == target &&
+		    first->range.first == stage.range.end) {
+			first->range.first = stage.range.first;
+			first->read_ms += stage.read_ms;
+			return true;
+		}
+	}
+	for (i = 0; i < path->stages->len; i++) {
+		if (g_array_index(path->stages, struct pth_stage, i).target ==
+		    target)
+			return false;
+	}
+	flt_target_keep(target);
+	g_array_prepend_val(path->stages, stage);
+	return true;
+}
+
+struct pth_path *pth_new(void)
+{
+	struct pth_path *path = g_new0(struct pth_path, 1);
+
+	path->stages = g_array_new(FALSE, TRUE, sizeof(struct pth_stage));
+	g_array_set_clear_func(path->stages, stage_clear);
+	return path;
+}
 
 void pth_free(struct pth_path *path)
 {
--- a/src/forward/pth_search.c
+++ b/src/forward/pth_search.c
@@ -1,7 +1,7 @@
 #include <math.h>
 #include <string.h>
 
-#include <wagtailferry/fleet.h>
+#include "forward/pth_private.h"
 
 /* Time for activations and queueing at each further stage, in ms. */
 #define STAGE_MS 0.3
@@ -282,47 +282,6 @@
 	}
 }
 
-static void stage_clear(gpointer data)
-{
-	flt_target_drop(((struct pth_stage *)data)->target);
-}
-
-/* Joins neighbouring stages at the same engine; an engine may appear once. */
-static bool add_stage(struct pth_path *path, struct pth_stage stage)
-{
-	struct flt_target *target = stage.target;
-	guint i;
-
-	if (path->stages->len) {
-		struct pth_stage *first =
-			&g_array_index(path->stages, struct pth_stage, 0);
-
-		if (first->target == target &&
-		    first->range.first == stage.range.end) {
-			first->range.first = stage.range.first;
-			first->read_ms += stage.read_ms;
-			return true;
-		}
-	}
-	for (i = 0; i < path->stages->len; i++) {
-		if (g_array_index(path->stages, struct pth_stage, i).target ==
-		    target)
-			return false;
-	}
-	flt_target_keep(target);
-	g_array_prepend_val(path->stages, stage);
-	return true;
-}
-
-static struct pth_path *path_new(void)
-{
-	struct pth_path *path = g_new0(struct pth_path, 1);
-
-	path->stages = g_array_new(FALSE, TRUE, sizeof(struct pth_stage));
-	g_array_set_clear_func(path->stages, stage_clear);
-	return path;
-}
-
 static bool is_start(const struct search *search, int boundary)
 {
 	const struct pth_path *present = search->query->present;
@@ -335,7 +294,7 @@
 
 static struct pth_path *trace_back(const struct search *search, unsigned center)
 {
-	struct pth_path *path = path_new();
+	struct pth_path *path = pth_new();
 	int boundary = search->n_boundaries - 1;
 
 	while (!is_start(search, boundary)) {
@@ -350,7 +309,7 @@
 		unsigned layers = stage.range.end - stage.range.first;
 
 		stage.read_ms = engine->layer_read_ms * layers;
-		if (!add_stage(path, stage)) {
+		if (!pth_prepend(path, stage)) {
 			pth_free(path);
 			return NULL;
 		}
@@ -363,7 +322,7 @@
 			search->query->present->stages, struct pth_stage, 0);
 
 		head.read_ms = 0;
-		if (!add_stage(path, head)) {
+		if (!pth_prepend(path, head)) {
 			pth_free(path);
 			return NULL;
 		}
--- a/src/schema/sch_edge.c
+++ b/src/schema/sch_edge.c
@@ -48,15 +48,11 @@
 Wf__EdgeSettings *sch_edge_settings_read(const char *path, GError **error)
 {
 	Wf__EdgeSettings *settings;
-	GError *problem = NULL;
-	char *text;
-	gsize len;
+	size_t len;
+	char *text = sch_read_file(path, &len, error);
 
-	if (!g_file_get_contents(path, &text, &len, &problem)) {
-		g_set_error(error, ERR_DOMAIN, ERR_IO, "%s", problem->message);
-		g_error_free(problem);
+	if (!text)
 		return NULL;
-	}
 	settings = sch_edge_settings_parse(text, len, error);
 	if (!settings)
 		g_prefix_error(error, "%s: ", path);
--- a/src/schema/sch_json.c
+++ b/src/schema/sch_json.c
@@ -326,3 +326,15 @@
 	json_decref(root);
 	return message;
 }
+
+char *sch_read_file(const char *path, size_t *len, GError **error)
+{
+	GError *problem = NULL;
+	char *text;
+
+	if (g_file_get_contents(path, &text, len, &problem))
+		return text;
+	g_set_error(error, ERR_DOMAIN, ERR_IO, "%s", problem->message);
+	g_error_free(problem);
+	return NULL;
+}
--- a/src/tool/cmd_explain.c
+++ b/src/tool/cmd_explain.c
@@ -30,6 +30,8 @@
 	/* Files and targets that the request's own lines name. */
 	GHashTable *files;
 	GHashTable *targets;
+	/* Addresses of its paths. */
+	GHashTable *addresses;
 	clk_ms begin;
 	clk_ms end;
 	unsigned unread;
@@ -111,6 +113,18 @@
 		    : 0;
 }
 
+/* "ADDRESS=FIRST-END" of each stage, or one address. */
+static void note_addresses(struct search *search, const char *path)
+{
+	char **stages = g_strsplit(path, ",", -1);
+	size_t i;
+
+	for (i = 0; stages[i]; i++)
+		g_hash_table_add(search->addresses,
+				 g_strndup(stages[i], strcspn(stages[i], "=")));
+	g_strfreev(stages);
+}
+
 static void note_targets(struct search *search, const char *detail)
 {
 	char **words = g_strsplit(detail, " ", -1);
@@ -122,10 +136,36 @@
 		if (value && (g_str_has_prefix(words[i], "target=") ||
 			      g_str_has_prefix(words[i], "head=")))
 			g_hash_table_add(search->targets, g_strdup(value + 1));
+		if (value && (g_str_has_prefix(words[i], "path=") ||
+			      g_str_has_prefix(words[i], "at=")))
+			note_addresses(search, value + 1);
 	}
 	g_strfreev(words);
 }
 
+/* Targets that were listed at one of the request's addresses before its end. */
+static void name_addresses(struct search *search)
+{
+	guint i;
+
+	for (i = 0; i < search->entries->len; i++) {
+		const struct entry *entry = entry_at(search, i);
+		const char *address = strstr(entry->detail, "address=");
+		char *text;
+
+		if (!address || entry->time > search->end ||
+		    !g_str_has_prefix(entry->subject, "target "))
+			continue;
+		address += strlen("address=");
+		text = g_strndup(address, strcspn(address, " "));
+		if (g_hash_table_contains(search->addresses, text))
+			g_hash_table_add(
+				search->targets,
+				g_strdup(entry->subject + strlen("target ")));
+		g_free(text);
+	}
+}
+
 static void choose_own(struct search *search)
 {
 	guint i;
@@ -241,6 +281,7 @@
 			    search->id, search->entries->len, search->unread);
 		return cmd_report(env, error);
 	}
+	name_addresses(search);
 	choose_related(search);
 	g_array_sort(search->entries, compare_entries);
 	if (env->json)
@@ -260,9 +301,12 @@
 	search.files = g_hash_table_new(g_str_hash, g_str_equal);
 	search.targets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	search.addresses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	code = explain(env, &search);
 	g_array_unref(search.entries);
 	g_hash_table_unref(search.files);
 	g_hash_table_unref(search.targets);
+	g_hash_table_unref(search.addresses);
 	return code;
 }
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -239,16 +239,6 @@
 
 /* Workers */
 
-static char *header_of(const char *request, const char *name)
-{
-	char *line = g_strdup_printf("\r\n%s: ", name);
-	const char *found = strstr(request, line);
-	const char *value = found ? found + strlen(line) : NULL;
-
-	g_free(line);
-	return value ? g_strndup(value, strcspn(value, "\r")) : NULL;
-}
-
 static void answer_report(struct worker *worker, struct wire_conn *conn)
 {
 	json_t *report = json_pack("{s:I,s:b,s:i,s:[]}", "sequence",
@@ -295,7 +285,7 @@
 
 static char *signed_head(const char *request, const char *rest)
 {
-	char *id = header_of(request, "X-Wagtailferry-Attempt-Id");
+	char *id = wire_header(request, "X-Wagtailferry-Attempt-Id");
 	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\n"
 				     "X-Wagtailferry-Attempt-Id: %s\r\n"
 				     "X-Wagtailferry-Server-Stamp: sig\r\n%s",
@@ -308,7 +298,7 @@
 static void send_stream(struct worker *worker, struct wire_conn *conn,
 			const char *request)
 {
-	char *last = header_of(request, "Last-Event-Id");
+	char *last = wire_header(request, "Last-Event-Id");
 	char *head = signed_head(request, "Transfer-Encoding: chunked\r\n\r\n");
 
 	wire_send(conn, head);
--- a/tests/soak/worker.c
+++ b/tests/soak/worker.c
@@ -26,16 +26,6 @@
 	char *id;
 };
 
-static char *header_of(const char *request, const char *name)
-{
-	char *line = g_strdup_printf("\r\n%s: ", name);
-	const char *found = strstr(request, line);
-	const char *value = found ? found + strlen(line) : NULL;
-
-	g_free(line);
-	return value ? g_strndup(value, strcspn(value, "\r")) : NULL;
-}
-
 static void stream_free(gpointer data)
 {
 	struct soak_stream *stream = data;
@@ -176,8 +166,8 @@
 {
 	struct soak_stream *stream;
 	struct soak_worker *lost;
-	char *path = header_of(request, ptf_fields.path);
-	char *last = header_of(request, ptf_fields.last_event_id);
+	char *path = wire_header(request, ptf_fields.path);
+	char *last = wire_header(request, ptf_fields.last_event_id);
 
 	if (!path || !check_path(worker->soak, path, &lost)) {
 		refuse(conn, 421);
@@ -381,8 +371,8 @@
 		take_order(worker, conn, strstr(request, "\r\n\r\n") + 4);
 		return;
 	}
-	id = header_of(request, ptf_fields.attempt_id);
-	expected = header_of(request, ptf_fields.target_id);
+	id = wire_header(request, ptf_fields.attempt_id);
+	expected = wire_header(request, ptf_fields.target_id);
 	if (!id || (expected && strcmp(expected, worker->id) != 0))
 		refuse(conn, id ? 421 : 400);
 	else if (worker->is_engine)
--- a/tests/support/wire/wire.h
+++ b/tests/support/wire/wire.h
@@ -50,6 +50,9 @@
 /* Cuts all connections and stops listening; wire_close() finishes it. */
 void wire_server_drop(struct wire_server *server);
 
+/* The value of a request's header line, to be freed, or NULL. */
+char *wire_header(const char *request, const char *name);
+
 void wire_send(struct wire_conn *conn, const char *text);
 /* Sends a whole answer with Content-Length. extra: header lines or "". */
 void wire_answer(struct wire_conn *conn, int status, const char *extra,
--- a/tests/support/wire/wire_server.c
+++ b/tests/support/wire/wire_server.c
@@ -283,3 +283,13 @@
 	uv_close((uv_handle_t *)tcp, (uv_close_cb)g_free);
 	return address;
 }
+
+char *wire_header(const char *request, const char *name)
+{
+	char *line = g_strdup_printf("\r\n%s: ", name);
+	const char *found = strstr(request, line);
+	const char *value = found ? found + strlen(line) : NULL;
+
+	g_free(line);
+	return value ? g_strndup(value, strcspn(value, "\r")) : NULL;
+}
--- a/tests/tool_explain_test.c
+++ b/tests/tool_explain_test.c
@@ -26,11 +26,20 @@
 			     "head=t2 status=0 end=2 send=1")
 				LINE(7200, "request abc", "accepted",
 				     "streamed",
-				     "status=200 target=t3 took_ms=500")
+				     "status=200 target=t3 took_ms=500 "
+				     "path=10.0.0.3:1=0-4,10.0.0.5:1=4-8")
 					LINE(7300, "target t1", "avoided",
 					     "in use",
 					     "after the end") "no line of a "
 							      "log\n";
+static const char *const path_log =
+	LINE(500, "target t5", "listed", "taken over", "address=10.0.0.5:1 x=1")
+		LINE(500, "target t6", "listed", "taken over",
+		     "address=10.0.0.5:11 x=1")
+			LINE(7020, "target t5", "in use", "avoided",
+			     "reason=no_report_yet")
+				LINE(7020, "target t6", "in use", "avoided",
+				     "reason=not on the path");
 static const char *const second_log =
 	LINE(7000, "store", "asked", "failed", "another instance");
 
@@ -50,7 +59,8 @@
 	const char *build = g_getenv("WF_BUILD");
 	char *tool =
 		g_build_filename(build ? build : "build", "wagtailferry", NULL);
-	char *first = write_log("first", first_log);
+	char *text = g_strconcat(first_log, path_log, NULL);
+	char *first = write_log("first", text);
 	char *second = write_log("second", second_log);
 	char *argv[] = {tool,	"explain",	(char *)id, first,
 			second, (char *)option, NULL};
@@ -62,6 +72,7 @@
 	unlink(first);
 	unlink(second);
 	g_free(tool);
+	g_free(text);
 	g_free(first);
 	g_free(second);
 	return status;
@@ -89,6 +100,8 @@
 	ck_assert_ptr_nonnull(strstr(out, "send: abc -> unknown"));
 	ck_assert_ptr_nonnull(strstr(out, "target t1: in use -> avoided"));
 	ck_assert_ptr_nonnull(strstr(out, "version=4"));
+	ck_assert_ptr_nonnull(strstr(out, "target t5: in use -> avoided"));
+	ck_assert_ptr_null(strstr(out, "t6"));
 	ck_assert_ptr_null(strstr(out, "abcd"));
 	ck_assert_ptr_null(strstr(out, "t9"));
 	ck_assert_ptr_null(strstr(out, "another target"));
@@ -104,7 +117,7 @@
 
 	ck_assert_int_eq(explain("abc", "--json"), 0);
 	root = json_loads(out, 0, NULL);
-	ck_assert_uint_eq(json_array_size(json_object_get(root, "lines")), 4);
+	ck_assert_uint_eq(json_array_size(json_object_get(root, "lines")), 5);
 	json_decref(root);
 }
 END_TEST
