--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -221,8 +221,8 @@
 		send_next(request, false);
 	else if (outcome == EDG_OUTCOME_FAILED && !request->has_begun)
 		edg_deliver(request);
-	else if (outcome == EDG_OUTCOME_UNKNOWN && may_run_again(request) &&
-		 is_at_limit(request))
+	else if (outcome == EDG_OUTCOME_UNKNOWN && request->service->engine &&
+		 may_run_again(request) && is_at_limit(request))
 		ask_head(request);
 	else
 		give_up(request);
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -497,6 +497,28 @@
 }
 END_TEST
 
+/* Guards against the same at a service whose targets have no reports. */
+START_TEST(plain_stream_keeps_to_its_limit)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	open_plain(&world);
+	world_worker(&world, "p3", "plain", 0, 0);
+	world_worker(&world, "p4", "plain", 0, 0);
+	world_run(&world, 600);
+	set_modes(&world, WORKER_BREAKS_STREAM);
+	client = world_request(&world, "POST", "/lines/", KEY, "");
+	wire_client_await_close(&world.wire, client);
+	ck_assert_ptr_nonnull(strstr(client->received->str, "data: one"));
+	ck_assert_uint_eq(workers_used(&world), 2);
+	ck_assert_int_eq(ctr_get(world.counters, "wf_platform_reports_total"),
+			 0);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 /* A head that is lost does not count against the limit. */
 START_TEST(lost_heads_leave_room_for_another)
 {
@@ -819,6 +841,7 @@
 	tcase_add_test(tcase, stream_resumes_where_the_path_cannot_change);
 	tcase_add_test(tcase,
 		       stream_runs_on_no_more_living_heads_than_its_limit);
+	tcase_add_test(tcase, plain_stream_keeps_to_its_limit);
 	tcase_add_test(tcase, lost_heads_leave_room_for_another);
 	tcase_add_test(tcase, unanswered_change_of_path_is_ordered_again);
 	tcase_add_test(tcase, streams_leave_a_dark_head_at_once);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -377,8 +377,8 @@
 	}
 	worker->requests++;
 	g_string_assign(worker->last_request, request);
-	if (strstr(request, " /stream/") && worker->mode != WORKER_SILENT &&
-	    worker->mode != WORKER_REFUSES)
+	if ((strstr(request, " /stream/") || strstr(request, " /lines/")) &&
+	    worker->mode != WORKER_SILENT && worker->mode != WORKER_REFUSES)
 		send_stream(worker, conn, request);
 	else
 		answer_request(worker, conn, request);
@@ -431,13 +431,14 @@
 		"usual", "prompt", 100, "answer", 100, "kinds", "name", "large",
 		"size-mb", 6000.0, "pace", 1.0, "read-factor", 1.0);
 
-	return json_pack("{s:i,s:[o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
+	return json_pack("{s:i,s:[o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
 			 "s:[{s:s,s:[s,s]}]}",
 			 "version", version, "routes",
 			 route("/read/", "idempotent", "plain", 2, false),
 			 route("/once/", "non_idempotent", "plain", 2, false),
 			 route("/open/", "idempotent", "plain", 2, true),
 			 route("/stream/", "streaming", "model", 2, false),
+			 route("/lines/", "streaming", "plain", 2, false),
 			 "services", "name", "plain", "max-conns", 100, "name",
 			 "model", "max-conns", 100, "engine", engine, "tenants",
 			 "name", "org", "api-keys", "key1", "key2");
