Count only the model's layers in a plan

Cause: an engine may hold layers beyond the model's end after a configuration made the model smaller; plc_trim() and plc_relieve() read the rooms of such layers behind the end of the array (found by reading; AddressSanitizer stopped the test in trimmed()). Ranges are now clipped once, when a plan begins, and the loops need no bound of their own.

--- a/src/forward/plc.c
+++ b/src/forward/plc.c
@@ -11,11 +11,19 @@
 #define REQUESTS_PER_COPY 140
 /* Steps down to what a small fleet can do. */
 #define MIN_REQUESTS_PER_COPY 4
-/* What a target holds, or will hold as soon as an order is carried out. */
-static struct flt_range expected_range(const struct flt_target *target,
+
+/* What a target holds of the model, or will hold as soon as an order is
+ * carried out. */
+static struct flt_range expected_range(const struct cat_engine *engine,
+				       const struct flt_target *target,
 				       clk_ms now)
 {
-	return now < target->ordered_until ? target->ordered : target->holds;
+	struct flt_range range =
+		now < target->ordered_until ? target->ordered : target->holds;
+
+	range.first = MIN(range.first, engine->layers);
+	range.end = MIN(range.end, engine->layers);
+	return range;
 }
 
 static unsigned total_capacity(const struct plc_group *group)
@@ -83,8 +91,8 @@
 	group.cover = g_new0(unsigned, engine->layers);
 	group.room = g_new0(double, engine->layers);
 	for (i = 0; i < engines->len; i++) {
-		group.ranges[i] = expected_range(
-			(struct flt_target *)engines->pdata[i], now);
+		group.ranges[i] =
+			expected_range(engine, engines->pdata[i], now);
 		plc_count(&group, i, 1);
 	}
 	set_tokens(&group);
--- a/src/forward/plc_group.c
+++ b/src/forward/plc_group.c
@@ -53,8 +53,7 @@
 	double room = room_of(group, target, range);
 	unsigned layer;
 
-	for (layer = range.first;
-	     layer < range.end && layer < group->engine->layers; layer++) {
+	for (layer = range.first; layer < range.end; layer++) {
 		group->cover[layer] += (unsigned)sign;
 		group->room[layer] += sign * room;
 	}
@@ -99,8 +98,7 @@
 
 	if (is_empty(range) || group->now < engine_at(group, i)->ordered_until)
 		return false;
-	for (layer = range.first;
-	     layer < range.end && layer < group->engine->layers; layer++) {
+	for (layer = range.first; layer < range.end; layer++) {
 		if (group->cover[layer] < 2)
 			return false;
 	}
@@ -275,9 +273,7 @@
 		struct flt_range range = group->ranges[i];
 		unsigned layer;
 
-		for (layer = range.first;
-		     layer < range.end && layer < group->engine->layers;
-		     layer++)
+		for (layer = range.first; layer < range.end; layer++)
 			largest[layer] =
 				MAX(largest[layer], range.end - range.first);
 	}
--- a/src/forward/plc_private.h
+++ b/src/forward/plc_private.h
@@ -7,7 +7,8 @@
 
 /* The engines of one or more data centres that share a copy of the model. */
 struct plc_group {
-	/* Of struct flt_target pointers, and what each will hold. */
+	/* Of struct flt_target pointers, and what each will hold of the model.
+	 */
 	GPtrArray *engines;
 	struct flt_range *ranges;
 	bool *is_changed;
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -200,6 +200,22 @@
 }
 END_TEST
 
+/* Guards against reading beyond the model's layers, where a configuration has
+ * made the model smaller than what an engine still holds. */
+START_TEST(layers_beyond_the_model_do_not_count)
+{
+	struct world world;
+	struct flt_range beyond = {FLT_TEST_LAYERS - 30, FLT_TEST_LAYERS + 7};
+
+	build(&world);
+	sup_list_engine(world.fleet, 5, "e900", "b", "large", beyond);
+	ck_assert_uint_lt(sup_carry_out(world.fleet, 10, world.service),
+			  UINT_MAX);
+	ck_assert(has_copy(&world, 10, "b"));
+	teardown(&world);
+}
+END_TEST
+
 /* Guards against orders that follow each other without end. */
 START_TEST(random_events_end_in_a_stable_plan)
 {
@@ -304,6 +320,7 @@
 	tcase_add_test(
 		tcase,
 		engine_known_to_be_lost_is_replaced_before_its_entry_lapses);
+	tcase_add_test(tcase, layers_beyond_the_model_do_not_count);
 	tcase_add_test(tcase, extended_engine_gives_up_what_others_hold);
 	tcase_add_loop_test(tcase, random_events_end_in_a_stable_plan, 0,
 			    SEEDS);
