Share the rule for spare layers and the memory for tokens

can_spare() repeated the test that can_give_up() makes for one layer, four places asked for an engine that holds layers and has no order on its way, and paths and placement each computed the memory that an accelerator has beside its layers (cat_token_layers() now). No behaviour.

--- a/include/wagtailferry/catalog.h
+++ b/include/wagtailferry/catalog.h
@@ -166,4 +166,10 @@
 const struct cat_accelerator *
 cat_find_accelerator(const struct cat_engine *engine, const char *name);
 
+/* Tokens times layers that an accelerator has memory for beside so many
+ * layers of the model; negative where these alone are too much. */
+double cat_token_layers(const struct cat_engine *engine,
+			const struct cat_accelerator *accelerator,
+			unsigned held);
+
 #endif
--- a/src/forward/cat.c
+++ b/src/forward/cat.c
@@ -294,3 +294,12 @@
 	}
 	return NULL;
 }
+
+double cat_token_layers(const struct cat_engine *engine,
+			const struct cat_accelerator *accelerator,
+			unsigned held)
+{
+	double free_mb = accelerator->memory_mb - held * engine->layer_mb;
+
+	return free_mb * 1e6 / (engine->token_bytes / engine->layers);
+}
--- a/src/forward/plc_group.c
+++ b/src/forward/plc_group.c
@@ -38,12 +38,10 @@
 		      const struct flt_target *target, struct flt_range range)
 {
 	unsigned held = range.end - range.first;
-	double free_mb = accelerator_of(group, target)->memory_mb -
-			 held * group->engine->layer_mb;
-	double token_mb =
-		group->engine->token_bytes / group->engine->layers / 1e6;
+	double token_layers = cat_token_layers(
+		group->engine, accelerator_of(group, target), held);
 
-	return held ? MAX(free_mb, 0) / held / token_mb : 0;
+	return held ? MAX(token_layers, 0) / held : 0;
 }
 
 static void count_range(struct plc_group *group,
@@ -90,13 +88,20 @@
 	return gap->first < layers;
 }
 
+/* Whether the engine holds layers and no order for it is on its way. */
+static bool is_settled(const struct plc_group *group, guint i)
+{
+	return !is_empty(group->ranges[i]) &&
+	       group->now >= engine_at(group, i)->ordered_until;
+}
+
 /* All layers of the engine are held by another one too. */
 static bool is_redundant(const struct plc_group *group, guint i)
 {
 	struct flt_range range = group->ranges[i];
 	unsigned layer;
 
-	if (is_empty(range) || group->now < engine_at(group, i)->ordered_until)
+	if (!is_settled(group, i))
 		return false;
 	for (layer = range.first; layer < range.end; layer++) {
 		if (group->cover[layer] < 2)
@@ -195,8 +200,7 @@
 {
 	struct flt_range held = group->ranges[neighbour];
 
-	if (is_empty(held) ||
-	    group->now < engine_at(group, neighbour)->ordered_until)
+	if (!is_settled(group, neighbour))
 		return false;
 	*united = held;
 	if (held.end == range.first)
@@ -222,8 +226,7 @@
 		struct flt_range range = group->ranges[i];
 		struct flt_range united;
 
-		if (is_empty(range) ||
-		    group->now < engine_at(group, i)->ordered_until ||
+		if (!is_settled(group, i) ||
 		    range.end - range.first >= fewest || !most_layers(group, i))
 			continue;
 		for (j = 0; j < group->engines->len; j++) {
@@ -328,17 +331,30 @@
 	}
 }
 
-/* Whether all layers of the engine keep so much room without it. */
-static bool can_spare(const struct plc_group *group, guint i, double room)
+static double wanted_room(const struct plc_group *group)
+{
+	return group->tokens * RELIEF_PART;
+}
+
+/* Whether others have the room that the layer should have. */
+static bool can_give_up(const struct plc_group *group, guint i, unsigned layer)
+{
+	double own = room_of(group, engine_at(group, i), group->ranges[i]);
+
+	return group->cover[layer] > 1 &&
+	       group->room[layer] - own >= wanted_room(group);
+}
+
+/* Whether others have the room that all layers of the engine should have. */
+static bool can_spare(const struct plc_group *group, guint i)
 {
 	struct flt_range range = group->ranges[i];
-	double own = room_of(group, engine_at(group, i), range);
 	unsigned layer;
 
-	if (!is_redundant(group, i))
+	if (!is_settled(group, i))
 		return false;
 	for (layer = range.first; layer < range.end; layer++) {
-		if (group->room[layer] - own < room)
+		if (!can_give_up(group, i, layer))
 			return false;
 	}
 	return true;
@@ -355,15 +371,6 @@
 	return false;
 }
 
-/* Whether others have the room that the layer should have. */
-static bool can_give_up(const struct plc_group *group, guint i, unsigned layer)
-{
-	double own = room_of(group, engine_at(group, i), group->ranges[i]);
-
-	return group->cover[layer] > 1 &&
-	       group->room[layer] - own >= group->tokens * RELIEF_PART;
-}
-
 /* What is left of an engine's range; the edge goes first that others have
  * more room for. */
 static struct flt_range trimmed(const struct plc_group *group, guint i)
@@ -395,8 +402,7 @@
 	for (i = 0; i < group->engines->len; i++) {
 		struct flt_range range;
 
-		if (is_empty(group->ranges[i]) ||
-		    group->now < engine_at(group, i)->ordered_until)
+		if (!is_settled(group, i))
 			continue;
 		range = trimmed(group, i);
 		if (range.first != group->ranges[i].first ||
@@ -412,16 +418,15 @@
 void plc_relieve(struct plc_group *group)
 {
 	unsigned weakest = weakest_layer(group);
-	double wanted = group->tokens * RELIEF_PART;
 	guint i;
 
-	if (has_changes(group) || group->room[weakest] >= wanted)
+	if (has_changes(group) || group->room[weakest] >= wanted_room(group))
 		return;
 	for (i = 0; i < group->engines->len; i++) {
 		struct flt_range range;
 		unsigned capacity = plc_capacity_of(group, i);
 
-		if (!capacity || !can_spare(group, i, wanted))
+		if (!capacity || !can_spare(group, i))
 			continue;
 		range.first = weakest;
 		range.end = MIN(weakest + capacity, group->engine->layers);
--- a/src/forward/pth_search.c
+++ b/src/forward/pth_search.c
@@ -114,18 +114,6 @@
 	return search->n_centers++;
 }
 
-/* Token layers that an engine has memory for beside the layers it holds. */
-static double capacity(const struct cat_engine *engine,
-		       const struct flt_target *target,
-		       const struct cat_accelerator *kind)
-{
-	unsigned held = target->holds.end - target->holds.first;
-	double free_mb = kind->memory_mb - held * engine->layer_mb;
-
-	return USABLE_MEMORY * free_mb * 1e6 /
-	       (engine->token_bytes / engine->layers);
-}
-
 /* Time of a token in all layers of the model at this engine. */
 static double token_ms(const struct search *search,
 		       const struct flt_target *target, double pace)
@@ -158,8 +146,10 @@
 	const struct cat_engine *engine = search->query->engine;
 	const struct cat_accelerator *kind =
 		cat_find_accelerator(engine, target->accelerator);
+	unsigned held = target->holds.end - target->holds.first;
 	double used = target->used_token_layers + target->others.token_layers;
-	double all = kind ? capacity(engine, target, kind) : INFINITY;
+	double all = kind ? USABLE_MEMORY * cat_token_layers(engine, kind, held)
+			  : INFINITY;
 	double fill = all > 0 ? MIN(used / all, 1.0) : 1.0;
 	double pace = kind ? kind->pace : 1;
 	double spread =
