Remove what the edge kept twice

Requests that await an answer about them are kept by reference; before, two callbacks found out by the table of requests, and one by a copied id. Whether a request may have run follows from the list of its runs. Plain requests and streams choose a target by one function, readiness and keys judge the catalog's age by one, and both servers take reason phrases from one table: the edge's answers with other statuses now say OK or Error where they said Status. A line's text is formatted once, not three times. Gone: a swap of headers whose copy was cleared anyway, ord_orders.running, edg_edge.is_done and a parameter that was always true.

--- a/src/daemon/net.c
+++ b/src/daemon/net.c
@@ -23,6 +23,44 @@
 	return *out >= 0;
 }
 
+const char *net_reason(int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 401:
+		return "Unauthorized";
+	case 403:
+		return "Forbidden";
+	case 404:
+		return "Not Found";
+	case 405:
+		return "Method Not Allowed";
+	case 408:
+		return "Request Timeout";
+	case 409:
+		return "Conflict";
+	case 413:
+		return "Content Too Large";
+	case 429:
+		return "Too Many Requests";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 500:
+		return "Internal Server Error";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return status < 400 ? "OK" : "Error";
+	}
+}
+
 static void on_close_limit(uv_timer_t *timer)
 {
 	uv_stop(timer->loop);
--- a/src/daemon/net.h
+++ b/src/daemon/net.h
@@ -15,6 +15,9 @@
  */
 bool net_accept_waiting(uv_tcp_t *listener, uv_os_sock_t *out);
 
+/* The reason phrase of an HTTP status. */
+const char *net_reason(int status);
+
 /* Lets a loop finish the handles that are being closed, for a time at most,
  * and closes it. */
 void net_finish_loop(uv_loop_t *loop, clk_ms limit);
--- a/src/daemon/srv_error.c
+++ b/src/daemon/srv_error.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "daemon/net.h"
 #include "daemon/srv_internal.h"
 
 static void add_header(h2o_req_t *req, const char *name, const char *value)
@@ -10,43 +11,11 @@
 			      1, copy.base, copy.len, 1);
 }
 
-static const char *reason_of(int status)
-{
-	switch (status) {
-	case 200:
-		return "OK";
-	case 400:
-		return "Bad Request";
-	case 401:
-		return "Unauthorized";
-	case 403:
-		return "Forbidden";
-	case 404:
-		return "Not Found";
-	case 405:
-		return "Method Not Allowed";
-	case 409:
-		return "Conflict";
-	case 413:
-		return "Content Too Large";
-	case 429:
-		return "Too Many Requests";
-	case 502:
-		return "Bad Gateway";
-	case 503:
-		return "Service Unavailable";
-	case 504:
-		return "Gateway Timeout";
-	default:
-		return status < 400 ? "OK" : "Error";
-	}
-}
-
 void srv_send(h2o_req_t *req, int status, const char *type, const char *body,
 	      size_t len)
 {
 	req->res.status = status;
-	req->res.reason = reason_of(status);
+	req->res.reason = net_reason(status);
 	req->res.content_length = len;
 	add_header(req, "content-type", type);
 	h2o_send_inline(req, body, len);
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -1,4 +1,3 @@
-#include <stdarg.h>
 #include <string.h>
 
 #include "edge/edg_private.h"
@@ -52,10 +51,18 @@
 	return edge->fleet;
 }
 
+bool edg_is_catalog_fresh(const struct edg_edge *edge)
+{
+#ifdef WF_GUARD_OFF_EDGE_KEY_AGE
+	return edge->catalog != NULL;
+#endif
+	return edg_now(edge) - edge->catalog_confirmed < edge->key_removal;
+}
+
 static bool is_ready(const struct edg_edge *edge)
 {
 	return edge->catalog && edge->fleet_known && !edge->is_draining &&
-	       edg_now(edge) - edge->catalog_confirmed < edge->key_removal;
+	       edg_is_catalog_fresh(edge);
 }
 
 void edg_fleet_changed(struct edg_edge *edge)
@@ -363,7 +370,7 @@
 	g_free(edge);
 }
 
-static void free_requests(struct edg_edge *edge, bool abort)
+static void free_requests(struct edg_edge *edge)
 {
 	GList *requests = g_hash_table_get_keys(edge->requests);
 	GList *item;
@@ -374,8 +381,7 @@
 
 		edg_log_end(request, "broken_off", request->status);
 		edg_request_free(request);
-		if (abort)
-			hsv_abort(http);
+		hsv_abort(http);
 	}
 	g_list_free(requests);
 }
@@ -384,7 +390,7 @@
 {
 	if (!edge)
 		return;
-	free_requests(edge, true);
+	free_requests(edge);
 	ord_drop(edge->orders);
 	hsv_drop(edge->callers);
 	hsv_drop(edge->readiness);
@@ -396,7 +402,6 @@
 
 static void finish_drain(struct edg_edge *edge)
 {
-	edge->is_done = true;
 	uv_timer_stop(&edge->drain_timer);
 	edg_log(edge, "instance", "draining", "drained", "open_requests=%u",
 		g_hash_table_size(edge->requests));
@@ -412,7 +417,7 @@
 		return;
 	hsv_stop(edge->callers);
 	if (passed >= edge->drain_limit - DRAIN_MARGIN_MS) {
-		free_requests(edge, true);
+		free_requests(edge);
 		finish_drain(edge);
 	} else if (!g_hash_table_size(edge->requests) &&
 		   !hsv_is_reading(edge->callers)) {
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -139,6 +139,18 @@
 	request->target = NULL;
 }
 
+bool edg_choose_target(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct flt_target *target = flt_choose(
+		edge->fleet, edg_now(edge), request->service->name,
+		edge->data_center, request->tried, g_rand_int(edge->rand));
+
+	edg_release_send(request);
+	request->target = flt_target_keep(target);
+	return target != NULL;
+}
+
 void edg_read_head(struct edg_request *request,
 		   const struct hup_response *response)
 {
@@ -202,7 +214,7 @@
 		return ++request->connect_failures <= MAX_CONNECT_FAILURES;
 	}
 	if (outcome != EDG_OUTCOME_NOT_RUN) {
-		request->may_have_run = true;
+		edg_note_run(request);
 #ifndef WF_GUARD_OFF_EDGE_ONCE
 		if (request->route->repeat == CAT_REPEAT_NEVER)
 			return false;
@@ -222,7 +234,6 @@
 	struct edg_run run = {request->target, request->target->born};
 	guint i;
 
-	request->may_have_run = true;
 	for (i = 0; i < request->runs->len; i++) {
 		if (g_array_index(request->runs, struct edg_run, i).target ==
 		    run.target)
@@ -232,6 +243,11 @@
 	g_array_append_val(request->runs, run);
 }
 
+bool edg_may_have_run(const struct edg_request *request)
+{
+	return request->runs->len > 0;
+}
+
 unsigned edg_living_runs(const struct edg_request *request)
 {
 	clk_ms now = edg_now(request->edge);
@@ -251,7 +267,7 @@
 
 void edg_fail(struct edg_request *request)
 {
-	if (!request->may_have_run) {
+	if (!edg_may_have_run(request)) {
 		edg_refuse_not_run(request, OVERLOADED_RETRY_MS, "no_target",
 				   "no target took the request");
 		return;
--- a/src/edge/edg_log.c
+++ b/src/edge/edg_log.c
@@ -21,46 +21,48 @@
 		   suppressed[LGB_ROUTINE], suppressed[LGB_IMPROPER]);
 }
 
-static void G_GNUC_PRINTF(7, 0)
-	write_line(struct edg_edge *edge, enum lgb_class class, uint64_t hash,
-		   const char *subject, const char *from, const char *to,
-		   const char *detail, va_list args)
+static void write_line(struct edg_edge *edge, enum lgb_class class,
+		       uint64_t hash, const char *subject, const char *from,
+		       const char *to, const char *detail)
 {
 	clk_ms now = edg_now(edge);
-	char *text;
 
 	report_suppressed(edge, now);
 	if (!lgb_allows(&edge->log_budget, now, class, hash)) {
 		ctr_add(edge->counters, "wf_log_lines_suppressed_total", 1);
 		return;
 	}
-	text = g_strdup_vprintf(detail, args);
 	lgb_count(&edge->log_budget, class,
 		  LINE_FRAME_BYTES + strlen(subject) + strlen(from) +
-			  strlen(to) + strlen(text));
-	log_change(edge->log, now, subject, from, to, "%s", text);
-	g_free(text);
+			  strlen(to) + strlen(detail));
+	log_change(edge->log, now, subject, from, to, "%s", detail);
 }
 
 void edg_log(struct edg_edge *edge, const char *subject, const char *from,
 	     const char *to, const char *detail, ...)
 {
 	va_list args;
+	char *text;
 
 	va_start(args, detail);
-	write_line(edge, LGB_STATE, 0, subject, from, to, detail, args);
+	text = g_strdup_vprintf(detail, args);
 	va_end(args);
+	write_line(edge, LGB_STATE, 0, subject, from, to, text);
+	g_free(text);
 }
 
 void edg_log_send(struct edg_request *request, const char *to,
 		  const char *detail, ...)
 {
 	va_list args;
+	char *text;
 
 	va_start(args, detail);
-	write_line(request->edge, LGB_TROUBLE, 0, "send", request->id, to,
-		   detail, args);
+	text = g_strdup_vprintf(detail, args);
 	va_end(args);
+	write_line(request->edge, LGB_TROUBLE, 0, "send", request->id, to,
+		   text);
+	g_free(text);
 }
 
 /* What a stream's line adds: when its events came and over which path. */
@@ -115,20 +117,6 @@
 	return LGB_TROUBLE;
 }
 
-static void G_GNUC_PRINTF(5, 6)
-	write_end(struct edg_request *request, enum lgb_class class,
-		  const char *subject, const char *outcome, const char *detail,
-		  ...)
-{
-	va_list args;
-
-	va_start(args, detail);
-	write_line(request->edge, class,
-		   wf_hash(request->id, strlen(request->id), 0), subject,
-		   "accepted", outcome, detail, args);
-	va_end(args);
-}
-
 void edg_log_end(struct edg_request *request, const char *outcome, int status)
 {
 	struct edg_edge *edge = request->edge;
@@ -152,8 +140,9 @@
 			request->catalog ? now - edge->catalog_confirmed : -1);
 	if (request->route && request->route->is_stream)
 		add_stream_details(request, detail);
-	write_end(request, class_of(request, outcome, status), subject, outcome,
-		  "%s", detail->str);
+	write_line(edge, class_of(request, outcome, status),
+		   wf_hash(request->id, strlen(request->id), 0), subject,
+		   "accepted", outcome, detail->str);
 	g_string_free(detail, TRUE);
 	g_free(counter);
 	g_free(subject);
--- a/src/edge/edg_plain.c
+++ b/src/edge/edg_plain.c
@@ -70,24 +70,13 @@
 
 static void send_next(struct edg_request *request)
 {
-	struct edg_edge *edge = request->edge;
-	struct flt_target *target;
-
-	target = flt_choose(edge->fleet, edg_now(edge), request->service->name,
-			    edge->data_center, request->tried,
-			    g_rand_int(edge->rand));
-	edg_release_send(request);
-	if (!target) {
-		if (request->may_have_run)
-			edg_fail(request);
-		else
-			edg_refuse_not_run(request, NO_TARGET_RETRY_MS,
-					   "no_target",
-					   "the service has no target");
-		return;
-	}
-	request->target = flt_target_keep(target);
-	edg_send(request, &ops);
+	if (edg_choose_target(request))
+		edg_send(request, &ops);
+	else if (edg_may_have_run(request))
+		edg_fail(request);
+	else
+		edg_refuse_not_run(request, NO_TARGET_RETRY_MS, "no_target",
+				   "the service has no target");
 }
 
 void edg_start_plain(struct edg_request *request)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -53,7 +53,6 @@
 	/* Requests that are not answered yet, of struct edg_request. */
 	GHashTable *requests;
 	bool is_draining;
-	bool is_done;
 	clk_ms drain_limit;
 	uv_timer_t drain_timer;
 	clk_ms drain_since;
@@ -95,8 +94,6 @@
 	/* Of struct edg_run, each target once. */
 	GArray *runs;
 	unsigned connect_failures;
-	/* A send may have been executed. */
-	bool may_have_run;
 
 	/* The answer of the present send. */
 	int status;
@@ -124,7 +121,8 @@
 	unsigned reroutes;
 	/* Times that the present change of path was ordered. */
 	unsigned reroute_orders;
-	unsigned handles;
+	/* Of its timers and of whoever awaits an answer about it. */
+	unsigned refs;
 	bool is_freed;
 };
 
@@ -138,9 +136,16 @@
 	EDG_OUTCOME_UNKNOWN,
 };
 
+/* edg.c */
+/* Whether the catalog is new enough to refuse or to accept a key by it. */
+bool edg_is_catalog_fresh(const struct edg_edge *edge);
+
 /* edg_request.c */
 void edg_accept(void *user, struct hsv_request *http);
 void edg_gone(void *user, struct hsv_request *http);
+/* A kept request may have ended: see is_freed. */
+struct edg_request *edg_request_keep(struct edg_request *request);
+void edg_request_drop(struct edg_request *request);
 /* Ends a request without an answer and frees it. */
 void edg_request_free(struct edg_request *request);
 /* Answers with an error of our own and frees the request. */
@@ -176,8 +181,13 @@
 /* Whether the request may be sent once more after the outcome; takes from
  * the budget if so. */
 bool edg_may_repeat(struct edg_request *request, enum edg_outcome outcome);
+/* Chooses a target that was not tried yet for the next send and lets go of
+ * the present one. False if there is none. */
+bool edg_choose_target(struct edg_request *request);
 /* Records that the request ran, or may have run, at its target. */
 void edg_note_run(struct edg_request *request);
+/* Whether a send may have been executed. */
+bool edg_may_have_run(const struct edg_request *request);
 /* Targets on which it ran and that are not known to be lost since. */
 unsigned edg_living_runs(const struct edg_request *request);
 /* The final error where no answer can be given. */
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -11,13 +11,21 @@
 /* For callers that come before the instance knows a configuration. */
 #define NOT_READY_RETRY_MS 500
 
-static void on_handle_closed(uv_handle_t *handle)
+struct edg_request *edg_request_keep(struct edg_request *request)
 {
-	struct edg_request *request = handle->data;
+	request->refs++;
+	return request;
+}
 
-	if (--request->handles)
-		return;
-	g_free(request);
+void edg_request_drop(struct edg_request *request)
+{
+	if (!--request->refs)
+		g_free(request);
+}
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	edg_request_drop(handle->data);
 }
 
 static void clear_run(void *run)
@@ -60,9 +68,7 @@
 	if (retry_after > 0)
 		g_string_append_printf(headers, "Retry-After: %.2f\r\n",
 				       (double)retry_after / CLK_SECOND);
-	body = g_strdup_printf(
-		"{\"error\":{\"type\":\"%s\",\"message\":\"%s\"}}", type,
-		message);
+	body = hsv_error_body(type, message);
 	edg_log_end(request, type, status);
 	edg_request_free(request);
 	hsv_answer(http, status, headers->str, body, strlen(body));
@@ -90,7 +96,7 @@
 static void on_deadline(uv_timer_t *timer)
 {
 	struct edg_request *request = timer->data;
-	bool was_sent = request->exchange || request->may_have_run;
+	bool was_sent = request->exchange || edg_may_have_run(request);
 
 	if (request->is_freed)
 		return;
@@ -156,15 +162,6 @@
 	return value + len;
 }
 
-/* Whether the catalog is new enough to refuse or to accept a key by it. */
-static bool is_catalog_fresh(const struct edg_edge *edge)
-{
-#ifdef WF_GUARD_OFF_EDGE_KEY_AGE
-	return edge->catalog != NULL;
-#endif
-	return edg_now(edge) - edge->catalog_confirmed < edge->key_removal;
-}
-
 /* Finds the organisation; answers and returns false if the key is refused. */
 static bool authenticate(struct edg_request *request)
 {
@@ -176,7 +173,7 @@
 		request->org = cat_find_org(request->catalog, key);
 	if (request->route->is_public)
 		return true;
-	if (!is_catalog_fresh(request->edge)) {
+	if (!edg_is_catalog_fresh(request->edge)) {
 		edg_refuse_not_run(request, NOT_READY_RETRY_MS,
 				   "config_too_old",
 				   "keys can't be checked at present");
@@ -198,7 +195,7 @@
 		request->catalog, hdr_get(headers, "Host"), request->http->url);
 	if (request->route)
 		return true;
-	if (is_catalog_fresh(request->edge))
+	if (edg_is_catalog_fresh(request->edge))
 		edg_refuse(request, 404, "no_route", "no route matches");
 	else
 		edg_refuse_not_run(request, NOT_READY_RETRY_MS,
@@ -239,7 +236,7 @@
 	uv_timer_init(edge->loop, &request->pause_timer);
 	request->timer.data = request;
 	request->pause_timer.data = request;
-	request->handles = 2;
+	request->refs = 2;
 	http->user = request;
 	g_hash_table_add(edge->requests, request);
 	return request;
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -10,18 +10,18 @@
 
 /* A running request whose head was asked to use another path. */
 struct reroute {
-	struct edg_edge *edge;
-	/* Identifies the send: the request may have ended or been sent anew. */
+	/* Kept. */
 	struct edg_request *request;
+	/* Tells the send from a later one. */
 	struct hup_exchange *exchange;
 };
 
 static bool is_current(const struct reroute *reroute)
 {
-	struct edg_request *request = reroute->request;
+	const struct edg_request *request = reroute->request;
 
-	return g_hash_table_contains(reroute->edge->requests, request) &&
-	       request->next_path && request->exchange == reroute->exchange;
+	return !request->is_freed && request->next_path &&
+	       request->exchange == reroute->exchange;
 }
 
 static void take_path(struct edg_request *request)
@@ -46,17 +46,9 @@
 		edg_resume(request, "reroute_failed");
 }
 
-static void on_rerouted(void *user, enum edg_order_result result,
-			const char *at)
+static void take_answer(struct edg_request *request,
+			enum edg_order_result result, const char *at)
 {
-	struct reroute *reroute_state = user;
-	struct edg_request *request = reroute_state->request;
-	struct edg_edge *edge = reroute_state->edge;
-	bool still_asked = is_current(reroute_state);
-
-	g_free(reroute_state);
-	if (!still_asked)
-		return;
 	edg_log_send(request,
 		     result == EDG_ORDER_TAKEN ? "rerouted" : "not rerouted",
 		     "head=%s result=%d at=%s after_event=%s order=%u",
@@ -68,7 +60,7 @@
 	}
 	if (result == EDG_ORDER_UNKNOWN &&
 	    request->reroute_orders < MAX_REROUTE_ORDERS &&
-	    edg_now(edge) >= request->target->down_until) {
+	    edg_now(request->edge) >= request->target->down_until) {
 		order_path(request);
 		return;
 	}
@@ -80,13 +72,24 @@
 		edg_resume(request, "reroute_failed");
 }
 
+static void on_rerouted(void *user, enum edg_order_result result,
+			const char *at)
+{
+	struct reroute *reroute_state = user;
+	struct edg_request *request = reroute_state->request;
+
+	if (is_current(reroute_state))
+		take_answer(request, result, at);
+	edg_request_drop(request);
+	g_free(reroute_state);
+}
+
 static void order_path(struct edg_request *request)
 {
 	struct edg_edge *edge = request->edge;
 	struct reroute *state = g_new0(struct reroute, 1);
 
-	state->edge = edge;
-	state->request = request;
+	state->request = edg_request_keep(request);
 	state->exchange = request->exchange;
 	request->reroute_orders++;
 	edge->platform->ops->reroute(edge->platform, request->target,
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -32,17 +32,7 @@
 {
 	struct edg_request *request = user;
 
-	if (!request->has_begun) {
-		edg_read_head(request, response);
-	} else {
-		/* The caller has the head of the first target already. */
-		GString *kept = request->headers;
-
-		request->headers = g_string_new(NULL);
-		edg_read_head(request, response);
-		g_string_free(request->headers, TRUE);
-		request->headers = kept;
-	}
+	edg_read_head(request, response);
 	if (!is_stream_answer(request) || request->has_begun)
 		return;
 	request->has_begun = true;
@@ -175,44 +165,27 @@
 }
 
 /* Whether the head of a broken run still lives. */
-struct head_inquiry {
-	struct edg_edge *edge;
-	/* Identify the request, which may end before the answer. */
-	struct edg_request *request;
-	char *id;
-};
-
 static void on_head_report(void *user, const struct edg_report *report)
 {
-	struct head_inquiry *inquiry = user;
-	struct edg_request *request = inquiry->request;
-	bool is_current =
-		g_hash_table_contains(inquiry->edge->requests, request) &&
-		!strcmp(request->id, inquiry->id) && !request->exchange;
-
-	g_free(inquiry->id);
-	g_free(inquiry);
-	if (!is_current)
-		return;
-	if (!report)
-		stl_lose(request->edge, request->target, "no_report");
-	if (report ? take_retry(request)
-		   : may_resume(request, EDG_OUTCOME_UNKNOWN))
-		send_next(request, report != NULL);
-	else
-		give_up(request);
+	struct edg_request *request = user;
+
+	if (!request->is_freed) {
+		if (!report)
+			stl_lose(request->edge, request->target, "no_report");
+		if (report ? take_retry(request)
+			   : may_resume(request, EDG_OUTCOME_UNKNOWN))
+			send_next(request, report != NULL);
+		else
+			give_up(request);
+	}
+	edg_request_drop(request);
 }
 
 static void ask_head(struct edg_request *request)
 {
-	struct head_inquiry *inquiry = g_new0(struct head_inquiry, 1);
-
-	inquiry->edge = request->edge;
-	inquiry->request = request;
-	inquiry->id = g_strdup(request->id);
-	request->edge->platform->ops->ask_report(request->edge->platform,
-						 request->target,
-						 on_head_report, inquiry);
+	request->edge->platform->ops->ask_report(
+		request->edge->platform, request->target, on_head_report,
+		edg_request_keep(request));
 }
 
 static void go_on(struct edg_request *request, enum edg_outcome outcome)
@@ -313,7 +286,7 @@
 		request->target = flt_target_keep(pth_head(path));
 		return true;
 	}
-	if (request->has_begun || request->may_have_run)
+	if (request->has_begun || edg_may_have_run(request))
 		give_up(request);
 	else if (result == PTH_NO_LAYERS)
 		edg_refuse_not_run(request, NO_PATH_RETRY_MS, "no_path",
@@ -326,16 +299,10 @@
 
 static bool find_target(struct edg_request *request)
 {
-	struct edg_edge *edge = request->edge;
-	struct flt_target *target = flt_choose(
-		edge->fleet, edg_now(edge), request->service->name,
-		edge->data_center, request->tried, g_rand_int(edge->rand));
-
-	edg_release_send(request);
-	request->target = flt_target_keep(target);
-	if (!target)
-		give_up(request);
-	return target != NULL;
+	if (edg_choose_target(request))
+		return true;
+	give_up(request);
+	return false;
 }
 
 static void send_next(struct edg_request *request, bool keeps_head)
--- a/src/edge/hsv.h
+++ b/src/edge/hsv.h
@@ -77,6 +77,9 @@
 /* Whether a request is on its way that the owner does not have yet. */
 bool hsv_is_reading(const struct hsv_server *server);
 
+/* The body of an error of our own, to be freed. Both texts need no escape. */
+char *hsv_error_body(const char *type, const char *message);
+
 /*
  * Writes a whole answer. headers are complete lines, each with its end, and
  * have no length and no Connection field. The request is invalid afterwards.
--- a/src/edge/hsv_conn.c
+++ b/src/edge/hsv_conn.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "daemon/net.h"
 #include "edge/hsv_private.h"
 
 /* A caller that leaves so much of a stream unread is given up. */
@@ -103,36 +104,6 @@
 	}
 }
 
-static const char *reason(int status)
-{
-	switch (status) {
-	case 200:
-		return "OK";
-	case 400:
-		return "Bad Request";
-	case 401:
-		return "Unauthorized";
-	case 404:
-		return "Not Found";
-	case 408:
-		return "Request Timeout";
-	case 413:
-		return "Content Too Large";
-	case 431:
-		return "Request Header Fields Too Large";
-	case 500:
-		return "Internal Server Error";
-	case 502:
-		return "Bad Gateway";
-	case 503:
-		return "Service Unavailable";
-	case 504:
-		return "Gateway Timeout";
-	default:
-		return "Status";
-	}
-}
-
 static bool will_close(const struct hsv_conn *conn)
 {
 	return !conn->keeps_alive || conn->server->closes_after_answers;
@@ -143,19 +114,24 @@
 {
 	GString *out = g_string_new(NULL);
 
-	g_string_printf(out, "HTTP/1.1 %d %s\r\n", status, reason(status));
+	g_string_printf(out, "HTTP/1.1 %d %s\r\n", status, net_reason(status));
 	g_string_append(out, headers);
 	if (will_close(conn))
 		g_string_append(out, "Connection: close\r\n");
 	return out;
 }
 
+char *hsv_error_body(const char *type, const char *message)
+{
+	return g_strdup_printf(
+		"{\"error\":{\"type\":\"%s\",\"message\":\"%s\"}}", type,
+		message);
+}
+
 /* Refuses what is no proper request, and ends the connection. */
 void hsv_refuse(struct hsv_conn *conn, int status)
 {
-	char *body = g_strdup_printf(
-		"{\"error\":{\"type\":\"bad_request\",\"message\":\"%s\"}}",
-		reason(status));
+	char *body = hsv_error_body("bad_request", net_reason(status));
 	GString *out;
 
 	ctr_add(conn->server->counters, "wf_edge_improper_requests_total", 1);
--- a/src/edge/ord.c
+++ b/src/edge/ord.c
@@ -43,7 +43,6 @@
 	/* What the last plan was made from, and whether it was empty. */
 	uint64_t planned_from;
 	bool is_plan_empty;
-	unsigned running;
 	int refs;
 };
 
@@ -107,7 +106,6 @@
 
 static void free_order(struct order *order)
 {
-	order->orders->running--;
 	flt_target_drop(order->target);
 	orders_unref(order->orders);
 	g_free(order);
@@ -174,7 +172,6 @@
 	order->target = flt_target_keep(target);
 	order->range = range;
 	orders->refs++;
-	orders->running++;
 	note_ordered(target, range, expected_end(orders, target, range));
 	orders->edge->platform->ops->ask_report(orders->edge->platform, target,
 						on_report, order);
--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -264,19 +264,28 @@
 }
 END_TEST
 
+/* A caller whose answer has begun with one event. */
+static struct wire_client *begin_stream(struct probe *probe)
+{
+	struct wire_client *client;
+
+	setup(probe);
+	probe->echoes = false;
+	client = wire_client_new(&probe->wire, probe->address);
+	wire_client_send(client, HEAD "Content-Length: 0\r\n\r\n");
+	wire_until(&probe->wire, has_request, probe);
+	hsv_begin(probe->request, 200, "");
+	ck_assert(hsv_add(probe->request, "event", 5));
+	return client;
+}
+
 /* Guards against a broken stream that looks complete. */
 START_TEST(aborted_stream_has_no_last_chunk)
 {
 	struct probe probe;
 	struct wire_client *client;
 
-	setup(&probe);
-	probe.echoes = false;
-	client = wire_client_new(&probe.wire, probe.address);
-	wire_client_send(client, HEAD "Content-Length: 0\r\n\r\n");
-	wire_until(&probe.wire, has_request, &probe);
-	hsv_begin(probe.request, 200, "");
-	ck_assert(hsv_add(probe.request, "event", 5));
+	client = begin_stream(&probe);
 	wire_client_await(&probe.wire, client, "event");
 	hsv_abort(probe.request);
 	wire_client_await_close(&probe.wire, client);
@@ -291,13 +300,7 @@
 	struct probe probe;
 	struct wire_client *client;
 
-	setup(&probe);
-	probe.echoes = false;
-	client = wire_client_new(&probe.wire, probe.address);
-	wire_client_send(client, HEAD "Content-Length: 0\r\n\r\n");
-	wire_until(&probe.wire, has_request, &probe);
-	hsv_begin(probe.request, 200, "");
-	ck_assert(hsv_add(probe.request, "event", 5));
+	client = begin_stream(&probe);
 	hsv_end(probe.request);
 	wire_client_await(&probe.wire, client, "5\r\nevent\r\n0\r\n\r\n");
 	wire_client_drop(client);
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -412,6 +412,17 @@
 }
 END_TEST
 
+/* The address of the second engine on the path of a head's request. */
+static const char *second_engine(struct platform_world *world,
+				 const struct worker *head)
+{
+	const char *third = wire_server_address(worker(world, 2)->server);
+
+	if (strstr(head->last_request->str, third))
+		return third;
+	return wire_server_address(worker(world, 3)->server);
+}
+
 /* Guards against a request that is computed anew, or that waits for its
  * stall, where its head can change the path. */
 START_TEST(stalled_stream_changes_its_path)
@@ -419,18 +430,13 @@
 	struct platform_world world;
 	struct wire_client *client;
 	struct worker *head;
-	const char *path;
-	guint lost;
 
 	open_engines(&world);
 	set_modes(&world, WORKER_STALLS_STREAM);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_until(&world.wire, sees_stream, &world);
 	head = used_worker(&world);
-	path = strstr(head->last_request->str, "Hop-Count: ");
-	lost = strstr(path, wire_server_address(worker(&world, 2)->server)) ? 2
-									    : 3;
-	head->stalled = wire_server_address(worker(&world, lost)->server);
+	head->stalled = second_engine(&world, head);
 	wire_client_await(&world.wire, client, "data: two");
 	ck_assert_uint_eq(head->orders->len, 1);
 	ck_assert_ptr_nonnull(strstr(head->orders->pdata[0], "repath"));
@@ -457,11 +463,7 @@
 		worker(&world, i)->order_status = 409;
 		worker(&world, i)->mode = WORKER_ANSWERS;
 	}
-	head->stalled =
-		strstr(head->last_request->str,
-		       wire_server_address(worker(&world, 2)->server))
-			? wire_server_address(worker(&world, 2)->server)
-			: wire_server_address(worker(&world, 3)->server);
+	head->stalled = second_engine(&world, head);
 	wire_client_await(&world.wire, client, "data: two");
 	ck_assert_uint_eq(requests_of_all(&world), 2);
 	wire_client_drop(client);
@@ -546,7 +548,6 @@
 	struct platform_world world;
 	struct wire_client *client;
 	struct worker *head;
-	guint lost;
 
 	open_engines(&world);
 	set_modes(&world, WORKER_STALLS_STREAM);
@@ -554,11 +555,7 @@
 	wire_until(&world.wire, sees_stream, &world);
 	head = used_worker(&world);
 	head->lost_order_answers = 1;
-	lost = strstr(head->last_request->str,
-		      wire_server_address(worker(&world, 2)->server))
-		       ? 2
-		       : 3;
-	head->stalled = wire_server_address(worker(&world, lost)->server);
+	head->stalled = second_engine(&world, head);
 	wire_client_await(&world.wire, client, "data: two");
 	ck_assert_uint_eq(head->orders->len, 2);
 	ck_assert_str_eq(head->orders->pdata[0], head->orders->pdata[1]);
