--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -108,7 +108,7 @@
 }
 
 /*
- * Finds whom the failure speaks against. An engine that is full or leaves
+ * Finds the target at fault. An engine that is full or leaves
  * makes the head refuse at once; one that is lost, only after its stall.
  */
 static void note_failure(struct edg_request *request, enum edg_outcome outcome)
--- a/src/edge/ord.c
+++ b/src/edge/ord.c
@@ -328,7 +328,7 @@
 				    duty->revision != orders->record->revision);
 	set_record(orders, duty);
 	if (is_new) {
-		/* Somebody is at it. */
+		/* Another instance carries out its plan. */
 		apply_record(orders);
 		orders->needed_since = 0;
 	} else {
--- a/src/tool/cmd_explain.c
+++ b/src/tool/cmd_explain.c
@@ -103,7 +103,7 @@
 	       !strcmp(entry->from, search->id);
 }
 
-/* The span that a request's last line tells of. */
+/* The time that a request took, by its last line; 0 if it has none. */
 static clk_ms duration(const struct entry *entry)
 {
 	const char *took = strstr(entry->detail, "took_ms=");
