peers: complete load reports, summed for other data centres; heads share

Cause: at a crest on 35 and 38 instances streams were late by their first event (median up to 1.2 s, pauses fine), because heads ran 200 to 277 requests with 192 slots and engines refused 2,300 to 5,500 sends. Traced by the path in the log of each stream. Two reasons: a report carried 60 targets at most, so engines beyond these looked idle to all peers, and with 12 KB a second a remote instance was heard of every 10 s. And the cheapest engine was the head of every path of its data centre until its slots were gone.

Change: loads are packed arrays (8 bytes a target, 19 before) and cover up to 140 targets; a report to another data centre carries the sum of the sender's one, so each of its instances refreshes all of its load. A head's slots have a reserve and a rising cost.

One instance of the old version beside new ones is heard without its load, as its targets field is no longer read.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -42,7 +42,7 @@
 	int refs;
 	char *id;
 	/* Identifies it in load reports. */
-	uint64_t id_hash;
+	uint32_t id_hash;
 	char *service;
 	char *address;
 	char *data_center;
@@ -133,10 +133,10 @@
  * state or address change. */
 uint64_t flt_revision(const struct flt_fleet *fleet);
 
-/* Finds a target by the hash of its id, wf_hash() with seed 0; NULL if there
- * is none. The fleet owns it. */
+/* Finds a target by the lower half of the hash of its id, wf_hash() with seed
+ * 0; NULL if there is none. The fleet owns it. */
 struct flt_target *flt_find_by_hash(const struct flt_fleet *fleet,
-				    uint64_t hash);
+				    uint32_t hash);
 
 /* All targets, as struct flt_target pointers. The fleet owns the array. */
 const GPtrArray *flt_targets(const struct flt_fleet *fleet);
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -26,15 +26,31 @@
 /* A peer is removed after this time without a report. Until then a dead one is
  * counted as an instance, which only makes the shared budgets smaller. */
 #define PEER_TIMEOUT_MS (60 * CLK_SECOND)
-/* A datagram with more targets would be fragmented. */
-#define MAX_REPORT_TARGETS 60
+/* A datagram with more targets would be fragmented; those with the least load
+ * are left out. */
+#define MAX_REPORT_TARGETS 140
+/* A report on a data centre is ignored while a newer one than this covers
+ * clearly more instances: its sender may be cut off from its peers. */
+#define CENTER_REPORT_MS 1000
+#define MIN_CENTER_FRACTION 0.75
 #define KILO 1000.0
 
 struct peer_load {
-	uint64_t target;
+	uint32_t target;
 	struct flt_load load;
 };
 
+/* The load of all instances of another data centre, as any of them reported
+ * it last. */
+struct center {
+	char *name;
+	unsigned instances;
+	clk_ms received_at;
+	clk_ms report_interval;
+	/* Elements are struct peer_load, included in the targets' totals. */
+	GArray *loads;
+};
+
 struct peer {
 	char *instance;
 	char *data_center;
@@ -49,7 +65,8 @@
 	clk_ms report_interval;
 	/* When a report was last sent to it; 0 if never. */
 	clk_ms last_sent_at;
-	/* Elements are struct peer_load, included in the targets' totals. */
+	/* Elements are struct peer_load, included in the targets' totals; empty
+	 * for peers of other data centres. */
 	GArray *loads;
 };
 
@@ -67,6 +84,8 @@
 	/* Of struct peer: the own data centre's, and those of others. */
 	GPtrArray *local;
 	GPtrArray *remote;
+	/* Of struct center. */
+	GPtrArray *centers;
 	unsigned next_local;
 	unsigned next_remote;
 	unsigned send_slot;
@@ -86,15 +105,15 @@
 	return peers->config.now(peers->config.user);
 }
 
-/* Adds (sign 1) or subtracts (sign -1) a peer's load at its targets. */
-static void adjust_target_loads(struct prs_peers *peers, struct peer *peer,
+/* Adds (sign 1) or subtracts (sign -1) load of others at its targets. */
+static void adjust_target_loads(struct prs_peers *peers, const GArray *loads,
 				int sign)
 {
 	guint i;
 
-	for (i = 0; i < peer->loads->len; i++) {
+	for (i = 0; i < loads->len; i++) {
 		const struct peer_load *entry =
-			&g_array_index(peer->loads, struct peer_load, i);
+			&g_array_index(loads, struct peer_load, i);
 		struct flt_target *target =
 			flt_find_by_hash(peers->config.fleet, entry->target);
 		struct flt_load *sum;
@@ -123,6 +142,32 @@
 	g_free(peer);
 }
 
+static void center_free(gpointer data)
+{
+	struct center *center = data;
+
+	g_free(center->name);
+	g_array_unref(center->loads);
+	g_free(center);
+}
+
+static struct center *get_center(struct prs_peers *peers, const char *name)
+{
+	struct center *center;
+	guint i;
+
+	for (i = 0; i < peers->centers->len; i++) {
+		center = peers->centers->pdata[i];
+		if (!strcmp(center->name, name))
+			return center;
+	}
+	center = g_new0(struct center, 1);
+	center->name = g_strdup(name);
+	center->loads = g_array_new(FALSE, TRUE, sizeof(struct peer_load));
+	g_ptr_array_add(peers->centers, center);
+	return center;
+}
+
 static struct peer *find_in(GPtrArray *list, const char *instance)
 {
 	guint i;
@@ -175,22 +220,45 @@
 	add_peer(peers, instance, data_center, address);
 }
 
-static void replace_loads(struct prs_peers *peers, struct peer *peer,
+static void replace_loads(struct prs_peers *peers, GArray *loads,
 			  const Wf__LoadReport *report)
 {
 	size_t i;
 
-	adjust_target_loads(peers, peer, -1);
-	g_array_set_size(peer->loads, 0);
-	for (i = 0; i < report->n_targets; i++) {
-		const Wf__TargetLoad *load = report->targets[i];
-		struct peer_load entry = {load->target,
-					  {load->in_flight, load->on_path,
-					   load->kilo_token_layers * KILO}};
+	adjust_target_loads(peers, loads, -1);
+	g_array_set_size(loads, 0);
+	for (i = 0; i < report->n_target; i++) {
+		struct peer_load entry = {
+			report->target[i],
+			{report->in_flight[i], report->on_path[i],
+			 report->kilo_token_layers[i] * KILO}};
 
-		g_array_append_val(peer->loads, entry);
+		g_array_append_val(loads, entry);
 	}
-	adjust_target_loads(peers, peer, 1);
+	adjust_target_loads(peers, loads, 1);
+}
+
+static void replace_center_loads(struct prs_peers *peers,
+				 const struct peer *peer,
+				 const Wf__LoadReport *report)
+{
+	struct center *center = get_center(peers, peer->data_center);
+	clk_ms now = now_ms(peers);
+
+	if (report->instances < MIN_CENTER_FRACTION * center->instances &&
+	    now - center->received_at < CENTER_REPORT_MS)
+		return;
+	center->instances = report->instances;
+	center->received_at = now;
+	center->report_interval = peer->report_interval;
+	replace_loads(peers, center->loads, report);
+}
+
+static bool is_valid_report(const Wf__LoadReport *report)
+{
+	return report->n_target == report->n_in_flight &&
+	       report->n_target == report->n_on_path &&
+	       report->n_target == report->n_kilo_token_layers;
 }
 
 /* The peer reports after receiving the report of ours that it echoes, so the
@@ -212,7 +280,7 @@
 	Wf__LoadReport *report = wf__load_report__unpack(NULL, len, bytes);
 	struct peer *peer = NULL;
 
-	if (report)
+	if (report && is_valid_report(report))
 		peer = add_peer(peers, report->instance, report->data_center,
 				report->address);
 	else
@@ -226,17 +294,20 @@
 		peer->peer_sent_ms = report->sent_ms;
 		peer->report_interval = (clk_ms)MIN(report->interval_ms,
 						    (uint64_t)MAX_INTERVAL_MS);
-		replace_loads(peers, peer, report);
+		if (report->has_instances)
+			replace_center_loads(peers, peer, report);
+		else
+			replace_loads(peers, peer->loads, report);
 		apply_confirmation(peers, report);
 	}
 	if (report)
 		wf__load_report__free_unpacked(report, NULL);
 }
 
-static clk_ms load_timeout(const struct peer *peer)
+static bool is_expired(clk_ms now, clk_ms received_at, clk_ms report_interval)
 {
-	return MAX(LOAD_TIMEOUT_MS,
-		   LOAD_TIMEOUT_INTERVALS * peer->report_interval);
+	return now - received_at >=
+	       MAX(LOAD_TIMEOUT_MS, LOAD_TIMEOUT_INTERVALS * report_interval);
 }
 
 static void expire_list(struct prs_peers *peers, GPtrArray *list)
@@ -247,19 +318,37 @@
 	while (i-- > 0) {
 		struct peer *peer = list->pdata[i];
 
-		if (now - peer->received_at < load_timeout(peer))
+		if (!is_expired(now, peer->received_at, peer->report_interval))
 			continue;
-		adjust_target_loads(peers, peer, -1);
+		adjust_target_loads(peers, peer->loads, -1);
 		g_array_set_size(peer->loads, 0);
 		if (now - peer->received_at >= PEER_TIMEOUT_MS)
 			g_ptr_array_remove_index(list, i);
 	}
 }
 
+static void expire_centers(struct prs_peers *peers)
+{
+	clk_ms now = now_ms(peers);
+	guint i;
+
+	for (i = 0; i < peers->centers->len; i++) {
+		struct center *center = peers->centers->pdata[i];
+
+		if (!is_expired(now, center->received_at,
+				center->report_interval))
+			continue;
+		adjust_target_loads(peers, center->loads, -1);
+		g_array_set_size(center->loads, 0);
+		center->instances = 0;
+	}
+}
+
 void prs_expire(struct prs_peers *peers)
 {
 	expire_list(peers, peers->local);
 	expire_list(peers, peers->remote);
+	expire_centers(peers);
 }
 
 unsigned prs_count_instances(const struct prs_peers *peers)
@@ -267,17 +356,122 @@
 	return 1 + peers->local->len + peers->remote->len;
 }
 
-static bool fill_load(const struct flt_target *target, Wf__TargetLoad *load)
+static void add_load(GHashTable *sums, uint32_t target,
+		     const struct flt_load *load)
+{
+	gpointer key = GUINT_TO_POINTER(target);
+	struct flt_load *sum = g_hash_table_lookup(sums, key);
+
+	if (!sum) {
+		sum = g_new0(struct flt_load, 1);
+		g_hash_table_insert(sums, key, sum);
+	}
+	sum->in_flight += load->in_flight;
+	sum->on_path += load->on_path;
+	sum->token_layers += load->token_layers;
+}
+
+static void add_own_loads(const struct prs_peers *peers, GHashTable *sums)
+{
+	const GPtrArray *targets = flt_targets(peers->config.fleet);
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+		struct flt_load load = {target->in_flight, target->on_path,
+					MAX(target->used_token_layers, 0)};
+
+		if (load.in_flight || load.on_path)
+			add_load(sums, target->id_hash, &load);
+	}
+}
+
+/* Adds the load of the local peers and returns their number. */
+static unsigned add_peer_loads(const struct prs_peers *peers, GHashTable *sums)
+{
+	clk_ms now = now_ms(peers);
+	unsigned count = 0;
+	guint i;
+	guint j;
+
+	for (i = 0; i < peers->local->len; i++) {
+		const struct peer *peer = peers->local->pdata[i];
+
+		if (is_expired(now, peer->received_at, peer->report_interval))
+			continue;
+		count++;
+		for (j = 0; j < peer->loads->len; j++) {
+			const struct peer_load *entry = &g_array_index(
+				peer->loads, struct peer_load, j);
+
+			add_load(sums, entry->target, &entry->load);
+		}
+	}
+	return count;
+}
+
+static int compare_loads(gconstpointer a, gconstpointer b)
+{
+	const struct peer_load *left = a;
+	const struct peer_load *right = b;
+
+	if (left->load.on_path != right->load.on_path)
+		return left->load.on_path > right->load.on_path ? -1 : 1;
+	return left->target < right->target ? -1 : left->target > right->target;
+}
+
+/* Lists the summed loads, the largest first. */
+static GArray *list_loads(GHashTable *sums)
+{
+	GArray *loads = g_array_new(FALSE, FALSE, sizeof(struct peer_load));
+	GHashTableIter iter;
+	gpointer key;
+	gpointer sum;
+
+	g_hash_table_iter_init(&iter, sums);
+	while (g_hash_table_iter_next(&iter, &key, &sum)) {
+		struct peer_load entry = {GPOINTER_TO_UINT(key),
+					  *(struct flt_load *)sum};
+
+		g_array_append_val(loads, entry);
+	}
+	g_array_sort(loads, compare_loads);
+	if (loads->len > MAX_REPORT_TARGETS)
+		g_array_set_size(loads, MAX_REPORT_TARGETS);
+	return loads;
+}
+
+/* The parallel arrays of a report. */
+struct report_loads {
+	uint32_t target[MAX_REPORT_TARGETS];
+	uint32_t in_flight[MAX_REPORT_TARGETS];
+	uint32_t on_path[MAX_REPORT_TARGETS];
+	uint32_t kilo_token_layers[MAX_REPORT_TARGETS];
+};
+
+static void add_loads(Wf__LoadReport *report, struct report_loads *out,
+		      GHashTable *sums)
 {
-	if (!target->on_path && !target->in_flight)
-		return false;
-	wf__target_load__init(load);
-	load->target = target->id_hash;
-	load->in_flight = target->in_flight;
-	load->on_path = target->on_path;
-	load->kilo_token_layers =
-		(uint32_t)lround(MAX(target->used_token_layers, 0) / KILO);
-	return true;
+	GArray *loads = list_loads(sums);
+	guint i;
+
+	for (i = 0; i < loads->len; i++) {
+		const struct peer_load *entry =
+			&g_array_index(loads, struct peer_load, i);
+
+		out->target[i] = entry->target;
+		out->in_flight[i] = entry->load.in_flight;
+		out->on_path[i] = entry->load.on_path;
+		out->kilo_token_layers[i] =
+			(uint32_t)lround(entry->load.token_layers / KILO);
+	}
+	report->n_target = report->n_in_flight = loads->len;
+	report->n_on_path = report->n_kilo_token_layers = loads->len;
+	report->target = out->target;
+	report->in_flight = out->in_flight;
+	report->on_path = out->on_path;
+	report->kilo_token_layers = out->kilo_token_layers;
+	g_array_unref(loads);
 }
 
 static void add_config(struct prs_peers *peers, Wf__LoadReport *report)
@@ -304,11 +498,10 @@
 
 static GBytes *make_report(struct prs_peers *peers, const struct peer *peer)
 {
-	const GPtrArray *targets = flt_targets(peers->config.fleet);
 	Wf__LoadReport report = WF__LOAD_REPORT__INIT;
-	Wf__TargetLoad loads[MAX_REPORT_TARGETS];
-	Wf__TargetLoad *load_pointers[MAX_REPORT_TARGETS];
-	guint i;
+	struct report_loads loads;
+	GHashTable *sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	GBytes *bytes;
 
 	report.instance = peers->instance;
 	report.data_center = peers->data_center;
@@ -328,15 +521,15 @@
 		report.interval_ms =
 			(uint64_t)(now_ms(peers) - peer->last_sent_at);
 	}
-	for (i = 0; i < targets->len && report.n_targets < MAX_REPORT_TARGETS;
-	     i++) {
-		Wf__TargetLoad *load = &loads[report.n_targets];
-
-		if (fill_load(targets->pdata[i], load))
-			load_pointers[report.n_targets++] = load;
+	add_own_loads(peers, sums);
+	if (peer && strcmp(peer->data_center, peers->data_center) != 0) {
+		report.has_instances = 1;
+		report.instances = 1 + add_peer_loads(peers, sums);
 	}
-	report.targets = load_pointers;
-	return pack_report(&report);
+	add_loads(&report, &loads, sums);
+	bytes = pack_report(&report);
+	g_hash_table_unref(sums);
+	return bytes;
 }
 
 GBytes *prs_make_report(struct prs_peers *peers, const char *instance)
@@ -445,6 +638,7 @@
 		return;
 	g_ptr_array_unref(peers->local);
 	g_ptr_array_unref(peers->remote);
+	g_ptr_array_unref(peers->centers);
 	g_free(peers->instance);
 	g_free(peers->data_center);
 	g_free(peers->address);
@@ -467,6 +661,7 @@
 	peers->budget_updated_at = now_ms(peers);
 	peers->local = g_ptr_array_new_with_free_func(peer_free);
 	peers->remote = g_ptr_array_new_with_free_func(peer_free);
+	peers->centers = g_ptr_array_new_with_free_func(center_free);
 	peers->refs = 2;
 	uv_udp_init(config->loop, &peers->socket);
 	uv_timer_init(config->loop, &peers->timer);
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -72,7 +72,7 @@
 
 	fleet->targets = g_ptr_array_new_with_free_func(destroy_target);
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	fleet->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+	fleet->by_hash = g_hash_table_new(NULL, NULL);
 	return fleet;
 }
 
@@ -157,12 +157,13 @@
 		return;
 	}
 	entry->seen_generation = fleet->sync_generation;
-	entry->id_hash = wf_hash(entry->id, strlen(entry->id), 0);
+	entry->id_hash = (uint32_t)wf_hash(entry->id, strlen(entry->id), 0);
 	if (entry->state != FLT_READY)
 		entry->leaving_since = now;
 	g_ptr_array_add(fleet->targets, entry);
 	g_hash_table_insert(fleet->by_id, entry->id, entry);
-	g_hash_table_insert(fleet->by_hash, &entry->id_hash, entry);
+	g_hash_table_insert(fleet->by_hash, GUINT_TO_POINTER(entry->id_hash),
+			    entry);
 	fleet->revision++;
 }
 
@@ -171,7 +172,7 @@
 {
 	set_leaving(target, now, FLT_REMOVED);
 	g_hash_table_remove(fleet->by_id, target->id);
-	g_hash_table_remove(fleet->by_hash, &target->id_hash);
+	g_hash_table_remove(fleet->by_hash, GUINT_TO_POINTER(target->id_hash));
 	g_ptr_array_remove(fleet->targets, target);
 	fleet->revision++;
 }
@@ -238,9 +239,9 @@
 }
 
 struct flt_target *flt_find_by_hash(const struct flt_fleet *fleet,
-				    uint64_t hash)
+				    uint32_t hash)
 {
-	return g_hash_table_lookup(fleet->by_hash, &hash);
+	return g_hash_table_lookup(fleet->by_hash, GUINT_TO_POINTER(hash));
 }
 
 uint64_t flt_revision(const struct flt_fleet *fleet)
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -13,6 +13,13 @@
 /* Cost of a stage at an engine whose KV cache is full. It rises with the fourth
  * power of the used fraction, so that paths avoid nearly full engines. */
 #define FULL_MEMORY_MS 2.5
+/* The rest of a head's slots is a reserve for requests of other instances that
+ * are not known yet: a head that is out of slots lets requests wait for
+ * seconds. */
+#define USABLE_SLOTS_FRACTION 0.85
+/* Cost of a head whose usable slots are all taken, like FULL_MEMORY_MS. The
+ * fastest engines would otherwise head all paths of a data centre. */
+#define FULL_SLOTS_MS 12.0
 /* Costs are raised by a random fraction up to this: otherwise instances that
  * search at the same time would all select the same path. */
 #define COST_JITTER 0.15
@@ -54,6 +61,8 @@
 	/* Free KV cache, in tokens times layers. */
 	double free_token_layers;
 	bool can_be_head;
+	/* Cost added if it is the head. */
+	double head_cost;
 };
 
 struct search {
@@ -141,6 +150,16 @@
 	       pth_contains(search->query->current, target);
 }
 
+/* Fraction of a head's usable slots that are taken. */
+static double slot_usage(const struct flt_target *target)
+{
+	double usable = USABLE_SLOTS_FRACTION * target->slots;
+
+	return usable > 0
+		       ? (target->in_flight + target->others.in_flight) / usable
+		       : 0;
+}
+
 static struct candidate make_candidate(struct search *search,
 				       struct flt_target *target)
 {
@@ -159,6 +178,7 @@
 		1 +
 		(search->rand ? COST_JITTER * g_rand_double(search->rand) : 0);
 	struct candidate candidate = {.target = target};
+	double slot_use;
 
 	if (search->now < target->slow_until && target->slowdown > 1)
 		pace *= target->slowdown;
@@ -187,9 +207,10 @@
 	}
 	if (is_degraded(search, target))
 		candidate.fixed_cost += AVOIDED_COST_MS;
-	candidate.can_be_head =
-		!target->slots ||
-		target->in_flight + target->others.in_flight < target->slots;
+	slot_use = slot_usage(target);
+	candidate.can_be_head = slot_use < 1;
+	candidate.head_cost =
+		FULL_SLOTS_MS * slot_use * slot_use * slot_use * slot_use;
 	return candidate;
 }
 
@@ -246,6 +267,8 @@
 
 	if (!from && !engine->can_be_head && !search->ignore_capacity)
 		return;
+	if (!from)
+		base += engine->head_cost;
 	if (from && engine->center != prev_center)
 		base += CROSS_CENTER_MS;
 	for (to = from + 1; to < search->n_boundaries &&
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -97,51 +97,6 @@
   assert(message->base.descriptor == &wf__load_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wf__target_load__init
-                     (Wf__TargetLoad         *message)
-{
-  static const Wf__TargetLoad init_value = WF__TARGET_LOAD__INIT;
-  *message = init_value;
-}
-size_t wf__target_load__get_packed_size
-                     (const Wf__TargetLoad *message)
-{
-  assert(message->base.descriptor == &wf__target_load__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t wf__target_load__pack
-                     (const Wf__TargetLoad *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &wf__target_load__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t wf__target_load__pack_to_buffer
-                     (const Wf__TargetLoad *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &wf__target_load__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Wf__TargetLoad *
-       wf__target_load__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Wf__TargetLoad *)
-     protobuf_c_message_unpack (&wf__target_load__descriptor,
-                                allocator, len, data);
-}
-void   wf__target_load__free_unpacked
-                     (Wf__TargetLoad *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &wf__target_load__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 static const uint64_t wf__edge_settings__key_removal_ms__default_value = 5000ull;
 static const uint64_t wf__edge_settings__drain_limit_ms__default_value = 8000ull;
 static const double wf__edge_settings__retry_part__default_value = 0.2;
@@ -400,7 +355,7 @@
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[16] =
 {
   {
     "instance",
@@ -462,18 +417,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "targets",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wf__LoadReport, n_targets),
-    offsetof(Wf__LoadReport, targets),
-    &wf__target_load__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "config_version",
     7,
@@ -546,115 +489,103 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wf__load_report__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  7,   /* field[7] = config_age_ms */
-  6,   /* field[6] = config_version */
-  1,   /* field[1] = data_center */
-  9,   /* field[9] = echo_incarnation */
-  10,   /* field[10] = echo_ms */
-  3,   /* field[3] = incarnation */
-  0,   /* field[0] = instance */
-  11,   /* field[11] = interval_ms */
-  8,   /* field[8] = sent_ms */
-  4,   /* field[4] = sequence */
-  5,   /* field[5] = targets */
-};
-static const ProtobufCIntRange wf__load_report__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 12 }
-};
-const ProtobufCMessageDescriptor wf__load_report__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wf.LoadReport",
-  "LoadReport",
-  "Wf__LoadReport",
-  "wf",
-  sizeof(Wf__LoadReport),
-  12,
-  wf__load_report__field_descriptors,
-  wf__load_report__field_indices_by_name,
-  1,  wf__load_report__number_ranges,
-  (ProtobufCMessageInit) wf__load_report__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wf__target_load__field_descriptors[4] =
-{
   {
     "target",
-    1,
-    PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Wf__TargetLoad, target),
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wf__LoadReport, n_target),
+    offsetof(Wf__LoadReport, target),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "in_flight",
-    2,
-    PROTOBUF_C_LABEL_REQUIRED,
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wf__TargetLoad, in_flight),
+    offsetof(Wf__LoadReport, n_in_flight),
+    offsetof(Wf__LoadReport, in_flight),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "on_path",
-    3,
-    PROTOBUF_C_LABEL_REQUIRED,
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wf__TargetLoad, on_path),
+    offsetof(Wf__LoadReport, n_on_path),
+    offsetof(Wf__LoadReport, on_path),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "kilo_token_layers",
-    4,
-    PROTOBUF_C_LABEL_REQUIRED,
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wf__TargetLoad, kilo_token_layers),
+    offsetof(Wf__LoadReport, n_kilo_token_layers),
+    offsetof(Wf__LoadReport, kilo_token_layers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    17,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wf__LoadReport, has_instances),
+    offsetof(Wf__LoadReport, instances),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wf__target_load__field_indices_by_name[] = {
-  1,   /* field[1] = in_flight */
-  3,   /* field[3] = kilo_token_layers */
-  2,   /* field[2] = on_path */
-  0,   /* field[0] = target */
+static const unsigned wf__load_report__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  6,   /* field[6] = config_age_ms */
+  5,   /* field[5] = config_version */
+  1,   /* field[1] = data_center */
+  8,   /* field[8] = echo_incarnation */
+  9,   /* field[9] = echo_ms */
+  12,   /* field[12] = in_flight */
+  3,   /* field[3] = incarnation */
+  0,   /* field[0] = instance */
+  15,   /* field[15] = instances */
+  10,   /* field[10] = interval_ms */
+  14,   /* field[14] = kilo_token_layers */
+  13,   /* field[13] = on_path */
+  7,   /* field[7] = sent_ms */
+  4,   /* field[4] = sequence */
+  11,   /* field[11] = target */
 };
-static const ProtobufCIntRange wf__target_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange wf__load_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 7, 5 },
+  { 0, 16 }
 };
-const ProtobufCMessageDescriptor wf__target_load__descriptor =
+const ProtobufCMessageDescriptor wf__load_report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wf.TargetLoad",
-  "TargetLoad",
-  "Wf__TargetLoad",
+  "wf.LoadReport",
+  "LoadReport",
+  "Wf__LoadReport",
   "wf",
-  sizeof(Wf__TargetLoad),
-  4,
-  wf__target_load__field_descriptors,
-  wf__target_load__field_indices_by_name,
-  1,  wf__target_load__number_ranges,
-  (ProtobufCMessageInit) wf__target_load__init,
+  sizeof(Wf__LoadReport),
+  16,
+  wf__load_report__field_descriptors,
+  wf__load_report__field_indices_by_name,
+  2,  wf__load_report__number_ranges,
+  (ProtobufCMessageInit) wf__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -17,7 +17,6 @@
 
 typedef struct Wf__EdgeSettings Wf__EdgeSettings;
 typedef struct Wf__LoadReport Wf__LoadReport;
-typedef struct Wf__TargetLoad Wf__TargetLoad;
 
 
 /* --- enums --- */
@@ -104,8 +103,9 @@
 
 
 /*
- * The load that one instance puts on the targets, sent to peers in a datagram.
- * Loss and reordering are harmless because each report is complete.
+ * The load that one instance, or all of one data centre, puts on the targets;
+ * sent to peers in a datagram. Loss and reordering are harmless because each
+ * report is complete.
  */
 struct  Wf__LoadReport
 {
@@ -121,8 +121,6 @@
    */
   uint64_t incarnation;
   uint64_t sequence;
-  size_t n_targets;
-  Wf__TargetLoad **targets;
   /*
    * Version of the configuration that the sender knows, and how long ago it
    * was known to be the newest. Absent before the first.
@@ -149,32 +147,29 @@
    */
   protobuf_c_boolean has_interval_ms;
   uint64_t interval_ms;
-};
-#define WF__LOAD_REPORT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
-
-
-struct  Wf__TargetLoad
-{
-  ProtobufCMessage base;
-  /*
-   * Hash of the target's id.
-   */
-  uint64_t target;
   /*
-   * Requests sent to it, and requests whose path runs through it.
+   * The targets with load, by the lower half of the hash of their ids, and for
+   * each the requests sent to it, the requests whose path runs through it, and
+   * the tokens of these times the layers that they use there, in 1,000.
    */
-  uint32_t in_flight;
-  uint32_t on_path;
+  size_t n_target;
+  uint32_t *target;
+  size_t n_in_flight;
+  uint32_t *in_flight;
+  size_t n_on_path;
+  uint32_t *on_path;
+  size_t n_kilo_token_layers;
+  uint32_t *kilo_token_layers;
   /*
-   * Tokens of these requests times the layers that they use there, in 1,000.
+   * Instances of the sender's data centre whose load is included. Absent in a
+   * report within a data centre, which has the sender's load only.
    */
-  uint32_t kilo_token_layers;
+  protobuf_c_boolean has_instances;
+  uint32_t instances;
 };
-#define WF__TARGET_LOAD__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wf__target_load__descriptor) \
-    , 0, 0, 0, 0 }
+#define WF__LOAD_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
+    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* Wf__EdgeSettings methods */
@@ -215,25 +210,6 @@
 void   wf__load_report__free_unpacked
                      (Wf__LoadReport *message,
                       ProtobufCAllocator *allocator);
-/* Wf__TargetLoad methods */
-void   wf__target_load__init
-                     (Wf__TargetLoad         *message);
-size_t wf__target_load__get_packed_size
-                     (const Wf__TargetLoad   *message);
-size_t wf__target_load__pack
-                     (const Wf__TargetLoad   *message,
-                      uint8_t             *out);
-size_t wf__target_load__pack_to_buffer
-                     (const Wf__TargetLoad   *message,
-                      ProtobufCBuffer     *buffer);
-Wf__TargetLoad *
-       wf__target_load__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   wf__target_load__free_unpacked
-                     (Wf__TargetLoad *message,
-                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wf__EdgeSettings_Closure)
@@ -242,9 +218,6 @@
 typedef void (*Wf__LoadReport_Closure)
                  (const Wf__LoadReport *message,
                   void *closure_data);
-typedef void (*Wf__TargetLoad_Closure)
-                 (const Wf__TargetLoad *message,
-                  void *closure_data);
 
 /* --- services --- */
 
@@ -253,7 +226,6 @@
 
 extern const ProtobufCMessageDescriptor wf__edge_settings__descriptor;
 extern const ProtobufCMessageDescriptor wf__load_report__descriptor;
-extern const ProtobufCMessageDescriptor wf__target_load__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -329,6 +329,8 @@
 #define LOCAL_PEERS 42
 #define REMOTE_PEERS 347
 #define MANY_TARGETS 80
+/* Engines of a data centre and its neighbours at the planned size. */
+#define ENGINES_IN_USE 130
 /* Share of the 22 KB/s limit on control traffic of a node. */
 #define REPORT_BYTES_PER_S 12000
 #define REPORT_SECONDS 20
@@ -380,6 +382,142 @@
 }
 END_TEST
 
+/*
+ * Replays a crest at which an instance's streams run through most engines of
+ * its fleet. Guards against engines that are left out of the report: peers
+ * would take them for idle and all send there.
+ */
+START_TEST(report_covers_all_engines_in_use)
+{
+	struct pair pair;
+	char name[16];
+	int i;
+	int j;
+
+	pair_open(&pair);
+	for (i = 0; i < ENGINES_IN_USE; i++) {
+		g_snprintf(name, sizeof(name), "t%d", i);
+		for (j = 0; j < 2; j++)
+			sup_list_engine(pair.fleets[j], 0, name, "a", "large",
+					(struct flt_range){0, 10});
+		flt_find(pair.fleets[0], name)->on_path = 7;
+	}
+	deliver(&pair, prs_make_report(pair.peers[0], "two"));
+	for (i = 0; i < ENGINES_IN_USE; i++) {
+		g_snprintf(name, sizeof(name), "t%d", i);
+		ck_assert_uint_eq(
+			flt_find(pair.fleets[1], name)->others.on_path, 7);
+	}
+	pair_close(&pair);
+}
+END_TEST
+
+static GBytes *pack(const Wf__LoadReport *report)
+{
+	size_t len = wf__load_report__get_packed_size(report);
+	uint8_t *bytes = g_malloc(len);
+
+	wf__load_report__pack(report, bytes);
+	return g_bytes_new_take(bytes, len);
+}
+
+/* Delivers a report on data centre "b" from one of its instances. */
+static void deliver_center(struct pair *pair, const char *instance,
+			   uint64_t sequence, uint32_t instances,
+			   uint32_t on_path)
+{
+	Wf__LoadReport report = WF__LOAD_REPORT__INIT;
+	uint32_t target = engine(pair, 1)->id_hash;
+	uint32_t in_flight = 0;
+	uint32_t kilo = 10;
+
+	report.instance = (char *)instance;
+	report.data_center = "b";
+	report.address = "127.0.0.1:9";
+	report.incarnation = 1;
+	report.sequence = sequence;
+	report.has_instances = 1;
+	report.instances = instances;
+	report.n_target = report.n_in_flight = 1;
+	report.n_on_path = report.n_kilo_token_layers = 1;
+	report.target = &target;
+	report.in_flight = &in_flight;
+	report.on_path = &on_path;
+	report.kilo_token_layers = &kilo;
+	deliver(pair, pack(&report));
+}
+
+/* Guards against adding up the reports of several instances on the same data
+ * centre, and against one that is cut off from its peers and knows its own
+ * load only. */
+START_TEST(load_of_a_data_center_counts_once)
+{
+	struct pair pair;
+
+	pair_open(&pair);
+	deliver_center(&pair, "b1", 1, 10, 50);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 50);
+	deliver_center(&pair, "b2", 1, 9, 60);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 60);
+	deliver_center(&pair, "b3", 1, 1, 4);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 60);
+	/* Later it is the best that is known. */
+	pair.now += 1500;
+	deliver_center(&pair, "b3", 2, 1, 4);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 4);
+	pair.now += 3000;
+	prs_expire(pair.peers[1]);
+	ck_assert_uint_eq(engine(&pair, 1)->others.on_path, 0);
+	pair_close(&pair);
+}
+END_TEST
+
+/* A report to another data centre has the load of the local peers, too. */
+START_TEST(report_to_another_data_center_sums_the_own_one)
+{
+	struct pair pair;
+	Wf__LoadReport *report;
+	GBytes *bytes;
+	gsize len;
+	const uint8_t *data;
+
+	pair_open(&pair);
+	engine(&pair, 0)->on_path = 3;
+	engine(&pair, 1)->on_path = 5;
+	deliver(&pair, prs_make_report(pair.peers[0], "two"));
+	prs_add_peer(pair.peers[1], "far", "b", "127.0.0.1:9");
+	bytes = prs_make_report(pair.peers[1], "far");
+	data = g_bytes_get_data(bytes, &len);
+	report = wf__load_report__unpack(NULL, len, data);
+	ck_assert_uint_eq(report->instances, 2);
+	ck_assert_uint_eq(report->n_on_path, 1);
+	ck_assert_uint_eq(report->on_path[0], 8);
+	wf__load_report__free_unpacked(report, NULL);
+	g_bytes_unref(bytes);
+	pair_close(&pair);
+}
+END_TEST
+
+/* Guards against reading beyond the shorter of a report's arrays. */
+START_TEST(report_with_unequal_arrays_is_dropped)
+{
+	struct pair pair;
+	Wf__LoadReport report = WF__LOAD_REPORT__INIT;
+	uint32_t targets[] = {1, 2, 3};
+
+	pair_open(&pair);
+	report.instance = report.data_center = "b";
+	report.address = "127.0.0.1:9";
+	report.n_target = G_N_ELEMENTS(targets);
+	report.target = targets;
+	deliver(&pair, pack(&report));
+	ck_assert_int_eq(ctr_get(pair.counters, "wf_peer_bad_reports_total"),
+			 1);
+	ck_assert_uint_eq(prs_count_instances(pair.peers[1]), 1);
+	pair_close(&pair);
+}
+END_TEST
+
 /* Guards against load that alternates between dropped and counted, if a peer
  * has so many others to report to that its reports are far apart. */
 START_TEST(infrequent_report_counts_until_the_next)
@@ -489,6 +627,10 @@
 	tcase_add_test(tcase, flood_leaves_the_share_of_other_classes);
 	tcase_add_test(tcase, log_stays_within_its_byte_budget);
 	tcase_add_test(tcase, load_of_a_silent_peer_expires);
+	tcase_add_test(tcase, report_covers_all_engines_in_use);
+	tcase_add_test(tcase, load_of_a_data_center_counts_once);
+	tcase_add_test(tcase, report_to_another_data_center_sums_the_own_one);
+	tcase_add_test(tcase, report_with_unequal_arrays_is_dropped);
 	tcase_add_test(tcase, reports_stay_within_byte_budget_at_planned_size);
 	tcase_add_test(tcase, infrequent_report_counts_until_the_next);
 	tcase_add_test(tcase, confirmation_is_dated_by_the_echoed_report);
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -380,6 +380,39 @@
 }
 END_TEST
 
+/*
+ * Replays the crest of a day on which the fastest engine of a data centre was
+ * the head of all paths: it ran out of slots and its requests waited seconds
+ * for their first event, while other heads were idle.
+ */
+START_TEST(heads_share_the_paths_of_a_crest)
+{
+	struct fixture fixture;
+	struct flt_target *fast;
+	struct flt_target *slow;
+	struct pth_path *path;
+
+	setup(&fixture, 1);
+	add_engine(&fixture, "e1", "a", "large", 0, 20);
+	add_engine(&fixture, "e2", "a", "small", 0, 6);
+	add_engine(&fixture, "e3", "a", "large", 6, 40);
+	add_engine(&fixture, "e4", "a", "large", 20, 60);
+	add_engine(&fixture, "e5", "a", "large", 40, FLT_TEST_LAYERS);
+	fast = flt_find(fixture.fleet, "e1");
+	slow = flt_find(fixture.fleet, "e2");
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path), PTH_FOUND);
+	ck_assert_ptr_eq(pth_head(path), fast);
+	pth_free(path);
+	/* Half of these are known from reports only, and out of date. */
+	fast->in_flight = 75;
+	fast->others.in_flight = 75;
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path), PTH_FOUND);
+	ck_assert_ptr_eq(pth_head(path), slow);
+	pth_free(path);
+	teardown(&fixture);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("path");
@@ -396,5 +429,6 @@
 	tcase_add_test(tcase,
 		       reroute_keeps_the_head_and_avoids_the_down_engine);
 	tcase_add_test(tcase, reroute_without_another_engine_is_refused);
+	tcase_add_test(tcase, heads_share_the_paths_of_a_crest);
 	return sup_run_case("path", tcase);
 }
