upstream: bounds on what a target may send; answers without an id

Cause, by reading and tests that failed first: a target that sends without end was read until the deadline of its request. Its stream event was kept whatever its size and scanned from its start with each read; late answers and interim ones were skipped without a bound. And an answer without an id on a connection in use again counted as the answer to the next request.

Change: bounds, as settings, on the bytes before the body of an answer, the body of a plain one and one event, and on all that is buffered (a quarter of the memory). What exceeds them ends the send as unknown, not as not run: a repeatable request goes elsewhere, another gets 502. An answer without an id is taken only as the first on its connection. Blocks of comments are no progress of a stream.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -6,6 +6,8 @@
 #define RESERVED_DESCRIPTORS 1200
 /* Request bodies may take 1/4 of the memory. */
 #define BODY_MEMORY_DIVISOR 4
+/* Answers that are buffered may take as much. */
+#define ANSWER_MEMORY_DIVISOR 4
 /* A catalog expires this long before a removed key must stop working: covers
  * the latency of the store's answer and changes that a watch missed. */
 #define CONFIRM_MARGIN_MS 1200
@@ -194,6 +196,10 @@
 		MAX((clk_ms)settings->key_removal_ms - CONFIRM_MARGIN_MS,
 		    (clk_ms)settings->key_removal_ms / 2);
 	edge->drain_limit = (clk_ms)settings->drain_limit_ms;
+	edge->max_answer_bytes = settings->max_answer_bytes;
+	edge->max_event_bytes = settings->max_event_bytes;
+	edge->max_buffered_bytes =
+		(size_t)settings->memory_mb * (1 << 20) / ANSWER_MEMORY_DIVISOR;
 	edge->engine_stall = (clk_ms)settings->engine_stall_ms;
 	edge->retry_part = settings->retry_part;
 	edge->retry_slack = (double)settings->retry_slack;
@@ -339,6 +345,7 @@
 	edg_apply_settings(edge, settings);
 	set_limits(edge, settings);
 	edge->client = hup_new(edge->loop, edge->counters);
+	hup_set_max_head_bytes(edge->client, settings->max_answer_head_bytes);
 	edge->caller_server = hsv_new(edge->loop, &edge->limits, edge->counters,
 				      &caller_ops, edge);
 	edge->operator_server = hsv_new(edge->loop, &edge->limits,
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -90,11 +90,26 @@
 	return out;
 }
 
+bool edg_count_buffered(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	size_t events = request->splitter.partial->len;
+	size_t bytes = request->body->len + events;
+
+	edge->buffered_bytes -= request->buffered;
+	edge->buffered_bytes += bytes;
+	request->buffered = bytes;
+	return request->body->len <= edge->max_answer_bytes &&
+	       events <= edge->max_event_bytes &&
+	       edge->buffered_bytes <= edge->max_buffered_bytes;
+}
+
 static void reset_answer(struct edg_request *request)
 {
 	request->status = 0;
 	g_string_truncate(request->headers, 0);
 	g_string_truncate(request->body, 0);
+	edg_count_buffered(request);
 	request->is_signed = false;
 	request->is_not_run = false;
 	request->is_encoded = false;
--- a/src/edge/edg_plain.c
+++ b/src/edge/edg_plain.c
@@ -1,8 +1,5 @@
 #include "edge/edg_private.h"
 
-/* Larger answers are refused: an answer is buffered until it is complete, so
- * that the request can be retried elsewhere if it is cut off. */
-#define MAX_ANSWER_BYTES (8 << 20)
 #define NO_TARGET_RETRY_MS 300
 
 static void send_next(struct edg_request *request);
@@ -12,14 +9,19 @@
 	edg_read_response_head(user, response);
 }
 
+static void on_end(void *user, enum hup_result how);
+
+/* The answer is buffered until it is complete, so that the request can be
+ * retried elsewhere if it is cut off. */
 static void on_data(void *user, const char *bytes, size_t len)
 {
 	struct edg_request *request = user;
 
-	if (request->body->len + len <= MAX_ANSWER_BYTES)
-		g_string_append_len(request->body, bytes, (gssize)len);
-	else
-		request->is_signed = false;
+	g_string_append_len(request->body, bytes, (gssize)len);
+	if (edg_count_buffered(request))
+		return;
+	hup_cancel(request->exchange);
+	on_end(request, HUP_TOO_LARGE);
 }
 
 static void deliver(struct edg_request *request)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -43,6 +43,12 @@
 
 	/* Service name to struct rty_budget. */
 	GHashTable *budgets;
+	/* Limits on the answers of targets: of one, of one event, and bytes
+	 * buffered for all requests together. */
+	size_t max_answer_bytes;
+	size_t max_event_bytes;
+	size_t max_buffered_bytes;
+	size_t buffered_bytes;
 	double retry_part;
 	double retry_slack;
 
@@ -106,6 +112,8 @@
 	int status;
 	GString *headers;
 	GString *body;
+	/* Bytes of this answer that the edge counts as buffered. */
+	size_t buffered;
 	bool is_signed;
 	bool is_not_run;
 	bool is_encoded;
@@ -190,6 +198,9 @@
 void edg_release_send(struct edg_request *request);
 /* Scheduling priority at engines, 0 to 9; 0 is the most urgent. */
 int edg_priority(const struct edg_request *request);
+/* Updates the number of buffered bytes of the answer. Returns false if the
+ * answer must end because there are too many. */
+bool edg_count_buffered(struct edg_request *request);
 /* Stores the response head in the request. */
 void edg_read_response_head(struct edg_request *request,
 			    const struct hup_response *response);
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -45,6 +45,7 @@
 	g_hash_table_remove(request->edge->requests, request);
 	g_ptr_array_unref(request->tried_targets);
 	g_array_unref(request->runs);
+	request->edge->buffered_bytes -= request->buffered;
 	g_string_free(request->headers, TRUE);
 	g_string_free(request->body, TRUE);
 	evs_clear(&request->splitter);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -55,15 +55,30 @@
 	request->last_event_at = now;
 }
 
+static void on_end(void *user, enum hup_result how);
+
+/* Ends the send because of the size of what the target has sent. */
+static void end_too_large(struct edg_request *request)
+{
+	hup_cancel(request->exchange);
+	on_end(request, HUP_TOO_LARGE);
+}
+
 static void on_stream_data(struct edg_request *request, const char *bytes,
 			   size_t len)
 {
+	unsigned progress = request->splitter.progress;
 	size_t ready = evs_add(&request->splitter, bytes, len);
 
-	if (!ready)
+	if (!ready) {
+		if (!edg_count_buffered(request))
+			end_too_large(request);
 		return;
-	record_event(request);
-	watch_silence(request);
+	}
+	if (request->splitter.progress > progress) {
+		record_event(request);
+		watch_silence(request);
+	}
 	if (!hsv_send_chunk(request->http, request->splitter.partial->str,
 			    ready)) {
 		request->http->user = NULL;
@@ -73,16 +88,20 @@
 		return;
 	}
 	evs_consume(&request->splitter, ready);
+	edg_count_buffered(request);
 }
 
 static void on_data(void *user, const char *bytes, size_t len)
 {
 	struct edg_request *request = user;
 
-	if (is_stream_answer(request))
+	if (is_stream_answer(request)) {
 		on_stream_data(request, bytes, len);
-	else
-		g_string_append_len(request->body, bytes, (gssize)len);
+		return;
+	}
+	g_string_append_len(request->body, bytes, (gssize)len);
+	if (!edg_count_buffered(request))
+		end_too_large(request);
 }
 
 static void complete(struct edg_request *request)
--- a/src/edge/event_splitter.h
+++ b/src/edge/event_splitter.h
@@ -15,8 +15,12 @@
 	GString *partial;
 	/* Id of the last complete event; empty before the first. */
 	GString *last_id;
-	/* Complete events so far. */
+	/* Complete events so far, and those among them that are not only
+	 * comments: comments keep a connection open, but are no progress. */
 	unsigned events;
+	unsigned progress;
+	/* Bytes of partial that are known not to end an event. */
+	size_t scanned;
 };
 
 void evs_init(struct evs_splitter *splitter);
--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -19,6 +19,7 @@
 #define KEEP_ALIVE_MARGIN_MS 900
 #define SWEEP_INTERVAL_MS 1000
 #define MAX_IDLE_PER_ADDRESS 64
+#define DEFAULT_MAX_HEAD_BYTES (256 << 10)
 
 struct write {
 	uv_write_t request;
@@ -118,6 +119,7 @@
 	if (!exchange)
 		return;
 	conn->exchange = NULL;
+	conn->served++;
 	if (keep)
 		add_idle(conn);
 	else
@@ -359,6 +361,7 @@
 	exchange->id_header = g_strdup(request->id_header);
 	exchange->id = g_strdup(request->id);
 	exchange->timeout = request->timeout;
+	exchange->max_body_bytes = request->max_body_bytes;
 	exchange->started_at = now_ms(client);
 	uv_timer_init(client->loop, &exchange->timer);
 	exchange->timer.data = exchange;
@@ -418,6 +421,7 @@
 	client->loop = loop;
 	client->counters = ctr_keep(counters);
 	client->refs = 1;
+	client->max_head_bytes = DEFAULT_MAX_HEAD_BYTES;
 	client->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     queue_destroy);
 	uv_timer_init(loop, &client->sweep);
@@ -428,6 +432,11 @@
 	return client;
 }
 
+void hup_set_max_head_bytes(struct hup_client *client, size_t bytes)
+{
+	client->max_head_bytes = bytes;
+}
+
 static void on_sweep_closed(uv_handle_t *handle)
 {
 	client_unref(handle->data);
--- a/src/edge/hup_client.h
+++ b/src/edge/hup_client.h
@@ -5,7 +5,11 @@
  * hup: HTTP upstream client (HTTP/1.1). Sends request bytes as given and passes
  * the response on as it is received. Keeps a pool of idle connections for each
  * address. A response with the id of another request is discarded, and a
- * connection that receives unexpected bytes is not reused.
+ * connection that receives unexpected bytes is not reused. On a reused
+ * connection a response without an id may be a late copy of an earlier one, so
+ * it is malformed. What precedes the body of the response, with interim and
+ * discarded responses, is limited, because a faulty peer may send bytes without
+ * end.
  */
 
 #include <uv.h>
@@ -25,6 +29,8 @@
 	HUP_MALFORMED,
 	/* The response was not complete within the timeout. */
 	HUP_TIMED_OUT,
+	/* The peer sent more than the limits allow. */
+	HUP_TOO_LARGE,
 };
 
 struct hup_response {
@@ -57,6 +63,8 @@
 	clk_ms max_idle;
 	/* Limit on the time to the complete response; 0 for none. */
 	clk_ms timeout;
+	/* Limit on the body; 0 for none. */
+	size_t max_body_bytes;
 	/* Header that carries the id in request and response, and the id; NULL
 	 * if responses carry none. */
 	const char *id_header;
@@ -65,6 +73,9 @@
 
 struct hup_client *hup_new(uv_loop_t *loop, struct ctr_set *counters);
 
+/* Sets the limit on the bytes that precede the body of a response. */
+void hup_set_max_head_bytes(struct hup_client *client, size_t bytes);
+
 /* Closes all connections; exchanges end with HUP_CONN_LOST. */
 void hup_drop(struct hup_client *client);
 
--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -48,31 +48,47 @@
 	       CLK_SECOND;
 }
 
-static bool has_matching_id(const struct hup_exchange *exchange,
-			    const struct hup_response *response)
+enum match {
+	MATCHES,
+	/* Belongs to another request. */
+	IS_STALE,
+	/* May belong to another request. */
+	IS_UNKNOWN,
+};
+
+static enum match match_id(const struct hup_conn *conn,
+			   const struct hup_exchange *exchange)
 {
 	const char *id;
 
 #ifdef WF_GUARD_OFF_EDGE_ANSWER_ID
-	return true;
+	return MATCHES;
 #endif
 	if (!exchange->id_header)
-		return true;
-	id = hdr_get(&response->headers, exchange->id_header);
-	return !id || !strcmp(id, exchange->id);
+		return MATCHES;
+	id = hdr_get(&conn->response.headers, exchange->id_header);
+	if (!id)
+		return conn->served ? IS_UNKNOWN : MATCHES;
+	return strcmp(id, exchange->id) ? IS_STALE : MATCHES;
 }
 
 static int on_headers_complete(http_parser *parser)
 {
 	struct hup_conn *conn = parser->data;
 	struct hup_exchange *exchange = active_exchange(conn);
+	enum match match;
 
 	hdr_builder_flush(&conn->builder, &conn->response.headers);
 	if (!exchange)
 		return -1;
 	conn->response.status = (int)parser->status_code;
-	conn->is_skipping = parser->status_code < 200 ||
-			    !has_matching_id(exchange, &conn->response);
+	match = match_id(conn, exchange);
+	conn->is_skipping = parser->status_code < 200 || match == IS_STALE;
+	if (!conn->is_skipping && match == IS_UNKNOWN) {
+		ctr_add(conn->client->counters,
+			"wf_upstream_unknown_answers_total", 1);
+		return -1;
+	}
 	if (conn->is_skipping) {
 		if (parser->status_code >= 200)
 			ctr_add(conn->client->counters,
@@ -95,6 +111,12 @@
 		return -1;
 	if (conn->is_skipping)
 		return 0;
+	exchange->body_bytes += len;
+	if (exchange->max_body_bytes &&
+	    exchange->body_bytes > exchange->max_body_bytes) {
+		exchange->is_too_large = true;
+		return -1;
+	}
 	exchange->ops->data(exchange->user, at, len);
 	return active_exchange(conn) ? 0 : -1;
 }
@@ -122,8 +144,20 @@
 	.on_message_complete = on_message_complete,
 };
 
+/* Counts received bytes that are not of the body of the response. */
+static void count_head_bytes(struct hup_conn *conn, size_t len, size_t body)
+{
+	struct hup_exchange *exchange = conn->exchange;
+
+	exchange->head_bytes += len - MIN(exchange->body_bytes - body, len);
+	if (exchange->head_bytes > conn->client->max_head_bytes &&
+	    !exchange->body_bytes)
+		exchange->is_too_large = true;
+}
+
 void hup_parse(struct hup_conn *conn, const char *bytes, size_t len)
 {
+	size_t body = conn->exchange->body_bytes;
 	size_t parsed = http_parser_execute(&conn->parser, &parser_settings,
 					    bytes, len);
 
@@ -136,6 +170,13 @@
 		hup_finish(conn, HUP_COMPLETE);
 		return;
 	}
+	count_head_bytes(conn, len, body);
+	if (conn->exchange->is_too_large) {
+		ctr_add(conn->client->counters, "wf_upstream_too_large_total",
+			1);
+		hup_finish(conn, HUP_TOO_LARGE);
+		return;
+	}
 	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		hup_finish(conn, len ? HUP_MALFORMED : HUP_CONN_LOST);
 }
--- a/src/edge/hup_private.h
+++ b/src/edge/hup_private.h
@@ -27,6 +27,8 @@
 	bool is_complete;
 	bool is_reusable;
 	unsigned pending_writes;
+	/* Exchanges that ended on this connection. */
+	unsigned served;
 	clk_ms idle_since;
 	/* How long the target keeps an idle connection open. */
 	clk_ms keep_alive;
@@ -45,6 +47,12 @@
 	uv_timer_t timer;
 	clk_ms timeout;
 	clk_ms started_at;
+	size_t max_body_bytes;
+	size_t body_bytes;
+	/* Bytes received before the body of the response. */
+	size_t head_bytes;
+	/* The limits are exceeded. */
+	bool is_too_large;
 };
 
 struct hup_client {
@@ -57,6 +65,7 @@
 	/* One for the owner and one for each open handle. */
 	int refs;
 	bool is_closed;
+	size_t max_head_bytes;
 	char buffer[HUP_READ_BYTES];
 };
 
--- a/src/edge/prs_reports.h
+++ b/src/edge/prs_reports.h
@@ -6,9 +6,9 @@
  * instance sends its load over UDP to a few peers ten times a second, mostly to
  * those in its own data centre, which use the same engines, and within a byte
  * rate limit. To another data centre it sends the summed load of its own one,
- * so that a few reports tell the load of all its instances. Peers are known from the platform's store and from their reports.
- * The load is a hint: it affects the choice of a path, never whether a request
- * may run.
+ * so that a few reports tell the load of all its instances. Peers are known
+ * from the platform's store and from their reports. The load is a hint: it
+ * affects the choice of a path, never whether a request may run.
  *
  * A report also carries the time since its sender confirmed that it has the
  * newest configuration. A receiver with the same version adopts that
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -108,8 +108,11 @@
 static const uint64_t wf__edge_settings__log_lines_per_second__default_value = 400ull;
 static const uint64_t wf__edge_settings__log_bytes_per_second__default_value = 160000ull;
 static const uint64_t wf__edge_settings__seed__default_value = 0ull;
+static const uint64_t wf__edge_settings__max_answer_head_bytes__default_value = 262144ull;
+static const uint64_t wf__edge_settings__max_answer_bytes__default_value = 8388608ull;
+static const uint64_t wf__edge_settings__max_event_bytes__default_value = 1048576ull;
 static const uint64_t wf__edge_settings__max_waiting_streams__default_value = 256ull;
-static const ProtobufCFieldDescriptor wf__edge_settings__field_descriptors[18] =
+static const ProtobufCFieldDescriptor wf__edge_settings__field_descriptors[21] =
 {
   {
     "instance",
@@ -327,6 +330,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "max_answer_head_bytes",
+    20,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wf__EdgeSettings, has_max_answer_head_bytes),
+    offsetof(Wf__EdgeSettings, max_answer_head_bytes),
+    NULL,
+    &wf__edge_settings__max_answer_head_bytes__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_answer_bytes",
+    21,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wf__EdgeSettings, has_max_answer_bytes),
+    offsetof(Wf__EdgeSettings, max_answer_bytes),
+    NULL,
+    &wf__edge_settings__max_answer_bytes__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_event_bytes",
+    22,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wf__EdgeSettings, has_max_event_bytes),
+    offsetof(Wf__EdgeSettings, max_event_bytes),
+    NULL,
+    &wf__edge_settings__max_event_bytes__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__edge_settings__field_indices_by_name[] = {
   2,   /* field[2] = caller_address */
@@ -338,7 +377,10 @@
   5,   /* field[5] = key_removal_ms */
   16,   /* field[16] = log_bytes_per_second */
   13,   /* field[13] = log_lines_per_second */
+  19,   /* field[19] = max_answer_bytes */
+  18,   /* field[18] = max_answer_head_bytes */
   9,   /* field[9] = max_descriptors */
+  20,   /* field[20] = max_event_bytes */
   17,   /* field[17] = max_waiting_streams */
   10,   /* field[10] = memory_mb */
   15,   /* field[15] = peer_address */
@@ -352,7 +394,7 @@
 {
   { 1, 0 },
   { 11, 9 },
-  { 0, 18 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor wf__edge_settings__descriptor =
 {
@@ -362,7 +404,7 @@
   "Wf__EdgeSettings",
   "wf",
   sizeof(Wf__EdgeSettings),
-  18,
+  21,
   wf__edge_settings__field_descriptors,
   wf__edge_settings__field_indices_by_name,
   2,  wf__edge_settings__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -96,6 +96,16 @@
    * Receives the peers' load reports, as datagrams.
    */
   char *peer_address;
+  /*
+   * Limits on what a target may send: before the body of its answer, with
+   * interim and late answers; the body of a plain answer; one event.
+   */
+  protobuf_c_boolean has_max_answer_head_bytes;
+  uint64_t max_answer_head_bytes;
+  protobuf_c_boolean has_max_answer_bytes;
+  uint64_t max_answer_bytes;
+  protobuf_c_boolean has_max_event_bytes;
+  uint64_t max_event_bytes;
   /*
    * Streams that may wait for capacity at an instance; 0 refuses them at once.
    */
@@ -104,7 +114,7 @@
 };
 #define WF__EDGE_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__edge_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, 0, 5000ull, 0, 8000ull, 0, 0.2, 0, 50ull, 0, 1024ull, 0, 256ull, 0, 1, 0, 3000ull, 0, 400ull, 0, 160000ull, 0, 0ull, NULL, 0, 256ull }
+    , NULL, NULL, NULL, NULL, NULL, 0, 5000ull, 0, 8000ull, 0, 0.2, 0, 50ull, 0, 1024ull, 0, 256ull, 0, 1, 0, 3000ull, 0, 400ull, 0, 160000ull, 0, 0ull, NULL, 0, 262144ull, 0, 8388608ull, 0, 1048576ull, 0, 256ull }
 
 
 /*
--- a/src/schema/sch_edge.c
+++ b/src/schema/sch_edge.c
@@ -18,6 +18,8 @@
 #define MIN_KEY_REMOVAL_MS 1000
 #define MIN_DESCRIPTORS 256
 #define MIN_MEMORY_MB 32
+#define MIN_ANSWER_BYTES 1024
+#define MAX_ANSWER_BYTES (1 << 30)
 /* Each waiting stream holds its request and an open connection. */
 #define MAX_WAITING_STREAMS 10000
 
@@ -35,6 +37,9 @@
 	RANGE("memory_mb", MIN_MEMORY_MB, UINT32_MAX),
 	RANGE("engine_stall_ms", 1, CLK_HOUR),
 	RANGE("max_waiting_streams", 0, MAX_WAITING_STREAMS),
+	RANGE("max_answer_head_bytes", MIN_ANSWER_BYTES, MAX_ANSWER_BYTES),
+	RANGE("max_answer_bytes", MIN_ANSWER_BYTES, MAX_ANSWER_BYTES),
+	RANGE("max_event_bytes", MIN_ANSWER_BYTES, MAX_ANSWER_BYTES),
 	RANGE("log_lines_per_second", 0, UINT32_MAX),
 	RANGE("log_bytes_per_second", 0, UINT32_MAX),
 };
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -48,6 +48,43 @@
 }
 END_TEST
 
+/* Guards against taking comments, which a stalled target may go on sending, for
+ * progress of its stream. */
+START_TEST(comments_are_no_progress)
+{
+	static const char text[] = ": keep-alive\n\n:\r\n\r\n\n";
+	struct evs_splitter splitter;
+
+	evs_init(&splitter);
+	ck_assert_uint_eq(evs_add(&splitter, text, strlen(text)), strlen(text));
+	ck_assert_uint_eq(splitter.progress, 0);
+	evs_consume(&splitter, strlen(text));
+	evs_add(&splitter, ": a\ndata: b\n\n", 14);
+	ck_assert_uint_eq(splitter.progress, 1);
+	evs_clear(&splitter);
+}
+END_TEST
+
+#define EVENT_BYTES (4 << 20)
+
+/* Guards against scanning a long event from its start with each read, which
+ * takes minutes for this one. */
+START_TEST(long_event_is_scanned_once)
+{
+	static const char line[] = "data: 0123456789\n";
+	struct evs_splitter splitter;
+	size_t sent;
+
+	evs_init(&splitter);
+	for (sent = 0; sent < EVENT_BYTES; sent += strlen(line))
+		ck_assert_uint_eq(evs_add(&splitter, line, strlen(line)), 0);
+	ck_assert_uint_eq(splitter.scanned, sent);
+	ck_assert_uint_eq(evs_add(&splitter, "\n", 1), sent + 1);
+	ck_assert_uint_eq(splitter.events, 1);
+	evs_clear(&splitter);
+}
+END_TEST
+
 START_TEST(hop_by_hop_fields_are_recognised)
 {
 	struct hdr_list list;
@@ -620,6 +657,8 @@
 
 	tcase_add_loop_test(tcase, events_are_split_correctly_at_any_read_size,
 			    0, 20);
+	tcase_add_test(tcase, comments_are_no_progress);
+	tcase_add_test(tcase, long_event_is_scanned_once);
 	tcase_add_test(tcase, hop_by_hop_fields_are_recognised);
 	tcase_add_loop_test(tcase, settings_are_checked, 0,
 			    G_N_ELEMENTS(settings_cases));
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -10,6 +10,8 @@
 
 #define TIMEOUT_MS 400
 #define ID_HEADER "X-Id"
+#define MAX_HEAD_BYTES 20000
+#define MAX_BODY_BYTES 30000
 
 struct probe {
 	struct wire_loop wire;
@@ -63,6 +65,7 @@
 	probe->counters = ctr_new();
 	probe->data = g_string_new(NULL);
 	probe->client = hup_new(&probe->wire.loop, probe->counters);
+	hup_set_max_head_bytes(probe->client, MAX_HEAD_BYTES);
 	if (handler)
 		probe->server = wire_server_new(&probe->wire, handler, probe);
 }
@@ -90,6 +93,7 @@
 		.bytes = g_string_new("GET / HTTP/1.1\r\nHost: t\r\n\r\n"),
 		.max_idle = max_idle,
 		.timeout = TIMEOUT_MS,
+		.max_body_bytes = MAX_BODY_BYTES,
 		.id_header = ID_HEADER,
 		.id = id,
 	};
@@ -214,6 +218,89 @@
 }
 END_TEST
 
+/* What a target in trouble repeats without end. */
+struct flood_case {
+	const char *start;
+	const char *repeated;
+	enum hup_result result;
+};
+
+static const struct flood_case flood_cases[] = {
+	{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n", HUP_TOO_LARGE},
+	{"HTTP/1.1 200 OK\r\nX-Long: ", "value", HUP_TOO_LARGE},
+	{"", "HTTP/1.1 103 Early Hints\r\n\r\n", HUP_TOO_LARGE},
+	{"", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad",
+	 HUP_TOO_LARGE},
+	{"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "without end",
+	 HUP_TOO_LARGE},
+	{"HTTP/1.1 200 OK\r\n\r\n", "without end", HUP_TOO_LARGE},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	 "5\r\nbytes\r\n", HUP_TOO_LARGE},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 90000000\r\n\r\n", "without end",
+	 HUP_TOO_LARGE},
+	{"", "no HTTP at all ", HUP_MALFORMED},
+};
+
+static void send_flood(struct wire_conn *conn, const char *text, void *user)
+{
+	const struct flood_case *flood =
+		&flood_cases[((struct probe *)user)->step];
+	GString *out = g_string_new(flood->start);
+
+	(void)text;
+	while (out->len < 4 * MAX_BODY_BYTES)
+		g_string_append(out, flood->repeated);
+	wire_send(conn, out->str);
+	g_string_free(out, TRUE);
+}
+
+/* Guards against bytes without end that are read until the deadline, fill the
+ * memory or count as an answer. */
+START_TEST(flood_ends_the_exchange)
+{
+	struct probe probe;
+
+	setup(&probe, send_flood);
+	probe.step = _i;
+	request(&probe, "1");
+	ck_assert_int_eq(probe.result, flood_cases[_i].result);
+	ck_assert_uint_le(probe.data->len, MAX_BODY_BYTES);
+	teardown(&probe);
+}
+END_TEST
+
+static void send_late_copy(struct wire_conn *conn, const char *text, void *user)
+{
+	struct probe *probe = user;
+
+	(void)text;
+	if (!probe->step++) {
+		wire_answer(conn, 200, "X-Id: 1\r\n", "one");
+		return;
+	}
+	/* The copy has no id; only its place suggests that it is the answer. */
+	wire_answer(conn, 200, "", "one");
+	wire_answer(conn, 200, "X-Id: 2\r\n", "two");
+}
+
+/* Guards against a late second copy of an answer, on a connection that is in
+ * use again, that is taken for the answer to the next request. */
+START_TEST(late_copy_without_id_is_no_answer)
+{
+	struct probe probe;
+
+	setup(&probe, send_late_copy);
+	request(&probe, "1");
+	ck_assert_str_eq(probe.data->str, "one");
+	request(&probe, "2");
+	ck_assert_uint_eq(wire_server_connections(probe.server), 1);
+	ck_assert_int_eq(probe.result, HUP_MALFORMED);
+	ck_assert_str_eq(probe.data->str, "");
+	ck_assert_uint_eq(probe.head_calls, 0);
+	teardown(&probe);
+}
+END_TEST
+
 static void send_ok_response(struct wire_conn *conn, const char *text,
 			     void *user)
 {
@@ -299,5 +386,8 @@
 	tcase_add_test(tcase, connection_closed_by_target_is_not_reused);
 	tcase_add_test(tcase, refused_connection_reports_not_sent);
 	tcase_add_test(tcase, cancelled_exchange_calls_no_further_callback);
+	tcase_add_loop_test(tcase, flood_ends_the_exchange, 0,
+			    G_N_ELEMENTS(flood_cases));
+	tcase_add_test(tcase, late_copy_without_id_is_no_answer);
 	return sup_run_case("edge_upstream_wire", tcase);
 }
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -198,6 +198,9 @@
 	/* With proof that it did not run, it goes to another target. */
 	{WORKER_REFUSES, "/once/", "HTTP/1.1 503 ", 2},
 	{WORKER_SILENT, "/once/", "HTTP/1.1 504 ", 1},
+	/* An answer without end shows that it runs. */
+	{WORKER_ENDLESS, "/once/", "HTTP/1.1 502 ", 1},
+	{WORKER_ENDLESS, "/read/", "HTTP/1.1 502 ", 2},
 	/* What may run again goes to one more target. */
 	{WORKER_BREAKS, "/read/", "HTTP/1.1 502 ", 2},
 	{WORKER_UNSIGNED, "/read/", "HTTP/1.1 502 ", 2},
@@ -222,7 +225,8 @@
 START_TEST(repeatable_request_is_answered_by_another_target)
 {
 	static const enum worker_mode modes[] = {WORKER_FAILS, WORKER_BREAKS,
-						 WORKER_CLOSES, WORKER_REFUSES};
+						 WORKER_CLOSES, WORKER_REFUSES,
+						 WORKER_ENDLESS};
 	struct platform_world world;
 	int i;
 
@@ -390,6 +394,30 @@
 }
 END_TEST
 
+/* Guards against an event without end that fills the memory until the deadline
+ * of its request. */
+START_TEST(stream_with_an_endless_event_continues_elsewhere)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *first;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_ENDLESS);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_run_until(&world.wire, has_any_request, &world);
+	first = used_worker(&world);
+	set_modes(&world, WORKER_ANSWERS);
+	first->mode = WORKER_ENDLESS;
+	wire_client_await(&world.wire, client,
+			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	ck_assert_ptr_null(strstr(client->received->str, "xxx"));
+	ck_assert_uint_eq(total_requests(&world), 2);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 START_TEST(path_runs_every_layer_once)
 {
 	struct platform_world world;
@@ -883,7 +911,7 @@
 	tcase_add_loop_test(tcase, failed_request_gets_a_matching_status, 0,
 			    G_N_ELEMENTS(failures));
 	tcase_add_loop_test(
-		tcase, repeatable_request_is_answered_by_another_target, 0, 4);
+		tcase, repeatable_request_is_answered_by_another_target, 0, 5);
 	tcase_add_test(tcase,
 		       keys_are_refused_once_the_configuration_is_too_old);
 	tcase_add_test(tcase, older_configuration_never_replaces_a_newer_one);
@@ -891,6 +919,7 @@
 	tcase_add_test(tcase, missing_entries_are_kept_only_after_an_outage);
 	tcase_add_test(tcase, lost_watch_is_given_up_within_three_seconds);
 	tcase_add_test(tcase, broken_stream_continues_after_its_last_event);
+	tcase_add_test(tcase, stream_with_an_endless_event_continues_elsewhere);
 	tcase_add_test(tcase, path_runs_every_layer_once);
 	tcase_add_test(tcase,
 		       stream_waits_for_room_only_while_it_can_be_in_time);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -295,6 +295,17 @@
 	return head;
 }
 
+/* Sends a chunk of an answer that does not end with it. */
+static void send_oversize(struct wire_conn *conn)
+{
+	char *filler = g_strnfill(OVERSIZE_BYTES, 'x');
+	char *chunk = g_strdup_printf("%x\r\n%s\r\n", OVERSIZE_BYTES, filler);
+
+	wire_send(conn, chunk);
+	g_free(chunk);
+	g_free(filler);
+}
+
 static void send_stream(struct worker *worker, struct wire_conn *conn,
 			const char *request)
 {
@@ -304,7 +315,9 @@
 	wire_send(conn, head);
 	if (!last)
 		wire_send(conn, "11\r\nid: 1\ndata: one\n\n\r\n");
-	if (worker->mode == WORKER_BREAKS_STREAM) {
+	if (worker->mode == WORKER_ENDLESS) {
+		send_oversize(conn);
+	} else if (worker->mode == WORKER_BREAKS_STREAM) {
 		wire_send(conn, "8\r\nid: 2\nda\r\n");
 		wire_hang_up(conn);
 	} else if (worker->mode == WORKER_STALLS_STREAM) {
@@ -317,6 +330,19 @@
 	g_free(last);
 }
 
+/* Answers without a body of the service, with the id of the request. */
+static void answer_status(struct wire_conn *conn, const char *request,
+			  int status, const char *fields, const char *body)
+{
+	char *id = wire_header(request, "X-Wagtailferry-Attempt-Id");
+	char *head = g_strdup_printf("X-Wagtailferry-Attempt-Id: %s\r\n%s", id,
+				     fields);
+
+	wire_answer(conn, status, head, body);
+	g_free(head);
+	g_free(id);
+}
+
 static void answer_request(struct worker *worker, struct wire_conn *conn,
 			   const char *request)
 {
@@ -334,20 +360,27 @@
 		wire_hang_up(conn);
 		g_free(text);
 		break;
+	case WORKER_ENDLESS:
+		text = signed_head(request,
+				   "Transfer-Encoding: chunked\r\n\r\n");
+		wire_send(conn, text);
+		send_oversize(conn);
+		g_free(text);
+		break;
 	case WORKER_FAILS:
-		wire_answer(conn, 500, "X-Wagtailferry-Server-Stamp: sig\r\n",
-			    "failed");
+		answer_status(conn, request, 500,
+			      "X-Wagtailferry-Server-Stamp: sig\r\n", "failed");
 		break;
 	case WORKER_REFUSES:
-		wire_answer(conn, 503, "X-Wagtailferry-Not-Executed: 1\r\n",
-			    "");
+		answer_status(conn, request, 503,
+			      "X-Wagtailferry-Not-Executed: 1\r\n", "");
 		break;
 	case WORKER_REFUSES_WITHOUT_PROOF:
-		wire_answer(conn, 503, "X-Wagtailferry-Server-Stamp: sig\r\n",
-			    "");
+		answer_status(conn, request, 503,
+			      "X-Wagtailferry-Server-Stamp: sig\r\n", "");
 		break;
 	case WORKER_UNSIGNED:
-		wire_answer(conn, 200, "", "body");
+		answer_status(conn, request, 200, "", "body");
 		break;
 	case WORKER_CLOSES:
 		wire_hang_up(conn);
@@ -417,8 +450,9 @@
 	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:b,s:b}", "name",
 			 prefix, "host", "h", "path-prefix", prefix, "type",
 			 type, "service", service, "max-attempts", attempts,
-			 "timeout-ms", 3000, "slo-ms", 1000, "public", (int)is_public,
-			 "resumable", !strcmp(type, "streaming"));
+			 "timeout-ms", 3000, "slo-ms", 1000, "public",
+			 (int)is_public, "resumable",
+			 !strcmp(type, "streaming"));
 }
 
 json_t *world_config(int version)
@@ -503,7 +537,8 @@
 		"\"caller_address\":\"%s\",\"ready_address\":\"%s\","
 		"\"peer_address\":\"127.0.0.1:0\",\"store_address\":\"%s\","
 		"\"key_removal_ms\":3000,\"drain_limit_ms\":4000,\"seed\":7,"
-		"\"retry_slack\":1000}",
+		"\"retry_slack\":1000,\"max_answer_bytes\":100000,"
+		"\"max_event_bytes\":50000}",
 		world->address, world->ready_address,
 		wire_server_address(world->store));
 	world->settings = sch_edge_settings_parse(text, strlen(text), &error);
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -33,8 +33,13 @@
 	WORKER_BREAKS_STREAM,
 	/* Sends one event, then nothing. */
 	WORKER_STALLS_STREAM,
+	/* Sends a body, or an event, of OVERSIZE_BYTES and does not end it. */
+	WORKER_ENDLESS,
 };
 
+/* Above all limits on answers of the edge that runs against the stand-ins. */
+#define OVERSIZE_BYTES 200000
+
 struct platform_world;
 
 struct worker {
