--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -67,8 +67,12 @@
 	if (!exchange->id_header)
 		return MATCHES;
 	id = hdr_get(&conn->response.headers, exchange->id_header);
-	if (!id)
+	if (!id) {
+#ifdef WF_GUARD_OFF_EDGE_LATE_COPY
+		return MATCHES;
+#endif
 		return conn->served ? IS_UNKNOWN : MATCHES;
+	}
 	return strcmp(id, exchange->id) ? IS_STALE : MATCHES;
 }
 
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -34,6 +34,9 @@
 #define CENTER_REPORT_MS 1000
 #define MIN_CENTER_FRACTION 0.75
 #define KILO 1000.0
+/* Above the requests of any target; the sum over all peers does not overflow.
+ */
+#define MAX_REPORTED_REQUESTS 1000000
 
 struct peer_load {
 	uint32_t target;
@@ -105,6 +108,20 @@
 	return peers->config.now(peers->config.user);
 }
 
+static void add_to(struct flt_load *sum, const struct flt_load *load)
+{
+	sum->in_flight += load->in_flight;
+	sum->on_path += load->on_path;
+	sum->token_layers += load->token_layers;
+}
+
+static void take_from(struct flt_load *sum, const struct flt_load *load)
+{
+	sum->in_flight -= MIN(sum->in_flight, load->in_flight);
+	sum->on_path -= MIN(sum->on_path, load->on_path);
+	sum->token_layers -= MIN(sum->token_layers, load->token_layers);
+}
+
 /* Adds (sign 1) or subtracts (sign -1) load of others at its targets. */
 static void adjust_target_loads(struct prs_peers *peers, const GArray *loads,
 				int sign)
@@ -116,18 +133,13 @@
 			&g_array_index(loads, struct peer_load, i);
 		struct flt_target *target =
 			flt_find_by_hash(peers->config.fleet, entry->target);
-		struct flt_load *sum;
 
 		if (!target)
 			continue;
-		sum = &target->others;
-		sum->in_flight = (unsigned)MAX(
-			0, (int)sum->in_flight +
-				   sign * (int)entry->load.in_flight);
-		sum->on_path = (unsigned)MAX(
-			0, (int)sum->on_path + sign * (int)entry->load.on_path);
-		sum->token_layers = MAX(
-			0, sum->token_layers + sign * entry->load.token_layers);
+		if (sign > 0)
+			add_to(&target->others, &entry->load);
+		else
+			take_from(&target->others, &entry->load);
 	}
 }
 
@@ -366,9 +378,7 @@
 		sum = g_new0(struct flt_load, 1);
 		g_hash_table_insert(sums, key, sum);
 	}
-	sum->in_flight += load->in_flight;
-	sum->on_path += load->on_path;
-	sum->token_layers += load->token_layers;
+	add_to(sum, load);
 }
 
 static void add_own_loads(const struct prs_peers *peers, GHashTable *sums)
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -863,6 +863,46 @@
 }
 END_TEST
 
+/*
+ * Guards against a planned stop that cuts off streams which were accepted, but
+ * still wait for room: one is served when another ends, one is refused truly.
+ */
+START_TEST(drain_answers_waiting_streams)
+{
+	struct platform_world world;
+	struct wire_client *streams[HEAD_STREAMS];
+	struct wire_client *waiting[2];
+	unsigned before;
+	guint i;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_STALLS_STREAM);
+	for (i = 0; i < HEAD_STREAMS; i++)
+		streams[i] = open_stream(&world);
+	for (i = 0; i < 6; i++) {
+		wire_client_drop(streams[i]);
+		streams[i] = open_stream(&world);
+	}
+	before = total_requests(&world);
+	for (i = 0; i < 2; i++)
+		waiting[i] = world_request(&world, "POST", "/stream/",
+					   KEY TOKENS, "");
+	world_run(&world, 30);
+	edg_drain(world.edge);
+	ck_assert_uint_eq(total_requests(&world), before);
+	wire_client_drop(streams[0]);
+	wire_client_await(&world.wire, waiting[0], "data: one");
+	streams[0] = waiting[0];
+	wire_client_await(&world.wire, waiting[1], "HTTP/1.1 503 ");
+	ck_assert_uint_eq(total_requests(&world), before + 1);
+	wire_client_drop(waiting[1]);
+	for (i = 0; i < HEAD_STREAMS; i++)
+		wire_client_drop(streams[i]);
+	wire_run_until(&world.wire, is_drained, &world);
+	world_close(&world);
+}
+END_TEST
+
 /* Ends shortly before the draining instance stops listening. */
 #define BEFORE_LISTENER_CLOSE_MS 2750
 #define PAST_LISTENER_CLOSE_US 300000
@@ -937,6 +977,7 @@
 		tcase,
 		flood_of_improper_requests_neither_blocks_nor_fills_the_log);
 	tcase_add_test(tcase, drain_turns_unready_and_still_serves);
+	tcase_add_test(tcase, drain_answers_waiting_streams);
 	tcase_add_test(tcase, callers_at_listener_close_are_answered);
 	return sup_run_case("edge_wire", tcase);
 }
