--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -222,6 +222,91 @@
 }
 END_TEST
 
+/* Whether a worker in this mode runs what it receives, or may have. */
+static bool may_run(enum worker_mode mode)
+{
+	return mode != WORKER_REFUSES;
+}
+
+static bool has_status(void *user)
+{
+	struct wire_client *client = user;
+
+	return strstr(client->received->str, "\r\n\r\n") != NULL;
+}
+
+/* Sends a request to two workers in the given modes and checks what it may
+ * lead to, whichever of them gets it first. */
+static void check_at_most_once(struct platform_world *world, const char *path,
+			       const enum worker_mode *modes)
+{
+	bool may_repeat = !strcmp(path, "/read/");
+	unsigned sends[2];
+	struct wire_client *client;
+	unsigned runs = 0;
+	int status;
+	guint i;
+
+	for (i = 0; i < 2; i++) {
+		worker(world, i)->mode = modes[i];
+		sends[i] = worker(world, i)->requests;
+	}
+	client = world_request(world, "POST", path,
+			       KEY "X-Wagtailferry-Deadline-Ms: 150\r\n", "");
+	wire_run_until(&world->wire, has_status, client);
+	status = atoi(client->received->str + strlen("HTTP/1.1 "));
+	for (i = 0; i < 2; i++) {
+		sends[i] = worker(world, i)->requests - sends[i];
+		ck_assert_uint_le(sends[i], 1);
+		runs += sends[i] && may_run(modes[i]);
+	}
+	if (!may_repeat)
+		ck_assert_msg(runs <= 1, "%s modes %d %d: %u runs", path,
+			      modes[0], modes[1], runs);
+	ck_assert_msg((status == 503) == (runs == 0),
+		      "%s modes %d %d: status %d after %u runs", path, modes[0],
+		      modes[1], status, runs);
+	if (status == 200)
+		ck_assert(g_str_has_suffix(client->received->str, "body"));
+	wire_client_drop(client);
+}
+
+/*
+ * Explores each pair of faults of the two targets that a request may reach.
+ * Guards against a second run of what must not repeat, and against a refusal
+ * as not run of what may have run.
+ */
+START_TEST(every_pair_of_faults_runs_at_most_once)
+{
+	static const enum worker_mode modes[] = {
+		WORKER_ANSWERS, WORKER_FAILS,
+		WORKER_REFUSES, WORKER_REFUSES_WITHOUT_PROOF,
+		WORKER_BREAKS,	WORKER_CLOSES,
+		WORKER_SILENT,	WORKER_UNSIGNED,
+		WORKER_ENDLESS};
+	static const char *const paths[] = {"/once/", "/read/"};
+	struct platform_world world;
+	unsigned states = 0;
+	size_t path;
+	size_t first;
+	size_t second;
+
+	open_plain(&world);
+	for (path = 0; path < G_N_ELEMENTS(paths); path++)
+		for (first = 0; first < G_N_ELEMENTS(modes); first++)
+			for (second = 0; second < G_N_ELEMENTS(modes);
+			     second++) {
+				enum worker_mode pair[] = {modes[first],
+							   modes[second]};
+
+				check_at_most_once(&world, paths[path], pair);
+				states++;
+			}
+	printf("at most once: %u states explored\n", states);
+	world_close(&world);
+}
+END_TEST
+
 START_TEST(repeatable_request_is_answered_by_another_target)
 {
 	static const enum worker_mode modes[] = {WORKER_FAILS, WORKER_BREAKS,
@@ -977,6 +1062,7 @@
 		tcase,
 		flood_of_improper_requests_neither_blocks_nor_fills_the_log);
 	tcase_add_test(tcase, drain_turns_unready_and_still_serves);
+	tcase_add_test(tcase, every_pair_of_faults_runs_at_most_once);
 	tcase_add_test(tcase, drain_answers_waiting_streams);
 	tcase_add_test(tcase, callers_at_listener_close_are_answered);
 	return sup_run_case("edge_wire", tcase);
