--- a/src/edge/syn_store.c
+++ b/src/edge/syn_store.c
@@ -1,9 +1,8 @@
 #include "edge/syn_store.h"
 
-/* Time allowed for a page of a list, doubled after each failure up to the
- * maximum. */
+/* Time allowed for a page of a list. A longer one would delay an instance whose
+ * connection has gone silent while the store is already back. */
 #define LIST_TIMEOUT_MS 2000
-#define MAX_LIST_DOUBLINGS 3
 
 /* Time allowed for the response beyond the hold time of the watch. */
 #define WATCH_RESPONSE_MARGIN_MS 800
@@ -38,11 +37,8 @@
 
 static void request_list(struct syn_sync *sync)
 {
-	clk_ms timeout = LIST_TIMEOUT_MS
-			 << MIN(sync->failures, MAX_LIST_DOUBLINGS);
-
 	sync->requested_at = sync->now(sync->user);
-	sync->ops->request_list(sync->user, sync->list_after, timeout);
+	sync->ops->request_list(sync->user, sync->list_after, LIST_TIMEOUT_MS);
 }
 
 static void begin_list(struct syn_sync *sync)
--- a/src/edge/syn_store.h
+++ b/src/edge/syn_store.h
@@ -9,12 +9,12 @@
  *
  * Load pattern: all instances start at once and list thousands of targets over
  * the store's link, so that pages take longer than usual. A page that failed is
- * asked for again, with a longer timeout; the pages before it are kept, as the
- * changes since the first one are watched anyway. Otherwise the instances would
- * fill the link with lists that none of them completes.
- * The adapter sends the requests and applies
- * the objects; it completes each request once, with syn_on_list() or
- * syn_on_watch().
+ * asked for again; the pages before it are kept, as the changes since the first
+ * one are watched anyway. Otherwise the instances would fill the link with
+ * lists that none of them completes.
+ *
+ * The adapter sends the requests and applies the objects; it completes each
+ * request once, with syn_on_list() or syn_on_watch().
  */
 
 #include <uv.h>
