--- a/src/edge/syn_store.c
+++ b/src/edge/syn_store.c
@@ -1,9 +1,5 @@
 #include "edge/syn_store.h"
 
-/* Time allowed for a page of a list. A longer one would delay an instance whose
- * connection has gone silent while the store is already back. */
-#define LIST_TIMEOUT_MS 2000
-
 /* Time allowed for the response beyond the hold time of the watch. */
 #define WATCH_RESPONSE_MARGIN_MS 800
 /* Delay of the next watch after changes, so that it returns several at once. */
@@ -24,10 +20,6 @@
 	int64_t revision;
 	/* A list was completed, so changes can be watched. */
 	bool has_complete_list;
-	/* When the first page of the present list was requested, 0 if no list
-	 * is in progress, and the name after which its next page starts. */
-	clk_ms list_started_at;
-	char *list_after;
 	clk_ms requested_at;
 	/* Hold time requested by the current watch. */
 	clk_ms requested_wait;
@@ -35,17 +27,10 @@
 	unsigned failures;
 };
 
-static void request_list(struct syn_sync *sync)
+static void request_list(struct syn_sync *sync, const char *after)
 {
 	sync->requested_at = sync->now(sync->user);
-	sync->ops->request_list(sync->user, sync->list_after, LIST_TIMEOUT_MS);
-}
-
-static void begin_list(struct syn_sync *sync)
-{
-	sync->list_started_at = sync->now(sync->user);
-	g_clear_pointer(&sync->list_after, g_free);
-	sync->ops->begin_list(sync->user);
+	sync->ops->request_list(sync->user, after);
 }
 
 static void request_watch(struct syn_sync *sync)
@@ -66,9 +51,8 @@
 		request_watch(sync);
 		return;
 	}
-	if (!sync->list_started_at)
-		begin_list(sync);
-	request_list(sync);
+	sync->ops->begin_list(sync->user);
+	request_list(sync, NULL);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -123,10 +107,7 @@
 
 static void on_closed(uv_handle_t *handle)
 {
-	struct syn_sync *sync = handle->data;
-
-	g_free(sync->list_after);
-	g_free(sync);
+	g_free(handle->data);
 }
 
 void syn_drop(struct syn_sync *sync)
@@ -147,15 +128,12 @@
 	if (!sync->revision)
 		sync->revision = revision;
 	if (has_more) {
-		g_free(sync->list_after);
-		sync->list_after = g_strdup(last);
-		request_list(sync);
+		request_list(sync, last);
 		return;
 	}
 	sync->has_complete_list = true;
 	sync->ops->end_list(sync->user);
-	sync->ops->confirm(sync->user, sync->list_started_at);
-	sync->list_started_at = 0;
+	sync->ops->confirm(sync->user, sync->requested_at);
 	ask(sync);
 }
 
--- a/src/edge/syn_store.h
+++ b/src/edge/syn_store.h
@@ -5,16 +5,9 @@
  * syn: synchronisation of a local copy of one kind of store objects. It lists
  * the objects once, then watches for changes from the list's revision, and
  * lists again if the store no longer has those changes. It retries if the store
- * is slow, down or does not respond.
- *
- * Load pattern: all instances start at once and list thousands of targets over
- * the store's link, so that pages take longer than usual. A page that failed is
- * asked for again; the pages before it are kept, as the changes since the first
- * one are watched anyway. Otherwise the instances would fill the link with
- * lists that none of them completes.
- *
- * The adapter sends the requests and applies the objects; it completes each
- * request once, with syn_on_list() or syn_on_watch().
+ * is slow, down or does not respond. The adapter sends the requests and applies
+ * the objects; it completes each request once, with syn_on_list() or
+ * syn_on_watch().
  */
 
 #include <uv.h>
@@ -32,9 +25,8 @@
 struct syn_ops {
 	/* A new list starts, before its first page is requested. */
 	void (*begin_list)(void *user);
-	/* Requests the page after a name; NULL for the first page. The adapter
-	 * reports SYN_FAILED at timeout. */
-	void (*request_list)(void *user, const char *after, clk_ms timeout);
+	/* Requests the page after a name; NULL for the first page. */
+	void (*request_list)(void *user, const char *after);
 	/* The list is complete. */
 	void (*end_list)(void *user);
 	/* The store responds again after an outage of that length. Called
