--- /dev/null
+++ b/tests/platform/silence_wire_test.c
@@ -0,0 +1,234 @@
+/* Targets that fall silent for a moment and go on: no answer ends for it. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/support/stand_in.h"
+#include "support/runner.h"
+
+#define KEY "Authorization: Token key1\r\n"
+#define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
+/* Beyond all time limits of the edge's stall detection. */
+#define SILENCE_MS 1200
+
+static struct worker *worker(struct platform_world *world, guint i)
+{
+	return world->workers->pdata[i];
+}
+
+static unsigned total_requests(struct platform_world *world)
+{
+	unsigned sum = 0;
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++)
+		sum += worker(world, i)->requests;
+	return sum;
+}
+
+/* Engines for all layers: heads of the first half and as many others. */
+static void open_engines(struct platform_world *world, unsigned heads)
+{
+	unsigned i;
+
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	for (i = 0; i < heads; i++) {
+		char *head = g_strdup_printf("head%u", i);
+		char *tail = g_strdup_printf("tail%u", i);
+
+		world_worker(world, head, "model", 0, 4);
+		world_worker(world, tail, "model", 4, 8);
+		g_free(head);
+		g_free(tail);
+	}
+	world_start_ready_edge(world);
+	for (i = 0; i < world->workers->len; i++)
+		worker(world, i)->mode = WORKER_STALLS_STREAM;
+}
+
+/* Opens a stream, and silences its head after the first event. */
+static struct wire_client *open_silent_stream(struct platform_world *world,
+					      const char *path,
+					      struct worker **head)
+{
+	struct wire_client *client =
+		world_request(world, "POST", path, KEY TOKENS, "");
+	guint i;
+
+	wire_client_await(&world->wire, client, "data: one");
+	for (i = 0; i < world->workers->len; i++) {
+		if (worker(world, i)->requests)
+			*head = worker(world, i);
+	}
+	(*head)->is_late = true;
+	return client;
+}
+
+static void expect_rest(struct platform_world *world,
+			struct wire_client *client, struct worker *head)
+{
+	ck_assert_msg(!client->closed, "the stream was cut off");
+	worker_release_late(head);
+	worker_resume_stream(head);
+	wire_client_await(&world->wire, client,
+			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	wire_client_drop(client);
+}
+
+/* Guards against a stream that is cut off beside a change of the configuration
+ * because its engine is silent and no other path exists. */
+START_TEST(silent_engine_without_alternative_keeps_its_stream)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+
+	open_engines(&world, 1);
+	client = open_silent_stream(&world, "/stream/", &head);
+	world_put(&world, "config", "main", world_config(2));
+	world_run(&world, SILENCE_MS);
+	ck_assert_int_eq(ctr_get(world.counters, "wf_edge_config_version"), 2);
+	expect_rest(&world, client, head);
+	ck_assert_uint_eq(total_requests(&world), 1);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against cutting off a stream that can't be resumed elsewhere. */
+START_TEST(silent_engine_keeps_a_stream_that_may_not_be_resumed)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+
+	open_engines(&world, 2);
+	client = open_silent_stream(&world, "/story/", &head);
+	world_run(&world, SILENCE_MS);
+	expect_rest(&world, client, head);
+	ck_assert_uint_eq(total_requests(&world), 1);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against cutting off a stream because the other head is full. */
+START_TEST(silent_engine_keeps_a_stream_that_other_heads_refuse)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+	guint i;
+
+	open_engines(&world, 3);
+	client = open_silent_stream(&world, "/stream/", &head);
+	for (i = 0; i < world.workers->len; i++) {
+		if (worker(&world, i) != head)
+			worker(&world, i)->mode = WORKER_REFUSES;
+	}
+	world_run(&world, SILENCE_MS);
+	ck_assert_uint_gt(total_requests(&world), 1);
+	expect_rest(&world, client, head);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against cutting off a stream because the other heads are silent. */
+START_TEST(silent_engines_keep_their_streams)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+	guint i;
+
+	open_engines(&world, 2);
+	client = open_silent_stream(&world, "/stream/", &head);
+	for (i = 0; i < world.workers->len; i++)
+		worker(&world, i)->is_late = true;
+	world_run(&world, SILENCE_MS);
+	expect_rest(&world, client, head);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against cutting off a stream whose second engine is silent when no
+ * other engine holds its layers. */
+START_TEST(silent_second_engine_keeps_its_stream)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	open_engines(&world, 1);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	worker(&world, 1)->is_late = true;
+	world_run(&world, SILENCE_MS);
+	worker_release_late(worker(&world, 1));
+	expect_rest(&world, client, worker(&world, 0));
+	ck_assert_uint_eq(total_requests(&world), 1);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against ending a request that waits for its first event. */
+START_TEST(silent_engine_keeps_a_request_without_an_event)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	guint i;
+
+	open_engines(&world, 1);
+	for (i = 0; i < world.workers->len; i++)
+		worker(&world, i)->is_late = true;
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	world_run(&world, SILENCE_MS);
+	ck_assert_uint_eq(client->received->len, 0);
+	for (i = 0; i < world.workers->len; i++)
+		worker_release_late(worker(&world, i));
+	wire_client_await(&world.wire, client, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(client->received->str, "HTTP/1.1 200"));
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against ending an answer that a plain target delays. */
+START_TEST(silent_plain_target_keeps_its_request)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	world_open(&world);
+	world_put(&world, "config", "main", world_config(1));
+	world_worker(&world, "p1", "plain", 0, 0);
+	world_start_ready_edge(&world);
+	worker(&world, 0)->is_late = true;
+	client = world_request(&world, "POST", "/once/", KEY, "");
+	world_run(&world, SILENCE_MS);
+	world_put(&world, "config", "main", world_config(2));
+	ck_assert_uint_eq(client->received->len, 0);
+	worker_release_late(worker(&world, 0));
+	wire_client_await(&world.wire, client, "body");
+	ck_assert_uint_eq(total_requests(&world), 1);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("silence");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase,
+		       silent_engine_without_alternative_keeps_its_stream);
+	tcase_add_test(tcase,
+		       silent_engine_keeps_a_stream_that_may_not_be_resumed);
+	tcase_add_test(tcase,
+		       silent_engine_keeps_a_stream_that_other_heads_refuse);
+	tcase_add_test(tcase, silent_engines_keep_their_streams);
+	tcase_add_test(tcase, silent_second_engine_keeps_its_stream);
+	tcase_add_test(tcase, silent_engine_keeps_a_request_without_an_event);
+	tcase_add_test(tcase, silent_plain_target_keeps_its_request);
+	return sup_run_case("silence_wire", tcase);
+}
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -252,6 +252,13 @@
 	answer_json(conn, 200, report);
 }
 
+void worker_resume_stream(struct worker *worker)
+{
+	if (wire_is_open(worker->server, worker->stream, worker->stream_serial))
+		wire_send(worker->stream,
+			  "11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n");
+}
+
 /* A placement is stored at once; a reroute completes the stalled stream. */
 static void handle_order(struct worker *worker, struct wire_conn *conn,
 			 const char *body)
@@ -278,8 +285,7 @@
 	}
 	if (worker->order_status == 202 && !strcmp(operation, "repath") &&
 	    worker->stream)
-		wire_send(worker->stream,
-			  "12\r\nid: 2\ndata: two\n\n\n\r\n0\r\n\r\n");
+		worker_resume_stream(worker);
 	json_decref(order);
 }
 
@@ -390,11 +396,69 @@
 	}
 }
 
+static void answer_call(struct worker *worker, struct wire_conn *conn,
+			const char *request)
+{
+	worker->requests++;
+	g_string_assign(worker->last_request, request);
+	if ((strstr(request, " /stream/") || strstr(request, " /lines/") ||
+	     strstr(request, " /story/")) &&
+	    worker->mode != WORKER_SILENT && worker->mode != WORKER_REFUSES)
+		send_stream(worker, conn, request);
+	else
+		answer_request(worker, conn, request);
+}
+
+static void on_worker_request(struct wire_conn *conn, const char *request,
+			      void *user);
+
+struct late_request {
+	struct wire_conn *conn;
+	uint64_t serial;
+	char *text;
+};
+
+static void late_request_free(gpointer data)
+{
+	g_free(((struct late_request *)data)->text);
+	g_free(data);
+}
+
+static void keep_late(struct worker *worker, struct wire_conn *conn,
+		      const char *request)
+{
+	struct late_request *late = g_new0(struct late_request, 1);
+
+	late->conn = conn;
+	late->serial = wire_serial(conn);
+	late->text = g_strdup(request);
+	g_ptr_array_add(worker->late_requests, late);
+}
+
+void worker_release_late(struct worker *worker)
+{
+	guint i;
+
+	worker->is_late = false;
+	worker->mode = WORKER_ANSWERS;
+	for (i = 0; i < worker->late_requests->len; i++) {
+		struct late_request *late = worker->late_requests->pdata[i];
+
+		if (wire_is_open(worker->server, late->conn, late->serial))
+			on_worker_request(late->conn, late->text, worker);
+	}
+	g_ptr_array_set_size(worker->late_requests, 0);
+}
+
 static void on_worker_request(struct wire_conn *conn, const char *request,
 			      void *user)
 {
 	struct worker *worker = user;
 
+	if (worker->is_late) {
+		keep_late(worker, conn, request);
+		return;
+	}
 	if (worker->is_unresponsive)
 		return;
 	if (g_str_has_prefix(request, "GET /report")) {
@@ -408,13 +472,7 @@
 		handle_order(worker, conn, strstr(request, "\r\n\r\n") + 4);
 		return;
 	}
-	worker->requests++;
-	g_string_assign(worker->last_request, request);
-	if ((strstr(request, " /stream/") || strstr(request, " /lines/")) &&
-	    worker->mode != WORKER_SILENT && worker->mode != WORKER_REFUSES)
-		send_stream(worker, conn, request);
-	else
-		answer_request(worker, conn, request);
+	answer_call(worker, conn, request);
 }
 
 struct worker *world_worker(struct platform_world *world, const char *id,
@@ -426,6 +484,8 @@
 	worker->id = g_strdup(id);
 	worker->last_request = g_string_new(NULL);
 	worker->orders = g_ptr_array_new_with_free_func(g_free);
+	worker->late_requests =
+		g_ptr_array_new_with_free_func(late_request_free);
 	worker->order_status = 202;
 	worker->server =
 		wire_server_new(&world->wire, on_worker_request, worker);
@@ -447,12 +507,14 @@
 static json_t *route(const char *prefix, const char *type, const char *service,
 		     int attempts, bool is_public)
 {
+	bool is_resumable =
+		!strcmp(type, "streaming") && strcmp(prefix, "/story/") != 0;
+
 	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:b,s:b}", "name",
 			 prefix, "host", "h", "path-prefix", prefix, "type",
 			 type, "service", service, "max-attempts", attempts,
 			 "timeout-ms", 3000, "slo-ms", 1000, "public",
-			 (int)is_public, "resumable",
-			 !strcmp(type, "streaming"));
+			 (int)is_public, "resumable", (int)is_resumable);
 }
 
 json_t *world_config(int version)
@@ -465,7 +527,7 @@
 		"usual", "prompt", 100, "answer", 100, "kinds", "name", "large",
 		"size-mb", 6000.0, "pace", 1.0, "read-factor", 1.0);
 
-	return json_pack("{s:i,s:[o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
+	return json_pack("{s:i,s:[o,o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
 			 "s:[{s:s,s:[s,s]}]}",
 			 "version", version, "routes",
 			 route("/read/", "idempotent", "plain", 2, false),
@@ -473,6 +535,7 @@
 			 route("/open/", "idempotent", "plain", 2, true),
 			 route("/stream/", "streaming", "model", 2, false),
 			 route("/lines/", "streaming", "plain", 2, false),
+			 route("/story/", "streaming", "model", 2, false),
 			 "services", "name", "plain", "max-conns", 100, "name",
 			 "model", "max-conns", 100, "engine", engine, "tenants",
 			 "name", "org", "api-keys", "key1", "key2");
@@ -610,6 +673,7 @@
 	wire_server_drop(worker->server);
 	g_string_free(worker->last_request, TRUE);
 	g_ptr_array_unref(worker->orders);
+	g_ptr_array_unref(worker->late_requests);
 	json_decref(worker->entry);
 	g_free(worker->id);
 	g_free(worker);
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -57,6 +57,10 @@
 	unsigned ignored_orders;
 	/* Accepts connections, but answers nothing and carries out no order. */
 	bool is_unresponsive;
+	/* Keeps requests until worker_release_late() answers them. */
+	bool is_late;
+	/* Of struct late_request. */
+	GPtrArray *late_requests;
 	/* Closes connections on which it is asked for a report. */
 	bool closes_on_report;
 	/* Address that its report names as stalled, or NULL. */
@@ -122,6 +126,11 @@
 struct worker *world_worker(struct platform_world *world, const char *id,
 			    const char *service, unsigned first, unsigned end);
 
+/* Sends the second event of the worker's stalled stream, and its end. */
+void worker_resume_stream(struct worker *worker);
+/* Answers the requests that the worker has kept, and is not late any more. */
+void worker_release_late(struct worker *worker);
+
 /* Starts the edge. */
 void world_start_edge(struct platform_world *world);
 /* The same, and waits until it is ready. */
