edge: count answers that the edge cuts off, closed idle connections and unframed answers

A stream that the edge ended and one that its engine broke off left the same log line, and connections closed for idleness were not counted, so the hypotheses on lost answers could not be told apart. The new counters tell whether the run of a cut answer was still active, whether a request had arrived on a connection closed as idle, and how many answers ended with their connection. No change of behaviour.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -399,6 +399,7 @@
 		struct edg_request *request = item->data;
 		struct hsv_request *http = request->http;
 
+		edg_count_cut_answer(request, request->exchange != NULL);
 		edg_log_request_end(request, "broken_off", request->status);
 		edg_request_free(request);
 		hsv_abort(http);
--- a/src/edge/edg_log.c
+++ b/src/edge/edg_log.c
@@ -117,6 +117,14 @@
 	return LGB_TROUBLE;
 }
 
+void edg_count_cut_answer(struct edg_request *request, bool is_running)
+{
+	ctr_add(request->edge->counters,
+		is_running ? "wf_edge_cut_answers_total{run=\"active\"}"
+			   : "wf_edge_cut_answers_total{run=\"ended\"}",
+		1);
+}
+
 void edg_log_request_end(struct edg_request *request, const char *outcome,
 			 int status)
 {
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -140,6 +140,8 @@
 	unsigned reroutes;
 	/* Orders sent for the current change of path. */
 	unsigned reroute_orders;
+	/* The run of the started answer was cancelled to send it elsewhere. */
+	bool is_run_cancelled;
 	/* Held by its timers and by pending calls that concern it. */
 	unsigned refs;
 	bool is_freed;
@@ -182,6 +184,9 @@
 G_GNUC_PRINTF(3, 4)
 void edg_log_send(struct edg_request *request, const char *to,
 		  const char *detail, ...);
+/* Counts an answer that the edge ends before it is complete, by whether its
+ * target was still running it. */
+void edg_count_cut_answer(struct edg_request *request, bool is_running);
 /* Logs and counts the end of a request. */
 void edg_log_request_end(struct edg_request *request, const char *outcome,
 			 int status);
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -105,6 +105,7 @@
 	if (request->is_answer_started) {
 		struct hsv_request *http = request->http;
 
+		edg_count_cut_answer(request, request->exchange != NULL);
 		edg_log_request_end(request, "deadline_in_stream",
 				    request->status);
 		edg_request_free(request);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -82,6 +82,7 @@
 	if (!hsv_send_chunk(request->http, request->splitter.partial->str,
 			    ready)) {
 		request->http->user = NULL;
+		edg_count_cut_answer(request, true);
 		edg_log_request_end(request, "slow_caller", request->status);
 		request->http = NULL;
 		edg_request_free(request);
@@ -123,6 +124,7 @@
 		edg_fail(request);
 		return;
 	}
+	edg_count_cut_answer(request, request->is_run_cancelled);
 	edg_log_request_end(request, "stream_broken", request->status);
 	edg_request_free(request);
 	hsv_abort(http);
@@ -304,6 +306,7 @@
 	struct pth_path *path;
 	enum pth_result result;
 
+	request->is_run_cancelled = request->exchange != NULL;
 	if (!keeps_head)
 		edg_release_send(request);
 	query.current = request->path;
--- a/src/edge/hsv_server.c
+++ b/src/edge/hsv_server.c
@@ -1,3 +1,4 @@
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "daemon/net.h"
@@ -32,6 +33,26 @@
 	hsv_conn_open(conn, uv_accept(listener, (uv_stream_t *)&conn->tcp));
 }
 
+/* Whether the caller has sent bytes that the loop has not read yet. */
+static bool has_unread_bytes(const struct hsv_conn *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return !uv_fileno((const uv_handle_t *)&conn->tcp, &fd) &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static void close_idle(struct hsv_conn *conn)
+{
+	ctr_add(conn->server->counters,
+		has_unread_bytes(conn)
+			? "wf_edge_idle_closed_total{unread=\"1\"}"
+			: "wf_edge_idle_closed_total{unread=\"0\"}",
+		1);
+	hsv_conn_close(conn);
+}
+
 static void check_timeout(struct hsv_conn *conn, clk_ms now)
 {
 	const struct hsv_limits *limits = &conn->server->limits;
@@ -40,7 +61,7 @@
 	switch (conn->phase) {
 	case PHASE_IDLE:
 		if (elapsed > limits->idle_timeout)
-			hsv_conn_close(conn);
+			close_idle(conn);
 		break;
 	case PHASE_HEADER:
 		if (elapsed > limits->header_timeout)
--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -170,6 +170,9 @@
 	if (conn->is_complete) {
 		if (parsed < len)
 			conn->is_reusable = false;
+		if (!len)
+			ctr_add(conn->client->counters,
+				"wf_upstream_unframed_answers_total", 1);
 		http_parser_pause(&conn->parser, 0);
 		hup_finish(conn, HUP_COMPLETE);
 		return;
