edge: keep the run of a silent engine until another head answers

Callers saw streams cut off in the middle, or ended without an answer, although every engine was sound: one of them had been silent for about a second.

Cause: after 110 ms without an event and 80 ms without a report the edge moved the streams of an engine, and after 300 ms counted it as down. To move a stream it cancelled the running send first and looked for another path afterwards. If there was none, if the next heads were full, if the route may not be resumed or the retry budget was used up, the stream was cut off. The class of fault: a suspicion ends work that only a fact may end.

Now the other head gets the stream while the silent run goes on (tko). The first of the two that continues keeps the stream; a refusal or failure of the other head leaves the run as it was; a run that ends by itself is replaced by the other head's. Nothing but the end of its connection, the deadline, or the caller's leaving ends a run any more. A path for a takeover includes neither the present head nor engines known to be down.

Ruled out by tests that pass before: requests without a first event, plain targets, and a silent second engine of a path keep their requests.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -207,6 +207,9 @@
 	/* Path to be replaced, whose first stage is kept; NULL for a new
 	 * request. */
 	const struct pth_path *current;
+	/* Target that the path must not include, besides all that are down;
+	 * NULL if there is no such target and down ones are a last resort. */
+	const struct flt_target *without;
 };
 
 /*
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -37,7 +37,9 @@
 	return CLAMP(priority, 0, 9);
 }
 
-static void write_edge_fields(const struct edg_request *request, GString *out)
+static void write_edge_fields(const struct edg_request *request,
+			      const struct flt_target *target,
+			      const struct pth_path *path, GString *out)
 {
 	const struct edg_edge *edge = request->edge;
 	const struct edg_header_names *fields = edge->fields;
@@ -45,24 +47,26 @@
 	g_string_append_printf(out, "%s: %" G_GINT64_FORMAT "\r\n",
 			       fields->remaining_ms,
 			       MAX(edg_remaining_time(request), 1));
-	hdr_write(out, fields->target_id, request->target->id);
+	hdr_write(out, fields->target_id, target->id);
 	if (request->org)
 		hdr_write(out, fields->org, request->org->name);
 	if (request->splitter.last_id->len)
 		hdr_write(out, fields->last_event_id,
 			  request->splitter.last_id->str);
-	if (request->path) {
-		char *path = edge->platform->ops->write_path(request->path);
+	if (path) {
+		char *text = edge->platform->ops->write_path(path);
 
-		hdr_write(out, fields->path, path);
+		hdr_write(out, fields->path, text);
 		g_string_append_printf(out, "%s: %d\r\n",
 				       fields->engine_priority,
 				       edg_priority(request));
-		g_free(path);
+		g_free(text);
 	}
 }
 
-static GString *write_request(const struct edg_request *request)
+static GString *write_request(const struct edg_request *request,
+			      const struct flt_target *target,
+			      const struct pth_path *path)
 {
 	const struct hsv_request *http = request->http;
 	GString *out = g_string_sized_new(1024 + http->body->len);
@@ -81,7 +85,7 @@
 		    !is_field_replaced(request, field->name))
 			hdr_write(out, field->name, field->value);
 	}
-	write_edge_fields(request, out);
+	write_edge_fields(request, target, path, out);
 	if (has_body)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       http->body->len);
@@ -116,12 +120,15 @@
 	g_clear_pointer(&request->failed_address, g_free);
 }
 
-void edg_send(struct edg_request *request, const struct hup_ops *ops)
+struct hup_exchange *edg_open_send(struct edg_request *request,
+				   struct flt_target *target,
+				   const struct pth_path *path,
+				   const struct hup_ops *ops, void *user)
 {
 	struct edg_edge *edge = request->edge;
 	struct hup_request send = {
-		.address = request->target->address,
-		.bytes = write_request(request),
+		.address = target->address,
+		.bytes = write_request(request, target, path),
 		.is_head = !strcmp(request->http->method, "HEAD"),
 		.max_idle = request->route->retry_policy == CAT_RETRY_NEVER
 				    ? MAX_IDLE_NO_RETRY_MS
@@ -130,14 +137,19 @@
 		.id = request->id,
 	};
 
-	reset_answer(request);
 	request->sends++;
-	request->sent_at = edg_now(edge);
-	g_ptr_array_add(request->tried_targets,
-			flt_target_keep(request->target));
+	g_ptr_array_add(request->tried_targets, flt_target_keep(target));
+	return hup_send(edge->client, &send, ops, user);
+}
+
+void edg_send(struct edg_request *request, const struct hup_ops *ops)
+{
+	reset_answer(request);
+	request->sent_at = edg_now(request->edge);
 	if (!request->path)
 		request->target->in_flight++;
-	request->exchange = hup_send(edge->client, &send, ops, request);
+	request->exchange = edg_open_send(request, request->target,
+					  request->path, ops, request);
 }
 
 void edg_release_send(struct edg_request *request)
@@ -171,6 +183,13 @@
 	return target != NULL;
 }
 
+bool edg_declares_not_run(const struct edg_edge *edge,
+			  const struct hup_response *response)
+{
+	return hdr_get(&response->headers, edge->fields->not_run) ||
+	       response->status == 421;
+}
+
 void edg_read_response_head(struct edg_request *request,
 			    const struct hup_response *response)
 {
@@ -180,8 +199,7 @@
 
 	request->status = response->status;
 	request->is_signed = hdr_get(headers, fields->signature) != NULL;
-	request->is_not_run = hdr_get(headers, fields->not_run) != NULL ||
-			      response->status == 421;
+	request->is_not_run = edg_declares_not_run(request->edge, response);
 	request->is_encoded = hdr_get(headers, "Content-Encoding") != NULL;
 	g_free(request->failed_address);
 	request->failed_address =
@@ -236,7 +254,7 @@
 		return ++request->connect_failures <= MAX_CONNECT_FAILURES;
 	}
 	if (outcome != EDG_OUTCOME_NOT_RUN) {
-		edg_record_run(request);
+		edg_record_run(request, request->target);
 #ifndef WF_GUARD_OFF_EDGE_ONCE
 		if (request->route->retry_policy == CAT_RETRY_NEVER)
 			return false;
@@ -251,9 +269,9 @@
 	return true;
 }
 
-void edg_record_run(struct edg_request *request)
+void edg_record_run(struct edg_request *request, struct flt_target *target)
 {
-	struct edg_run run = {request->target, request->target->started_at};
+	struct edg_run run = {target, target->started_at};
 	guint i;
 
 	for (i = 0; i < request->runs->len; i++) {
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -13,6 +13,7 @@
 #include "sched/adm_room.h"
 
 struct ord_orders;
+struct tko_takeover;
 
 struct edg_edge {
 	uv_loop_t *loop;
@@ -140,8 +141,8 @@
 	unsigned reroutes;
 	/* Orders sent for the current change of path. */
 	unsigned reroute_orders;
-	/* The run of the started answer was cancelled to send it elsewhere. */
-	bool is_run_cancelled;
+	/* Sent to another head as well, because the current one is silent. */
+	struct tko_takeover *takeover;
 	/* Held by its timers and by pending calls that concern it. */
 	unsigned refs;
 	bool is_freed;
@@ -199,6 +200,17 @@
 /* edg_forward.c */
 /* Sends the request to request->target along request->path. */
 void edg_send(struct edg_request *request, const struct hup_ops *ops);
+/*
+ * Sends the request to a target along path, which is NULL for a plain service,
+ * without making it the current send.
+ */
+struct hup_exchange *edg_open_send(struct edg_request *request,
+				   struct flt_target *target,
+				   const struct pth_path *path,
+				   const struct hup_ops *ops, void *user);
+/* Whether the response declares that its request was not run. */
+bool edg_declares_not_run(const struct edg_edge *edge,
+			  const struct hup_response *response);
 /* Cancels the current send and releases its target and path. */
 void edg_release_send(struct edg_request *request);
 /* Scheduling priority at engines, 0 to 9; 0 is the most urgent. */
@@ -217,8 +229,8 @@
 /* Releases the current send and chooses a target that was not tried yet.
  * Returns false if there is none. */
 bool edg_choose_target(struct edg_request *request);
-/* Records that the request ran, or may have run, at its target. */
-void edg_record_run(struct edg_request *request);
+/* Records that the request ran, or may have run, at a target. */
+void edg_record_run(struct edg_request *request, struct flt_target *target);
 /* Whether any target may have run the request. */
 bool edg_may_have_run(const struct edg_request *request);
 /* Number of targets on which it may still be running: those not lost or
@@ -240,9 +252,20 @@
  * false if there is none. edg_send_stream() then sends it. */
 bool edg_reserve_path(struct edg_request *request);
 void edg_send_stream(struct edg_request *request);
-/* Continues the request after its last event at another head if a retry is
- * allowed. Otherwise it ends if its head is lost, and else keeps running. */
+/* Sends the request to another head too if a retry is allowed and a path is
+ * found. Its present run goes on until the other head answers. */
 void edg_resume(struct edg_request *request, const char *why);
+/* Whether the response begins the stream. */
+bool edg_is_stream_head(const struct edg_edge *edge,
+			const struct hup_response *response);
+/* Begins the caller's answer, or continues it, with the current send. */
+void edg_begin_stream(struct edg_request *request,
+		      const struct hup_response *response);
+/* Takes over the callbacks of the current send. */
+void edg_bind_stream(struct edg_request *request);
+/* Whether the request may run at another head besides its present one. Takes
+ * one token from the retry budget. */
+bool edg_may_run_elsewhere(struct edg_request *request);
 
 /* edg_wait.c */
 /* Lets a stream that was not run wait for capacity, or refuses it. tokens is
@@ -260,6 +283,18 @@
  * changes the path, or another head continues after the last event. */
 void edg_change_path(struct edg_request *request, const char *why);
 
+/* stream_takeover.c */
+/* Sends the request to another head; returns false if it can't be. */
+bool tko_start(struct edg_request *request);
+/* Cancels the takeover if there is one. */
+void tko_drop(struct edg_request *request, const char *why);
+/* The current run has ended: makes the takeover the current send. Returns false
+ * if there is none. */
+bool tko_promote(struct edg_request *request);
+/* Path of the takeover, NULL if there is none, and when it was sent. */
+const struct pth_path *tko_path(const struct edg_request *request);
+clk_ms tko_sent_at(const struct edg_request *request);
+
 /* stall_detection.c */
 /* Starts the timer that queries the engines of the request's path when no event
  * arrives for too long. */
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -41,6 +41,7 @@
 	if (request->http)
 		request->http->user = NULL;
 	edg_stop_waiting(request);
+	tko_drop(request, "request_ended");
 	edg_release_send(request);
 	g_hash_table_remove(request->edge->requests, request);
 	g_ptr_array_unref(request->tried_targets);
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -124,7 +124,7 @@
 
 void edg_change_path(struct edg_request *request, const char *why)
 {
-	if (request->next_path)
+	if (request->next_path || request->takeover)
 		return;
 	if (!reroute(request))
 		edg_resume(request, why);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -16,6 +16,16 @@
 
 static void send_next(struct edg_request *request, bool keeps_head);
 
+bool edg_is_stream_head(const struct edg_edge *edge,
+			const struct hup_response *response)
+{
+	const struct hdr_list *headers = &response->headers;
+
+	return response->status == 200 &&
+	       hdr_get(headers, edge->fields->signature) &&
+	       !hdr_get(headers, "Content-Encoding");
+}
+
 static bool is_stream_answer(const struct edg_request *request)
 {
 	return request->status == 200 && request->is_signed &&
@@ -28,10 +38,9 @@
 		stl_watch_stream(request);
 }
 
-static void on_head(void *user, const struct hup_response *response)
+void edg_begin_stream(struct edg_request *request,
+		      const struct hup_response *response)
 {
-	struct edg_request *request = user;
-
 	edg_read_response_head(request, response);
 	if (!is_stream_answer(request) || request->is_answer_started)
 		return;
@@ -40,6 +49,11 @@
 			  request->headers->str);
 }
 
+static void on_head(void *user, const struct hup_response *response)
+{
+	edg_begin_stream(user, response);
+}
+
 static void record_event(struct edg_request *request)
 {
 	clk_ms now = edg_now(request->edge);
@@ -76,6 +90,7 @@
 		return;
 	}
 	if (request->splitter.progress > progress) {
+		tko_drop(request, "run_continued");
 		record_event(request);
 		watch_silence(request);
 	}
@@ -124,7 +139,7 @@
 		edg_fail(request);
 		return;
 	}
-	edg_count_cut_answer(request, request->is_run_cancelled);
+	edg_count_cut_answer(request, request->exchange != NULL);
 	edg_log_request_end(request, "stream_broken", request->status);
 	edg_request_free(request);
 	hsv_abort(http);
@@ -188,7 +203,7 @@
 	    (outcome == EDG_OUTCOME_NOT_RUN && !request->is_answer_started))
 		return edg_may_retry(request, outcome);
 	if (outcome != EDG_OUTCOME_NOT_RUN)
-		edg_record_run(request);
+		edg_record_run(request, request->target);
 	return may_run_again(request) && !is_at_limit(request) &&
 	       take_retry_token(request);
 }
@@ -233,20 +248,23 @@
 		fail_or_abort(request);
 }
 
-void edg_resume(struct edg_request *request, const char *why)
+bool edg_may_run_elsewhere(struct edg_request *request)
 {
-	bool is_lost = edg_now(request->edge) < request->target->down_until;
+	return may_resume(request, EDG_OUTCOME_UNKNOWN);
+}
 
-	if (may_resume(request, EDG_OUTCOME_UNKNOWN)) {
-		edg_log_send(request, "resumed",
-			     "reason=%s head=%s after_event=%s send=%u", why,
-			     request->target->id,
-			     request->splitter.last_id->str, request->sends);
-		send_next(request, false);
-	} else if (is_lost) {
-		fail_or_abort(request);
-	}
-	/* Otherwise the run may still recover. */
+void edg_resume(struct edg_request *request, const char *why)
+{
+#ifdef WF_GUARD_OFF_EDGE_SILENT_RUN
+	fail_or_abort(request);
+	return;
+#endif
+	if (request->takeover || !tko_start(request))
+		return;
+	edg_log_send(request, "resumed",
+		     "reason=%s head=%s after_event=%s send=%u", why,
+		     request->target->id, request->splitter.last_id->str,
+		     request->sends);
 }
 
 static void on_end(void *user, enum hup_result how)
@@ -280,11 +298,19 @@
 		     request->target->id, request->status, (int)how,
 		     request->failed_address ? request->failed_address : "-",
 		     request->splitter.last_id->str, request->sends);
-	handle_failed_send(request, outcome);
+	if (tko_promote(request))
+		watch_silence(request);
+	else
+		handle_failed_send(request, outcome);
 }
 
 static const struct hup_ops ops = {on_head, on_data, on_end};
 
+void edg_bind_stream(struct edg_request *request)
+{
+	hup_set_ops(request->exchange, &ops, request);
+}
+
 struct pth_query edg_path_query(const struct edg_request *request)
 {
 	struct pth_query query = {
@@ -306,7 +332,6 @@
 	struct pth_path *path;
 	enum pth_result result;
 
-	request->is_run_cancelled = request->exchange != NULL;
 	if (!keeps_head)
 		edg_release_send(request);
 	query.current = request->path;
--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -384,6 +384,13 @@
 	return exchange;
 }
 
+void hup_set_ops(struct hup_exchange *exchange, const struct hup_ops *ops,
+		 void *user)
+{
+	exchange->ops = ops;
+	exchange->user = user;
+}
+
 void hup_cancel(struct hup_exchange *exchange)
 {
 	struct hup_conn *conn = exchange->conn;
--- a/src/edge/hup_client.h
+++ b/src/edge/hup_client.h
@@ -84,6 +84,10 @@
 			      const struct hup_request *request,
 			      const struct hup_ops *ops, void *user);
 
+/* Replaces the callbacks of an exchange, also from within one of them. */
+void hup_set_ops(struct hup_exchange *exchange, const struct hup_ops *ops,
+		 void *user);
+
 /* Ends an exchange without a callback and closes its connection. */
 void hup_cancel(struct hup_exchange *exchange);
 
--- a/src/edge/stall_detection.c
+++ b/src/edge/stall_detection.c
@@ -26,6 +26,9 @@
 /* A report after this time is late. An engine answers within a few ms; lost
  * packets are retransmitted only after about 200 ms. */
 #define REPORT_DELAY_MS 80
+/* The engines of a takeover that has not answered after this time are queried
+ * too; most objectives for the first event are around it. */
+#define TAKEOVER_DELAY_MS 600
 /* Time for which a reported slowdown is used unless a new report comes. */
 #define SLOWDOWN_VALID_MS 3000
 #define MIN_SLOWDOWN 1.5
@@ -73,10 +76,18 @@
 	for (item = requests; item; item = item->next) {
 		struct edg_request *request = item->data;
 
+		const struct pth_path *taking_over = tko_path(request);
+
 		if (!request->path || !request->exchange ||
-		    !pth_contains(request->path, lost) ||
 		    !is_silent(request, now))
 			continue;
+		if (taking_over && pth_contains(taking_over, lost)) {
+			tko_drop(request, why);
+			edg_resume(request, why);
+			continue;
+		}
+		if (!pth_contains(request->path, lost))
+			continue;
 		/* Only the head can change the path, and it is lost. */
 		if (request->target == lost)
 			edg_resume(request, why);
@@ -196,14 +207,20 @@
 	       silent >= MIN_SILENT_FRACTION * streams;
 }
 
-static void query_path(struct edg_request *request)
+static void query_path(struct edg_edge *edge, const struct pth_path *path)
 {
 	guint i;
 
-	for (i = 0; i < request->path->stages->len; i++)
-		ask(request->edge,
-		    g_array_index(request->path->stages, struct pth_stage, i)
-			    .target);
+	for (i = 0; i < path->stages->len; i++)
+		ask(edge,
+		    g_array_index(path->stages, struct pth_stage, i).target);
+}
+
+/* Whether the takeover has had time for its prefill. */
+static bool is_takeover_late(const struct edg_request *request, clk_ms now)
+{
+	return request->takeover &&
+	       now - tko_sent_at(request) >= TAKEOVER_DELAY_MS;
 }
 
 static void on_pause(uv_timer_t *timer)
@@ -215,7 +232,9 @@
 		return;
 	if (is_silent(request, now) && !request->next_path &&
 	    is_head_silent(request, now))
-		query_path(request);
+		query_path(request->edge, request->path);
+	if (is_takeover_late(request, now))
+		query_path(request->edge, tko_path(request));
 	stl_watch_stream(request);
 }
 
--- /dev/null
+++ b/src/edge/stream_takeover.c
@@ -0,0 +1,170 @@
+#include "edge/edg_private.h"
+
+/*
+ * tko: takeover of a stream by another head while its engine is silent. The
+ * silent run is not cancelled before another head has begun to answer: most
+ * engines that are silent go on, and the other head may refuse or be silent
+ * too. Whichever run continues first keeps the stream.
+ */
+
+struct tko_takeover {
+	struct edg_request *request;
+	struct hup_exchange *exchange;
+	struct flt_target *target;
+	struct pth_path *path;
+	clk_ms sent_at;
+};
+
+static void takeover_free(struct tko_takeover *takeover)
+{
+	takeover->request->takeover = NULL;
+	if (takeover->exchange)
+		hup_cancel(takeover->exchange);
+	pth_free(takeover->path);
+	flt_target_drop(takeover->target);
+	g_free(takeover);
+}
+
+void tko_drop(struct edg_request *request, const char *why)
+{
+	struct tko_takeover *takeover = request->takeover;
+
+	if (!takeover)
+		return;
+	edg_log_send(request, "takeover ended", "head=%s reason=%s",
+		     takeover->target->id, why);
+	edg_record_run(request, takeover->target);
+	takeover_free(takeover);
+}
+
+/* Makes the takeover the request's current send. */
+static void promote(struct tko_takeover *takeover)
+{
+	struct edg_request *request = takeover->request;
+
+	request->takeover = NULL;
+	edg_release_send(request);
+	evs_discard_partial(&request->splitter);
+	request->target = takeover->target;
+	request->path = takeover->path;
+	request->exchange = takeover->exchange;
+	request->sent_at = takeover->sent_at;
+	edg_bind_stream(request);
+	g_free(takeover);
+}
+
+bool tko_promote(struct edg_request *request)
+{
+	if (!request->takeover)
+		return false;
+	promote(request->takeover);
+	return true;
+}
+
+static void record_refusal(struct tko_takeover *takeover, bool is_not_run)
+{
+	struct edg_edge *edge = takeover->request->edge;
+
+	if (is_not_run) {
+		flt_mark_full(takeover->target, edg_now(edge));
+		return;
+	}
+	edg_record_run(takeover->request, takeover->target);
+	flt_record_failure(takeover->target, edg_now(edge));
+}
+
+static void on_head(void *user, const struct hup_response *response)
+{
+	struct tko_takeover *takeover = user;
+	struct edg_request *request = takeover->request;
+	bool is_not_run;
+
+	if (edg_is_stream_head(request->edge, response)) {
+		edg_log_send(request, "taken over",
+			     "head=%s from=%s after_event=%s",
+			     takeover->target->id, request->target->id,
+			     request->splitter.last_id->str);
+		promote(takeover);
+		edg_begin_stream(request, response);
+		return;
+	}
+	is_not_run = edg_declares_not_run(request->edge, response);
+	edg_log_send(request, "takeover refused",
+		     "head=%s status=%d not_run=%d", takeover->target->id,
+		     response->status, is_not_run);
+	record_refusal(takeover, is_not_run);
+	takeover_free(takeover);
+	edg_resume(request, "takeover_refused");
+}
+
+static void on_data(void *user, const char *bytes, size_t len)
+{
+	/* A head either promotes the takeover or ends it. */
+	(void)user;
+	(void)bytes;
+	(void)len;
+}
+
+static void on_end(void *user, enum hup_result how)
+{
+	struct tko_takeover *takeover = user;
+	struct edg_request *request = takeover->request;
+
+	takeover->exchange = NULL;
+	edg_log_send(request, "takeover failed", "head=%s end=%d",
+		     takeover->target->id, (int)how);
+	if (how == HUP_NOT_SENT)
+		request->sends--;
+	else
+		edg_record_run(request, takeover->target);
+	flt_record_failure(takeover->target, edg_now(request->edge));
+	takeover_free(takeover);
+}
+
+static const struct hup_ops ops = {on_head, on_data, on_end};
+
+/* Finds a path with another head that includes no engine known to be down. */
+static struct pth_path *find_other_path(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct pth_query query = edg_path_query(request);
+	struct pth_path *path = NULL;
+
+	query.without = request->target;
+	pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	return path;
+}
+
+bool tko_start(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct pth_path *path = find_other_path(request);
+	struct tko_takeover *takeover;
+
+	if (!path)
+		return false;
+	if (!edg_may_run_elsewhere(request)) {
+		pth_free(path);
+		return false;
+	}
+	takeover = g_new0(struct tko_takeover, 1);
+	takeover->request = request;
+	takeover->path = path;
+	takeover->target = flt_target_keep(pth_head(path));
+	takeover->sent_at = edg_now(edge);
+	pth_reserve(path, takeover->sent_at, edg_path_query(request).tokens);
+	request->takeover = takeover;
+	takeover->exchange =
+		edg_open_send(request, takeover->target, path, &ops, takeover);
+	return true;
+}
+
+const struct pth_path *tko_path(const struct edg_request *request)
+{
+	return request->takeover ? request->takeover->path : NULL;
+}
+
+clk_ms tko_sent_at(const struct edg_request *request)
+{
+	return request->takeover->sent_at;
+}
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -237,7 +237,9 @@
 			continue;
 		if (data_center && strcmp(target->data_center, data_center))
 			continue;
-		if (query->current && search->now < target->down_until)
+		if (target == query->without ||
+		    ((query->current || query->without) &&
+		     search->now < target->down_until))
 			continue;
 		candidate = make_candidate(search, target);
 		g_array_append_val(search->engines, candidate);
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -133,6 +133,44 @@
 }
 END_TEST
 
+static bool has_two_requests(void *user)
+{
+	struct platform_world *world = user;
+	unsigned kept = 0;
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++)
+		kept += worker(world, i)->late_requests->len > 0 &&
+			!worker(world, i)->requests;
+	return kept > 0;
+}
+
+/* Guards against losing a stream whose engine breaks off after another head has
+ * got the stream and before that answers. */
+START_TEST(stream_continues_at_the_head_that_got_it_during_the_silence)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+	guint i;
+
+	open_engines(&world, 2);
+	client = open_silent_stream(&world, "/stream/", &head);
+	for (i = 0; i < world.workers->len; i++)
+		worker(&world, i)->is_late = true;
+	wire_run_until(&world.wire, has_two_requests, &world);
+	wire_hang_up(head->stream);
+	world_run(&world, 50);
+	ck_assert(!client->closed);
+	for (i = 0; i < world.workers->len; i++)
+		worker_release_late(worker(&world, i));
+	wire_client_await(&world.wire, client,
+			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 /* Guards against cutting off a stream because the other heads are silent. */
 START_TEST(silent_engines_keep_their_streams)
 {
@@ -227,6 +265,9 @@
 	tcase_add_test(tcase,
 		       silent_engine_keeps_a_stream_that_other_heads_refuse);
 	tcase_add_test(tcase, silent_engines_keep_their_streams);
+	tcase_add_test(
+		tcase,
+		stream_continues_at_the_head_that_got_it_during_the_silence);
 	tcase_add_test(tcase, silent_second_engine_keeps_its_stream);
 	tcase_add_test(tcase, silent_engine_keeps_a_request_without_an_event);
 	tcase_add_test(tcase, silent_plain_target_keeps_its_request);
