hsv: apply a lower idle timeout from the next response on

Callers saw a request on a kept connection end with neither an answer nor a refusal, beside a change of the configuration that lowered the idle timeout.

Cause: the new limit applied at once to connections that had become idle under the old one. Callers reuse these for as long as the limit that they know allows, so the close met requests on their way. A connection now keeps the limit under which it became idle, or the present one if that is longer.

lowered_idle_timeout_holds_from_the_next_response failed before (the connection was closed less than 1125 ms after the response that had a limit of 1500 ms) and passes now.

--- a/src/edge/hsv_conn.c
+++ b/src/edge/hsv_conn.c
@@ -15,6 +15,8 @@
 {
 	conn->phase = phase;
 	conn->phase_since = (clk_ms)uv_now(conn->server->loop);
+	if (phase == PHASE_IDLE)
+		conn->idle_timeout = conn->server->limits.idle_timeout;
 }
 
 static void on_conn_closed(uv_handle_t *handle)
--- a/src/edge/hsv_private.h
+++ b/src/edge/hsv_private.h
@@ -30,6 +30,8 @@
 	size_t header_bytes;
 	enum hsv_phase phase;
 	clk_ms phase_since;
+	/* Idle timeout that was in force when the connection became idle. */
+	clk_ms idle_timeout;
 	/* Bytes received before the current response was finished. */
 	GString *pipelined;
 	/* At least one complete request was received. */
--- a/src/edge/hsv_server.c
+++ b/src/edge/hsv_server.c
@@ -60,7 +60,8 @@
 
 	switch (conn->phase) {
 	case PHASE_IDLE:
-		if (elapsed > limits->idle_timeout)
+		/* Callers may not know a lower limit yet. */
+		if (elapsed > MAX(conn->idle_timeout, limits->idle_timeout))
 			close_idle(conn);
 		break;
 	case PHASE_HEADER:
--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -197,6 +197,45 @@
 }
 END_TEST
 
+static void expect_one_answer(struct probe *probe, struct wire_client *client)
+{
+	g_string_truncate(client->received, 0);
+	wire_client_send(client, HEAD "Content-Length: 3\r\n\r\none");
+	wire_client_await(&probe->wire, client, "one");
+}
+
+static void run_for(struct probe *probe, clk_ms span)
+{
+	clk_ms end = (clk_ms)uv_now(&probe->wire.loop) + span;
+
+	while ((clk_ms)uv_now(&probe->wire.loop) < end)
+		uv_run(&probe->wire.loop, UV_RUN_ONCE);
+}
+
+/* Guards against closing connections that callers still use because a new
+ * configuration has lowered the idle timeout. */
+START_TEST(lowered_idle_timeout_holds_from_the_next_response)
+{
+	struct hsv_limits lower = limits;
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	expect_one_answer(&probe, client);
+	run_for(&probe, limits.idle_timeout / 2);
+	lower.idle_timeout = limits.idle_timeout / 4;
+	hsv_set_limits(probe.server, &lower);
+	run_for(&probe, limits.idle_timeout / 4);
+	ck_assert(!client->closed);
+	expect_one_answer(&probe, client);
+	run_for(&probe, limits.idle_timeout / 2 + 250);
+	ck_assert(client->closed);
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
 /* Guards against responses in the wrong order, and body bytes that are parsed
  * as a request. */
 START_TEST(pipelined_requests_are_answered_in_order)
@@ -348,6 +387,8 @@
 	tcase_add_test(tcase, total_body_size_is_bounded);
 	tcase_add_test(tcase, slow_header_times_out);
 	tcase_add_test(tcase, idle_connection_is_closed_without_a_response);
+	tcase_add_test(tcase,
+		       lowered_idle_timeout_holds_from_the_next_response);
 	tcase_add_test(tcase, pipelined_requests_are_answered_in_order);
 	tcase_add_test(tcase, expect_100_continue_is_answered);
 	tcase_add_test(tcase, disconnect_is_reported_while_a_request_runs);
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -55,13 +55,12 @@
 {
 	struct wire_client *client =
 		world_request(world, "POST", path, KEY TOKENS, "");
-	guint i;
+	guint i = 0;
 
 	wire_client_await(&world->wire, client, "data: one");
-	for (i = 0; i < world->workers->len; i++) {
-		if (worker(world, i)->requests)
-			*head = worker(world, i);
-	}
+	while (!worker(world, i)->requests)
+		i++;
+	*head = worker(world, i);
 	(*head)->is_late = true;
 	return client;
 }
