hsv: read what has arrived before a connection is closed as idle

Callers saw a request on a kept connection end with neither an answer nor a refusal after a pause of the process, and around a planned stop.

Cause: the loop runs timers before it reads. After a pause longer than the rest of the idle timeout, or when a stop closes idle connections, a request may lie unread in the socket; closing discards it. Idle connections with unread bytes are left open and read, and a stop waits for them.

request_that_arrived_before_the_idle_timeout_is_answered and request_that_arrived_before_the_listener_closes_is_answered failed before (no answer within 10 s) and pass now.

--- a/src/edge/hsv_server.c
+++ b/src/edge/hsv_server.c
@@ -43,13 +43,15 @@
 	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* The loop runs timers before it reads, so after a pause of the process a
+ * request may be waiting on a connection that looks idle. */
 static void close_idle(struct hsv_conn *conn)
 {
-	ctr_add(conn->server->counters,
-		has_unread_bytes(conn)
-			? "wf_edge_idle_closed_total{unread=\"1\"}"
-			: "wf_edge_idle_closed_total{unread=\"0\"}",
-		1);
+	if (has_unread_bytes(conn)) {
+		ctr_add(conn->server->counters, "wf_edge_idle_spared_total", 1);
+		return;
+	}
+	ctr_add(conn->server->counters, "wf_edge_idle_closed_total", 1);
 	hsv_conn_close(conn);
 }
 
@@ -154,7 +156,8 @@
 
 	for (conn = server->conns; conn; conn = conn->next) {
 		if (conn->phase == PHASE_HEADER || conn->phase == PHASE_BODY ||
-		    (conn->phase == PHASE_IDLE && awaits_first_request(conn)))
+		    (conn->phase == PHASE_IDLE &&
+		     (awaits_first_request(conn) || has_unread_bytes(conn))))
 			return true;
 	}
 	return false;
@@ -219,7 +222,7 @@
 		struct hsv_conn *next = conn->next;
 
 		if (conn->phase == PHASE_IDLE && !awaits_first_request(conn))
-			hsv_conn_close(conn);
+			close_idle(conn);
 		conn = next;
 	}
 }
--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -236,6 +236,46 @@
 }
 END_TEST
 
+/* Guards against closing a connection as idle while a request waits in its
+ * socket because the process did not run for a while. */
+START_TEST(request_that_arrived_before_the_idle_timeout_is_answered)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	expect_one_answer(&probe, client);
+	run_for(&probe, limits.idle_timeout / 2);
+	g_string_truncate(client->received, 0);
+	wire_client_send(client, HEAD "Content-Length: 3\r\n\r\ntwo");
+	g_usleep((gulong)limits.idle_timeout * 1000);
+	wire_client_await(&probe.wire, client, "two");
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+/* Guards against the same when a stop closes idle connections. */
+START_TEST(request_that_arrived_before_the_listener_closes_is_answered)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	expect_one_answer(&probe, client);
+	hsv_close_after_responses(probe.server);
+	g_string_truncate(client->received, 0);
+	wire_client_send(client, HEAD "Content-Length: 3\r\n\r\ntwo");
+	hsv_stop_accepting(probe.server);
+	wire_client_await(&probe.wire, client, "two");
+	wire_client_await_close(&probe.wire, client);
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
 /* Guards against responses in the wrong order, and body bytes that are parsed
  * as a request. */
 START_TEST(pipelined_requests_are_answered_in_order)
@@ -389,6 +429,12 @@
 	tcase_add_test(tcase, idle_connection_is_closed_without_a_response);
 	tcase_add_test(tcase,
 		       lowered_idle_timeout_holds_from_the_next_response);
+	tcase_add_test(
+		tcase,
+		request_that_arrived_before_the_idle_timeout_is_answered);
+	tcase_add_test(
+		tcase,
+		request_that_arrived_before_the_listener_closes_is_answered);
 	tcase_add_test(tcase, pipelined_requests_are_answered_in_order);
 	tcase_add_test(tcase, expect_100_continue_is_answered);
 	tcase_add_test(tcase, disconnect_is_reported_while_a_request_runs);
