hsv: keep all pipelined bytes when reading stops

A caller that pipelines more than 64 KB while a response is under way got no answer to the request at the border, and the connection was closed later.

Cause: the read that exceeded the buffer was discarded before reading stopped. It is kept now; the buffer exceeds its limit by one read at most.

--- a/src/edge/hsv_parse.c
+++ b/src/edge/hsv_parse.c
@@ -159,11 +159,9 @@
 
 void hsv_buffer_pipelined(struct hsv_conn *conn, const char *bytes, size_t len)
 {
-	if (conn->pipelined->len + len > MAX_PIPELINED_BYTES) {
-		uv_read_stop((uv_stream_t *)&conn->tcp);
-		return;
-	}
 	g_string_append_len(conn->pipelined, bytes, (gssize)len);
+	if (conn->pipelined->len > MAX_PIPELINED_BYTES)
+		uv_read_stop((uv_stream_t *)&conn->tcp);
 }
 
 static void send_continue(struct hsv_conn *conn)
--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -301,6 +301,44 @@
 }
 END_TEST
 
+#define MANY_REQUESTS 40
+#define LARGE_BODY_BYTES 4000
+
+static bool has_many_requests(void *user)
+{
+	return ((struct probe *)user)->requests == MANY_REQUESTS;
+}
+
+/* Guards against losing pipelined bytes beyond the buffer, after which the next
+ * request is never complete. */
+START_TEST(pipelined_requests_beyond_the_buffer_are_answered)
+{
+	char *body = g_strnfill(LARGE_BODY_BYTES, 'b');
+	GString *text = g_string_new(NULL);
+	struct probe probe;
+	struct wire_client *client;
+	unsigned i;
+
+	setup(&probe);
+	probe.echoes_body = false;
+	client = wire_client_new(&probe.wire, probe.address);
+	for (i = 0; i < MANY_REQUESTS; i++)
+		g_string_append_printf(text,
+				       HEAD "Content-Length: %d\r\n\r\n%s",
+				       LARGE_BODY_BYTES, body);
+	wire_client_send(client, text->str);
+	run_for(&probe, 200);
+	ck_assert_uint_eq(probe.requests, 1);
+	probe.echoes_body = true;
+	hsv_respond(probe.request, 200, "", "", 0);
+	wire_run_until(&probe.wire, has_many_requests, &probe);
+	wire_client_drop(client);
+	teardown(&probe);
+	g_string_free(text, TRUE);
+	g_free(body);
+}
+END_TEST
+
 START_TEST(expect_100_continue_is_answered)
 {
 	struct probe probe;
@@ -436,6 +474,8 @@
 		tcase,
 		request_that_arrived_before_the_listener_closes_is_answered);
 	tcase_add_test(tcase, pipelined_requests_are_answered_in_order);
+	tcase_add_test(tcase,
+		       pipelined_requests_beyond_the_buffer_are_answered);
 	tcase_add_test(tcase, expect_100_continue_is_answered);
 	tcase_add_test(tcase, disconnect_is_reported_while_a_request_runs);
 	tcase_add_test(tcase, aborted_stream_has_no_last_chunk);
