edge: an engine whose run goes on after a silence is up

An engine that had been silent counted as down for 5 s after it went on: its layers did not count, so placement ordered them elsewhere and paths avoided it. An event that arrives while a takeover is pending shows that all engines of the path work; they are in use again at once.

silent_engines_keep_their_streams failed without the change (the second engine of the path still counts as down) and passes with it.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -150,6 +150,8 @@
 /* The target is known to be down: it is avoided for a few seconds, and what
  * it holds does not count. */
 void flt_mark_down(struct flt_target *target, clk_ms now);
+/* The target, thought to be down, has continued to work. */
+void flt_mark_up(struct flt_target *target);
 /* The target refused a request for lack of capacity: it is avoided briefly. */
 void flt_mark_full(struct flt_target *target, clk_ms now);
 
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -69,6 +69,18 @@
 	request->last_event_at = now;
 }
 
+/* The run went on before the takeover: all engines of its path work. */
+static void keep_run(struct edg_request *request)
+{
+	guint i;
+
+	for (i = 0; request->path && i < request->path->stages->len; i++)
+		flt_mark_up(g_array_index(request->path->stages,
+					  struct pth_stage, i)
+				    .target);
+	tko_drop(request, "run_continued");
+}
+
 static void on_end(void *user, enum hup_result how);
 
 /* Ends the send because of the size of what the target has sent. */
@@ -90,7 +102,8 @@
 		return;
 	}
 	if (request->splitter.progress > progress) {
-		tko_drop(request, "run_continued");
+		if (request->takeover)
+			keep_run(request);
 		record_event(request);
 		watch_silence(request);
 	}
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -293,6 +293,13 @@
 	target->down_until = now + DOWN_AVOID_MS;
 }
 
+void flt_mark_up(struct flt_target *target)
+{
+	target->failures = 0;
+	target->avoid_until = 0;
+	target->down_until = 0;
+}
+
 void flt_mark_full(struct flt_target *target, clk_ms now)
 {
 	target->avoid_until = MAX(target->avoid_until, now + FULL_AVOID_MS);
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -170,6 +170,23 @@
 }
 END_TEST
 
+/* Number of engines on the path of the head's request that count as down. */
+static unsigned count_down(struct platform_world *world,
+			   const struct worker *head)
+{
+	const GPtrArray *targets = flt_targets(edg_fleet(world->edge));
+	unsigned count = 0;
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+
+		count += strstr(head->last_request->str, target->address) &&
+			 target->down_until > edg_now(world->edge);
+	}
+	return count;
+}
+
 /* Guards against cutting off a stream because the other heads are silent. */
 START_TEST(silent_engines_keep_their_streams)
 {
@@ -183,7 +200,9 @@
 	for (i = 0; i < world.workers->len; i++)
 		worker(&world, i)->is_late = true;
 	world_run(&world, SILENCE_MS);
+	ck_assert_uint_eq(count_down(&world, head), 2);
 	expect_rest(&world, client, head);
+	ck_assert_uint_eq(count_down(&world, head), 0);
 	world_close(&world);
 }
 END_TEST
