edge: don't take a repeated refusal for the answer to the next send

A stream that its head refuses with proof may be sent to the same head again: paths do not exclude heads that were tried. Both sends have the attempt id of the caller, and the second one took the connection that the first had just left. A faulty target that wrote its refusal once more on that connection thereby refused the second send, which it ran: the caller got 503, a promise that its request has not run and will not run, and with more attempts the request ran again.

A request is now sent on a new connection to an address that it was sent to before, which can't hold a copy of an earlier answer.

The test failed before on both kinds of stream (resumable and not): the head received the request twice and the caller got 503 no_target.

--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -116,6 +116,34 @@
 	g_clear_pointer(&request->failed_address, g_free);
 }
 
+static bool was_sent_to(const struct edg_request *request, const char *address)
+{
+	guint i;
+
+#ifdef WF_GUARD_OFF_EDGE_REPEATED_REFUSAL
+	return false;
+#endif
+	for (i = 0; i < request->tried_targets->len; i++) {
+		const struct flt_target *tried =
+			request->tried_targets->pdata[i];
+
+		if (!strcmp(tried->address, address))
+			return true;
+	}
+	return false;
+}
+
+/* Only a new connection can't hold another copy of the answer to an earlier
+ * send, which would have the right id. */
+static clk_ms max_idle(const struct edg_request *request)
+{
+	if (was_sent_to(request, request->target->address))
+		return 0;
+	return request->route->retry_policy == CAT_RETRY_NEVER
+		       ? MAX_IDLE_NO_RETRY_MS
+		       : MAX_IDLE_RETRYABLE_MS;
+}
+
 void edg_send(struct edg_request *request, const struct hup_ops *ops)
 {
 	struct edg_edge *edge = request->edge;
@@ -123,9 +151,7 @@
 		.address = request->target->address,
 		.bytes = write_request(request),
 		.is_head = !strcmp(request->http->method, "HEAD"),
-		.max_idle = request->route->retry_policy == CAT_RETRY_NEVER
-				    ? MAX_IDLE_NO_RETRY_MS
-				    : MAX_IDLE_RETRYABLE_MS,
+		.max_idle = max_idle(request),
 		.id_header = edge->fields->attempt_id,
 		.id = request->id,
 	};
--- /dev/null
+++ b/tests/platform/answers_wire_test.c
@@ -0,0 +1,110 @@
+/* Answers that a faulty target sends twice, breaks off or mixes up. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/support/stand_in.h"
+#include "support/runner.h"
+
+#define KEY "Authorization: Token key1\r\n"
+#define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
+
+/* One head, so that a request that it refuses can only return to it. */
+static void open_one_head(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "e1", "model", 0, 4);
+	world_worker(world, "e2", "model", 4, 8);
+	world_start_ready_edge(world);
+}
+
+static struct worker *worker(struct platform_world *world, guint i)
+{
+	return world->workers->pdata[i];
+}
+
+static bool is_call(const char *request)
+{
+	return g_str_has_prefix(request, "GET /report") ||
+	       g_str_has_prefix(request, "POST /order");
+}
+
+/* Sends a head that repeats the id of the request, then the rest as it is. */
+static void send_answer(struct wire_conn *conn, const char *request, int status,
+			const char *rest)
+{
+	char *id = wire_header(request, "X-Wagtailferry-Attempt-Id");
+	char *text = g_strdup_printf("HTTP/1.1 %d X\r\n"
+				     "X-Wagtailferry-Attempt-Id: %s\r\n%s",
+				     status, id, rest);
+
+	wire_send(conn, text);
+	g_free(text);
+	g_free(id);
+}
+
+static void send_refusal(struct wire_conn *conn, const char *request)
+{
+	send_answer(conn, request, 503,
+		    "X-Wagtailferry-Not-Executed: 1\r\n"
+		    "Content-Length: 0\r\n\r\n");
+}
+
+static bool is_answered(void *user)
+{
+	struct wire_client *client = user;
+
+	return client->closed ||
+	       strstr(client->received->str, "\r\n\r\n") != NULL;
+}
+
+/* Refuses the first request. Whatever follows on that connection gets the
+ * refusal again before its answer. */
+static bool repeat_refusal(struct worker *worker, struct wire_conn *conn,
+			   const char *request)
+{
+	if (is_call(request))
+		return false;
+	if (!worker->step++) {
+		worker->script_serial = wire_serial(conn);
+		send_refusal(conn, request);
+		return true;
+	}
+	if (wire_serial(conn) == worker->script_serial)
+		send_refusal(conn, request);
+	return false;
+}
+
+/* Guards against a repeated copy of the first refusal that is taken for the
+ * answer to a second send to the same head: the caller is told that its request
+ * was not run although the head runs it. */
+START_TEST(repeated_refusal_does_not_answer_the_next_send)
+{
+	static const char *const paths[] = {"/final/", "/stream/"};
+	struct platform_world world;
+	struct wire_client *client;
+
+	open_one_head(&world);
+	worker(&world, 0)->script = repeat_refusal;
+	client = world_request(&world, "POST", paths[_i], KEY TOKENS, "");
+	wire_run_until(&world.wire, is_answered, client);
+	ck_assert_uint_eq(worker(&world, 0)->requests, 2);
+	ck_assert_msg(g_str_has_prefix(client->received->str, "HTTP/1.1 200 "),
+		      "%s", client->received->str);
+	wire_client_await(&world.wire, client, "data: two");
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("answers_wire");
+
+	tcase_set_timeout(tcase, 30);
+	tcase_add_loop_test(
+		tcase, repeated_refusal_does_not_answer_the_next_send, 0, 2);
+	return sup_run_case("answers_wire", tcase);
+}
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -390,28 +390,41 @@
 	}
 }
 
+static bool is_stream(const char *request)
+{
+	return strstr(request, " /stream/") || strstr(request, " /lines/") ||
+	       strstr(request, " /final/") || strstr(request, " /last/");
+}
+
 static void on_worker_request(struct wire_conn *conn, const char *request,
 			      void *user)
 {
 	struct worker *worker = user;
 
+	bool is_report = g_str_has_prefix(request, "GET /report");
+	bool is_order = g_str_has_prefix(request, "POST /order");
+
 	if (worker->is_unresponsive)
 		return;
-	if (g_str_has_prefix(request, "GET /report")) {
+	if (!is_report && !is_order) {
+		worker->requests++;
+		g_string_assign(worker->last_request, request);
+	}
+	if (worker->script && worker->script(worker, conn, request))
+		return;
+	if (is_report) {
 		if (worker->closes_on_report)
 			wire_hang_up(conn);
 		else
 			answer_report(worker, conn);
 		return;
 	}
-	if (g_str_has_prefix(request, "POST /order")) {
+	if (is_order) {
 		handle_order(worker, conn, strstr(request, "\r\n\r\n") + 4);
 		return;
 	}
-	worker->requests++;
-	g_string_assign(worker->last_request, request);
-	if ((strstr(request, " /stream/") || strstr(request, " /lines/")) &&
-	    worker->mode != WORKER_SILENT && worker->mode != WORKER_REFUSES)
+	if (is_stream(request) && worker->mode != WORKER_SILENT &&
+	    worker->mode != WORKER_REFUSES)
 		send_stream(worker, conn, request);
 	else
 		answer_request(worker, conn, request);
@@ -455,6 +468,15 @@
 			 !strcmp(type, "streaming"));
 }
 
+/* A route of streams that may not be resumed. */
+static json_t *once(const char *prefix, const char *service)
+{
+	json_t *spec = route(prefix, "streaming", service, 2, false);
+
+	json_object_set_new(spec, "resumable", json_false());
+	return spec;
+}
+
 json_t *world_config(int version)
 {
 	json_t *engine = json_pack(
@@ -465,7 +487,7 @@
 		"usual", "prompt", 100, "answer", 100, "kinds", "name", "large",
 		"size-mb", 6000.0, "pace", 1.0, "read-factor", 1.0);
 
-	return json_pack("{s:i,s:[o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
+	return json_pack("{s:i,s:[o,o,o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
 			 "s:[{s:s,s:[s,s]}]}",
 			 "version", version, "routes",
 			 route("/read/", "idempotent", "plain", 2, false),
@@ -473,6 +495,7 @@
 			 route("/open/", "idempotent", "plain", 2, true),
 			 route("/stream/", "streaming", "model", 2, false),
 			 route("/lines/", "streaming", "plain", 2, false),
+			 once("/final/", "model"), once("/last/", "plain"),
 			 "services", "name", "plain", "max-conns", 100, "name",
 			 "model", "max-conns", 100, "engine", engine, "tenants",
 			 "name", "org", "api-keys", "key1", "key2");
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -41,12 +41,23 @@
 #define OVERSIZE_BYTES 200000
 
 struct platform_world;
+struct worker;
+
+/* Answers a request, report or order in place of the worker; returns false to
+ * leave that to the worker. */
+typedef bool (*worker_script)(struct worker *worker, struct wire_conn *conn,
+			      const char *request);
 
 struct worker {
 	struct platform_world *world;
 	struct wire_server *server;
 	char *id;
 	enum worker_mode mode;
+	/* NULL if the worker answers everything itself. */
+	worker_script script;
+	/* State of the script. */
+	unsigned step;
+	uint64_t script_serial;
 	/* Requests received, not counting reports and orders. */
 	unsigned requests;
 	GString *last_request;
