edge: take no copy of another answer for the answer to an order

Reports and orders have no id, and they use the connections on which requests of callers and earlier calls went to the same engine. A faulty engine that wrote an earlier answer once more after the order had been sent answered the order with it: a repeated report (200) counted as an order that was taken, although the engine refused it with 409. The engine then counts as loading its layers until the load time and 4 s have passed; a change of path that counts as taken leaves its stream stalled until the head breaks it off.

An answer with the id of a request is now skipped by calls. An order uses only a connection that carried nothing but requests with ids, and its connection is closed after it. That is one new connection for an order whose engine has no such connection idle. Reports still share connections with reports: they have nothing that dates them, and what they say is advice. The store is trusted.

The platform test failed before: both orders were logged as taken.

--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -118,6 +118,7 @@
 
 	if (!exchange)
 		return;
+	keep = keep && !exchange->is_isolated;
 	conn->exchange = NULL;
 	conn->served++;
 	if (keep)
@@ -314,15 +315,28 @@
 	       idle < conn->keep_alive - KEEP_ALIVE_MARGIN_MS;
 }
 
+static bool may_carry(const struct hup_conn *conn,
+		      const struct hup_request *request)
+{
+#ifdef WF_GUARD_OFF_EDGE_ISOLATED_ORDERS
+	return true;
+#endif
+	return !request->is_isolated || !conn->had_unmarked;
+}
+
 static struct hup_conn *take_idle(struct hup_client *client,
-				  const char *address, clk_ms max_idle)
+				  const struct hup_request *request)
 {
-	GQueue *queue = g_hash_table_lookup(client->idle, address);
-	struct hup_conn *conn = queue ? g_queue_peek_head(queue) : NULL;
+	GQueue *queue = g_hash_table_lookup(client->idle, request->address);
+	GList *link = queue ? queue->head : NULL;
+	struct hup_conn *conn;
 
-	if (!conn || !is_usable(conn, max_idle))
+	while (link && !may_carry(link->data, request))
+		link = link->next;
+	if (!link || !is_usable(link->data, request->max_idle))
 		return NULL;
-	g_queue_pop_head(queue);
+	conn = link->data;
+	g_queue_delete_link(queue, link);
 	return conn;
 }
 
@@ -341,6 +355,7 @@
 	conn->is_complete = false;
 	conn->is_reusable = false;
 	conn->is_skipping = false;
+	conn->had_unmarked |= !exchange->id;
 	exchange->conn = conn;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
@@ -351,13 +366,13 @@
 			      const struct hup_ops *ops, void *user)
 {
 	struct hup_exchange *exchange = g_new0(struct hup_exchange, 1);
-	struct hup_conn *conn =
-		take_idle(client, request->address, request->max_idle);
+	struct hup_conn *conn = take_idle(client, request);
 
 	exchange->ops = ops;
 	exchange->user = user;
 	exchange->bytes = request->bytes;
 	exchange->is_head = request->is_head;
+	exchange->is_isolated = request->is_isolated;
 	exchange->id_header = g_strdup(request->id_header);
 	exchange->id = g_strdup(request->id);
 	exchange->timeout = request->timeout;
--- a/src/edge/hup_client.h
+++ b/src/edge/hup_client.h
@@ -65,10 +65,16 @@
 	clk_ms timeout;
 	/* Limit on the body; 0 for none. */
 	size_t max_body_bytes;
-	/* Header that carries the id in request and response, and the id; NULL
-	 * if responses carry none. */
+	/* Header that carries the id in request and response; NULL if responses
+	 * carry none. */
 	const char *id_header;
+	/* NULL for a request without an id: a response that carries one belongs
+	 * to another request and is discarded. */
 	const char *id;
+	/* Uses no connection that carried a request without an id, and does
+	 * not keep its own: a late copy of a response without an id can't be
+	 * told from the response. */
+	bool is_isolated;
 };
 
 struct hup_client *hup_new(uv_loop_t *loop, struct ctr_set *counters);
--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -67,6 +67,8 @@
 	if (!exchange->id_header)
 		return MATCHES;
 	id = hdr_get(&conn->response.headers, exchange->id_header);
+	if (!exchange->id)
+		return id ? IS_STALE : MATCHES;
 	if (!id) {
 #ifdef WF_GUARD_OFF_EDGE_LATE_COPY
 		return MATCHES;
--- a/src/edge/hup_private.h
+++ b/src/edge/hup_private.h
@@ -26,6 +26,8 @@
 	/* The response is complete. */
 	bool is_complete;
 	bool is_reusable;
+	/* Carried a request without an id. */
+	bool had_unmarked;
 	unsigned pending_writes;
 	/* Exchanges that ended on this connection. */
 	unsigned served;
@@ -42,6 +44,7 @@
 	void *user;
 	GString *bytes;
 	bool is_head;
+	bool is_isolated;
 	char *id_header;
 	char *id;
 	uv_timer_t timer;
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -25,8 +25,12 @@
 	unsigned end_calls;
 	enum hup_result result;
 	bool cancel_in_data;
+	bool is_isolated;
 	/* Selects the server's response to the next request. */
 	int step;
+	/* Whether answers to requests have ids. */
+	bool marks;
+	uint64_t last_serial;
 };
 
 static void on_head(void *user, const struct hup_response *response)
@@ -96,6 +100,7 @@
 		.max_body_bytes = MAX_BODY_BYTES,
 		.id_header = ID_HEADER,
 		.id = id,
+		.is_isolated = probe->is_isolated,
 	};
 
 	probe->end_calls = 0;
@@ -301,6 +306,74 @@
 }
 END_TEST
 
+/* Sends the answer to the last request once more, then the one to this. */
+static void send_copy_of_last(struct wire_conn *conn, const char *text,
+			      void *user)
+{
+	struct probe *probe = user;
+	uint64_t serial = wire_serial(conn);
+
+	(void)text;
+	if (probe->step && probe->last_serial == serial)
+		wire_answer(conn, 200, probe->marks ? "X-Id: 1\r\n" : "",
+			    "copy");
+	wire_answer(conn, 200,
+		    probe->marks && !probe->step ? "X-Id: 1\r\n" : "", "own");
+	probe->last_serial = serial;
+	probe->step++;
+}
+
+/* Guards against a late copy of the answer to a caller's request that is taken
+ * for the answer to a call to the same target. */
+START_TEST(call_skips_answers_to_requests)
+{
+	struct probe probe;
+
+	setup(&probe, send_copy_of_last);
+	probe.marks = true;
+	request(&probe, "1");
+	request(&probe, NULL);
+	ck_assert_uint_eq(wire_server_connections(probe.server), 1);
+	ck_assert_int_eq(probe.result, HUP_COMPLETE);
+	ck_assert_str_eq(probe.data->str, "own");
+	teardown(&probe);
+}
+END_TEST
+
+/* Guards against a late copy of the answer to a call that is taken for the
+ * answer to an isolated call, or of the latter for that to any other. */
+START_TEST(isolated_call_shares_no_connection_with_calls)
+{
+	struct probe probe;
+
+	setup(&probe, send_copy_of_last);
+	request(&probe, NULL);
+	probe.is_isolated = true;
+	request(&probe, NULL);
+	ck_assert_str_eq(probe.data->str, "own");
+	probe.is_isolated = false;
+	request(&probe, NULL);
+	ck_assert_uint_eq(wire_server_connections(probe.server), 2);
+	teardown(&probe);
+}
+END_TEST
+
+/* A connection that carried only requests with ids is still reused. */
+START_TEST(isolated_call_reuses_a_connection_of_requests)
+{
+	struct probe probe;
+
+	setup(&probe, send_copy_of_last);
+	probe.marks = true;
+	request(&probe, "1");
+	probe.is_isolated = true;
+	request(&probe, NULL);
+	ck_assert_str_eq(probe.data->str, "own");
+	ck_assert_uint_eq(wire_server_connections(probe.server), 1);
+	teardown(&probe);
+}
+END_TEST
+
 static void send_ok_response(struct wire_conn *conn, const char *text,
 			     void *user)
 {
@@ -389,5 +462,8 @@
 	tcase_add_loop_test(tcase, flood_ends_the_exchange, 0,
 			    G_N_ELEMENTS(flood_cases));
 	tcase_add_test(tcase, late_copy_without_id_is_no_answer);
+	tcase_add_test(tcase, call_skips_answers_to_requests);
+	tcase_add_test(tcase, isolated_call_shares_no_connection_with_calls);
+	tcase_add_test(tcase, isolated_call_reuses_a_connection_of_requests);
 	return sup_run_case("edge_upstream_wire", tcase);
 }
--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -99,6 +99,63 @@
 }
 END_TEST
 
+static char *report_text(void)
+{
+	const char *body = "{\"sequence\":0,\"busy\":false,\"pace\":1,"
+			   "\"stalled\":[]}";
+
+	return g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+}
+
+/* Refuses orders; a connection that carried a report gets it once more before
+ * that. */
+static bool repeat_report(struct worker *worker, struct wire_conn *conn,
+			  const char *request)
+{
+	char *report = report_text();
+
+	if (g_str_has_prefix(request, "GET /report")) {
+		worker->script_serial = wire_serial(conn);
+		wire_send(conn, report);
+	} else if (wire_serial(conn) == worker->script_serial) {
+		wire_send(conn, report);
+	}
+	if (g_str_has_prefix(request, "POST /order"))
+		wire_answer(conn, 409, "", "{}");
+	g_free(report);
+	return true;
+}
+
+static bool has_order_result(void *user)
+{
+	const GString *log = ((struct platform_world *)user)->log_text;
+
+	return strstr(log->str, "refused") || strstr(log->str, "taken\"");
+}
+
+/* Guards against an order that its engine refused and that counts as taken,
+ * because the engine repeated its report on the same connection. */
+START_TEST(repeated_report_is_no_answer_to_an_order)
+{
+	struct platform_world world;
+
+	world_open(&world);
+	world_put(&world, "config", "main", world_config(1));
+	world_worker(&world, "e1", "model", 0, 0);
+	world_worker(&world, "e2", "model", 0, 0);
+	worker(&world, 0)->script = repeat_report;
+	worker(&world, 1)->script = repeat_report;
+	world_start_ready_edge(&world);
+	wire_run_until(&world.wire, has_order_result, &world);
+	ck_assert_msg(strstr(world.log_text->str, "refused") != NULL, "%s",
+		      world.log_text->str);
+	ck_assert_ptr_null(strstr(world.log_text->str, "taken\""));
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("answers_wire");
@@ -106,5 +163,6 @@
 	tcase_set_timeout(tcase, 30);
 	tcase_add_loop_test(
 		tcase, repeated_refusal_does_not_answer_the_next_send, 0, 2);
+	tcase_add_test(tcase, repeated_report_is_no_answer_to_an_order);
 	return sup_run_case("answers_wire", tcase);
 }
