edge: end a run whose events do not follow those delivered

A target that ignores Last-Event-Id and runs the stream again from its first event was passed on: the caller got pieces twice, of two runs. The same holds for a target that writes the head of another answer into a body without a length, where it is an event by its form.

Ids increase within a stream, so an event whose numeric id is not greater than that of the last delivered one, or that begins with a status line, now ends its run as malformed: a stream that may be resumed continues at another target, any other is broken off. Ids need not be consecutive, so a target that leaves events out can't be noticed, and nothing marks the last event.

--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -57,11 +57,11 @@
 
 static void on_end(void *user, enum hup_result how);
 
-/* Ends the send because of the size of what the target has sent. */
-static void end_too_large(struct edg_request *request)
+/* Ends the send because of what the target has sent. */
+static void end_send(struct edg_request *request, enum hup_result how)
 {
 	hup_cancel(request->exchange);
-	on_end(request, HUP_TOO_LARGE);
+	on_end(request, how);
 }
 
 static void on_stream_data(struct edg_request *request, const char *bytes,
@@ -71,8 +71,10 @@
 	size_t ready = evs_add(&request->splitter, bytes, len);
 
 	if (!ready) {
-		if (!edg_count_buffered(request))
-			end_too_large(request);
+		if (request->splitter.is_invalid)
+			end_send(request, HUP_MALFORMED);
+		else if (!edg_count_buffered(request))
+			end_send(request, HUP_TOO_LARGE);
 		return;
 	}
 	if (request->splitter.progress > progress) {
@@ -88,7 +90,10 @@
 		return;
 	}
 	evs_consume(&request->splitter, ready);
-	edg_count_buffered(request);
+	if (request->splitter.is_invalid)
+		end_send(request, HUP_MALFORMED);
+	else
+		edg_count_buffered(request);
 }
 
 static void on_data(void *user, const char *bytes, size_t len)
@@ -101,7 +106,7 @@
 	}
 	g_string_append_len(request->body, bytes, (gssize)len);
 	if (!edg_count_buffered(request))
-		end_too_large(request);
+		end_send(request, HUP_TOO_LARGE);
 }
 
 static void complete(struct edg_request *request)
--- a/src/edge/event_splitter.c
+++ b/src/edge/event_splitter.c
@@ -3,6 +3,17 @@
 #include "edge/event_splitter.h"
 
 #define ID_FIELD "id:"
+/* The start of an answer's head. */
+#define STATUS_LINE "HTTP/1."
+
+/* What is read from an event. */
+struct event {
+	/* NULL if it has none. */
+	const char *id;
+	size_t id_len;
+	/* It is not only a comment. */
+	bool has_field;
+};
 
 void evs_init(struct evs_splitter *splitter)
 {
@@ -10,6 +21,7 @@
 	splitter->last_id = g_string_new(NULL);
 	splitter->events = 0;
 	splitter->progress = 0;
+	splitter->is_invalid = false;
 	splitter->scanned = 0;
 }
 
@@ -19,8 +31,7 @@
 	g_string_free(splitter->last_id, TRUE);
 }
 
-static void read_line(struct evs_splitter *splitter, const char *line,
-		      size_t len)
+static void read_line(struct event *event, const char *line, size_t len)
 {
 	size_t skip = strlen(ID_FIELD);
 
@@ -30,9 +41,8 @@
 		return;
 	if (len > skip && line[skip] == ' ')
 		skip++;
-	g_string_truncate(splitter->last_id, 0);
-	g_string_append_len(splitter->last_id, line + skip,
-			    (gssize)(len - skip));
+	event->id = line + skip;
+	event->id_len = len - skip;
 }
 
 /*
@@ -63,23 +73,68 @@
 	return 0;
 }
 
-static void read_event(struct evs_splitter *splitter, const char *event,
-		       size_t len)
+static struct event read_event(const char *bytes, size_t len)
 {
-	bool has_field = false;
+	struct event event = {0};
 	size_t start = 0;
 
 	while (start < len) {
-		const char *end = memchr(event + start, '\n', len - start);
-		size_t line = end ? (size_t)(end - event) - start : len - start;
+		const char *end = memchr(bytes + start, '\n', len - start);
+		size_t line = end ? (size_t)(end - bytes) - start : len - start;
 
-		has_field |=
-			line && event[start] != ':' && event[start] != '\r';
-		read_line(splitter, event + start, line);
+		event.has_field |=
+			line && bytes[start] != ':' && bytes[start] != '\r';
+		read_line(&event, bytes + start, line);
 		start += line + 1;
 	}
+	return event;
+}
+
+static bool read_number(const char *text, size_t len, guint64 *number)
+{
+	char digits[24];
+
+	if (!len || len >= sizeof(digits))
+		return false;
+	memcpy(digits, text, len);
+	digits[len] = '\0';
+	return g_ascii_string_to_unsigned(digits, 10, 0, G_MAXUINT64, number,
+					  NULL);
+}
+
+/* Ids that are no numbers can't be compared. */
+static bool may_follow(const struct evs_splitter *splitter,
+		       const struct event *event)
+{
+	guint64 last;
+	guint64 next;
+
+#ifdef WF_GUARD_OFF_EDGE_EVENT_ORDER
+	return true;
+#endif
+	return !event->id ||
+	       !read_number(splitter->last_id->str, splitter->last_id->len,
+			    &last) ||
+	       !read_number(event->id, event->id_len, &next) || next > last;
+}
+
+/* Counts the event of len bytes unless it can't be one of the stream. */
+static bool accept_event(struct evs_splitter *splitter, const char *bytes,
+			 size_t len)
+{
+	struct event event = read_event(bytes, len);
+
+	if (g_str_has_prefix(bytes, STATUS_LINE) ||
+	    !may_follow(splitter, &event))
+		return false;
+	if (event.id) {
+		g_string_truncate(splitter->last_id, 0);
+		g_string_append_len(splitter->last_id, event.id,
+				    (gssize)event.id_len);
+	}
 	splitter->events++;
-	splitter->progress += has_field;
+	splitter->progress += event.has_field;
+	return true;
 }
 
 size_t evs_add(struct evs_splitter *splitter, const char *bytes, size_t len)
@@ -88,9 +143,13 @@
 	size_t event;
 
 	g_string_append_len(splitter->partial, bytes, (gssize)len);
-	while ((event = event_length(splitter, ready))) {
-		read_event(splitter, splitter->partial->str + ready, event);
-		ready += event;
+	while (!splitter->is_invalid &&
+	       (event = event_length(splitter, ready))) {
+		if (accept_event(splitter, splitter->partial->str + ready,
+				 event))
+			ready += event;
+		else
+			splitter->is_invalid = true;
 	}
 	return ready;
 }
@@ -104,5 +163,6 @@
 void evs_discard_partial(struct evs_splitter *splitter)
 {
 	g_string_truncate(splitter->partial, 0);
+	splitter->is_invalid = false;
 	splitter->scanned = 0;
 }
--- a/src/edge/event_splitter.h
+++ b/src/edge/event_splitter.h
@@ -4,7 +4,9 @@
 /*
  * evs: event stream splitter. Splits the bytes of an event stream
  * (text/event-stream) into complete events without changing them, and records
- * the id of the last one, after which another target can continue.
+ * the id of the last one, after which another target can continue. Ids increase
+ * within a stream: an event with a lower id, or the same, is from another run
+ * or repeated.
  */
 
 #include <wagtailferry/base.h>
@@ -19,6 +21,9 @@
 	 * comments: comments keep a connection open, but are no progress. */
 	unsigned events;
 	unsigned progress;
+	/* The next event can't follow the last one, or is the head of an
+	 * answer. It and what comes after it stay in partial. */
+	bool is_invalid;
 	/* Bytes of partial that are known not to end an event. */
 	size_t scanned;
 };
@@ -35,7 +40,7 @@
 /* Removes the first len bytes of splitter->partial. */
 void evs_consume(struct evs_splitter *splitter, size_t len);
 
-/* Discards an event that will not be completed. */
+/* Discards what will not be completed, before another target continues. */
 void evs_discard_partial(struct evs_splitter *splitter);
 
 #endif
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -41,6 +41,7 @@
 	ck_assert_str_eq(splitter.partial->str, "id: 4\nda");
 	ck_assert_uint_eq(strlen(stream) - strlen("id: 4\nda"), out->len);
 	ck_assert(g_str_has_prefix(stream, out->str));
+	ck_assert(!splitter.is_invalid);
 	evs_discard_partial(&splitter);
 	ck_assert_uint_eq(splitter.partial->len, 0);
 	evs_clear(&splitter);
--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -8,8 +8,20 @@
 #include "support/runner.h"
 
 #define KEY "Authorization: Token key1\r\n"
+#define SIGNED "X-Wagtailferry-Server-Stamp: sig\r\n"
+#define EVENTS "Content-Type: text/event-stream\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
 
+static void open_plain(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "p1", "plain", 0, 0);
+	world_worker(world, "p2", "plain", 0, 0);
+	world_start_ready_edge(world);
+}
+
 /* One head, so that a request that it refuses can only return to it. */
 static void open_one_head(struct platform_world *world)
 {
@@ -156,6 +168,128 @@
 }
 END_TEST
 
+/* Answers of the targets to one request, in the order of its sends; the last
+ * one is repeated. */
+struct answer {
+	int status;
+	/* What follows the status line and the id. */
+	const char *rest;
+	enum { KEEP_OPEN, CLOSE, RESET, CLOSE_AND_RESET } action;
+};
+
+static const struct answer *answers;
+static unsigned n_answers;
+static unsigned n_sends;
+
+static bool answer_in_order(struct worker *worker, struct wire_conn *conn,
+			    const char *request)
+{
+	const struct answer *answer;
+
+	(void)worker;
+	if (is_call(request))
+		return false;
+	answer = &answers[MIN(n_sends, n_answers - 1)];
+	n_sends++;
+	send_answer(conn, request, answer->status, answer->rest);
+	if (answer->action == CLOSE)
+		wire_hang_up(conn);
+	else if (answer->action == RESET)
+		wire_reset(conn);
+	else if (answer->action == CLOSE_AND_RESET)
+		wire_end_and_reset(conn, "");
+	return true;
+}
+
+/* Sends a request to two targets that answer so, and waits for the end of the
+ * caller's connection, or for the text if there is one. */
+static struct wire_client *ask(struct platform_world *world, const char *path,
+			       const struct answer *expected, unsigned n,
+			       const char *awaited)
+{
+	struct wire_client *client;
+
+	answers = expected;
+	n_answers = n;
+	open_plain(world);
+	worker(world, 0)->script = answer_in_order;
+	worker(world, 1)->script = answer_in_order;
+	client = world_request(world, "POST", path, KEY, "");
+	if (awaited)
+		wire_client_await(&world->wire, client, awaited);
+	else
+		wire_client_await_close(&world->wire, client);
+	return client;
+}
+
+static bool has_complete_end(const struct wire_client *client)
+{
+	return g_str_has_suffix(client->received->str, "\r\n0\r\n\r\n");
+}
+
+#define FIRST_EVENT "11\r\nid: 1\ndata: one\n\n\r\n"
+
+static const struct answer broken_stream = {
+	200, SIGNED EVENTS CHUNKED "\r\n" FIRST_EVENT "8\r\nid: 2\nda\r\n",
+	CLOSE};
+
+static const struct answer wrong_continuations[] = {
+	{500, SIGNED "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
+	{500, "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
+	{500, "\r\nerror\n\n", CLOSE},
+	{503, SIGNED "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
+	{503,
+	 "X-Wagtailferry-Not-Executed: 1\r\nContent-Length: 7\r\n\r\nerror\n\n",
+	 KEEP_OPEN},
+	{421, "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
+	{404, SIGNED EVENTS CHUNKED "\r\n7\r\nerror\n\n\r\n0\r\n\r\n",
+	 KEEP_OPEN},
+	{404, "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
+	{200, EVENTS "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
+	{200,
+	 SIGNED EVENTS
+	 "Content-Encoding: gzip\r\nContent-Length: 7\r\n\r\nerror\n\n",
+	 KEEP_OPEN},
+	{204, SIGNED "\r\n", KEEP_OPEN},
+	{206, SIGNED EVENTS "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
+	{103, "\r\nHTTP/1.1 500 X\r\nContent-Length: 7\r\n\r\nerror\n\n",
+	 KEEP_OPEN},
+	{200, "no field at all\r\n\r\nerror\n\n", CLOSE},
+	/* An error in the middle of the body. */
+	{200,
+	 SIGNED EVENTS CHUNKED
+	 "\r\nHTTP/1.1 500 X\r\nContent-Length: 7\r\n\r\nerror\n\n",
+	 CLOSE},
+	{200, SIGNED EVENTS "\r\nHTTP/1.1 500 X\r\nX-A: error\r\n\r\nerror\n\n",
+	 CLOSE},
+	/* A run from the start: its events were delivered by the first. */
+	{200,
+	 SIGNED EVENTS CHUNKED "\r\n13\r\nid: 1\ndata: error\n\n\r\n0\r\n\r\n",
+	 KEEP_OPEN},
+	{200,
+	 SIGNED EVENTS CHUNKED "\r\n13\r\nid: 0\ndata: error\n\n\r\n0\r\n\r\n",
+	 KEEP_OPEN},
+};
+
+/* Guards against an answer of the second target that appears in the middle of
+ * a stream, or that makes a stream look complete that was broken off. */
+START_TEST(only_a_continuation_joins_a_broken_stream)
+{
+	struct platform_world world;
+	const struct answer both[] = {broken_stream, wrong_continuations[_i]};
+	struct wire_client *client = ask(&world, "/lines/", both, 2, NULL);
+	const char *received = client->received->str;
+
+	ck_assert_uint_eq(n_sends, 2);
+	ck_assert_ptr_nonnull(strstr(received, "data: one"));
+	ck_assert_msg(!strstr(received, "error"), "%s", received);
+	ck_assert_ptr_null(strstr(received + 1, "HTTP/1.1"));
+	ck_assert(!has_complete_end(client));
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("answers_wire");
@@ -164,5 +298,7 @@
 	tcase_add_loop_test(
 		tcase, repeated_refusal_does_not_answer_the_next_send, 0, 2);
 	tcase_add_test(tcase, repeated_report_is_no_answer_to_an_order);
+	tcase_add_loop_test(tcase, only_a_continuation_joins_a_broken_stream, 0,
+			    G_N_ELEMENTS(wrong_continuations));
 	return sup_run_case("answers_wire", tcase);
 }
