edge: continue a stream only with the content type of its first answer

After a stream had broken off, any signed 200 of the next target was taken for its continuation. An error page or a JSON error with that status and an empty line in it was passed on as events, in the middle of the caller's stream, and its end made the stream look complete.

The media type of the continuation must be that of the first answer, parameters aside. Another one is not passed on and ends the run as failed, like the other answers that are no stream.

The two rows of the test (text/html with a length, application/json ended by its connection) failed before and pass now.

--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -127,6 +127,10 @@
 	struct evs_splitter splitter;
 	/* The response head was sent to the caller. */
 	bool is_answer_started;
+	/* Content type of that response, or NULL, and whether the answer to the
+	 * current send has another. */
+	char *stream_type;
+	bool has_other_type;
 	clk_ms first_event_at;
 	clk_ms last_event_at;
 	clk_ms longest_pause;
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -50,6 +50,7 @@
 	g_string_free(request->body, TRUE);
 	evs_clear(&request->splitter);
 	g_free(request->failed_address);
+	g_free(request->stream_type);
 	g_free(request->id);
 	cat_drop(request->catalog);
 	uv_close((uv_handle_t *)&request->timer, on_handle_closed);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -19,7 +19,7 @@
 static bool is_stream_answer(const struct edg_request *request)
 {
 	return request->status == 200 && request->is_signed &&
-	       !request->is_encoded;
+	       !request->is_encoded && !request->has_other_type;
 }
 
 static void watch_silence(struct edg_request *request)
@@ -28,14 +28,29 @@
 		stl_watch_stream(request);
 }
 
+/* Compares media types without their parameters. */
+static bool is_same_type(const char *a, const char *b)
+{
+	size_t len = a ? strcspn(a, "; ") : 0;
+
+	if (!a || !b)
+		return a == b;
+	return strcspn(b, "; ") == len && !g_ascii_strncasecmp(a, b, len);
+}
+
 static void on_head(void *user, const struct hup_response *response)
 {
 	struct edg_request *request = user;
+	const char *type = hdr_get(&response->headers, "Content-Type");
 
 	edg_read_response_head(request, response);
+	if (request->is_answer_started)
+		request->has_other_type =
+			!is_same_type(type, request->stream_type);
 	if (!is_stream_answer(request) || request->is_answer_started)
 		return;
 	request->is_answer_started = true;
+	request->stream_type = g_strdup(type);
 	hsv_begin_chunked(request->http, request->status,
 			  request->headers->str);
 }
--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -250,6 +250,11 @@
 	 SIGNED EVENTS
 	 "Content-Encoding: gzip\r\nContent-Length: 7\r\n\r\nerror\n\n",
 	 KEEP_OPEN},
+	{200,
+	 SIGNED "Content-Type: text/html\r\nContent-Length: 7\r\n\r\nerror\n\n",
+	 KEEP_OPEN},
+	{200, SIGNED "Content-Type: application/json\r\n\r\n\"error\"\n\n",
+	 CLOSE},
 	{204, SIGNED "\r\n", KEEP_OPEN},
 	{206, SIGNED EVENTS "Content-Length: 7\r\n\r\nerror\n\n", KEEP_OPEN},
 	{103, "\r\nHTTP/1.1 500 X\r\nContent-Length: 7\r\n\r\nerror\n\n",
