tests: answers that end with their connection, at the edge

22 kinds of answers without a length, plain and streams, repeatable and not, ended by a close, by a reset or by a close that a reset follows, at the end of an event or inside one; and answers to another request and bytes that are no answer.

--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -171,6 +171,7 @@
 /* Answers of the targets to one request, in the order of its sends; the last
  * one is repeated. */
 struct answer {
+	/* 0 if rest is sent alone. */
 	int status;
 	/* What follows the status line and the id. */
 	const char *rest;
@@ -191,7 +192,10 @@
 		return false;
 	answer = &answers[MIN(n_sends, n_answers - 1)];
 	n_sends++;
-	send_answer(conn, request, answer->status, answer->rest);
+	if (answer->status)
+		send_answer(conn, request, answer->status, answer->rest);
+	else
+		wire_send(conn, answer->rest);
 	if (answer->action == CLOSE)
 		wire_hang_up(conn);
 	else if (answer->action == RESET)
@@ -295,6 +299,89 @@
 }
 END_TEST
 
+/* Answers that end with their connection, and what the caller gets. */
+struct ending {
+	const char *path;
+	struct answer first;
+	unsigned sends;
+	/* NULL if the caller's connection is closed instead. */
+	const char *awaited;
+};
+
+#define EVENT_1 "id: 1\ndata: one\n\n"
+#define EVENT_2 "id: 2\ndata: two\n\n"
+#define UNFRAMED SIGNED EVENTS "\r\n"
+#define LAST_CHUNK "\r\n0\r\n\r\n"
+#define OTHER_ID "HTTP/1.1 200 X\r\nX-Wagtailferry-Attempt-Id: other\r\n\r\n"
+
+static const struct ending endings[] = {
+	/* A stream that ends after an event is complete. */
+	{"/lines/", {200, UNFRAMED EVENT_1 EVENT_2, CLOSE}, 1, LAST_CHUNK},
+	{"/last/", {200, UNFRAMED EVENT_1 EVENT_2, CLOSE}, 1, LAST_CHUNK},
+	/* One that ends inside an event, or by a reset, is broken off. */
+	{"/lines/", {200, UNFRAMED EVENT_1 "id: 2\nda", CLOSE}, 2, LAST_CHUNK},
+	{"/lines/",
+	 {200, UNFRAMED EVENT_1 "id: 2\ndata: two\n", CLOSE},
+	 2,
+	 LAST_CHUNK},
+	{"/lines/", {200, UNFRAMED EVENT_1, RESET}, 2, LAST_CHUNK},
+	{"/lines/", {200, UNFRAMED EVENT_1, CLOSE_AND_RESET}, 2, LAST_CHUNK},
+	{"/last/", {200, UNFRAMED EVENT_1 "id: 2\nda", CLOSE}, 1, NULL},
+	{"/last/",
+	 {200, UNFRAMED EVENT_1 "id: 2\ndata: two\n", CLOSE},
+	 1,
+	 NULL},
+	{"/last/", {200, UNFRAMED EVENT_1, CLOSE_AND_RESET}, 1, NULL},
+	/* Answers that are no stream. */
+	{"/read/", {200, SIGNED "\r\nbody", CLOSE}, 1, "body"},
+	{"/once/", {200, SIGNED "\r\nbody", CLOSE}, 1, "body"},
+	{"/read/", {200, SIGNED "\r\nbo", RESET}, 2, "body"},
+	{"/read/", {200, SIGNED "\r\nbo", CLOSE_AND_RESET}, 2, "body"},
+	{"/once/", {200, SIGNED "\r\nbody", RESET}, 1, "HTTP/1.1 502 "},
+	{"/once/",
+	 {200, SIGNED "\r\nbody", CLOSE_AND_RESET},
+	 1,
+	 "HTTP/1.1 502 "},
+	/* The answer to another request, and bytes that are none. */
+	{"/read/", {0, OTHER_ID "other", CLOSE}, 2, "body"},
+	{"/once/", {0, OTHER_ID "other", CLOSE}, 1, "HTTP/1.1 502 "},
+	{"/lines/", {0, OTHER_ID EVENT_1, CLOSE}, 2, LAST_CHUNK},
+	{"/last/", {0, OTHER_ID EVENT_1, CLOSE}, 1, "HTTP/1.1 502 "},
+	{"/read/", {0, "no answer at all ", KEEP_OPEN}, 2, "body"},
+	{"/once/", {0, "no answer at all ", KEEP_OPEN}, 1, "HTTP/1.1 502 "},
+	{"/last/", {0, "no answer at all ", KEEP_OPEN}, 1, "HTTP/1.1 502 "},
+};
+
+/* Guards against an answer without a length that counts as complete although
+ * it was broken off, and the reverse; and against passing it on so that its
+ * caller can't tell. */
+START_TEST(answer_without_length_is_complete_only_at_its_end)
+{
+	const struct ending *ending = &endings[_i];
+	bool is_stream = !strcmp(ending->path, "/lines/") ||
+			 !strcmp(ending->path, "/last/");
+	const struct answer both[] = {
+		ending->first,
+		{200, is_stream ? UNFRAMED EVENT_2 : SIGNED "\r\nbody", CLOSE}};
+	struct platform_world world;
+	struct wire_client *client =
+		ask(&world, ending->path, both, 2, ending->awaited);
+	const char *received = client->received->str;
+
+	ck_assert_uint_eq(n_sends, ending->sends);
+	ck_assert_ptr_null(strstr(received, "other"));
+	if (!ending->awaited)
+		ck_assert(!has_complete_end(client));
+	else if (strcmp(ending->awaited, LAST_CHUNK) != 0)
+		ck_assert_ptr_nonnull(strstr(received, "Content-Length: "));
+	else
+		ck_assert_ptr_null(
+			strstr(strstr(received, EVENT_2) + 1, "id: 2"));
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("answers_wire");
@@ -305,5 +392,8 @@
 	tcase_add_test(tcase, repeated_report_is_no_answer_to_an_order);
 	tcase_add_loop_test(tcase, only_a_continuation_joins_a_broken_stream, 0,
 			    G_N_ELEMENTS(wrong_continuations));
+	tcase_add_loop_test(tcase,
+			    answer_without_length_is_complete_only_at_its_end,
+			    0, G_N_ELEMENTS(endings));
 	return sup_run_case("answers_wire", tcase);
 }
