edge: send no chunk after the answer to HEAD on a route of streams

An answer to HEAD was begun and ended as a stream, so the last chunk followed its head. The answer to HEAD has no body, so the caller found these bytes where the next answer on its connection begins.

Such an answer is now passed on like any other that is no stream. The test failed before (0 CRLF CRLF after the head) and passes now.

--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -19,7 +19,8 @@
 static bool is_stream_answer(const struct edg_request *request)
 {
 	return request->status == 200 && request->is_signed &&
-	       !request->is_encoded && !request->has_other_type;
+	       !request->is_encoded && !request->has_other_type &&
+	       strcmp(request->http->method, "HEAD") != 0;
 }
 
 static void watch_silence(struct edg_request *request)
--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -382,6 +382,31 @@
 }
 END_TEST
 
+/* Guards against bytes of a body after the answer to HEAD, which the caller
+ * takes for the next answer. */
+START_TEST(answer_to_head_has_no_body)
+{
+	static const struct answer head = {200, SIGNED EVENTS CHUNKED "\r\n",
+					   KEEP_OPEN};
+	struct platform_world world;
+	struct wire_client *client;
+
+	answers = &head;
+	n_answers = 1;
+	open_plain(&world);
+	worker(&world, 0)->script = answer_in_order;
+	worker(&world, 1)->script = answer_in_order;
+	client = world_request(&world, "HEAD", "/lines/", KEY, "");
+	wire_run_until(&world.wire, is_answered, client);
+	world_run(&world, 50);
+	ck_assert(g_str_has_prefix(client->received->str, "HTTP/1.1 200 "));
+	ck_assert(g_str_has_suffix(client->received->str, "\r\n\r\n"));
+	ck_assert_ptr_null(strstr(client->received->str, "\r\n\r\n0"));
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("answers_wire");
@@ -395,5 +420,6 @@
 	tcase_add_loop_test(tcase,
 			    answer_without_length_is_complete_only_at_its_end,
 			    0, G_N_ELEMENTS(endings));
+	tcase_add_test(tcase, answer_to_head_has_no_body);
 	return sup_run_case("answers_wire", tcase);
 }
