edge: end an exchange at a 101 that nobody asked for

The parser stops at the end of a 101 with an Upgrade field and drops the rest of the bytes that were read with it. An answer that followed was lost, so the request waited until its deadline, and later bytes of that answer could have been parsed as the start of another.

A 101 now ends the exchange as malformed at once.

--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -87,6 +87,9 @@
 	hdr_builder_flush(&conn->builder, &conn->response.headers);
 	if (!exchange)
 		return -1;
+	/* What follows a change of protocol can't be parsed. */
+	if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+		return -1;
 	conn->response.status = (int)parser->status_code;
 	match = match_id(conn, exchange);
 	conn->is_skipping = parser->status_code < 200 || match == IS_STALE;
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -155,6 +155,13 @@
 	 KEEP_OPEN, HUP_TIMED_OUT, NULL},
 	{"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nbad",
 	 CLOSE, HUP_CONN_LOST, NULL},
+	/* Nobody asked for another protocol. */
+	{"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+	 "Upgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	 KEEP_OPEN, HUP_MALFORMED, NULL},
+	{"HTTP/1.1 200 OK\r\nConnection: Upgrade\r\nUpgrade: x\r\n"
+	 "Content-Length: 2\r\n\r\nok",
+	 KEEP_OPEN, HUP_COMPLETE, "ok"},
 	{"HTTP/1.1 103 Early Hints\r\n\r\n"
 	 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	 KEEP_OPEN, HUP_COMPLETE, "ok"},
