edge: take no answer without events for the rest of a stream

After a stream had broken off inside an event, a target that ended its continuation at once made the caller's stream end as complete, although the broken event shows that there was more. A first answer that ended without any event, as that of a target that crashes right after its head and has no length, counted as a complete stream too.

A stream now ends as complete only after its first event, unless its caller continues an earlier one, and after a discarded event only when another one has followed. Otherwise the run counts as broken off. Nothing on the wire marks the last event, so a run that ends soundly after an earlier one can't be noticed.

--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -278,11 +278,12 @@
 	uv_timer_stop(&request->pause_timer);
 #ifdef WF_GUARD_OFF_EDGE_WHOLE_EVENTS
 	evs_discard_partial(&request->splitter);
+	request->splitter.awaits_event = false;
 	is_partial = false;
 	outcome = EDG_OUTCOME_ANSWERED;
 #endif
 	if (outcome == EDG_OUTCOME_ANSWERED && is_stream_answer(request) &&
-	    !is_partial) {
+	    !is_partial && !request->splitter.awaits_event) {
 		complete(request);
 		return;
 	}
@@ -406,6 +407,9 @@
 
 void edg_start_stream(struct edg_request *request)
 {
+	if (hdr_get(&request->http->headers,
+		    request->edge->fields->last_event_id))
+		request->splitter.awaits_event = false;
 	parse_token_counts(request);
 	send_next(request, false);
 }
--- a/src/edge/event_splitter.c
+++ b/src/edge/event_splitter.c
@@ -22,6 +22,7 @@
 	splitter->events = 0;
 	splitter->progress = 0;
 	splitter->is_invalid = false;
+	splitter->awaits_event = true;
 	splitter->scanned = 0;
 }
 
@@ -134,6 +135,8 @@
 	}
 	splitter->events++;
 	splitter->progress += event.has_field;
+	if (event.has_field)
+		splitter->awaits_event = false;
 	return true;
 }
 
@@ -162,6 +165,10 @@
 
 void evs_discard_partial(struct evs_splitter *splitter)
 {
+	const char *start = splitter->partial->str;
+
+	splitter->awaits_event |= !splitter->is_invalid && *start &&
+				  *start != ':' && *start != '\r';
 	g_string_truncate(splitter->partial, 0);
 	splitter->is_invalid = false;
 	splitter->scanned = 0;
--- a/src/edge/event_splitter.h
+++ b/src/edge/event_splitter.h
@@ -24,10 +24,14 @@
 	/* The next event can't follow the last one, or is the head of an
 	 * answer. It and what comes after it stay in partial. */
 	bool is_invalid;
+	/* The stream can't be complete before another event: it has none yet,
+	 * or one was discarded. */
+	bool awaits_event;
 	/* Bytes of partial that are known not to end an event. */
 	size_t scanned;
 };
 
+/* awaits_event is set; clear it for a stream that continues an earlier one. */
 void evs_init(struct evs_splitter *splitter);
 void evs_clear(struct evs_splitter *splitter);
 
--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -264,6 +264,10 @@
 	{103, "\r\nHTTP/1.1 500 X\r\nContent-Length: 7\r\n\r\nerror\n\n",
 	 KEEP_OPEN},
 	{200, "no field at all\r\n\r\nerror\n\n", CLOSE},
+	/* The first run broke off inside an event, so there are more. */
+	{200, SIGNED EVENTS CHUNKED "\r\n0\r\n\r\n", KEEP_OPEN},
+	{200, SIGNED EVENTS "\r\n", CLOSE},
+	{200, SIGNED EVENTS CHUNKED "\r\n5\r\n: a\n\n\r\n0\r\n\r\n", KEEP_OPEN},
 	/* An error in the middle of the body. */
 	{200,
 	 SIGNED EVENTS CHUNKED
@@ -318,6 +322,10 @@
 	/* A stream that ends after an event is complete. */
 	{"/lines/", {200, UNFRAMED EVENT_1 EVENT_2, CLOSE}, 1, LAST_CHUNK},
 	{"/last/", {200, UNFRAMED EVENT_1 EVENT_2, CLOSE}, 1, LAST_CHUNK},
+	/* One without any event has none of its pieces. */
+	{"/lines/", {200, UNFRAMED, CLOSE}, 2, LAST_CHUNK},
+	{"/last/", {200, UNFRAMED, CLOSE}, 1, NULL},
+	{"/last/", {200, UNFRAMED ": wait\n\n", CLOSE}, 1, NULL},
 	/* One that ends inside an event, or by a reset, is broken off. */
 	{"/lines/", {200, UNFRAMED EVENT_1 "id: 2\nda", CLOSE}, 2, LAST_CHUNK},
 	{"/lines/",
