--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -128,6 +128,10 @@
 	struct evs_splitter splitter;
 	/* The response head was sent to the caller. */
 	bool is_answer_started;
+	/* Content type of that response, or NULL, and whether the answer to the
+	 * current send has another. */
+	char *stream_type;
+	bool has_other_type;
 	clk_ms first_event_at;
 	clk_ms last_event_at;
 	clk_ms longest_pause;
@@ -255,8 +259,8 @@
 /* Sends the request to another head too if a retry is allowed and a path is
  * found. Its present run goes on until the other head answers. */
 void edg_resume(struct edg_request *request, const char *why);
-/* Whether the response begins the stream. */
-bool edg_is_stream_head(const struct edg_edge *edge,
+/* Whether the response begins the stream, or continues it. */
+bool edg_is_stream_head(const struct edg_request *request,
 			const struct hup_response *response);
 /* Begins the caller's answer, or continues it, with the current send. */
 void edg_begin_stream(struct edg_request *request,
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -16,20 +16,11 @@
 
 static void send_next(struct edg_request *request, bool keeps_head);
 
-bool edg_is_stream_head(const struct edg_edge *edge,
-			const struct hup_response *response)
-{
-	const struct hdr_list *headers = &response->headers;
-
-	return response->status == 200 &&
-	       hdr_get(headers, edge->fields->signature) &&
-	       !hdr_get(headers, "Content-Encoding");
-}
-
 static bool is_stream_answer(const struct edg_request *request)
 {
 	return request->status == 200 && request->is_signed &&
-	       !request->is_encoded;
+	       !request->is_encoded && !request->has_other_type &&
+	       strcmp(request->http->method, "HEAD") != 0;
 }
 
 static void watch_silence(struct edg_request *request)
@@ -38,13 +29,42 @@
 		stl_watch_stream(request);
 }
 
+/* Compares media types without their parameters. */
+static bool is_same_type(const char *a, const char *b)
+{
+	size_t len = a ? strcspn(a, "; ") : 0;
+
+	if (!a || !b)
+		return a == b;
+	return strcspn(b, "; ") == len && !g_ascii_strncasecmp(a, b, len);
+}
+
+bool edg_is_stream_head(const struct edg_request *request,
+			const struct hup_response *response)
+{
+	const struct hdr_list *headers = &response->headers;
+	const struct edg_header_names *fields = request->edge->fields;
+
+	return response->status == 200 && hdr_get(headers, fields->signature) &&
+	       !hdr_get(headers, "Content-Encoding") &&
+	       (!request->is_answer_started ||
+		is_same_type(hdr_get(headers, "Content-Type"),
+			     request->stream_type));
+}
+
 void edg_begin_stream(struct edg_request *request,
 		      const struct hup_response *response)
 {
+	const char *type = hdr_get(&response->headers, "Content-Type");
+
 	edg_read_response_head(request, response);
+	if (request->is_answer_started)
+		request->has_other_type =
+			!is_same_type(type, request->stream_type);
 	if (!is_stream_answer(request) || request->is_answer_started)
 		return;
 	request->is_answer_started = true;
+	request->stream_type = g_strdup(type);
 	hsv_begin_chunked(request->http, request->status,
 			  request->headers->str);
 }
@@ -83,11 +103,11 @@
 
 static void on_end(void *user, enum hup_result how);
 
-/* Ends the send because of the size of what the target has sent. */
-static void end_too_large(struct edg_request *request)
+/* Ends the send because of what the target has sent. */
+static void end_send(struct edg_request *request, enum hup_result how)
 {
 	hup_cancel(request->exchange);
-	on_end(request, HUP_TOO_LARGE);
+	on_end(request, how);
 }
 
 static void on_stream_data(struct edg_request *request, const char *bytes,
@@ -97,8 +117,10 @@
 	size_t ready = evs_add(&request->splitter, bytes, len);
 
 	if (!ready) {
-		if (!edg_count_buffered(request))
-			end_too_large(request);
+		if (request->splitter.is_invalid)
+			end_send(request, HUP_MALFORMED);
+		else if (!edg_count_buffered(request))
+			end_send(request, HUP_TOO_LARGE);
 		return;
 	}
 	if (request->splitter.progress > progress) {
@@ -117,7 +139,10 @@
 		return;
 	}
 	evs_consume(&request->splitter, ready);
-	edg_count_buffered(request);
+	if (request->splitter.is_invalid)
+		end_send(request, HUP_MALFORMED);
+	else
+		edg_count_buffered(request);
 }
 
 static void on_data(void *user, const char *bytes, size_t len)
@@ -130,7 +155,7 @@
 	}
 	g_string_append_len(request->body, bytes, (gssize)len);
 	if (!edg_count_buffered(request))
-		end_too_large(request);
+		end_send(request, HUP_TOO_LARGE);
 }
 
 static void complete(struct edg_request *request)
@@ -290,11 +315,12 @@
 	uv_timer_stop(&request->pause_timer);
 #ifdef WF_GUARD_OFF_EDGE_WHOLE_EVENTS
 	evs_discard_partial(&request->splitter);
+	request->splitter.awaits_event = false;
 	is_partial = false;
 	outcome = EDG_OUTCOME_ANSWERED;
 #endif
 	if (outcome == EDG_OUTCOME_ANSWERED && is_stream_answer(request) &&
-	    !is_partial) {
+	    !is_partial && !request->splitter.awaits_event) {
 		complete(request);
 		return;
 	}
@@ -426,6 +452,9 @@
 
 void edg_start_stream(struct edg_request *request)
 {
+	if (hdr_get(&request->http->headers,
+		    request->edge->fields->last_event_id))
+		request->splitter.awaits_event = false;
 	parse_token_counts(request);
 	send_next(request, false);
 }
--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -67,6 +67,8 @@
 	if (!exchange->id_header)
 		return MATCHES;
 	id = hdr_get(&conn->response.headers, exchange->id_header);
+	if (!exchange->id)
+		return id ? IS_STALE : MATCHES;
 	if (!id) {
 #ifdef WF_GUARD_OFF_EDGE_LATE_COPY
 		return MATCHES;
@@ -85,6 +87,9 @@
 	hdr_builder_flush(&conn->builder, &conn->response.headers);
 	if (!exchange)
 		return -1;
+	/* What follows a change of protocol can't be parsed. */
+	if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+		return -1;
 	conn->response.status = (int)parser->status_code;
 	match = match_id(conn, exchange);
 	conn->is_skipping = parser->status_code < 200 || match == IS_STALE;
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -79,7 +79,7 @@
 	struct edg_request *request = takeover->request;
 	bool is_not_run;
 
-	if (edg_is_stream_head(request->edge, response)) {
+	if (edg_is_stream_head(request, response)) {
 		edg_log_send(request, "taken over",
 			     "head=%s from=%s after_event=%s",
 			     takeover->target->id, request->target->id,
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -103,7 +103,7 @@
 	struct worker *head;
 
 	open_engines(&world, 2);
-	client = open_silent_stream(&world, "/story/", &head);
+	client = open_silent_stream(&world, "/final/", &head);
 	world_run(&world, SILENCE_MS);
 	expect_rest(&world, client, head);
 	ck_assert_uint_eq(total_requests(&world), 1);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -396,17 +396,10 @@
 	}
 }
 
-static void answer_call(struct worker *worker, struct wire_conn *conn,
-			const char *request)
+static bool is_stream(const char *request)
 {
-	worker->requests++;
-	g_string_assign(worker->last_request, request);
-	if ((strstr(request, " /stream/") || strstr(request, " /lines/") ||
-	     strstr(request, " /story/")) &&
-	    worker->mode != WORKER_SILENT && worker->mode != WORKER_REFUSES)
-		send_stream(worker, conn, request);
-	else
-		answer_request(worker, conn, request);
+	return strstr(request, " /stream/") || strstr(request, " /lines/") ||
+	       strstr(request, " /final/") || strstr(request, " /last/");
 }
 
 static void on_worker_request(struct wire_conn *conn, const char *request,
@@ -454,6 +447,8 @@
 			      void *user)
 {
 	struct worker *worker = user;
+	bool is_report = g_str_has_prefix(request, "GET /report");
+	bool is_order = g_str_has_prefix(request, "POST /order");
 
 	if (worker->is_late) {
 		keep_late(worker, conn, request);
@@ -461,18 +456,28 @@
 	}
 	if (worker->is_unresponsive)
 		return;
-	if (g_str_has_prefix(request, "GET /report")) {
+	if (!is_report && !is_order) {
+		worker->requests++;
+		g_string_assign(worker->last_request, request);
+	}
+	if (worker->script && worker->script(worker, conn, request))
+		return;
+	if (is_report) {
 		if (worker->closes_on_report)
 			wire_hang_up(conn);
 		else
 			answer_report(worker, conn);
 		return;
 	}
-	if (g_str_has_prefix(request, "POST /order")) {
+	if (is_order) {
 		handle_order(worker, conn, strstr(request, "\r\n\r\n") + 4);
 		return;
 	}
-	answer_call(worker, conn, request);
+	if (is_stream(request) && worker->mode != WORKER_SILENT &&
+	    worker->mode != WORKER_REFUSES)
+		send_stream(worker, conn, request);
+	else
+		answer_request(worker, conn, request);
 }
 
 struct worker *world_worker(struct platform_world *world, const char *id,
@@ -507,14 +512,21 @@
 static json_t *route(const char *prefix, const char *type, const char *service,
 		     int attempts, bool is_public)
 {
-	bool is_resumable =
-		!strcmp(type, "streaming") && strcmp(prefix, "/story/") != 0;
-
 	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:b,s:b}", "name",
 			 prefix, "host", "h", "path-prefix", prefix, "type",
 			 type, "service", service, "max-attempts", attempts,
 			 "timeout-ms", 3000, "slo-ms", 1000, "public",
-			 (int)is_public, "resumable", (int)is_resumable);
+			 (int)is_public, "resumable",
+			 !strcmp(type, "streaming"));
+}
+
+/* A route of streams that may not be resumed. */
+static json_t *once(const char *prefix, const char *service)
+{
+	json_t *spec = route(prefix, "streaming", service, 2, false);
+
+	json_object_set_new(spec, "resumable", json_false());
+	return spec;
 }
 
 json_t *world_config(int version)
@@ -527,7 +539,7 @@
 		"usual", "prompt", 100, "answer", 100, "kinds", "name", "large",
 		"size-mb", 6000.0, "pace", 1.0, "read-factor", 1.0);
 
-	return json_pack("{s:i,s:[o,o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
+	return json_pack("{s:i,s:[o,o,o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
 			 "s:[{s:s,s:[s,s]}]}",
 			 "version", version, "routes",
 			 route("/read/", "idempotent", "plain", 2, false),
@@ -535,7 +547,7 @@
 			 route("/open/", "idempotent", "plain", 2, true),
 			 route("/stream/", "streaming", "model", 2, false),
 			 route("/lines/", "streaming", "plain", 2, false),
-			 route("/story/", "streaming", "model", 2, false),
+			 once("/final/", "model"), once("/last/", "plain"),
 			 "services", "name", "plain", "max-conns", 100, "name",
 			 "model", "max-conns", 100, "engine", engine, "tenants",
 			 "name", "org", "api-keys", "key1", "key2");
