Stop sending to a target that says it is leaving

A target that leaves may say so in its answers before, or without, the state in its entry. The edge read the state of the entry only, and each heartbeat or list sync set it back to ready, so that requests went on reaching the target until it exited.

The header Server-Leaving is now read from the head of every answer: of requests and streams, whatever their status, of reports and of orders. The target then counts as draining from the earliest notice, with the same grace and the same effect on paths and placement, until an entry with a later start time. What removed targets said is kept for 10 minutes in case they are listed again, and an answer of an earlier process is ignored. An engine whose report says that it is leaving gets no order.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -56,6 +56,12 @@
 	struct flt_range holds;
 	/* When this instance first saw it draining or removed. */
 	clk_ms leaving_since;
+	/* It said in an answer that it is leaving. The state then stays
+	 * FLT_DRAINING until it restarts, whatever the list says. */
+	bool said_leaving;
+	/* Latest started_at seen: an entry without it, or an outdated one,
+	 * is no restart. */
+	int64_t latest_start;
 	/* Number of the last list sync that included it. */
 	unsigned seen_generation;
 	/* When it will be removed unless it is listed again; 0 while it is
@@ -121,7 +127,8 @@
 void flt_sync_begin(struct flt_fleet *fleet);
 void flt_sync_end(struct flt_fleet *fleet, clk_ms now, clk_ms keep_until);
 
-/* Removes the targets whose keep_until has passed. */
+/* Removes the targets whose keep_until has passed. What removed targets said of
+ * themselves is kept for some minutes, in case they are listed again. */
 void flt_expire(struct flt_fleet *fleet, clk_ms now);
 
 /* Find a target by id or address; NULL if there is none. The fleet owns it. */
@@ -144,6 +151,14 @@
 /* Whether new requests may be sent to the target. */
 bool flt_is_routable(const struct flt_target *target, clk_ms now);
 
+/*
+ * The process of target id that started at started_at said in an answer that it
+ * is leaving. Returns false if this is known already or the target has
+ * restarted since.
+ */
+bool flt_mark_leaving(struct flt_fleet *fleet, clk_ms now, const char *id,
+		      int64_t started_at);
+
 /* Record that the target itself responded, or that it failed. */
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took);
 void flt_record_failure(struct flt_target *target, clk_ms now);
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -148,11 +148,12 @@
 		g_string_append_printf(
 			out,
 			"%s service=%s address=%s data_center=%s state=%d "
-			"layers=%u-%u in_flight=%u on_path=%u\n",
+			"layers=%u-%u in_flight=%u on_path=%u leaving=%d\n",
 			target->id, target->service, target->address,
 			target->data_center, (int)target->state,
 			target->holds.first, target->holds.end,
-			target->in_flight, target->on_path);
+			target->in_flight, target->on_path,
+			target->said_leaving);
 	}
 }
 
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -47,6 +47,8 @@
 	const char *not_run;
 	/* Address of the engine that caused a refusal. */
 	const char *failed_target;
+	/* Set to other than 0 in all answers of a target that is leaving. */
+	const char *leaving;
 };
 
 /* An engine's status report. */
@@ -204,6 +206,13 @@
 /* Targets; the platform adds and removes them. */
 struct flt_fleet *edg_fleet(struct edg_edge *edge);
 
+/*
+ * To be called with the head of each answer of a target: applies what it says
+ * of itself. started_at is the target's latest_start when the request was sent.
+ */
+void edg_note_answer(struct edg_edge *edge, const char *target_id,
+		     int64_t started_at, const struct hup_response *response);
+
 /* To be called when the fleet is first complete and on each change. */
 void edg_fleet_changed(struct edg_edge *edge);
 
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -133,6 +133,7 @@
 	reset_answer(request);
 	request->sends++;
 	request->sent_at = edg_now(edge);
+	request->sent_to_start = request->target->latest_start;
 	g_ptr_array_add(request->tried_targets,
 			flt_target_keep(request->target));
 	if (!request->path)
@@ -178,6 +179,8 @@
 	const struct hdr_list *headers = &response->headers;
 	guint i;
 
+	edg_note_answer(request->edge, request->target->id,
+			request->sent_to_start, response);
 	request->status = response->status;
 	request->is_signed = hdr_get(headers, fields->signature) != NULL;
 	request->is_not_run = hdr_get(headers, fields->not_run) != NULL ||
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -100,6 +100,8 @@
 	struct flt_target *target;
 	struct pth_path *path;
 	clk_ms sent_at;
+	/* The target's latest_start at that time. */
+	int64_t sent_to_start;
 	/* Targets to which the request was sent; holds references. */
 	GPtrArray *tried_targets;
 	/* Sends that may have reached a target; the route limits them. */
--- a/src/edge/engine_orders.c
+++ b/src/edge/engine_orders.c
@@ -152,8 +152,9 @@
 	struct edg_edge *edge = orders->edge;
 	clk_ms now = edg_now(edge);
 
+	/* The report itself may have said that the engine is leaving. */
 	if (orders->is_dropped || !orders->holds_duty || !report ||
-	    report->is_busy) {
+	    report->is_busy || order->target->state != FLT_READY) {
 		log_order(order, report ? "postponed" : "no_report",
 			  orders->record ? orders->record->fence : 0);
 		order->target->ordered_until = now + ORDER_RETRY_MS;
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -16,6 +16,9 @@
  * arrive shortly after it has announced that it is draining, and gets them
  * only if no other target is left. */
 #define DRAINING_GRACE_MS 1200
+/* How long a removed target is remembered: a worker that said that it is
+ * leaving may be listed again until its process ends. */
+#define DEPARTED_KEEP_MS (10 * CLK_MINUTE)
 /* How long a target that refused a request for lack of capacity is avoided;
  * some of its requests end in this time. */
 #define FULL_AVOID_MS 400
@@ -30,6 +33,8 @@
 	GPtrArray *targets;
 	GHashTable *by_id;
 	GHashTable *by_hash;
+	/* Removed targets by id; removed_at is when each was removed. */
+	GHashTable *departed;
 	uint64_t revision;
 	unsigned sync_generation;
 };
@@ -73,6 +78,8 @@
 	fleet->targets = g_ptr_array_new_with_free_func(destroy_target);
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->by_hash = g_hash_table_new(NULL, NULL);
+	fleet->departed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						destroy_target);
 	return fleet;
 }
 
@@ -82,6 +89,7 @@
 		return;
 	g_hash_table_unref(fleet->by_id);
 	g_hash_table_unref(fleet->by_hash);
+	g_hash_table_unref(fleet->departed);
 	g_ptr_array_unref(fleet->targets);
 	g_free(fleet);
 }
@@ -102,7 +110,7 @@
 static void set_leaving(struct flt_target *target, clk_ms now,
 			enum flt_state state)
 {
-	if (target->state == FLT_READY)
+	if (target->state == FLT_READY && !target->said_leaving)
 		target->leaving_since = now;
 	target->state = state;
 }
@@ -119,21 +127,42 @@
 	target->state = FLT_READY;
 }
 
+/* Forgets what the previous process with the same id said of itself. */
+static void update_start(struct flt_target *known, int64_t started_at)
+{
+	if (started_at <= known->latest_start)
+		return;
+	known->latest_start = started_at;
+	known->said_leaving = false;
+}
+
+/* The state of a known target after an entry of the list. */
+static enum flt_state merged_state(const struct flt_target *known,
+				   const struct flt_target *entry)
+{
+	if (known->said_leaving && entry->state == FLT_READY)
+		return FLT_DRAINING;
+	return entry->state;
+}
+
 static void merge_entry(struct flt_fleet *fleet, struct flt_target *known,
 			clk_ms now, struct flt_target *entry)
 {
 	bool restarted = known->started_at != entry->started_at;
+	enum flt_state state;
 
+	update_start(known, entry->started_at);
+	state = merged_state(known, entry);
 	if (restarted || !ranges_equal(known->holds, entry->holds) ||
-	    known->state != entry->state ||
+	    known->state != state ||
 	    strcmp(known->address, entry->address) != 0)
 		fleet->revision++;
 	if (restarted)
 		reset_process_state(known);
-	if (entry->state == FLT_READY)
+	if (state == FLT_READY)
 		known->state = FLT_READY;
 	else
-		set_leaving(known, now, entry->state);
+		set_leaving(known, now, state);
 	swap_strings(&known->service, &entry->service);
 	swap_strings(&known->address, &entry->address);
 	swap_strings(&known->data_center, &entry->data_center);
@@ -148,6 +177,24 @@
 	flt_target_drop(entry);
 }
 
+/* Applies what a removed target said of itself to its new entry. */
+static void restore_departed(struct flt_fleet *fleet, struct flt_target *entry)
+{
+	struct flt_target *departed =
+		g_hash_table_lookup(fleet->departed, entry->id);
+
+	entry->latest_start = entry->started_at;
+	if (!departed)
+		return;
+	if (entry->started_at <= departed->latest_start) {
+		entry->latest_start = departed->latest_start;
+		entry->said_leaving = departed->said_leaving;
+		entry->leaving_since = departed->leaving_since;
+		entry->state = merged_state(entry, entry);
+	}
+	g_hash_table_remove(fleet->departed, entry->id);
+}
+
 void flt_upsert(struct flt_fleet *fleet, clk_ms now, struct flt_target *entry)
 {
 	struct flt_target *known = flt_find(fleet, entry->id);
@@ -158,7 +205,8 @@
 	}
 	entry->seen_generation = fleet->sync_generation;
 	entry->id_hash = (uint32_t)wf_hash(entry->id, strlen(entry->id), 0);
-	if (entry->state != FLT_READY)
+	restore_departed(fleet, entry);
+	if (entry->state != FLT_READY && !entry->said_leaving)
 		entry->leaving_since = now;
 	g_ptr_array_add(fleet->targets, entry);
 	g_hash_table_insert(fleet->by_id, entry->id, entry);
@@ -173,6 +221,9 @@
 	set_leaving(target, now, FLT_REMOVED);
 	g_hash_table_remove(fleet->by_id, target->id);
 	g_hash_table_remove(fleet->by_hash, GUINT_TO_POINTER(target->id_hash));
+	target->removed_at = now;
+	g_hash_table_replace(fleet->departed, target->id,
+			     flt_target_keep(target));
 	g_ptr_array_remove(fleet->targets, target);
 	fleet->revision++;
 }
@@ -207,10 +258,18 @@
 	}
 }
 
+static gboolean is_departed_expired(gpointer id, gpointer target, gpointer now)
+{
+	(void)id;
+	return *(clk_ms *)now - ((struct flt_target *)target)->removed_at >
+	       DEPARTED_KEEP_MS;
+}
+
 void flt_expire(struct flt_fleet *fleet, clk_ms now)
 {
 	guint i = fleet->targets->len;
 
+	g_hash_table_foreach_remove(fleet->departed, is_departed_expired, &now);
 	while (i-- > 0) {
 		struct flt_target *target = fleet->targets->pdata[i];
 
@@ -262,6 +321,33 @@
 	       now - target->leaving_since < DRAINING_GRACE_MS;
 }
 
+/* Finds the process, which may have been removed from the list; NULL if it has
+ * restarted since. */
+static struct flt_target *find_process(struct flt_fleet *fleet, const char *id,
+				       int64_t started_at)
+{
+	struct flt_target *target = flt_find(fleet, id);
+
+	if (!target)
+		target = g_hash_table_lookup(fleet->departed, id);
+	return target && started_at >= target->latest_start ? target : NULL;
+}
+
+bool flt_mark_leaving(struct flt_fleet *fleet, clk_ms now, const char *id,
+		      int64_t started_at)
+{
+	struct flt_target *target = find_process(fleet, id, started_at);
+
+	if (!target || target->said_leaving)
+		return false;
+	if (target->state == FLT_READY) {
+		set_leaving(target, now, FLT_DRAINING);
+		fleet->revision++;
+	}
+	target->said_leaving = true;
+	return true;
+}
+
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took)
 {
 	double sample = (double)took;
--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -97,6 +97,68 @@
 }
 END_TEST
 
+static void list_again(struct flt_fleet *fleet, clk_ms now, int64_t started_at,
+		       enum flt_state state)
+{
+	struct flt_target *entry = plain_target("p2", "b");
+
+	entry->started_at = started_at;
+	entry->state = state;
+	flt_upsert(fleet, now, entry);
+}
+
+/*
+ * Guards against requests to a target that has said in an answer that it is
+ * leaving, while its entry still says ready, or is written or listed again.
+ */
+START_TEST(notice_of_leaving_holds_until_a_restart)
+{
+	struct flt_fleet *fleet = plain_fleet();
+	uint64_t revision = flt_revision(fleet);
+
+	ck_assert(flt_mark_leaving(fleet, 1000, "p2", 1));
+	ck_assert(!flt_mark_leaving(fleet, 1500, "p2", 1));
+	ck_assert_uint_ne(flt_revision(fleet), revision);
+	ck_assert_str_ne(selected_id(fleet, 1000, NULL), "p2");
+	ck_assert(flt_is_routable(flt_find(fleet, "p2"), 1400));
+	list_again(fleet, 1600, 1, FLT_READY);
+	list_again(fleet, 1700, 0, FLT_READY);
+	list_again(fleet, 1800, 1, FLT_DRAINING);
+	ck_assert_int_eq(flt_find(fleet, "p2")->leaving_since, 1000);
+	list_again(fleet, 1900, 1, FLT_READY);
+	flt_sync_begin(fleet);
+	list_again(fleet, 2100, 1, FLT_READY);
+	flt_sync_end(fleet, 2100, 0);
+	ck_assert(!flt_is_routable(flt_find(fleet, "p2"), 2300));
+	flt_remove(fleet, 2300, "p2", 0);
+	flt_expire(fleet, 2400);
+	list_again(fleet, 60000, 1, FLT_READY);
+	ck_assert(!flt_is_routable(flt_find(fleet, "p2"), 60000));
+	list_again(fleet, 61000, 2, FLT_READY);
+	ck_assert(flt_is_routable(flt_find(fleet, "p2"), 61000));
+	ck_assert_int_eq(flt_find(fleet, "p2")->state, FLT_READY);
+	flt_drop(fleet);
+}
+END_TEST
+
+/* Guards against a late answer that excludes the next process with this id. */
+START_TEST(notice_of_leaving_concerns_the_process_that_answered)
+{
+	struct flt_fleet *fleet = plain_fleet();
+
+	list_again(fleet, 1000, 2, FLT_READY);
+	ck_assert(!flt_mark_leaving(fleet, 1100, "p2", 1));
+	ck_assert(!flt_mark_leaving(fleet, 1100, "p9", 1));
+	ck_assert(flt_is_routable(flt_find(fleet, "p2"), 9000));
+	/* Removed before the answer arrived, then listed again. */
+	flt_remove(fleet, 9100, "p2", 0);
+	ck_assert(flt_mark_leaving(fleet, 9200, "p2", 2));
+	list_again(fleet, 9300, 2, FLT_READY);
+	ck_assert(!flt_is_routable(flt_find(fleet, "p2"), 11000));
+	flt_drop(fleet);
+}
+END_TEST
+
 /* Entries that expire in an outage of the list's source must not remove their
  * targets at once. Those not listed again must be removed at the deadline. */
 START_TEST(expired_entries_stay_until_their_deadline)
@@ -204,6 +266,9 @@
 	tcase_add_test(tcase, restart_under_the_same_id_is_a_new_process);
 	tcase_add_test(tcase, draining_target_is_last_choice_until_grace_ends);
 	tcase_add_test(tcase, grace_starts_when_draining_is_first_seen);
+	tcase_add_test(tcase, notice_of_leaving_holds_until_a_restart);
+	tcase_add_test(tcase,
+		       notice_of_leaving_concerns_the_process_that_answered);
 	tcase_add_test(tcase, expired_entries_stay_until_their_deadline);
 	tcase_add_test(tcase, down_target_is_removed_with_its_entry);
 	tcase_add_test(tcase, complete_list_removes_missing_targets);
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -164,6 +164,25 @@
 }
 END_TEST
 
+/* Guards against layers that are taken over only once the list shows that their
+ * engine is leaving, which may be after it has said so itself. */
+START_TEST(engine_that_says_it_is_leaving_is_replaced)
+{
+	struct fixture fixture;
+	const GPtrArray *targets;
+	struct flt_target *leaving;
+
+	setup_planned_fleet(&fixture);
+	targets = flt_targets(fixture.fleet);
+	leaving = targets->pdata[_i];
+	ck_assert(flt_mark_leaving(fixture.fleet, 10, leaving->id,
+				   leaving->started_at));
+	sup_apply_plans(fixture.fleet, 11, fixture.service);
+	ck_assert(has_copy(&fixture, 11, leaving->data_center));
+	teardown(&fixture);
+}
+END_TEST
+
 /*
  * An engine that took over layers of failed neighbours must drop them once
  * others hold them again, as it has little KV cache left for requests.
@@ -322,6 +341,8 @@
 	tcase_add_loop_test(tcase, layers_of_any_removed_engine_are_replaced, 0,
 			    SEEDS);
 	tcase_add_test(tcase, down_engine_is_replaced_before_its_entry_expires);
+	tcase_add_loop_test(tcase, engine_that_says_it_is_leaving_is_replaced,
+			    0, 5);
 	tcase_add_test(tcase, layers_beyond_the_model_do_not_count);
 	tcase_add_test(tcase, extended_engine_drops_layers_held_elsewhere);
 	tcase_add_loop_test(tcase, plan_converges_after_random_events, 0,
--- /dev/null
+++ b/tests/platform/leaving_wire_test.c
@@ -0,0 +1,300 @@
+/* Targets that say in their answers that they are leaving or want no requests
+ * for some time. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/support/stand_in.h"
+#include "support/runner.h"
+
+#define KEY "Authorization: Token key1\r\n"
+#define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
+#define LEAVING "Server-Leaving: 1\r\n"
+/* The least time that the platform allows after the first such answer. */
+#define DRAIN_MS 2000
+#define HEARTBEAT_MS 400
+
+static struct worker *worker(struct platform_world *world, guint i)
+{
+	return world->workers->pdata[i];
+}
+
+/* Two plain workers and the configuration. */
+static void open_plain(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "p1", "plain", 0, 0);
+	world_worker(world, "p2", "plain", 0, 0);
+	world_start_ready_edge(world);
+}
+
+/* Two heads and two engines for the other half of the layers. */
+static void open_engines(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "e1", "model", 0, 4);
+	world_worker(world, "e2", "model", 0, 4);
+	world_worker(world, "e3", "model", 4, 8);
+	world_worker(world, "e4", "model", 4, 8);
+	world_start_ready_edge(world);
+}
+
+static bool has_answer_head(void *user)
+{
+	struct wire_client *client = user;
+
+	return strstr(client->received->str, "\r\n\r\n") != NULL;
+}
+
+static int read_status(const struct wire_client *client)
+{
+	return atoi(client->received->str + strlen("HTTP/1.1 "));
+}
+
+/* Sends a request and returns the status of the answer. */
+static int ask(struct platform_world *world, const char *path)
+{
+	struct wire_client *client =
+		world_request(world, "POST", path, KEY TOKENS, "");
+	int status;
+
+	wire_run_until(&world->wire, has_answer_head, client);
+	status = read_status(client);
+	wire_client_drop(client);
+	return status;
+}
+
+/* Sends requests until the worker has received one. */
+static void reach(struct platform_world *world, const struct worker *one,
+		  const char *path)
+{
+	unsigned before = one->requests;
+	int i;
+
+	for (i = 0; i < 50 && one->requests == before; i++)
+		ask(world, path);
+	ck_assert_uint_gt(one->requests, before);
+}
+
+/* Writes a worker's entry as its heartbeat does, "ready". */
+static void write_entry(struct platform_world *world, struct worker *one)
+{
+	static int sequence;
+
+	json_object_set_new(one->entry, "sequence", json_integer(++sequence));
+	world_put(world, "servers", one->id, json_deep_copy(one->entry));
+}
+
+static void write_entry_after_restart(struct platform_world *world,
+				      struct worker *one)
+{
+	json_object_set_new(one->entry, "born", json_integer(2000));
+	write_entry(world, one);
+	world_run(world, 100);
+}
+
+/* Waits until a request may no longer reach the leaving worker, whose entry is
+ * written again meanwhile and then listed anew. */
+static void wait_until_left(struct platform_world *world, struct worker *one)
+{
+	clk_ms waited;
+
+	for (waited = 0; waited < DRAIN_MS; waited += HEARTBEAT_MS) {
+		write_entry(world, one);
+		world_run(world, HEARTBEAT_MS);
+	}
+	world->store_mode = STORE_GONE;
+	json_array_clear(world->events);
+	write_entry(world, one);
+	world_run(world, HEARTBEAT_MS);
+	world->store_mode = STORE_ANSWERS;
+	world_run(world, HEARTBEAT_MS);
+}
+
+/* Guards against requests to a worker that has said in any answer that it is
+ * leaving, while its entry still says that it is ready. */
+START_TEST(leaving_worker_gets_no_more_requests)
+{
+	static const enum worker_mode modes[] = {
+		WORKER_ANSWERS, WORKER_FAILS, WORKER_REFUSES,
+		WORKER_REFUSES_WITHOUT_PROOF, WORKER_UNSIGNED};
+	struct platform_world world;
+	struct worker *one;
+	unsigned before;
+	int i;
+
+	open_plain(&world);
+	one = worker(&world, 0);
+	one->mode = modes[_i];
+	one->fields = LEAVING;
+	reach(&world, one, "/read/");
+	one->mode = WORKER_ANSWERS;
+	wait_until_left(&world, one);
+	before = one->requests;
+	for (i = 0; i < 5; i++)
+		ck_assert_int_eq(ask(&world, "/read/"), 200);
+	/* Not even when no other target is left. */
+	worker(&world, 1)->mode = WORKER_REFUSES;
+	for (i = 0; i < 5; i++)
+		ck_assert_int_eq(ask(&world, "/read/"), 503);
+	ck_assert_uint_eq(one->requests, before);
+	ck_assert_ptr_nonnull(strstr(world.log_text->str, "\"leaving\""));
+	one->fields = NULL;
+	write_entry_after_restart(&world, one);
+	ck_assert_int_eq(ask(&world, "/read/"), 200);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against the same after the entry expired and was written again. */
+START_TEST(leaving_worker_stays_excluded_when_listed_anew)
+{
+	struct platform_world world;
+	struct worker *one;
+	unsigned before;
+	int i;
+
+	open_plain(&world);
+	one = worker(&world, 0);
+	one->fields = LEAVING;
+	reach(&world, one, "/read/");
+	world_delete(&world, "servers", "p1");
+	wait_until_left(&world, one);
+	before = one->requests;
+	worker(&world, 1)->mode = WORKER_REFUSES;
+	for (i = 0; i < 5; i++)
+		ck_assert_int_eq(ask(&world, "/read/"), 503);
+	ck_assert_uint_eq(one->requests, before);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against reading the notice only when an answer has ended: that of a
+ * stream may take minutes. */
+START_TEST(leaving_head_gets_no_more_streams)
+{
+	struct platform_world world;
+	struct worker *one;
+	struct wire_client *client;
+	unsigned before;
+	int i;
+
+	open_engines(&world);
+	one = worker(&world, 0);
+	one->fields = LEAVING;
+	one->mode = WORKER_STALLS_STREAM;
+	worker(&world, 1)->mode = WORKER_REFUSES;
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	ck_assert_uint_eq(one->requests, 1);
+	one->mode = WORKER_ANSWERS;
+	wait_until_left(&world, one);
+	before = one->requests;
+	for (i = 0; i < 5; i++)
+		ck_assert_int_eq(ask(&world, "/stream/"), 503);
+	ck_assert_uint_eq(one->requests, before);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* Sends a stream and returns whether its path includes the engine. */
+static bool is_on_path(struct platform_world *world, const char *address)
+{
+	struct worker *first = worker(world, 0);
+	struct worker *second = worker(world, 1);
+
+	g_string_truncate(first->last_request, 0);
+	g_string_truncate(second->last_request, 0);
+	ck_assert_int_eq(ask(world, "/stream/"), 200);
+	return strstr(first->last_request->str, address) ||
+	       strstr(second->last_request->str, address);
+}
+
+/* Guards against ignoring the notice in an engine's report: an engine in the
+ * middle of paths answers no requests. */
+START_TEST(engine_whose_report_says_leaving_gets_no_more_paths)
+{
+	struct platform_world world;
+	struct worker *third;
+	struct wire_client *client;
+	const char *address;
+	int i;
+
+	open_engines(&world);
+	third = worker(&world, 2);
+	address = wire_server_address(third->server);
+	third->fields = LEAVING;
+	worker(&world, 0)->mode = WORKER_STALLS_STREAM;
+	worker(&world, 1)->mode = WORKER_STALLS_STREAM;
+	for (i = 0; i < 8; i++) {
+		client = world_request(&world, "POST", "/stream/", KEY TOKENS,
+				       "");
+		wire_client_await(&world.wire, client, "data: one");
+		world_run(&world, 300);
+		wire_client_drop(client);
+	}
+	worker(&world, 0)->mode = WORKER_ANSWERS;
+	worker(&world, 1)->mode = WORKER_ANSWERS;
+	ck_assert_ptr_nonnull(strstr(world.log_text->str, "target e3"));
+	wait_until_left(&world, third);
+	for (i = 0; i < 8; i++)
+		ck_assert(!is_on_path(&world, address));
+	world_close(&world);
+}
+END_TEST
+
+static bool holds_all_layers(void *user)
+{
+	struct platform_world *world = user;
+	const GPtrArray *targets = flt_targets(edg_fleet(world->edge));
+	unsigned held = 0;
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+
+		held += target->holds.end - target->holds.first;
+	}
+	return held >= 8;
+}
+
+/* Guards against layers that are ordered at an engine that is leaving. */
+START_TEST(leaving_engine_is_not_ordered_to_load_layers)
+{
+	struct platform_world world;
+	guint i;
+
+	world_open(&world);
+	world_put(&world, "config", "main", world_config(1));
+	for (i = 0; i < 3; i++) {
+		char *id = g_strdup_printf("e%u", i + 1);
+
+		world_worker(&world, id, "model", 0, 0);
+		g_free(id);
+	}
+	worker(&world, 0)->fields = LEAVING;
+	world_start_edge(&world);
+	wire_run_until(&world.wire, holds_all_layers, &world);
+	ck_assert_uint_eq(worker(&world, 0)->orders->len, 0);
+	ck_assert_int_eq(ask(&world, "/stream/"), 200);
+	world_close(&world);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("leaving_wire");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, leaving_worker_gets_no_more_requests, 0, 5);
+	tcase_add_test(tcase, leaving_worker_stays_excluded_when_listed_anew);
+	tcase_add_test(tcase, leaving_head_gets_no_more_streams);
+	tcase_add_test(tcase,
+		       engine_whose_report_says_leaving_gets_no_more_paths);
+	tcase_add_test(tcase, leaving_engine_is_not_ordered_to_load_layers);
+	return sup_run_case("leaving_wire", tcase);
+}
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -239,6 +239,21 @@
 
 /* Workers */
 
+static const char *extra_fields(const struct worker *worker)
+{
+	return worker->fields ? worker->fields : "";
+}
+
+static void answer_control(struct worker *worker, struct wire_conn *conn,
+			   int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	wire_answer(conn, status, extra_fields(worker), text);
+	free(text);
+	json_decref(body);
+}
+
 static void answer_report(struct worker *worker, struct wire_conn *conn)
 {
 	json_t *report = json_pack("{s:I,s:b,s:i,s:[]}", "sequence",
@@ -249,7 +264,7 @@
 		json_array_append_new(json_object_get(report, "stalled"),
 				      json_pack("{s:s,s:s}", "id", "x",
 						"address", worker->stalled));
-	answer_json(conn, 200, report);
+	answer_control(worker, conn, 200, report);
 }
 
 /* A placement is stored at once; a reroute completes the stalled stream. */
@@ -266,7 +281,7 @@
 		json_decref(order);
 		return;
 	}
-	answer_json(conn, worker->order_status, json_object());
+	answer_control(worker, conn, worker->order_status, json_object());
 	if (worker->order_status == 202 && !strcmp(operation, "place")) {
 		json_object_set_new(worker->entry, "layers",
 				    json_pack("{s:O,s:O}", "from",
@@ -283,13 +298,14 @@
 	json_decref(order);
 }
 
-static char *signed_head(const char *request, const char *rest)
+static char *signed_head(const struct worker *worker, const char *request,
+			 const char *rest)
 {
 	char *id = wire_header(request, "X-Wagtailferry-Attempt-Id");
 	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\n"
 				     "X-Wagtailferry-Attempt-Id: %s\r\n"
-				     "X-Wagtailferry-Server-Stamp: sig\r\n%s",
-				     id, rest);
+				     "X-Wagtailferry-Server-Stamp: sig\r\n%s%s",
+				     id, extra_fields(worker), rest);
 
 	g_free(id);
 	return head;
@@ -310,7 +326,8 @@
 			const char *request)
 {
 	char *last = wire_header(request, "Last-Event-Id");
-	char *head = signed_head(request, "Transfer-Encoding: chunked\r\n\r\n");
+	char *head = signed_head(worker, request,
+				 "Transfer-Encoding: chunked\r\n\r\n");
 
 	wire_send(conn, head);
 	if (!last)
@@ -331,12 +348,13 @@
 }
 
 /* Answers without a body of the service, with the id of the request. */
-static void answer_status(struct wire_conn *conn, const char *request,
-			  int status, const char *fields, const char *body)
+static void answer_status(const struct worker *worker, struct wire_conn *conn,
+			  const char *request, int status, const char *fields,
+			  const char *body)
 {
 	char *id = wire_header(request, "X-Wagtailferry-Attempt-Id");
-	char *head = g_strdup_printf("X-Wagtailferry-Attempt-Id: %s\r\n%s", id,
-				     fields);
+	char *head = g_strdup_printf("X-Wagtailferry-Attempt-Id: %s\r\n%s%s",
+				     id, fields, extra_fields(worker));
 
 	wire_answer(conn, status, head, body);
 	g_free(head);
@@ -350,37 +368,39 @@
 
 	switch (worker->mode) {
 	case WORKER_ANSWERS:
-		text = signed_head(request, "Content-Length: 4\r\n\r\nbody");
+		text = signed_head(worker, request,
+				   "Content-Length: 4\r\n\r\nbody");
 		wire_send(conn, text);
 		g_free(text);
 		break;
 	case WORKER_BREAKS:
-		text = signed_head(request, "Content-Length: 9\r\n\r\nbody");
+		text = signed_head(worker, request,
+				   "Content-Length: 9\r\n\r\nbody");
 		wire_send(conn, text);
 		wire_hang_up(conn);
 		g_free(text);
 		break;
 	case WORKER_ENDLESS:
-		text = signed_head(request,
+		text = signed_head(worker, request,
 				   "Transfer-Encoding: chunked\r\n\r\n");
 		wire_send(conn, text);
 		send_oversize(conn);
 		g_free(text);
 		break;
 	case WORKER_FAILS:
-		answer_status(conn, request, 500,
+		answer_status(worker, conn, request, 500,
 			      "X-Wagtailferry-Server-Stamp: sig\r\n", "failed");
 		break;
 	case WORKER_REFUSES:
-		answer_status(conn, request, 503,
+		answer_status(worker, conn, request, 503,
 			      "X-Wagtailferry-Not-Executed: 1\r\n", "");
 		break;
 	case WORKER_REFUSES_WITHOUT_PROOF:
-		answer_status(conn, request, 503,
+		answer_status(worker, conn, request, 503,
 			      "X-Wagtailferry-Server-Stamp: sig\r\n", "");
 		break;
 	case WORKER_UNSIGNED:
-		answer_status(conn, request, 200, "", "body");
+		answer_status(worker, conn, request, 200, "", "body");
 		break;
 	case WORKER_CLOSES:
 		wire_hang_up(conn);
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -50,6 +50,8 @@
 	/* Requests received, not counting reports and orders. */
 	unsigned requests;
 	GString *last_request;
+	/* Header lines added to all of its answers, or NULL. */
+	const char *fields;
 	/* Bodies of orders, in order of arrival. */
 	GPtrArray *orders;
 	int order_status;
