Send nothing to a target that wants no requests for some time

A target that refuses a request with 503 may add Retry-After: it wants nothing from this instance for that time. The edge avoided it for 0.4 s as it avoids any full or failing target, selected it again as a last resort at any time, and told callers to return after 0.25 to 0.4 s.

Retry-After of a 503, with or without proof that the request was not run, now closes the target until that time is over: it is selected neither for requests nor for retries, resumes or paths, and no broken run is sent to it again. If the answer names an engine of the path as the cause, that engine is closed. The time is limited to 5 minutes, and a value that is no number of seconds is ignored. A later start time opens the target. If all targets that could run a request are closed, it is refused at once as not run, with the time at which the first opens; a stream waits only if it can still start in time. Layers of closed engines count as held; orders to load layers wait, and a stalled path queries a closed engine once.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -82,6 +82,10 @@
 	double answer_ms;
 	/* Selected before this time only if there is no other target. */
 	clk_ms avoid_until;
+	/* It refused a request and wants none until closed_until: it is not
+	 * selected at all. closed_since is when that began. */
+	clk_ms closed_since;
+	clk_ms closed_until;
 	/* Treated as down until this time: its layers do not count. */
 	clk_ms down_until;
 	/* Failures since the last success. */
@@ -159,6 +163,23 @@
 bool flt_mark_leaving(struct flt_fleet *fleet, clk_ms now, const char *id,
 		      int64_t started_at);
 
+/*
+ * The process refused a request and wants no other for the time span. Returns
+ * whether it was open before; the end is never moved to an earlier time.
+ */
+bool flt_mark_closed(struct flt_fleet *fleet, clk_ms now, const char *id,
+		     int64_t started_at, clk_ms span);
+
+bool flt_is_closed(const struct flt_target *target, clk_ms now);
+
+/*
+ * Time in ms until enough targets of the service are open: one, or for a model
+ * of that many layers one for each layer. 0 if they are, or if layers are
+ * missing anyway. layers is 0 for a plain service.
+ */
+clk_ms flt_closed_time(const struct flt_fleet *fleet, clk_ms now,
+		       const char *service, unsigned layers);
+
 /* Record that the target itself responded, or that it failed. */
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took);
 void flt_record_failure(struct flt_target *target, clk_ms now);
@@ -205,7 +226,8 @@
 	PTH_FOUND,
 	/* No engine holds some layer. */
 	PTH_MISSING_LAYERS,
-	/* Every path includes an engine without free capacity. */
+	/* Every path includes an engine without free capacity, or one that
+	 * wants no requests for some time. */
 	PTH_NO_CAPACITY,
 };
 
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -148,12 +148,14 @@
 		g_string_append_printf(
 			out,
 			"%s service=%s address=%s data_center=%s state=%d "
-			"layers=%u-%u in_flight=%u on_path=%u leaving=%d\n",
+			"layers=%u-%u in_flight=%u on_path=%u leaving=%d "
+			"closed_ms=%" G_GINT64_FORMAT "\n",
 			target->id, target->service, target->address,
 			target->data_center, (int)target->state,
 			target->holds.first, target->holds.end,
 			target->in_flight, target->on_path,
-			target->said_leaving);
+			target->said_leaving,
+			MAX(target->closed_until - edg_now(edge), 0));
 	}
 }
 
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -293,8 +293,9 @@
 void edg_fail(struct edg_request *request)
 {
 	if (!edg_may_have_run(request)) {
-		edg_refuse_not_run(request, OVERLOADED_RETRY_MS, "no_target",
-				   "no target accepted the request");
+		edg_refuse_not_run(
+			request, edg_return_time(request, OVERLOADED_RETRY_MS),
+			"no_target", "no target accepted the request");
 		return;
 	}
 	edg_refuse(request, 502, "target_failed",
--- a/src/edge/edg_plain.c
+++ b/src/edge/edg_plain.c
@@ -79,8 +79,9 @@
 	else if (edg_may_have_run(request))
 		edg_fail(request);
 	else
-		edg_refuse_not_run(request, NO_TARGET_RETRY_MS, "no_target",
-				   "the service has no target");
+		edg_refuse_not_run(request,
+				   edg_return_time(request, NO_TARGET_RETRY_MS),
+				   "no_target", "the service has no target");
 }
 
 void edg_start_plain(struct edg_request *request)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -188,6 +188,14 @@
 void edg_log_request_end(struct edg_request *request, const char *outcome,
 			 int status);
 
+/* edg_notice.c */
+/* Time in ms for which all of the service's targets that could run the request
+ * want none; 0 if that is not the reason why it can't be sent. */
+clk_ms edg_closed_time(const struct edg_request *request);
+/* Time in ms after which a refused caller is to return: at least the one given,
+ * and not before the end of the closed time. */
+clk_ms edg_return_time(const struct edg_request *request, clk_ms least);
+
 /* edg_metrics.c */
 /* Adds the time to the answer, or to the first event of a stream, to the
  * latency histogram. */
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -191,6 +191,11 @@
 	       take_retry_token(request);
 }
 
+static bool is_head_open(const struct edg_request *request)
+{
+	return !flt_is_closed(request->target, edg_now(request->edge));
+}
+
 /* Retries a broken run on the same head if that is still alive; otherwise marks
  * the head as lost and tries another one. */
 static void on_head_report(void *user, const struct edg_report *report)
@@ -201,7 +206,7 @@
 		if (!report)
 			stl_mark_lost(request->edge, request->target,
 				      "no_report");
-		if (report ? take_retry_token(request)
+		if (report ? is_head_open(request) && take_retry_token(request)
 			   : may_resume(request, EDG_OUTCOME_UNKNOWN))
 			send_next(request, report != NULL);
 		else
@@ -225,7 +230,8 @@
 	else if (outcome == EDG_OUTCOME_FAILED && !request->is_answer_started)
 		edg_deliver(request);
 	else if (outcome == EDG_OUTCOME_UNKNOWN && request->service->engine &&
-		 may_run_again(request) && is_at_limit(request))
+		 may_run_again(request) && is_at_limit(request) &&
+		 is_head_open(request))
 		ask_head(request);
 	else
 		fail_or_abort(request);
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -45,6 +45,7 @@
 		adm_room_return_after(&edge->room, now, edge->waiting->length,
 				      MAX(limit, 0), g_rand_double(edge->rand));
 
+	after = edg_return_time(request, after);
 	ctr_add(edge->counters, "wf_edge_refused_overloaded_total", 1);
 	edg_log_send(request, "refused",
 		     "reason=overloaded waiting=%zu ends_per_s=%.1f "
@@ -88,6 +89,7 @@
 	clk_ms left = latest_start(request) - now;
 
 	return edge->waiting->length < edge->waiting->limit && left > 0 &&
+	       edg_closed_time(request) <= left &&
 	       adm_room_wait(&edge->room, now, edge->waiting->length) <= left;
 }
 
--- a/src/edge/engine_orders.c
+++ b/src/edge/engine_orders.c
@@ -152,9 +152,11 @@
 	struct edg_edge *edge = orders->edge;
 	clk_ms now = edg_now(edge);
 
-	/* The report itself may have said that the engine is leaving. */
+	/* The report itself may have said that the engine is leaving or wants
+	 * no requests. */
 	if (orders->is_dropped || !orders->holds_duty || !report ||
-	    report->is_busy || order->target->state != FLT_READY) {
+	    report->is_busy || order->target->state != FLT_READY ||
+	    flt_is_closed(order->target, now)) {
 		log_order(order, report ? "postponed" : "no_report",
 			  orders->record ? orders->record->fence : 0);
 		order->target->ordered_until = now + ORDER_RETRY_MS;
@@ -206,6 +208,21 @@
 	}
 }
 
+/* Engines that want no requests are ordered once they are open again. */
+static void append_open(const struct ord_orders *orders, GArray *plan,
+			const GArray *changes)
+{
+	guint i;
+
+	for (i = 0; i < changes->len; i++) {
+		struct plc_change change =
+			g_array_index(changes, struct plc_change, i);
+
+		if (!flt_is_closed(change.target, edg_now(orders->edge)))
+			g_array_append_val(plan, change);
+	}
+}
+
 static GArray *make_plan(struct ord_orders *orders)
 {
 	struct edg_edge *edge = orders->edge;
@@ -220,7 +237,7 @@
 		GArray *changes = plc_plan(edge->fleet, edg_now(edge),
 					   services->pdata[i]);
 
-		g_array_append_vals(plan, changes->data, changes->len);
+		append_open(orders, plan, changes);
 		g_array_unref(changes);
 	}
 	return plan;
@@ -372,9 +389,10 @@
 	for (i = 0; i < targets->len; i++) {
 		const struct flt_target *target = targets->pdata[i];
 		uint64_t bits = (now < target->ordered_until ? 1 : 0) |
-				(now < target->down_until ? 2 : 0);
+				(now < target->down_until ? 2 : 0) |
+				(flt_is_closed(target, now) ? 4 : 0);
 
-		input[2] = input[2] * 5 + bits;
+		input[2] = input[2] * 9 + bits;
 	}
 	return wf_hash(input, sizeof(input), 0);
 }
--- a/src/edge/hdr_fields.c
+++ b/src/edge/hdr_fields.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "edge/hdr_fields.h"
@@ -167,3 +168,15 @@
 	g_string_truncate(builder->value, 0);
 	builder->in_value = false;
 }
+
+clk_ms hdr_read_seconds(const char *text, clk_ms max)
+{
+	double ms;
+
+	if (!text || !g_ascii_isdigit(*text) ||
+	    text[strspn(text, "0123456789.")] ||
+	    strchr(text, '.') != strrchr(text, '.'))
+		return 0;
+	ms = ceil(g_ascii_strtod(text, NULL) * CLK_SECOND);
+	return ms < (double)max ? (clk_ms)ms : max;
+}
--- a/src/edge/hdr_fields.h
+++ b/src/edge/hdr_fields.h
@@ -45,6 +45,13 @@
 /* Appends "name: value" and CRLF. */
 void hdr_write(GString *out, const char *name, const char *value);
 
+/*
+ * Reads a number of seconds with an optional fraction, as in Retry-After, and
+ * returns it in ms, rounded up and at most max. 0 if the text is NULL or has
+ * another form, such as a date, a sign or an exponent.
+ */
+clk_ms hdr_read_seconds(const char *text, clk_ms max);
+
 /* Whether the text is a valid field name (a token of RFC 9110). */
 bool hdr_is_token(const char *text);
 
--- a/src/edge/stall_detection.c
+++ b/src/edge/stall_detection.c
@@ -160,6 +160,11 @@
 
 	if (now - target->report_requested_at < QUERY_INTERVAL_MS)
 		return;
+	/* An engine that wants no requests is queried once, as the loss of what
+	 * it runs must still be noticed. */
+	if (flt_is_closed(target, now) &&
+	    target->report_requested_at >= target->closed_since)
+		return;
 	target->report_requested_at = now;
 	inquiry = g_new0(struct inquiry, 1);
 	inquiry->edge = edge;
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -134,6 +134,7 @@
 		return;
 	known->latest_start = started_at;
 	known->said_leaving = false;
+	known->closed_until = 0;
 }
 
 /* The state of a known target after an entry of the list. */
@@ -190,6 +191,8 @@
 		entry->latest_start = departed->latest_start;
 		entry->said_leaving = departed->said_leaving;
 		entry->leaving_since = departed->leaving_since;
+		entry->closed_since = departed->closed_since;
+		entry->closed_until = departed->closed_until;
 		entry->state = merged_state(entry, entry);
 	}
 	g_hash_table_remove(fleet->departed, entry->id);
@@ -348,6 +351,70 @@
 	return true;
 }
 
+bool flt_is_closed(const struct flt_target *target, clk_ms now)
+{
+	return now < target->closed_until;
+}
+
+bool flt_mark_closed(struct flt_fleet *fleet, clk_ms now, const char *id,
+		     int64_t started_at, clk_ms span)
+{
+	struct flt_target *target = find_process(fleet, id, started_at);
+	bool is_new = target && !flt_is_closed(target, now);
+
+	if (!target)
+		return false;
+	if (is_new)
+		target->closed_since = now;
+	target->closed_until = MAX(target->closed_until, now + span);
+	return is_new;
+}
+
+static bool is_any_closed(const struct flt_fleet *fleet, clk_ms now)
+{
+	guint i;
+
+	for (i = 0; i < fleet->targets->len; i++) {
+		if (flt_is_closed(fleet->targets->pdata[i], now))
+			return true;
+	}
+	return false;
+}
+
+clk_ms flt_closed_time(const struct flt_fleet *fleet, clk_ms now,
+		       const char *service, unsigned layers)
+{
+	/* A plain target counts as the holder of one layer. */
+	unsigned n = MAX(layers, 1);
+	clk_ms *opens;
+	clk_ms longest = 0;
+	unsigned layer;
+	guint i;
+
+	if (!is_any_closed(fleet, now))
+		return 0;
+	opens = g_new(clk_ms, n);
+	for (layer = 0; layer < n; layer++)
+		opens[layer] = CLK_NEVER;
+	for (i = 0; i < fleet->targets->len; i++) {
+		const struct flt_target *target = fleet->targets->pdata[i];
+		struct flt_range range = {0, 1};
+
+		if (strcmp(target->service, service) != 0 ||
+		    !flt_is_routable(target, now))
+			continue;
+		if (layers)
+			range = target->holds;
+		for (layer = range.first; layer < MIN(range.end, n); layer++)
+			opens[layer] = MIN(opens[layer],
+					   MAX(target->closed_until, now));
+	}
+	for (layer = 0; layer < n; layer++)
+		longest = MAX(longest, opens[layer]);
+	g_free(opens);
+	return longest == CLK_NEVER ? 0 : longest - now;
+}
+
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took)
 {
 	double sample = (double)took;
@@ -431,6 +498,7 @@
 
 		if (strcmp(target->service, service) != 0 ||
 		    !flt_is_routable(target, now) ||
+		    flt_is_closed(target, now) ||
 		    contains_target(tried, target))
 			continue;
 		cost = selection_cost(target, now, data_center);
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -239,6 +239,10 @@
 			continue;
 		if (query->current && search->now < target->down_until)
 			continue;
+		/* An engine of the current path runs the request already. */
+		if (flt_is_closed(target, search->now) &&
+		    !search->ignore_capacity && !is_kept(search, target))
+			continue;
 		candidate = make_candidate(search, target);
 		g_array_append_val(search->engines, candidate);
 		add_boundary(search, target->holds.first);
--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -159,6 +159,44 @@
 }
 END_TEST
 
+/* Guards against requests to a target that wants none, as a last resort or
+ * after its entry is written or listed again. */
+START_TEST(closed_target_is_not_selected_at_all)
+{
+	struct flt_fleet *fleet = plain_fleet();
+
+	ck_assert(flt_mark_closed(fleet, 1000, "p2", 1, 2000));
+	ck_assert_str_ne(selected_id(fleet, 1000, NULL), "p2");
+	ck_assert(!flt_mark_closed(fleet, 1100, "p2", 1, 500));
+	ck_assert(flt_mark_closed(fleet, 1200, "p1", 1, 4000));
+	ck_assert_int_eq(flt_closed_time(fleet, 1200, "plain", 0), 0);
+	ck_assert(flt_mark_closed(fleet, 1200, "p3", 1, 4000));
+	ck_assert_ptr_null(selected_id(fleet, 1200, NULL));
+	ck_assert_int_eq(flt_closed_time(fleet, 1200, "plain", 0), 1800);
+	list_again(fleet, 1300, 1, FLT_READY);
+	flt_record_response(flt_find(fleet, "p2"), 1400, 5);
+	flt_remove(fleet, 1500, "p2", 0);
+	list_again(fleet, 1600, 1, FLT_READY);
+	ck_assert_ptr_null(selected_id(fleet, 2999, NULL));
+	ck_assert_str_eq(selected_id(fleet, 3000, NULL), "p2");
+	flt_drop(fleet);
+}
+END_TEST
+
+/* Guards against a closed time that outlives the process that asked for it. */
+START_TEST(restart_opens_a_closed_target)
+{
+	struct flt_fleet *fleet = plain_fleet();
+
+	ck_assert(flt_mark_closed(fleet, 1000, "p2", 1, 2000));
+	list_again(fleet, 1100, 2, FLT_READY);
+	ck_assert(!flt_is_closed(flt_find(fleet, "p2"), 1100));
+	ck_assert(!flt_mark_closed(fleet, 1200, "p2", 1, 2000));
+	ck_assert_str_eq(selected_id(fleet, 1200, NULL), "p2");
+	flt_drop(fleet);
+}
+END_TEST
+
 /* Entries that expire in an outage of the list's source must not remove their
  * targets at once. Those not listed again must be removed at the deadline. */
 START_TEST(expired_entries_stay_until_their_deadline)
@@ -269,6 +307,8 @@
 	tcase_add_test(tcase, notice_of_leaving_holds_until_a_restart);
 	tcase_add_test(tcase,
 		       notice_of_leaving_concerns_the_process_that_answered);
+	tcase_add_test(tcase, closed_target_is_not_selected_at_all);
+	tcase_add_test(tcase, restart_opens_a_closed_target);
 	tcase_add_test(tcase, expired_entries_stay_until_their_deadline);
 	tcase_add_test(tcase, down_target_is_removed_with_its_entry);
 	tcase_add_test(tcase, complete_list_removes_missing_targets);
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -413,6 +413,56 @@
 }
 END_TEST
 
+/*
+ * Guards against paths through an engine that wants no requests, also if it is
+ * the only holder of its layers: a stream then waits or is refused as if the
+ * engine were full. What runs on it already goes on.
+ */
+START_TEST(closed_engine_is_on_no_new_path)
+{
+	struct fixture fixture;
+	struct pth_query query;
+	struct pth_path *path;
+	struct pth_path *next;
+	struct flt_target *second;
+
+	setup(&fixture, 1);
+	add_engine(&fixture, "e1", "a", "large", 0, 40);
+	add_engine(&fixture, "e2", "a", "large", 40, 60);
+	add_engine(&fixture, "e3", "a", "large", 60, 80);
+	add_engine(&fixture, "e4", "a", "large", 60, 80);
+	second = flt_find(fixture.fleet, "e2");
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path), PTH_FOUND);
+	ck_assert(flt_mark_closed(fixture.fleet, 0, "e2", 1, 1000));
+	ck_assert_int_eq(find_path(&fixture, 999, "a", &next), PTH_NO_CAPACITY);
+	ck_assert_int_eq(
+		flt_closed_time(fixture.fleet, 400, "model", FLT_TEST_LAYERS),
+		600);
+	query = query_for(&fixture, "a");
+	query.current = path;
+	flt_mark_down(stage_at(path, 2)->target, 0);
+	ck_assert_int_eq(
+		pth_find(fixture.fleet, 0, &query, fixture.rand, &next),
+		PTH_FOUND);
+	ck_assert(pth_contains(next, second));
+	pth_free(next);
+	ck_assert_int_eq(find_path(&fixture, 1000, "a", &next), PTH_FOUND);
+	pth_free(next);
+	ck_assert(flt_mark_closed(fixture.fleet, 2000, "e3", 1, 1000));
+	ck_assert_int_eq(
+		flt_closed_time(fixture.fleet, 2000, "model", FLT_TEST_LAYERS),
+		0);
+	flt_remove(fixture.fleet, 2000, "e2", 0);
+	ck_assert_int_eq(
+		flt_closed_time(fixture.fleet, 2000, "model", FLT_TEST_LAYERS),
+		0);
+	ck_assert_int_eq(find_path(&fixture, 2000, "a", &next),
+			 PTH_MISSING_LAYERS);
+	pth_free(path);
+	teardown(&fixture);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("path");
@@ -430,5 +480,6 @@
 		       reroute_keeps_the_head_and_avoids_the_down_engine);
 	tcase_add_test(tcase, reroute_without_another_engine_is_refused);
 	tcase_add_test(tcase, heads_share_the_paths_of_a_crest);
+	tcase_add_test(tcase, closed_engine_is_on_no_new_path);
 	return sup_run_case("path", tcase);
 }
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -183,6 +183,25 @@
 }
 END_TEST
 
+/* Guards against orders because an engine wants no requests for some time: what
+ * it holds is still there. */
+START_TEST(closed_engine_is_not_replaced)
+{
+	struct fixture fixture;
+	const struct flt_target *closed;
+	GArray *plan;
+
+	setup_planned_fleet(&fixture);
+	closed = flt_targets(fixture.fleet)->pdata[_i];
+	ck_assert(flt_mark_closed(fixture.fleet, 10, closed->id,
+				  closed->started_at, CLK_MINUTE));
+	plan = plc_plan(fixture.fleet, 11, fixture.service);
+	ck_assert_uint_eq(plan->len, 0);
+	g_array_unref(plan);
+	teardown(&fixture);
+}
+END_TEST
+
 /*
  * An engine that took over layers of failed neighbours must drop them once
  * others hold them again, as it has little KV cache left for requests.
@@ -343,6 +362,7 @@
 	tcase_add_test(tcase, down_engine_is_replaced_before_its_entry_expires);
 	tcase_add_loop_test(tcase, engine_that_says_it_is_leaving_is_replaced,
 			    0, 5);
+	tcase_add_loop_test(tcase, closed_engine_is_not_replaced, 0, 5);
 	tcase_add_test(tcase, layers_beyond_the_model_do_not_count);
 	tcase_add_test(tcase, extended_engine_drops_layers_held_elsewhere);
 	tcase_add_loop_test(tcase, plan_converges_after_random_events, 0,
--- a/tests/platform/leaving_wire_test.c
+++ b/tests/platform/leaving_wire_test.c
@@ -88,12 +88,33 @@
 	world_put(world, "servers", one->id, json_deep_copy(one->entry));
 }
 
+static bool is_restart_seen(void *user)
+{
+	const struct worker *one = user;
+	const struct flt_target *target =
+		flt_find(edg_fleet(one->world->edge), one->id);
+
+	return target && target->started_at == 2000;
+}
+
 static void write_entry_after_restart(struct platform_world *world,
 				      struct worker *one)
 {
 	json_object_set_new(one->entry, "born", json_integer(2000));
 	write_entry(world, one);
-	world_run(world, 100);
+	wire_run_until(&world->wire, is_restart_seen, one);
+}
+
+static bool is_listed(void *user)
+{
+	const struct worker *one = user;
+
+	return flt_find(edg_fleet(one->world->edge), one->id) != NULL;
+}
+
+static bool is_unlisted(void *user)
+{
+	return !is_listed(user);
 }
 
 /* Waits until a request may no longer reach the leaving worker, whose entry is
@@ -285,6 +306,190 @@
 }
 END_TEST
 
+/* A refusal that asks for no more requests for CLOSED_MS. */
+#define CLOSED_MS 1500
+#define RETURN "Retry-After: 1.5\r\n"
+
+/* Sends a request that must be refused at once, to return when the target is
+ * open again. */
+static void expect_return_time(struct platform_world *world, const char *path,
+			       clk_ms least, clk_ms most)
+{
+	clk_ms began = edg_now(world->edge);
+	struct wire_client *client =
+		world_request(world, "POST", path, KEY TOKENS, "");
+	double after;
+	char *text;
+
+	wire_run_until(&world->wire, has_answer_head, client);
+	ck_assert_int_eq(read_status(client), 503);
+	ck_assert_int_lt(edg_now(world->edge) - began, 300);
+	text = wire_header(client->received->str, "Retry-After");
+	ck_assert_ptr_nonnull(text);
+	after = g_ascii_strtod(text, NULL) * CLK_SECOND;
+	ck_assert_double_ge(after, (double)least);
+	ck_assert_double_le(after, (double)most);
+	g_free(text);
+	wire_client_drop(client);
+}
+
+/* Guards against requests to a worker that has refused one and wants no others
+ * for some time, also if no other worker is left. */
+START_TEST(closed_worker_gets_no_requests_until_it_opens)
+{
+	static const enum worker_mode modes[] = {WORKER_REFUSES,
+						 WORKER_REFUSES_WITHOUT_PROOF};
+	struct platform_world world;
+	struct worker *one;
+	struct worker *two;
+	clk_ms closed_at;
+
+	open_plain(&world);
+	one = worker(&world, 0);
+	two = worker(&world, 1);
+	one->mode = modes[_i];
+	two->mode = modes[_i];
+	one->fields = RETURN;
+	two->fields = "Retry-After: 60\r\n";
+	closed_at = edg_now(world.edge);
+	while (!one->requests || !two->requests)
+		ask(&world, "/read/");
+	one->mode = WORKER_ANSWERS;
+	two->mode = WORKER_ANSWERS;
+	one->fields = NULL;
+	two->fields = NULL;
+	while (edg_now(world.edge) - closed_at < CLOSED_MS - 100) {
+		clk_ms left = CLOSED_MS - (edg_now(world.edge) - closed_at);
+
+		expect_return_time(&world, "/read/", left - 50, CLOSED_MS + 10);
+		expect_return_time(&world, "/lines/", left - 100,
+				   CLOSED_MS + 10);
+		write_entry(&world, one);
+		world_run(&world, 100);
+	}
+	ck_assert_uint_eq(one->requests, 1);
+	ck_assert_ptr_nonnull(strstr(world.log_text->str, "\"closed\""));
+	world_run(&world, 200);
+	ck_assert_int_eq(ask(&world, "/read/"), 200);
+	ck_assert_uint_eq(one->requests, 2);
+	ck_assert_uint_eq(two->requests, 1);
+	write_entry_after_restart(&world, two);
+	one->mode = WORKER_REFUSES;
+	reach(&world, two, "/read/");
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against a worker that excludes itself by a value that is no number of
+ * seconds, and one that is ignored because it is large. */
+START_TEST(malformed_closed_time_is_ignored)
+{
+	static const char *const values[] = {
+		"-5",	"nan", "inf",
+		"0x10", "1e9", "1.2.3",
+		"soon", "",    "Sat, 05 Dec 2026 06:00:00 GMT"};
+	struct platform_world world;
+	struct flt_target *target;
+	size_t i;
+
+	open_plain(&world);
+	worker(&world, 0)->mode = WORKER_REFUSES;
+	worker(&world, 1)->mode = WORKER_REFUSES;
+	for (i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *field = g_strdup_printf("Retry-After: %s\r\n", values[i]);
+
+		worker(&world, 0)->fields = field;
+		reach(&world, worker(&world, 0), "/read/");
+		worker(&world, 0)->fields = NULL;
+		g_free(field);
+	}
+	target = flt_find(edg_fleet(world.edge), "p1");
+	ck_assert_int_eq(target->closed_until, 0);
+	worker(&world, 0)->fields =
+		"Retry-After: 99999999999999999999999999999999\r\n";
+	reach(&world, worker(&world, 0), "/read/");
+	ck_assert_int_gt(target->closed_until, edg_now(world.edge));
+	ck_assert_int_le(target->closed_until,
+			 edg_now(world.edge) + 5 * CLK_MINUTE);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against the same for heads of paths: streams must neither reach them
+ * nor wait beyond the time at which they could start in time. */
+START_TEST(closed_heads_get_no_streams_until_they_open)
+{
+	struct platform_world world;
+	struct worker *heads[2];
+	unsigned before;
+	guint i;
+
+	open_engines(&world);
+	for (i = 0; i < 2; i++) {
+		heads[i] = worker(&world, i);
+		heads[i]->mode = WORKER_REFUSES;
+		heads[i]->fields = RETURN;
+	}
+	while (!heads[0]->requests || !heads[1]->requests)
+		ask(&world, "/stream/");
+	before = heads[0]->requests + heads[1]->requests;
+	heads[0]->mode = WORKER_ANSWERS;
+	heads[1]->mode = WORKER_ANSWERS;
+	for (i = 0; i < 5; i++) {
+		expect_return_time(&world, "/stream/", 600, CLOSED_MS + 10);
+		world_run(&world, 100);
+	}
+	ck_assert_uint_eq(heads[0]->requests + heads[1]->requests, before);
+	world_run(&world, 1000);
+	ck_assert_int_eq(ask(&world, "/stream/"), 200);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against closing the head for an engine of its path that refused, and
+ * against further paths through that engine. */
+START_TEST(closed_engine_of_a_path_is_left_out)
+{
+	struct platform_world world;
+	struct worker *third;
+	const char *address;
+	char *fields;
+	guint i;
+
+	open_engines(&world);
+	third = worker(&world, 2);
+	address = wire_server_address(third->server);
+	fields =
+		g_strdup_printf("At-Server: %s\r\nRetry-After: 3\r\n", address);
+	for (i = 0; i < 2; i++) {
+		worker(&world, i)->mode = WORKER_REFUSES;
+		worker(&world, i)->fields = fields;
+	}
+	ask(&world, "/stream/");
+	for (i = 0; i < 2; i++) {
+		worker(&world, i)->mode = WORKER_ANSWERS;
+		worker(&world, i)->fields = NULL;
+	}
+	/* Longer than a full engine is avoided. */
+	world_run(&world, 700);
+	for (i = 0; i < 2; i++)
+		ck_assert(!flt_is_closed(
+			flt_find(edg_fleet(world.edge), worker(&world, i)->id),
+			edg_now(world.edge)));
+	world_delete(&world, "servers", "e4");
+	wire_run_until(&world.wire, is_unlisted, worker(&world, 3));
+	/* The layers are held, if only by the closed engine. */
+	expect_return_time(&world, "/stream/", 2000, 3010);
+	ck_assert_ptr_null(strstr(world.log_text->str, "no_path"));
+	write_entry(&world, worker(&world, 3));
+	wire_run_until(&world.wire, is_listed, worker(&world, 3));
+	for (i = 0; i < 4; i++)
+		ck_assert(!is_on_path(&world, address));
+	g_free(fields);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("leaving_wire");
@@ -296,5 +501,10 @@
 	tcase_add_test(tcase,
 		       engine_whose_report_says_leaving_gets_no_more_paths);
 	tcase_add_test(tcase, leaving_engine_is_not_ordered_to_load_layers);
+	tcase_add_loop_test(
+		tcase, closed_worker_gets_no_requests_until_it_opens, 0, 2);
+	tcase_add_test(tcase, malformed_closed_time_is_ignored);
+	tcase_add_test(tcase, closed_heads_get_no_streams_until_they_open);
+	tcase_add_test(tcase, closed_engine_of_a_path_is_left_out);
 	return sup_run_case("leaving_wire", tcase);
 }
