--- a/tests/platform/leaving_wire_test.c
+++ b/tests/platform/leaving_wire_test.c
@@ -490,6 +490,83 @@
 }
 END_TEST
 
+/* Guards against orders to an engine that wants no requests, and against layers
+ * that stay missing once it is open. */
+START_TEST(orders_wait_until_a_closed_engine_opens)
+{
+	struct platform_world world;
+	clk_ms closed_at;
+
+	world_open(&world);
+	world_put(&world, "config", "main", world_config(1));
+	world_worker(&world, "e1", "model", 0, 0);
+	world_worker(&world, "e2", "model", 0, 0);
+	world_start_edge(&world);
+	wire_run_until(&world.wire, is_listed, worker(&world, 0));
+	closed_at = edg_now(world.edge);
+	ck_assert(flt_mark_closed(edg_fleet(world.edge), closed_at, "e1", 1000,
+				  CLOSED_MS));
+	world_run(&world, CLOSED_MS - 100);
+	ck_assert_uint_eq(worker(&world, 0)->orders->len, 0);
+	ck_assert_uint_eq(worker(&world, 1)->orders->len, 1);
+	wire_run_until(&world.wire, holds_all_layers, &world);
+	ck_assert_int_ge(edg_now(world.edge) - closed_at, CLOSED_MS);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against a series of queries to engines that want no requests, while a
+ * stream on them is silent. */
+START_TEST(closed_engines_are_queried_once)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	guint i;
+
+	open_engines(&world);
+	for (i = 0; i < 4; i++)
+		worker(&world, i)->mode = WORKER_STALLS_STREAM;
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	for (i = 0; i < 4; i++)
+		ck_assert(flt_mark_closed(edg_fleet(world.edge),
+					  edg_now(world.edge),
+					  worker(&world, i)->id, 1000, 5000));
+	world_run(&world, 2500);
+	/* One to each of the two engines of the path. */
+	ck_assert_int_eq(ctr_get(world.counters, "wf_platform_reports_total"),
+			 2);
+	ck_assert_uint_eq(
+		worker(&world, 0)->requests + worker(&world, 1)->requests, 1);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against sending a broken stream again to its head when that wants no
+ * requests: its run counts against the limit, so no other head may run it. */
+START_TEST(broken_stream_is_not_sent_again_to_closed_heads)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	guint i;
+
+	open_engines(&world);
+	for (i = 0; i < 2; i++)
+		worker(&world, i)->mode = WORKER_BREAKS_STREAM;
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	for (i = 0; i < 2; i++)
+		flt_mark_closed(edg_fleet(world.edge), edg_now(world.edge),
+				worker(&world, i)->id, 1000, 5000);
+	wire_client_await_close(&world.wire, client);
+	ck_assert_uint_le(worker(&world, 0)->requests, 1);
+	ck_assert_uint_le(worker(&world, 1)->requests, 1);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("leaving_wire");
@@ -506,5 +583,8 @@
 	tcase_add_test(tcase, malformed_closed_time_is_ignored);
 	tcase_add_test(tcase, closed_heads_get_no_streams_until_they_open);
 	tcase_add_test(tcase, closed_engine_of_a_path_is_left_out);
+	tcase_add_test(tcase, orders_wait_until_a_closed_engine_opens);
+	tcase_add_test(tcase, closed_engines_are_queried_once);
+	tcase_add_test(tcase, broken_stream_is_not_sent_again_to_closed_heads);
 	return sup_run_case("leaving_wire", tcase);
 }
