--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -173,6 +173,7 @@
 {
 	reset_answer(request);
 	request->sent_at = edg_now(request->edge);
+	request->sent_to_start = request->target->latest_start;
 	if (!request->path)
 		request->target->in_flight++;
 	request->exchange = edg_open_send(request, request->target,
@@ -224,6 +225,8 @@
 	const struct hdr_list *headers = &response->headers;
 	guint i;
 
+	edg_note_answer(request->edge, request->target->id,
+			request->sent_to_start, response);
 	request->status = response->status;
 	request->is_signed = hdr_get(headers, fields->signature) != NULL;
 	request->is_not_run = edg_declares_not_run(request->edge, response);
@@ -335,8 +338,9 @@
 void edg_fail(struct edg_request *request)
 {
 	if (!edg_may_have_run(request)) {
-		edg_refuse_not_run(request, OVERLOADED_RETRY_MS, "no_target",
-				   "no target accepted the request");
+		edg_refuse_not_run(
+			request, edg_return_time(request, OVERLOADED_RETRY_MS),
+			"no_target", "no target accepted the request");
 		return;
 	}
 	edg_refuse(request, 502, "target_failed",
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -13,6 +13,8 @@
 	struct flt_target *target;
 	struct pth_path *path;
 	clk_ms sent_at;
+	/* The target's latest_start at that time. */
+	int64_t sent_to_start;
 };
 
 static void takeover_free(struct tko_takeover *takeover)
@@ -49,6 +51,7 @@
 	request->path = takeover->path;
 	request->exchange = takeover->exchange;
 	request->sent_at = takeover->sent_at;
+	request->sent_to_start = takeover->sent_to_start;
 	edg_bind_stream(request);
 	g_free(takeover);
 }
@@ -88,6 +91,8 @@
 		edg_begin_stream(request, response);
 		return;
 	}
+	edg_note_answer(request->edge, takeover->target->id,
+			takeover->sent_to_start, response);
 	is_not_run = edg_declares_not_run(request->edge, response);
 	edg_log_send(request, "takeover refused",
 		     "head=%s status=%d not_run=%d", takeover->target->id,
@@ -152,6 +157,7 @@
 	takeover->path = path;
 	takeover->target = flt_target_keep(pth_head(path));
 	takeover->sent_at = edg_now(edge);
+	takeover->sent_to_start = takeover->target->latest_start;
 	pth_reserve(path, takeover->sent_at, edg_path_query(request).tokens);
 	request->takeover = takeover;
 	takeover->exchange =
