platform: an unreadable object of the store costs only itself

Operators of similar systems saw instances end, or stop following the list of workers, after another writer had left one odd entry there. The second could happen here. The parser (jansson) refuses a whole answer for one value in it: nesting beyond 2048 levels, an integer beyond 64 bits, a real such as 1e400, bytes that are no UTF-8, \u0000 or a lone surrogate. Lists and watches then failed for as long as the object existed: an instance that started didn't become ready, a running one followed no change of that kind any more. The same held for an odd object beside config/main (no new configuration) and among the instances (no peers).

An answer of the store that the parser refuses is now split: its array of objects, events, objects and their metadata are read one by one. What can't be read is left out, so an entry without its spec names no target, and one that replaces a worker's entry takes that worker out of use. Brackets that don't match still refuse the whole answer, as sound objects could be missing from it and would count as removed.

--- a/tests/platform/decode_test.c
+++ b/tests/platform/decode_test.c
@@ -144,6 +144,77 @@
 }
 END_TEST
 
+struct answer_case {
+	const char *text;
+	/* The answer as read, NULL if it is no JSON. */
+	const char *expected;
+};
+
+static const struct answer_case answer_cases[] = {
+	{"{\"a\":[1e400]}", "{}"},
+	{"{\"items\":[],\"at\":7}", "{\"items\":[],\"at\":7}"},
+	{" { \"at\" : 7 , \"items\" : [ 1e400 , { } ] , \"has-more\" : true } ",
+	 "{\"at\":7,\"items\":[null,{}],\"has-more\":true}"},
+	{"{\"items\":[{\"metadata\":{\"name\":\"x\"},\"spec\":{\"a\":1e400}},"
+	 "{\"metadata\":{\"name\":\"y\"},\"spec\":{}}],\"at\":7}",
+	 "{\"items\":[{\"metadata\":{\"name\":\"x\"}},"
+	 "{\"metadata\":{\"name\":\"y\"},\"spec\":{}}],\"at\":7}"},
+	{"{\"events\":[{\"deleted\":false,\"object\":{\"spec\":\"\\ud800\","
+	 "\"metadata\":{\"revision\":99999999999999999999,"
+	 "\"name\":\"x\"}}}],\"at\":7}",
+	 "{\"events\":[{\"deleted\":false,\"object\":{"
+	 "\"metadata\":{\"name\":\"x\"}}}],\"at\":7}"},
+	/* Brackets, quotes and commas within strings; keys that can't be read.
+	 */
+	{"{\"items\":[\"\\u0000]},\\\"[\",2,\"]\\\\\",{\"\\u0000\":3}],"
+	 "\"\xff\":{\"at\":1},\"at\":7}",
+	 "{\"items\":[null,2,\"]\\\\\",{}],\"at\":7}"},
+	/* A spec is read as a whole, whatever the names of its members. */
+	{"{\"metadata\":{\"revision\":5},\"spec\":{\"items\":[\"\xff\"],"
+	 "\"metadata\":{\"name\":1e400}}}",
+	 "{\"metadata\":{\"revision\":5}}"},
+	{"{\"items\":[7 8,{\"a\" 1},,nothing],\"at\":7}",
+	 "{\"items\":[null,null,null,null],\"at\":7}"},
+	/* Brackets that don't match, as in an answer that lost its end. */
+	{"{\"at\":7,\"items\":[{\"spec\":[[", NULL},
+	{"{\"at\":7,\"items\":[{\"spec\":[[}],\"has-more\":true}", NULL},
+	{"{\"at\":7,\"items\":[{\"spec\":1}", NULL},
+	{"{\"at\":7,\"items\":[1e400]", NULL},
+	{"{\"at\":7,\"items\":[1e400]]}", NULL},
+	{"{\"at\":7,\"items\":[1e400]}}", NULL},
+	{"{\"at\":7,\"items\":[{\"spec\":1}},2],\"x\":1}", NULL},
+	{"{\"at\":7,\"items\":\"\xff\"}", NULL},
+	{"{\"at\":7,\"items\":[\"a\\", NULL},
+	{"{\"at\":7,\"it", NULL},
+	{"{\"at\"", NULL},
+	{"{\"at\":7,}", NULL},
+	{"{", NULL},
+	{"[", NULL},
+	{"[\"\xff\"}", NULL},
+	{"", NULL},
+	{"no", NULL},
+	{"\"", NULL},
+	{"]", NULL},
+};
+
+/* Guards against an answer of the store that is refused as a whole because one
+ * of its objects can't be read. */
+START_TEST(unreadable_parts_of_an_answer_cost_only_themselves)
+{
+	const struct answer_case *one = &answer_cases[_i];
+	json_t *read = ptf_read_answer(one->text, strlen(one->text));
+	json_t *expected =
+		one->expected ? json_loads(one->expected, 0, NULL) : NULL;
+	char *text = json_dumps(read, JSON_COMPACT);
+
+	ck_assert_int_eq(!read, !one->expected);
+	ck_assert_msg(!read || json_equal(read, expected), "%s", text);
+	free(text);
+	json_decref(read);
+	json_decref(expected);
+}
+END_TEST
+
 START_TEST(layers_of_an_entry_are_decoded)
 {
 	json_t *spec = json_loads(
@@ -260,6 +331,9 @@
 	tcase_add_test(tcase, configuration_without_a_version_is_refused);
 	tcase_add_loop_test(tcase, only_complete_entries_name_a_target, 0,
 			    G_N_ELEMENTS(entry_cases));
+	tcase_add_loop_test(tcase,
+			    unreadable_parts_of_an_answer_cost_only_themselves,
+			    0, G_N_ELEMENTS(answer_cases));
 	tcase_add_test(tcase, layers_of_an_entry_are_decoded);
 	tcase_add_test(tcase, report_is_decoded);
 	tcase_add_test(tcase, duty_survives_encoding_and_decoding);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -5,6 +5,8 @@
 #include "stand_in.h"
 
 #define POLL_MS 10
+/* Starts a JSON string that stands for raw bytes, encoded as base64. */
+#define RAW_PREFIX "raw:"
 
 struct held_watch {
 	struct wire_conn *conn;
@@ -25,12 +27,37 @@
 	return (clk_ms)uv_now(&world->wire.loop);
 }
 
+/* Replaces the strings that stand for raw bytes by these bytes. */
+static char *insert_raw_bytes(const char *text)
+{
+	GString *out = g_string_new(NULL);
+	const char *start;
+
+	while ((start = strstr(text, "\"" RAW_PREFIX)) != NULL) {
+		const char *code = start + strlen("\"" RAW_PREFIX);
+		const char *end = strchr(code, '"');
+		char *copy = g_strndup(code, (gsize)(end - code));
+		gsize len;
+		guchar *bytes = g_base64_decode(copy, &len);
+
+		g_string_append_len(out, text, start - text);
+		g_string_append_len(out, (const char *)bytes, (gssize)len);
+		g_free(bytes);
+		g_free(copy);
+		text = end + 1;
+	}
+	g_string_append(out, text);
+	return g_string_free(out, FALSE);
+}
+
 static void answer_json(struct wire_conn *conn, int status, json_t *body)
 {
-	char *text = json_dumps(body, JSON_COMPACT);
+	char *dumped = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+	char *text = insert_raw_bytes(dumped);
 
 	wire_answer(conn, status, "Content-Type: application/json\r\n", text);
-	free(text);
+	free(dumped);
+	g_free(text);
 	json_decref(body);
 }
 
@@ -124,6 +151,21 @@
 	record_event(world, kind, object, false);
 }
 
+void world_put_raw(struct platform_world *world, const char *kind,
+		   const char *name, const char *object)
+{
+	char *code = g_base64_encode((const guchar *)object, strlen(object));
+	char *text = g_strconcat(RAW_PREFIX, code, NULL);
+	json_t *stored = json_string(text);
+
+	world->revision++;
+	json_object_set(objects_of(world, kind), name, stored);
+	record_event(world, kind, stored, false);
+	json_decref(stored);
+	g_free(text);
+	g_free(code);
+}
+
 void world_delete(struct platform_world *world, const char *kind,
 		  const char *name)
 {
@@ -136,20 +178,44 @@
 	json_decref(object);
 }
 
+/* The unescaped name after which the page starts, or NULL. */
+static char *page_start(const char *query)
+{
+	const char *after = strstr(query, "after=");
+
+	if (!after)
+		return NULL;
+	after += strlen("after=");
+	return g_uri_unescape_segment(after, after + strcspn(after, "&"), NULL);
+}
+
 static void answer_list(struct platform_world *world, struct wire_conn *conn,
-			const char *kind)
+			const char *kind, const char *query)
 {
+	char *after = page_start(query);
+	bool is_on_page = !after;
+	bool has_more = false;
 	json_t *items = json_array();
 	json_t *object;
 	const char *name;
 
 	json_object_foreach(objects_of(world, kind), name, object)
 	{
-		json_array_append(items, object);
+		if (world->page_size &&
+		    json_array_size(items) == world->page_size) {
+			has_more = true;
+			break;
+		}
+		if (is_on_page)
+			json_array_append(items, object);
+		else if (!strcmp(name, after))
+			is_on_page = true;
 	}
+	g_free(after);
 	answer_json(conn, 200,
-		    json_pack("{s:o,s:b,s:I}", "items", items, "has-more", 0,
-			      "at", (json_int_t)world->revision));
+		    json_pack("{s:o,s:b,s:I}", "items", items, "has-more",
+			      (int)has_more, "at",
+			      (json_int_t)world->revision));
 }
 
 static void hold_watch(struct platform_world *world, struct wire_conn *conn,
@@ -211,7 +277,7 @@
 	else if (strstr(query, "watch="))
 		hold_watch(world, conn, path[2], query);
 	else if (!name)
-		answer_list(world, conn, path[2]);
+		answer_list(world, conn, path[2], query);
 	else if (json_object_get(objects_of(world, path[2]), name))
 		answer_json(conn, 200,
 			    json_incref(json_object_get(
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -86,6 +86,8 @@
 	json_t *objects;
 	/* Events since the start, with their revision. */
 	json_t *events;
+	/* Objects on a page of a list, 0 for all. */
+	unsigned page_size;
 	unsigned store_calls;
 	GPtrArray *held_watches;
 	uv_timer_t poll_timer;
@@ -110,6 +112,10 @@
  * spec. */
 void world_put(struct platform_world *world, const char *kind, const char *name,
 	       json_t *spec);
+/* Writes an object of another writer, as the bytes that the store will send
+ * for it, metadata included. */
+void world_put_raw(struct platform_world *world, const char *kind,
+		   const char *name, const char *object);
 void world_delete(struct platform_world *world, const char *kind,
 		  const char *name);
 
