forward: an engine on an unknown accelerator is on no path

An entry of a model's service without a type, or with one that the configuration doesn't name, counted as an engine with unlimited memory, so paths over it cost less than over sound engines that are in use. Plans left it out already. Paths now leave it out, too, where the model names accelerators.

engine_of_no_known_kind_is_not_used failed before: pth_find() found a path where only odd engines held half of the layers.

--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -160,6 +160,16 @@
 		       : 0;
 }
 
+/* Whether the target holds layers on an accelerator of which the memory is
+ * known, if it is known of any. */
+static bool is_engine_of(const struct cat_engine *engine,
+			 const struct flt_target *target)
+{
+	return target->holds.first < target->holds.end &&
+	       (!engine->accelerators->len ||
+		cat_find_accelerator(engine, target->accelerator));
+}
+
 static struct candidate make_candidate(struct search *search,
 				       struct flt_target *target)
 {
@@ -231,7 +241,7 @@
 		struct flt_target *target = targets->pdata[i];
 		struct candidate candidate;
 
-		if (target->holds.first >= target->holds.end ||
+		if (!is_engine_of(query->engine, target) ||
 		    strcmp(target->service, query->service) != 0 ||
 		    !flt_is_routable(target, search->now))
 			continue;
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -183,6 +183,29 @@
 }
 END_TEST
 
+/* Guards against a path over an entry of another writer that names no
+ * accelerator of the configuration: it counted as memory without a limit. */
+START_TEST(engine_of_no_known_kind_is_not_used)
+{
+	struct fixture fixture;
+	struct pth_path *path;
+
+	setup(&fixture, 1);
+	add_engine(&fixture, "e1", "a", "unheard-of", 0, 80);
+	add_engine(&fixture, "e2", "a", NULL, 0, 80);
+	add_engine(&fixture, "e3", "a", "large", 0, 40);
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path),
+			 PTH_MISSING_LAYERS);
+	ck_assert_ptr_null(path);
+	add_engine(&fixture, "e5", "a", "large", 40, 80);
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path), PTH_FOUND);
+	check_path(path);
+	ck_assert_uint_eq(path->stages->len, 2);
+	pth_free(path);
+	teardown(&fixture);
+}
+END_TEST
+
 /* Guards against filling the KV cache of an engine, with local requests or
  * those that peers report, until it preempts requests. */
 START_TEST(memory_of_local_and_remote_requests_counts)
@@ -421,6 +444,7 @@
 	tcase_add_test(tcase, path_stays_in_one_data_center);
 	tcase_add_test(tcase, path_crosses_where_no_data_center_has_all_layers);
 	tcase_add_test(tcase, missing_layer_gives_no_path);
+	tcase_add_test(tcase, engine_of_no_known_kind_is_not_used);
 	tcase_add_test(tcase, memory_of_local_and_remote_requests_counts);
 	tcase_add_test(tcase, full_head_takes_no_further_request);
 	tcase_add_test(tcase, prompt_reading_spreads_over_data_centers);
