forward: sizes that are missing or negative leave no room for layers

The number of layers that fit an engine was converted from a quotient that may be negative (a negative memory size in the configuration) or no number (0/0). Such a conversion is undefined: on x86-64 it gives about 2^32 layers, and plans then write out of bounds; on arm64 it gives 0.

engines_without_memory_get_no_layers stopped in two of its three cases before, in a build with -fsanitize=address,undefined,float-cast-overflow on arm64: "nan (and -40.4742) is outside the range of representable values". The x86-64 outcome is what that conversion does there, not a run.

--- a/src/forward/placement_group.c
+++ b/src/forward/placement_group.c
@@ -20,6 +20,9 @@
 			  tokens * engine->token_bytes / engine->layers / 1e6;
 	double most = accelerator->memory_mb / layer_mb;
 
+	/* Also if a size is missing and the quotient isn't a number. */
+	if (!(most > 0))
+		return 0;
 	return most >= engine->layers ? engine->layers : (unsigned)most;
 }
 
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -219,6 +219,30 @@
 }
 END_TEST
 
+/* Guards against undefined conversions and accesses out of bounds if sizes in
+ * the configuration are missing or negative. */
+START_TEST(engines_without_memory_get_no_layers)
+{
+	static const double sizes[][2] = {{0, 0}, {-72000, 1750}, {0, 1750}};
+	struct fixture fixture;
+	struct cat_engine *engine;
+	guint i;
+
+	setup(&fixture);
+	engine = fixture.service->engine;
+	for (i = 0; i < engine->accelerators->len; i++)
+		g_array_index(engine->accelerators, struct cat_accelerator, i)
+			.memory_mb = sizes[_i][0];
+	engine->layer_mb = sizes[_i][1];
+	if (!engine->layer_mb)
+		engine->token_bytes = 0;
+	sup_list_fleet(fixture.fleet, 0);
+	ck_assert_uint_eq(sup_apply_plans(fixture.fleet, 0, fixture.service),
+			  0);
+	teardown(&fixture);
+}
+END_TEST
+
 /* Guards against plans that never converge. */
 START_TEST(plan_converges_after_random_events)
 {
@@ -323,6 +347,7 @@
 			    SEEDS);
 	tcase_add_test(tcase, down_engine_is_replaced_before_its_entry_expires);
 	tcase_add_test(tcase, layers_beyond_the_model_do_not_count);
+	tcase_add_loop_test(tcase, engines_without_memory_get_no_layers, 0, 3);
 	tcase_add_test(tcase, extended_engine_drops_layers_held_elsewhere);
 	tcase_add_loop_test(tcase, plan_converges_after_random_events, 0,
 			    SEEDS);
