platform: bound the numbers of a configuration

Times, counts, weights and limits were converted from a double to an integer type whatever their value, which is undefined out of its range, and the number of layers could be large enough for an allocation of gigabytes. They are now bounded. A negative value counts as 0, and as the default where that is negative, as a negative weight did before.

extreme_numbers_of_a_configuration_are_bounded failed before, and stopped with -fsanitize=float-cast-overflow: "1e+300 is outside the range of representable values of type 'long int'". The store accepts only valid configurations, so this takes a fault of the operator or the store.

--- a/tests/platform/decode_test.c
+++ b/tests/platform/decode_test.c
@@ -200,6 +200,43 @@
 }
 END_TEST
 
+/* Guards against conversions out of the range of a type, which are undefined,
+ * and against sizes that later code divides by or allocates. */
+START_TEST(extreme_numbers_of_a_configuration_are_bounded)
+{
+	guint skipped;
+	struct cat_catalog *catalog = decode_catalog(
+		"{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"path-prefix\":\"/\",\"type\":\"idempotent\","
+		"\"timeout-ms\":1e300,\"slo-ms\":-1e300,\"priority\":1e300,"
+		"\"max-attempts\":-1,\"split\":[{\"service\":\"a\","
+		"\"weight\":1e300},{\"service\":\"b\",\"weight\":-1e300}]}],"
+		"\"services\":[{\"name\":\"a\",\"engine\":{\"layers\":1e300,"
+		"\"slots\":1e300,\"models\":[{\"load-s\":1e300}]}}],"
+		"\"limits\":{\"max-header-bytes\":1e300,"
+		"\"header-timeout-ms\":-5},"
+		"\"tenants\":[{\"name\":\"t\",\"priority\":1e300}]}",
+		&skipped, NULL);
+	const struct cat_route *route = cat_find_route(catalog, "h", "/");
+	const struct cat_engine *engine =
+		cat_find_service(catalog, "a")->engine;
+	const struct cat_share *shares = (void *)route->shares->data;
+
+	ck_assert_int_eq(route->timeout, 100000000000);
+	ck_assert_int_eq(route->objective, 0);
+	ck_assert_int_eq(route->priority, 1000000);
+	ck_assert_uint_eq(route->max_attempts, 0);
+	ck_assert_uint_eq(shares[0].weight, 1000000);
+	ck_assert_uint_eq(shares[1].weight, 0);
+	ck_assert_uint_eq(engine->layers, 65536);
+	ck_assert_uint_eq(engine->slots, 1000000);
+	ck_assert_int_eq(engine->load_time, 100000000000);
+	ck_assert_uint_eq(cat_limits(catalog)->header_bytes, 1000000000000);
+	ck_assert_int_eq(cat_limits(catalog)->header_timeout, 0);
+	cat_drop(catalog);
+}
+END_TEST
+
 /* Guards against ids that break the header field in which they are sent. */
 START_TEST(unprintable_ids_name_no_target)
 {
@@ -427,6 +464,7 @@
 	tcase_add_test(tcase, configuration_without_a_version_is_refused);
 	tcase_add_loop_test(tcase, only_complete_entries_name_a_target, 0,
 			    G_N_ELEMENTS(entry_cases));
+	tcase_add_test(tcase, extreme_numbers_of_a_configuration_are_bounded);
 	tcase_add_test(tcase, unprintable_ids_name_no_target);
 	tcase_add_test(tcase, odd_assignments_of_a_duty_are_left_out);
 	tcase_add_loop_test(tcase,
