edge: read a record that names an engine of a model without layers

The record of the duty tells which engines were ordered which layers. Where it named a target whose service has an engine but no layers, the time of the order was divided by zero when an instance took the duty over. On x86-64 that ends the process, and each instance that reads the record in turn; on arm64 the quotient is 0. The record is an object of the store that another writer may change, and a target may have changed its service since.

record_for_a_model_without_layers_is_read ended before with "division by zero" under UBSan (arm64); it passes now.

--- a/src/edge/engine_orders.c
+++ b/src/edge/engine_orders.c
@@ -83,7 +83,7 @@
 	const struct cat_engine *engine = engine_of(orders, target);
 	clk_ms load = 0;
 
-	if (engine)
+	if (engine && engine->layers)
 		load = engine->load_time * (range.end - range.first) /
 		       engine->layers;
 	return edg_now(orders->edge) + load + ORDER_MARGIN_MS;
--- a/tests/platform/odd_entries_wire_test.c
+++ b/tests/platform/odd_entries_wire_test.c
@@ -246,6 +246,38 @@
 }
 END_TEST
 
+static bool has_ordered_layers(void *user)
+{
+	struct platform_world *world = user;
+	struct worker *engine = world->workers->pdata[0];
+
+	return engine->orders->len > 0;
+}
+
+/* Guards against a division by zero: the record of another holder names an
+ * engine of a service whose model has no layers. */
+START_TEST(record_for_a_model_without_layers_is_read)
+{
+	struct platform_world world;
+	json_t *config = world_config(1);
+
+	world_open(&world);
+	json_array_append_new(
+		json_object_get(config, "services"),
+		json_pack("{s:s,s:{s:s}}", "name", "bare", "engine", "x", "y"));
+	world_put(&world, "config", "main", config);
+	world_put(&world, PTF_DUTY_KIND, PTF_DUTY_NAME,
+		  json_pack("{s:s,s:i,s:{s:[i,i]}}", "holder", "dead", "fence",
+			    5, "assignments", "e2", 0, 4));
+	world_worker(&world, "e1", "model", 0, 0);
+	world_worker(&world, "e2", "bare", 0, 0);
+	world_worker(&world, "e3", "model", 0, 0);
+	world_start_edge(&world);
+	wire_run_until(&world.wire, has_ordered_layers, &world);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("odd_entries_wire");
@@ -259,6 +291,7 @@
 	tcase_add_loop_test(
 		tcase, odd_object_beside_the_configuration_costs_only_itself, 0,
 		n);
+	tcase_add_test(tcase, record_for_a_model_without_layers_is_read);
 	tcase_add_test(tcase, paging_goes_on_after_odd_names);
 	return sup_run_case("odd_entries_wire", tcase);
 }
