--- a/tests/platform/decode_test.c
+++ b/tests/platform/decode_test.c
@@ -101,24 +101,80 @@
 
 #define ENTRY "{\"service\":\"s\",\"zone\":\"z\",\"address\":\"10.0.0.1:80\","
 
+#define AT(address)                                                      \
+	"{\"service\":\"s\",\"zone\":\"z\",\"address\":\"" address "\"," \
+	"\"state\":\"ready\",\"slots\":6}"
+
 static const struct entry_case entry_cases[] = {
 	{ENTRY "\"state\":\"ready\",\"slots\":6}", true},
-	{ENTRY "\"state\":\"draining\"}", true},
-	{ENTRY "\"state\":\"ready\",\"slots\":\"many\",\"layers\":7,"
-	       "\"born\":\"today\",\"type\":3}",
+	{ENTRY "\"state\":\"draining\",\"slots\":1}", true},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"layers\":[],"
+	       "\"born\":0,\"type\":null,\"cold-left-ms\":0.5,"
+	       "\"sequence\":3,\"version\":7}",
 	 true},
-	{ENTRY "\"state\":\"odd\"}", false},
-	{ENTRY "\"state\":1}", false},
-	{ENTRY "\"slots\":6}", false},
-	{"{\"service\":1,\"zone\":\"z\",\"address\":\"10.0.0.1:80\","
-	 "\"state\":\"ready\"}",
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"layers\":null}", true},
+	{ENTRY "\"state\":\"ready\",\"slots\":1000000,"
+	       "\"layers\":{\"from\":0,\"to\":65536}}",
+	 true},
+	{ENTRY "\"state\":\"ready\"}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":\"many\"}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6.0}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":0}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":-1}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":1000001}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":4294967302}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"layers\":7}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"layers\":[7]}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,"
+	       "\"layers\":{\"from\":5,\"to\":3}}",
+	 false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,"
+	       "\"layers\":{\"from\":-1,\"to\":3}}",
 	 false},
-	{"{\"service\":\"s\",\"zone\":\"z\",\"address\":\"nowhere\","
-	 "\"state\":\"ready\"}",
+	{ENTRY "\"state\":\"ready\",\"slots\":6,"
+	       "\"layers\":{\"from\":0,\"to\":65537}}",
 	 false},
-	{"{\"service\":\"s\",\"zone\":\"z\",\"address\":\"10.0.0.1\","
-	 "\"state\":\"ready\"}",
+	{ENTRY "\"state\":\"ready\",\"slots\":6,"
+	       "\"layers\":{\"from\":5,\"to\":4294967299}}",
 	 false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"born\":\"today\"}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"born\":1e12}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"born\":-1}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"type\":3}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"sequence\":\"1\"}", false},
+	{ENTRY "\"state\":\"ready\",\"slots\":6,\"cold-left-ms\":[]}", false},
+	{ENTRY "\"state\":\"odd\",\"slots\":6}", false},
+	{ENTRY "\"state\":1,\"slots\":6}", false},
+	{ENTRY "\"slots\":6}", false},
+	{"{\"service\":1,\"zone\":\"z\",\"address\":\"10.0.0.1:80\","
+	 "\"state\":\"ready\",\"slots\":6}",
+	 false},
+	{AT("nowhere"), false},
+	{AT("10.0.0.1"), false},
+	{AT("10.0.0.1:"), false},
+	{AT("10.0.0.1:0"), false},
+	{AT("10.0.0.1:65536"), false},
+	{AT("10.0.0.1:-80"), false},
+	{AT("10.0.0.1:+80"), false},
+	{AT("10.0.0.1: 80"), false},
+	{AT("10.0.0.1:80 "), false},
+	{AT("10.0.0.1:0x50"), false},
+	{AT("10.0.0.1:80,10.0.0.2:80=0-9"), false},
+	{AT("10.0.0.256:80"), false},
+	{AT("10.0.1:80"), false},
+	{AT("0.0.0.0:80"), false},
+	{AT("0.0.0.0:0"), false},
+	{AT("224.0.0.1:80"), false},
+	{AT("255.255.255.255:80"), false},
+	{AT("[::1]:80"), false},
+	{AT("[10.0.0.1]:80"), false},
+	{AT("localhost:80"), false},
+	{AT("10.0.0.1:80\\r\\nA: b"), false},
+	{AT(""), false},
+	{AT(":"), false},
+	{AT("[:"), false},
+	{AT("[]:1"), false},
+	{AT("10.0.0.1:65535"), true},
 	{"{}", false},
 	{"[1]", false},
 	{"\"text\"", false},
@@ -144,6 +200,154 @@
 }
 END_TEST
 
+/* Guards against conversions out of the range of a type, which are undefined,
+ * and against sizes that later code divides by or allocates. */
+START_TEST(extreme_numbers_of_a_configuration_are_bounded)
+{
+	guint skipped;
+	struct cat_catalog *catalog = decode_catalog(
+		"{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"path-prefix\":\"/\",\"type\":\"idempotent\","
+		"\"timeout-ms\":1e300,\"slo-ms\":-1e300,\"priority\":1e300,"
+		"\"max-attempts\":-1,\"split\":[{\"service\":\"a\","
+		"\"weight\":1e300},{\"service\":\"b\",\"weight\":-1e300}]}],"
+		"\"services\":[{\"name\":\"a\",\"engine\":{\"layers\":1e300,"
+		"\"slots\":1e300,\"models\":[{\"load-s\":1e300}]}}],"
+		"\"limits\":{\"max-header-bytes\":1e300,"
+		"\"header-timeout-ms\":-5},"
+		"\"tenants\":[{\"name\":\"t\",\"priority\":1e300}]}",
+		&skipped, NULL);
+	const struct cat_route *route = cat_find_route(catalog, "h", "/");
+	const struct cat_engine *engine =
+		cat_find_service(catalog, "a")->engine;
+	const struct cat_share *shares = (void *)route->shares->data;
+
+	ck_assert_int_eq(route->timeout, 100000000000);
+	ck_assert_int_eq(route->objective, 0);
+	ck_assert_int_eq(route->priority, 1000000);
+	ck_assert_uint_eq(route->max_attempts, 0);
+	ck_assert_uint_eq(shares[0].weight, 1000000);
+	ck_assert_uint_eq(shares[1].weight, 0);
+	ck_assert_uint_eq(engine->layers, 65536);
+	ck_assert_uint_eq(engine->slots, 1000000);
+	ck_assert_int_eq(engine->load_time, 100000000000);
+	ck_assert_uint_eq(cat_limits(catalog)->header_bytes, 1000000000000);
+	ck_assert_int_eq(cat_limits(catalog)->header_timeout, 0);
+	cat_drop(catalog);
+}
+END_TEST
+
+/* Guards against ids that break the header field in which they are sent. */
+START_TEST(unprintable_ids_name_no_target)
+{
+	static const char *const ids[] = {"", "a b", "a\r\nX: y", "\x7f",
+					  "\xc3\xa4"};
+	json_t *spec = json_loads(AT("10.0.0.1:80"), 0, NULL);
+	char *overlong = g_strnfill(1000, 'a');
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		ck_assert_ptr_null(ptf_decode_target(ids[i], spec, NULL));
+	ck_assert_ptr_null(ptf_decode_target(overlong, spec, NULL));
+	g_free(overlong);
+	json_decref(spec);
+}
+END_TEST
+
+/* Guards against layers and fences of a damaged record that wrap. */
+START_TEST(odd_assignments_of_a_duty_are_left_out)
+{
+	json_t *object = json_loads(
+		"{\"metadata\":{\"revision\":3},\"spec\":{\"holder\":7,"
+		"\"fence\":-5,\"assignments\":{\"a\":[5,4294967299],"
+		"\"b\":[-1,2],\"c\":[9,3],\"d\":7,\"e\":[\"1\",2],"
+		"\"f\":[1,4]}}}",
+		0, NULL);
+	struct edg_duty *duty = ptf_decode_duty(object);
+
+	ck_assert_ptr_null(duty->holder);
+	ck_assert_uint_eq(duty->fence, 0);
+	ck_assert_uint_eq(duty->assignments->len, 1);
+	ck_assert_str_eq(
+		g_array_index(duty->assignments, struct edg_assignment, 0)
+			.target_id,
+		"f");
+	edg_duty_free(duty);
+	json_decref(object);
+}
+END_TEST
+
+struct answer_case {
+	const char *text;
+	/* The answer as read, NULL if it is no JSON. */
+	const char *expected;
+};
+
+static const struct answer_case answer_cases[] = {
+	{"{\"a\":[1e400]}", "{}"},
+	{"{\"items\":[],\"at\":7}", "{\"items\":[],\"at\":7}"},
+	{" { \"at\" : 7 , \"items\" : [ 1e400 , { } ] , \"has-more\" : true } ",
+	 "{\"at\":7,\"items\":[null,{}],\"has-more\":true}"},
+	{"{\"items\":[{\"metadata\":{\"name\":\"x\"},\"spec\":{\"a\":1e400}},"
+	 "{\"metadata\":{\"name\":\"y\"},\"spec\":{}}],\"at\":7}",
+	 "{\"items\":[{\"metadata\":{\"name\":\"x\"}},"
+	 "{\"metadata\":{\"name\":\"y\"},\"spec\":{}}],\"at\":7}"},
+	{"{\"events\":[{\"deleted\":false,\"object\":{\"spec\":\"\\ud800\","
+	 "\"metadata\":{\"revision\":99999999999999999999,"
+	 "\"name\":\"x\"}}}],\"at\":7}",
+	 "{\"events\":[{\"deleted\":false,\"object\":{"
+	 "\"metadata\":{\"name\":\"x\"}}}],\"at\":7}"},
+	/* Brackets, quotes and commas within strings; keys that can't be read.
+	 */
+	{"{\"items\":[\"\\u0000]},\\\"[\",2,\"]\\\\\",{\"\\u0000\":3}],"
+	 "\"\xff\":{\"at\":1},\"at\":7}",
+	 "{\"items\":[null,2,\"]\\\\\",{}],\"at\":7}"},
+	/* A spec is read as a whole, whatever the names of its members. */
+	{"{\"metadata\":{\"revision\":5},\"spec\":{\"items\":[\"\xff\"],"
+	 "\"metadata\":{\"name\":1e400}}}",
+	 "{\"metadata\":{\"revision\":5}}"},
+	{"{\"items\":[7 8,{\"a\" 1},,nothing],\"at\":7}",
+	 "{\"items\":[null,null,null,null],\"at\":7}"},
+	/* Brackets that don't match, as in an answer that lost its end. */
+	{"{\"at\":7,\"items\":[{\"spec\":[[", NULL},
+	{"{\"at\":7,\"items\":[{\"spec\":[[}],\"has-more\":true}", NULL},
+	{"{\"at\":7,\"items\":[{\"spec\":1}", NULL},
+	{"{\"at\":7,\"items\":[1e400]", NULL},
+	{"{\"at\":7,\"items\":[1e400]]}", NULL},
+	{"{\"at\":7,\"items\":[1e400]}}", NULL},
+	{"{\"at\":7,\"items\":[{\"spec\":1}},2],\"x\":1}", NULL},
+	{"{\"at\":7,\"items\":\"\xff\"}", NULL},
+	{"{\"at\":7,\"items\":[\"a\\", NULL},
+	{"{\"at\":7,\"it", NULL},
+	{"{\"at\"", NULL},
+	{"{\"at\":7,}", NULL},
+	{"{", NULL},
+	{"[", NULL},
+	{"[\"\xff\"}", NULL},
+	{"", NULL},
+	{"no", NULL},
+	{"\"", NULL},
+	{"]", NULL},
+};
+
+/* Guards against an answer of the store that is refused as a whole because one
+ * of its objects can't be read. */
+START_TEST(unreadable_parts_of_an_answer_cost_only_themselves)
+{
+	const struct answer_case *one = &answer_cases[_i];
+	json_t *read = ptf_read_answer(one->text, strlen(one->text));
+	json_t *expected =
+		one->expected ? json_loads(one->expected, 0, NULL) : NULL;
+	char *text = json_dumps(read, JSON_COMPACT);
+
+	ck_assert_int_eq(!read, !one->expected);
+	ck_assert_msg(!read || json_equal(read, expected), "%s", text);
+	free(text);
+	json_decref(read);
+	json_decref(expected);
+}
+END_TEST
+
 START_TEST(layers_of_an_entry_are_decoded)
 {
 	json_t *spec = json_loads(
@@ -260,6 +464,12 @@
 	tcase_add_test(tcase, configuration_without_a_version_is_refused);
 	tcase_add_loop_test(tcase, only_complete_entries_name_a_target, 0,
 			    G_N_ELEMENTS(entry_cases));
+	tcase_add_test(tcase, extreme_numbers_of_a_configuration_are_bounded);
+	tcase_add_test(tcase, unprintable_ids_name_no_target);
+	tcase_add_test(tcase, odd_assignments_of_a_duty_are_left_out);
+	tcase_add_loop_test(tcase,
+			    unreadable_parts_of_an_answer_cost_only_themselves,
+			    0, G_N_ELEMENTS(answer_cases));
 	tcase_add_test(tcase, layers_of_an_entry_are_decoded);
 	tcase_add_test(tcase, report_is_decoded);
 	tcase_add_test(tcase, duty_survives_encoding_and_decoding);
