edge: log the parts of the prompt and the events of a failed send

The log could not tell a part that crashes engines from a rack that fails: lines of failed sends did not name what the requests had in common, nor whether a run had begun to write.

--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -39,6 +39,9 @@
 	const char *token_counts;
 	/* Expected number of answer tokens. */
 	const char *length_hint;
+	/* Parts of the prompt in order, "ID:TOKENS,..."; the last one belongs
+	 * to the request or its session, the others are shared. */
+	const char *prompt_parts;
 	/* Id of the last event that the caller of a stream received. */
 	const char *last_event_id;
 	/* Set by a target to prove that it produced the answer itself. */
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -133,6 +133,7 @@
 	reset_answer(request);
 	request->sends++;
 	request->sent_at = edg_now(edge);
+	request->events_before_send = request->splitter.events;
 	g_ptr_array_add(request->tried_targets,
 			flt_target_keep(request->target));
 	if (!request->path)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -125,6 +125,8 @@
 	double prompt_tokens;
 	double answer_tokens;
 	struct evs_splitter splitter;
+	/* Number of events before the current send. */
+	unsigned events_before_send;
 	/* The response head was sent to the caller. */
 	bool is_answer_started;
 	clk_ms first_event_at;
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -10,6 +10,8 @@
 /* Sends allowed beyond the route's limit, which counts engines: after the loss
  * of a head, or to a head that ran the request before. */
 #define MAX_EXTRA_SENDS 3
+/* Characters of the list of prompt parts in a log line. */
+#define MAX_LOGGED_PARTS_CHARS 120
 
 /* A refusal within 1/3 of the engines' stall timeout means a full engine. */
 #define FULL_REFUSAL_DIVISOR 3
@@ -247,6 +249,22 @@
 	/* Otherwise the run may still recover. */
 }
 
+static void log_failed_send(struct edg_request *request,
+			    enum edg_outcome outcome, enum hup_result how)
+{
+	const char *parts = hdr_get(&request->http->headers,
+				    request->edge->fields->prompt_parts);
+
+	edg_log_send(request, edg_outcome_name(outcome),
+		     "head=%s status=%d end=%d at=%s after_event=%s send=%u "
+		     "run_events=%u parts=%.*s",
+		     request->target->id, request->status, (int)how,
+		     request->failed_address ? request->failed_address : "-",
+		     request->splitter.last_id->str, request->sends,
+		     request->splitter.events - request->events_before_send,
+		     MAX_LOGGED_PARTS_CHARS, parts ? parts : "-");
+}
+
 static void on_end(void *user, enum hup_result how)
 {
 	struct edg_request *request = user;
@@ -273,11 +291,7 @@
 	if (outcome == EDG_OUTCOME_ANSWERED)
 		outcome = EDG_OUTCOME_UNKNOWN;
 	record_failure(request, outcome);
-	edg_log_send(request, edg_outcome_name(outcome),
-		     "head=%s status=%d end=%d at=%s after_event=%s send=%u",
-		     request->target->id, request->status, (int)how,
-		     request->failed_address ? request->failed_address : "-",
-		     request->splitter.last_id->str, request->sends);
+	log_failed_send(request, outcome, how);
 	handle_failed_send(request, outcome);
 }
 
