--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -168,6 +168,8 @@
 			      g_hash_table_size(edge->requests));
 		ctr_set_gauge(edge->counters, "wf_edge_config_age_ms",
 			      edg_now(edge) - edge->catalog_confirmed_at);
+		ctr_set_gauge(edge->counters, "wf_edge_quarantined_parts",
+			      qtn_count(edge->quarantine, edg_now(edge)));
 		ctr_write_text(edge->counters, text);
 	} else if (!strcmp(http->url, "/targets")) {
 		write_targets(edge, text);
@@ -257,6 +259,7 @@
 		.now = peers_now,
 		.config = peers_config,
 		.confirm = peers_confirm,
+		.quarantine = edge->quarantine,
 		.user = edge,
 		.counters = edge->counters,
 	};
@@ -359,7 +362,8 @@
 	edge->wait_timer.data = edge;
 	edge->drain_timer.data = edge;
 	edge->peer_timer.data = edge;
-	edge->open_timers = 3;
+	edge->open_timers = 4;
+	edg_open_quarantine(edge);
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->caller_server, settings->caller_address, error) &&
 	    hsv_listen(edge->operator_server, settings->ready_address, error) &&
@@ -377,6 +381,7 @@
 		return;
 
 	adm_queue_drop(edge->waiting);
+	edg_close_quarantine(edge);
 	g_hash_table_unref(edge->budgets);
 	g_hash_table_unref(edge->requests);
 	flt_drop(edge->fleet);
@@ -419,6 +424,7 @@
 	uv_close((uv_handle_t *)&edge->drain_timer, on_timer_closed);
 	uv_close((uv_handle_t *)&edge->peer_timer, on_timer_closed);
 	uv_close((uv_handle_t *)&edge->wait_timer, on_timer_closed);
+	uv_close((uv_handle_t *)&edge->quarantine_timer, on_timer_closed);
 }
 
 static void finish_drain(struct edg_edge *edge)
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -11,6 +11,7 @@
 #include <uv.h>
 
 #include <wagtailferry/fleet.h>
+#include <wagtailferry/quarantine.h>
 #include <wagtailferry/schema.h>
 
 #include "edge/hup_client.h"
@@ -207,6 +208,9 @@
 /* Targets; the platform adds and removes them. */
 struct flt_fleet *edg_fleet(struct edg_edge *edge);
 
+/* Evidence on prompt parts that may crash engines. */
+struct qtn_quarantine *edg_quarantine(struct edg_edge *edge);
+
 /* To be called when the fleet is first complete and on each change. */
 void edg_fleet_changed(struct edg_edge *edge);
 
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -133,7 +133,9 @@
 	reset_answer(request);
 	request->sends++;
 	request->sent_at = edg_now(edge);
+	request->sent_to_process = request->target->started_at;
 	request->events_before_send = request->splitter.events;
+	request->progress_before_send = request->splitter.progress;
 	g_ptr_array_add(request->tried_targets,
 			flt_target_keep(request->target));
 	if (!request->path)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_EDG_PRIVATE_H
 #define EDGE_EDG_PRIVATE_H
 
+#include <wagtailferry/quarantine.h>
 #include <wagtailferry/sched.h>
 
 #include "daemon/drv_clock.h"
@@ -70,6 +71,13 @@
 	uv_timer_t drain_timer;
 	clk_ms drain_started_at;
 
+	/* Prompt parts that may crash engines. */
+	struct qtn_quarantine *quarantine;
+	/* Target to the pending struct cut_inquiry. */
+	GHashTable *cut_inquiries;
+	/* Ends the requests with a part that was quarantined. */
+	uv_timer_t quarantine_timer;
+
 	struct lgb_budget log_budget;
 };
 
@@ -100,6 +108,8 @@
 	struct flt_target *target;
 	struct pth_path *path;
 	clk_ms sent_at;
+	/* Start time of the target's process when it was sent. */
+	int64_t sent_to_process;
 	/* Targets to which the request was sent; holds references. */
 	GPtrArray *tried_targets;
 	/* Sends that may have reached a target; the route limits them. */
@@ -125,8 +135,16 @@
 	double prompt_tokens;
 	double answer_tokens;
 	struct evs_splitter splitter;
-	/* Number of events before the current send. */
+	/* Events, and those that are progress, before the current send. */
 	unsigned events_before_send;
+	unsigned progress_before_send;
+	/* Keys of its prompt parts. */
+	uint64_t *parts;
+	unsigned n_parts;
+	/* The only request with a suspected part. */
+	bool is_probe;
+	/* Runs that were cut before they had an event. */
+	unsigned cut_runs;
 	/* The response head was sent to the caller. */
 	bool is_answer_started;
 	clk_ms first_event_at;
@@ -252,6 +270,23 @@
 /* Sends waiting streams, in order, while there is capacity. */
 void edg_serve_waiting(struct edg_edge *edge);
 
+/* edg_quarantine.c */
+void edg_open_quarantine(struct edg_edge *edge);
+void edg_close_quarantine(struct edg_edge *edge);
+void edg_read_parts(struct edg_request *request);
+/* Whether the request may be sent in view of its prompt parts; ends it if
+ * not. */
+bool edg_check_parts(struct edg_request *request);
+/* The current run had its first event. */
+void edg_parts_had_event(struct edg_request *request);
+/* The connection of the current send was lost: finds out whether its head
+ * crashed. */
+void edg_suspect_parts(struct edg_request *request);
+/* The request is no longer running. */
+void edg_end_probe(struct edg_request *request);
+/* Ends the requests with parts that were quarantined since the last call. */
+void edg_apply_quarantine(struct edg_edge *edge);
+
 /* edg_reroute.c */
 /* Moves a request whose path has lost an engine to another path: its head
  * changes the path, or another head continues after the last event. */
--- /dev/null
+++ b/src/edge/edg_quarantine.c
@@ -0,0 +1,257 @@
+#include <string.h>
+
+#include <wagtailferry/core.h>
+
+#include "edge/edg_private.h"
+
+/*
+ * Runs that end with a lost connection before their first event are evidence
+ * on the parts of their prompts if the head has crashed. A head that still
+ * reports as the same process has not, and a connection that is lost then is
+ * no evidence.
+ */
+
+/* A request whose runs were cut this often before they had an event is not sent
+ * again while one of its parts is suspected. */
+#define MAX_CUT_RUNS 2
+/* Interval at which verdicts are applied, also those learned from peers. */
+#define APPLY_INTERVAL_MS 50
+/* When a request with a suspected part may return if it was not run. */
+#define SUSPECTED_RETRY_MS 1000
+
+/* A question to a head whose connections were lost. */
+struct cut_inquiry {
+	struct edg_edge *edge;
+	struct flt_target *target;
+	/* The process to which the requests were sent. */
+	int64_t started_at;
+	clk_ms at;
+	/* Keys of the parts of the requests that were cut. */
+	GArray *parts;
+};
+
+static void on_apply(uv_timer_t *timer)
+{
+	edg_apply_quarantine(timer->data);
+}
+
+void edg_open_quarantine(struct edg_edge *edge)
+{
+	edge->quarantine =
+		qtn_new(wf_hash(edge->instance, strlen(edge->instance), 0));
+	edge->cut_inquiries = g_hash_table_new(NULL, NULL);
+	uv_timer_init(edge->loop, &edge->quarantine_timer);
+	edge->quarantine_timer.data = edge;
+	uv_timer_start(&edge->quarantine_timer, on_apply, APPLY_INTERVAL_MS,
+		       APPLY_INTERVAL_MS);
+}
+
+void edg_close_quarantine(struct edg_edge *edge)
+{
+	g_hash_table_unref(edge->cut_inquiries);
+	qtn_drop(edge->quarantine);
+}
+
+struct qtn_quarantine *edg_quarantine(struct edg_edge *edge)
+{
+	return edge->quarantine;
+}
+
+void edg_read_parts(struct edg_request *request)
+{
+	const char *list = hdr_get(&request->http->headers,
+				   request->edge->fields->prompt_parts);
+	uint64_t keys[QTN_MAX_PROMPT_PARTS];
+
+	if (!request->service->engine)
+		return;
+	request->n_parts = qtn_parse_parts(list, request->service->name, keys);
+	request->parts = g_memdup2(keys, request->n_parts * sizeof(*keys));
+}
+
+static void end_suspect(struct edg_request *request, clk_ms retry_after,
+			const char *type)
+{
+	struct hsv_request *http = request->http;
+
+	if (request->is_answer_started) {
+		edg_log_request_end(request, type, request->status);
+		edg_request_free(request);
+		hsv_abort(http);
+	} else if (edg_may_have_run(request)) {
+		edg_refuse(request, 502, type,
+			   "engines crash on a part of the prompt");
+	} else {
+		edg_refuse_not_run(request, retry_after, type,
+				   "engines crash on a part of the prompt");
+	}
+}
+
+static void refuse(struct edg_request *request, enum qtn_verdict verdict,
+		   clk_ms retry_after)
+{
+	bool is_held = verdict == QTN_HELD;
+
+	ctr_add(request->edge->counters,
+		is_held ? "wf_edge_quarantine_held_total"
+			: "wf_edge_quarantine_refused_total",
+		1);
+	end_suspect(request, retry_after,
+		    is_held ? "part_suspected" : "part_quarantined");
+}
+
+bool edg_check_parts(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	clk_ms now = edg_now(edge);
+	clk_ms retry_after = SUSPECTED_RETRY_MS;
+	enum qtn_verdict verdict;
+
+#ifdef WF_GUARD_OFF_EDGE_QUARANTINE
+	return true;
+#endif
+	edg_end_probe(request);
+	verdict = qtn_check(edge->quarantine, now, request->parts,
+			    request->n_parts, &retry_after);
+	request->is_probe = verdict == QTN_PROBE;
+	if (verdict <= QTN_PROBE && request->cut_runs >= MAX_CUT_RUNS &&
+	    qtn_is_suspected(edge->quarantine, now, request->parts,
+			     request->n_parts)) {
+		edg_end_probe(request);
+		verdict = QTN_HELD;
+	}
+	if (verdict <= QTN_PROBE)
+		return true;
+	refuse(request, verdict, retry_after);
+	return false;
+}
+
+void edg_parts_had_event(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+
+	if (request->splitter.progress != request->progress_before_send + 1)
+		return;
+	request->cut_runs = 0;
+	edg_end_probe(request);
+	qtn_record_event(edge->quarantine, edg_now(edge), request->parts,
+			 request->n_parts);
+}
+
+void edg_end_probe(struct edg_request *request)
+{
+	if (request->is_probe)
+		qtn_end_probe(request->edge->quarantine, request->parts,
+			      request->n_parts);
+	request->is_probe = false;
+}
+
+static void record_crash(const struct cut_inquiry *inquiry)
+{
+	struct edg_edge *edge = inquiry->edge;
+	uint32_t crash = (uint32_t)wf_hash(&inquiry->started_at,
+					   sizeof(inquiry->started_at),
+					   inquiry->target->id_hash);
+	guint i;
+
+	ctr_add(edge->counters, "wf_edge_quarantine_crashes_total", 1);
+	edg_log(edge, "prompt parts", "unsuspected", "suspected",
+		"head=%s parts=%u", inquiry->target->id, inquiry->parts->len);
+	for (i = 0; i < inquiry->parts->len; i++)
+		qtn_record_crash(edge->quarantine, inquiry->at,
+				 g_array_index(inquiry->parts, uint64_t, i),
+				 crash);
+	edg_apply_quarantine(edge);
+}
+
+static void on_report(void *user, const struct edg_report *report)
+{
+	struct cut_inquiry *inquiry = user;
+
+	g_hash_table_remove(inquiry->edge->cut_inquiries, inquiry->target);
+	if (!report || (report->started_at && inquiry->started_at &&
+			report->started_at != inquiry->started_at))
+		record_crash(inquiry);
+	flt_target_drop(inquiry->target);
+	g_array_unref(inquiry->parts);
+	g_free(inquiry);
+}
+
+void edg_suspect_parts(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct flt_target *target = request->target;
+	struct cut_inquiry *inquiry;
+
+	/* A head that leaves ends what it still runs. */
+	if (!request->n_parts || target->state == FLT_DRAINING ||
+	    request->splitter.progress != request->progress_before_send)
+		return;
+	request->cut_runs++;
+	inquiry = g_hash_table_lookup(edge->cut_inquiries, target);
+	if (inquiry) {
+		g_array_append_vals(inquiry->parts, request->parts,
+				    request->n_parts);
+		return;
+	}
+	inquiry = g_new0(struct cut_inquiry, 1);
+	inquiry->edge = edge;
+	inquiry->target = flt_target_keep(target);
+	inquiry->started_at = request->sent_to_process;
+	inquiry->at = edg_now(edge);
+	inquiry->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_vals(inquiry->parts, request->parts, request->n_parts);
+	g_hash_table_insert(edge->cut_inquiries, target, inquiry);
+	edge->platform->ops->ask_report(edge->platform, target, on_report,
+					inquiry);
+}
+
+/* Ends a request that waits or has no event yet, if its parts are quarantined.
+ * One that had an event in its run is not what crashes engines. */
+static void end_if_quarantined(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	clk_ms left;
+
+	if (request->is_freed || request->is_probe ||
+	    request->splitter.progress != request->progress_before_send)
+		return;
+	left = qtn_time_left(edge->quarantine, edg_now(edge), request->parts,
+			     request->n_parts);
+	if (!left)
+		return;
+	if (request->exchange)
+		edg_record_run(request);
+	refuse(request, QTN_QUARANTINED, left);
+}
+
+/* Ending requests changes the set, so this iterates over a copy. */
+static void end_quarantined(struct edg_edge *edge)
+{
+	GList *requests = g_hash_table_get_keys(edge->requests);
+	GList *item;
+
+	for (item = requests; item; item = item->next)
+		end_if_quarantined(item->data);
+	g_list_free(requests);
+}
+
+void edg_apply_quarantine(struct edg_edge *edge)
+{
+	struct qtn_change change;
+	bool is_changed = false;
+
+	while (qtn_next_change(edge->quarantine, edg_now(edge), &change)) {
+		char *subject = g_strdup_printf(
+			"prompt part %016" G_GINT64_MODIFIER "x", change.part);
+
+		ctr_add(edge->counters, "wf_edge_quarantines_total", 1);
+		edg_log(edge, subject, "suspected", "quarantined",
+			"crashes=%u for_ms=%" G_GINT64_FORMAT, change.crashes,
+			change.retry_after);
+		g_free(subject);
+		is_changed = true;
+	}
+	if (is_changed)
+		end_quarantined(edge);
+}
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -42,6 +42,7 @@
 		request->http->user = NULL;
 	edg_stop_waiting(request);
 	edg_release_send(request);
+	edg_end_probe(request);
 	g_hash_table_remove(request->edge->requests, request);
 	g_ptr_array_unref(request->tried_targets);
 	g_array_unref(request->runs);
@@ -50,6 +51,7 @@
 	g_string_free(request->body, TRUE);
 	evs_clear(&request->splitter);
 	g_free(request->failed_address);
+	g_free(request->parts);
 	g_free(request->id);
 	cat_drop(request->catalog);
 	uv_close((uv_handle_t *)&request->timer, on_handle_closed);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -78,6 +78,7 @@
 		return;
 	}
 	if (request->splitter.progress > progress) {
+		edg_parts_had_event(request);
 		record_event(request);
 		watch_silence(request);
 	}
@@ -292,6 +293,8 @@
 		outcome = EDG_OUTCOME_UNKNOWN;
 	record_failure(request, outcome);
 	log_failed_send(request, outcome, how);
+	if (how == HUP_CONN_LOST)
+		edg_suspect_parts(request);
 	handle_failed_send(request, outcome);
 }
 
@@ -373,6 +376,8 @@
 	bool found;
 
 	evs_discard_partial(&request->splitter);
+	if (!edg_check_parts(request))
+		return;
 	found = request->service->engine ? find_path(request, keeps_head)
 					 : find_target(request);
 	if (found)
@@ -400,5 +405,6 @@
 void edg_start_stream(struct edg_request *request)
 {
 	parse_token_counts(request);
+	edg_read_parts(request);
 	send_next(request, false);
 }
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -148,6 +148,8 @@
 		if (!item)
 			break;
 		request = item->owner;
+		if (!edg_check_parts(request))
+			continue;
 		if (!edg_reserve_path(request))
 			break;
 		adm_serve(edge->waiting, item);
--- a/src/edge/prs_private.h
+++ b/src/edge/prs_private.h
@@ -77,6 +77,9 @@
 	uint32_t in_flight[PRS_MAX_TARGETS];
 	uint32_t on_path[PRS_MAX_TARGETS];
 	uint32_t kilo_token_layers[PRS_MAX_TARGETS];
+	uint64_t suspect_part[QTN_MAX_RECORDS];
+	uint32_t suspect_crash[QTN_MAX_RECORDS];
+	uint32_t suspect_age_ms[QTN_MAX_RECORDS];
 };
 
 clk_ms prs_now(const struct prs_peers *peers);
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -91,7 +91,9 @@
 {
 	return report->n_target == report->n_in_flight &&
 	       report->n_target == report->n_on_path &&
-	       report->n_target == report->n_kilo_token_layers;
+	       report->n_target == report->n_kilo_token_layers &&
+	       report->n_suspect_part == report->n_suspect_crash &&
+	       report->n_suspect_part == report->n_suspect_age_ms;
 }
 
 /* The peer reports after receiving the report of ours that it echoes, so the
@@ -108,6 +110,45 @@
 			      report->echo_ms - (clk_ms)report->config_age_ms);
 }
 
+static void merge_evidence(struct prs_peers *peers,
+			   const Wf__LoadReport *report)
+{
+	struct qtn_record records[QTN_MAX_RECORDS];
+	size_t n = MIN(report->n_suspect_part, QTN_MAX_RECORDS);
+	size_t i;
+
+	if (!peers->config.quarantine)
+		return;
+	for (i = 0; i < n; i++)
+		records[i] = (struct qtn_record){report->suspect_part[i],
+						 report->suspect_crash[i],
+						 report->suspect_age_ms[i]};
+	qtn_merge(peers->config.quarantine, prs_now(peers), records,
+		  (unsigned)n);
+}
+
+static void add_evidence(const struct prs_peers *peers, Wf__LoadReport *report,
+			 struct prs_report_loads *out)
+{
+	struct qtn_record records[QTN_MAX_RECORDS];
+	unsigned n = 0;
+	unsigned i;
+
+	if (peers->config.quarantine)
+		n = qtn_export(peers->config.quarantine, prs_now(peers),
+			       records);
+	for (i = 0; i < n; i++) {
+		out->suspect_part[i] = records[i].part;
+		out->suspect_crash[i] = records[i].crash;
+		out->suspect_age_ms[i] = (uint32_t)records[i].age;
+	}
+	report->n_suspect_part = report->n_suspect_crash = n;
+	report->n_suspect_age_ms = n;
+	report->suspect_part = out->suspect_part;
+	report->suspect_crash = out->suspect_crash;
+	report->suspect_age_ms = out->suspect_age_ms;
+}
+
 void prs_receive(struct prs_peers *peers, const uint8_t *bytes, size_t len)
 {
 	Wf__LoadReport *report = wf__load_report__unpack(NULL, len, bytes);
@@ -132,6 +173,7 @@
 		else
 			prs_count_peer(peers, peer, report);
 		apply_confirmation(peers, report);
+		merge_evidence(peers, report);
 	}
 	if (report)
 		wf__load_report__free_unpacked(report, NULL);
@@ -214,6 +256,7 @@
 	prs_fill_report(peers,
 			peer && strcmp(peer->data_center, peers->data_center),
 			&report, &loads);
+	add_evidence(peers, &report, &loads);
 	return pack_report(&report);
 }
 
--- a/src/edge/prs_reports.h
+++ b/src/edge/prs_reports.h
@@ -15,11 +15,15 @@
  * confirmation, subtracting this age from the time of its own report that the
  * sender echoes, so that clock differences and delays can't make a
  * configuration look newer than it is.
+ *
+ * A report also carries evidence on prompt parts that crash engines, own and
+ * learned, so that it reaches all instances.
  */
 
 #include <uv.h>
 
 #include <wagtailferry/fleet.h>
+#include <wagtailferry/quarantine.h>
 
 struct prs_peers;
 
@@ -36,6 +40,9 @@
 	int64_t (*config)(void *user, clk_ms *confirmed);
 	/* A peer has confirmed that the version was the newest at that time. */
 	void (*confirm)(void *user, int64_t version, clk_ms at);
+	/* Evidence on prompt parts to be sent, and that of peers is added to
+	 * it; may be NULL. */
+	struct qtn_quarantine *quarantine;
 	void *user;
 	struct ctr_set *counters;
 };
--- /dev/null
+++ b/src/forward/quarantine.c
@@ -0,0 +1,512 @@
+#include <string.h>
+
+#include <wagtailferry/core.h>
+#include <wagtailferry/quarantine.h>
+
+/*
+ * The load pattern: requests with one part crash each engine that runs them,
+ * come at any instance and share their other parts with sound requests. Each
+ * crash also cuts sound requests that have no event yet, so their parts get a
+ * crash too; an event of their next run clears them.
+ */
+
+/* Crashes within this time count as one: a rack that fails takes several
+ * engines at once, which says nothing about a part. */
+#define SEPARATION_MS 200
+/* From this many crashes on, one request at a time may run. */
+#define SUSPECT_CRASHES 2
+#define QUARANTINE_CRASHES 3
+/* Time from the last crash of a quarantined part to the next probe, doubled
+ * with each crash beyond QUARANTINE_CRASHES. */
+#define QUARANTINE_MS (60 * CLK_SECOND)
+/* Fraction of that time over which the instances spread their probes. */
+#define PROBE_SPREAD 0.5
+/* Crashes kept for a part, the latest. */
+#define MAX_CRASHES 6
+/* Longer than the longest quarantine with its spread, which is 12 minutes. */
+#define EVIDENCE_MS (30 * CLK_MINUTE)
+/* Peers are told of an event that cleared a part for this time. */
+#define CLEARED_SHARED_MS (3 * CLK_SECOND)
+/* Parts with evidence; the least suspect one makes room for a new one. */
+#define MAX_PARTS 512
+/* When a request that is held back may return: about the time to the first
+ * event of the probe. */
+#define HELD_RETRY_MS 500
+/* A probe that never ends does not hold back others for longer. */
+#define MAX_PROBE_MS (10 * CLK_SECOND)
+
+struct crash {
+	uint32_t id;
+	clk_ms at;
+};
+
+struct part {
+	uint64_t key;
+	/* In order of time. */
+	struct crash crashes[MAX_CRASHES];
+	unsigned n;
+	/* Last event of a run with it, 0 if none is known. */
+	clk_ms cleared_at;
+	/* The present probe ends by then; 0 if there is none. */
+	clk_ms probe_until;
+	bool is_reported;
+};
+
+struct qtn_quarantine {
+	uint64_t salt;
+	/* Key to struct part. */
+	GHashTable *parts;
+	/* Part at which the next export starts among equals. */
+	unsigned next_export;
+};
+
+struct qtn_quarantine *qtn_new(uint64_t salt)
+{
+	struct qtn_quarantine *quarantine = g_new0(struct qtn_quarantine, 1);
+
+	quarantine->salt = salt;
+	quarantine->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  NULL, g_free);
+	return quarantine;
+}
+
+void qtn_drop(struct qtn_quarantine *quarantine)
+{
+	if (!quarantine)
+		return;
+	g_hash_table_unref(quarantine->parts);
+	g_free(quarantine);
+}
+
+unsigned qtn_parse_parts(const char *list, const char *service, uint64_t *keys)
+{
+	uint64_t seed = wf_hash(service, strlen(service), 0);
+	unsigned n = 0;
+
+	while (list && n < QTN_MAX_PROMPT_PARTS) {
+		const char *comma = strchr(list, ',');
+		const char *id = list + strspn(list, " \t");
+
+		if (!comma)
+			break;
+		keys[n++] = wf_hash(id, strcspn(id, ":, \t"), seed);
+		list = comma + 1;
+	}
+	return n;
+}
+
+static struct part *find(const struct qtn_quarantine *quarantine, uint64_t key)
+{
+	return g_hash_table_lookup(quarantine->parts, &key);
+}
+
+static clk_ms last_crash(const struct part *part)
+{
+	return part->n ? part->crashes[part->n - 1].at : 0;
+}
+
+/* Crashes that count: those within SEPARATION_MS are one. */
+static unsigned count_crashes(const struct part *part)
+{
+	clk_ms last = 0;
+	unsigned count = 0;
+	unsigned i;
+
+	for (i = 0; i < part->n; i++) {
+		if (count && part->crashes[i].at - last < SEPARATION_MS)
+			continue;
+		last = part->crashes[i].at;
+		count++;
+	}
+	return count;
+}
+
+static void remove_crashes(struct part *part, unsigned n)
+{
+	part->n -= n;
+	memmove(part->crashes, part->crashes + n,
+		part->n * sizeof(*part->crashes));
+}
+
+static void clear(struct part *part, clk_ms at)
+{
+	unsigned n = 0;
+
+	part->cleared_at = MAX(part->cleared_at, at);
+	while (n < part->n && part->crashes[n].at <= at)
+		n++;
+	remove_crashes(part, n);
+	part->is_reported = false;
+}
+
+static void expire(struct qtn_quarantine *quarantine, clk_ms now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct part *part = value;
+
+		while (part->n && now - part->crashes[0].at >= EVIDENCE_MS)
+			remove_crashes(part, 1);
+		if (!part->n && now - part->cleared_at >= CLEARED_SHARED_MS)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Whether a is evicted before b. */
+static bool is_less_suspect(const struct part *a, const struct part *b)
+{
+	unsigned left = count_crashes(a);
+	unsigned right = count_crashes(b);
+
+	if (left != right)
+		return left < right;
+	return last_crash(a) < last_crash(b);
+}
+
+static void make_room(struct qtn_quarantine *quarantine, clk_ms now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	struct part *least = NULL;
+
+	if (g_hash_table_size(quarantine->parts) < MAX_PARTS)
+		return;
+	expire(quarantine, now);
+	if (g_hash_table_size(quarantine->parts) < MAX_PARTS)
+		return;
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!least || is_less_suspect(value, least))
+			least = value;
+	}
+	g_hash_table_remove(quarantine->parts, &least->key);
+}
+
+static struct part *get(struct qtn_quarantine *quarantine, clk_ms now,
+			uint64_t key)
+{
+	struct part *part = find(quarantine, key);
+
+	if (part)
+		return part;
+	make_room(quarantine, now);
+	part = g_new0(struct part, 1);
+	part->key = key;
+	g_hash_table_insert(quarantine->parts, &part->key, part);
+	return part;
+}
+
+static bool has_crash(const struct part *part, uint32_t id)
+{
+	unsigned i;
+
+	for (i = 0; i < part->n; i++) {
+		if (part->crashes[i].id == id)
+			return true;
+	}
+	return false;
+}
+
+/* Time until which a part with enough crashes is quarantined. */
+static clk_ms quarantine_end(const struct qtn_quarantine *quarantine,
+			     const struct part *part)
+{
+	unsigned doublings = count_crashes(part) - QUARANTINE_CRASHES;
+	clk_ms length = QUARANTINE_MS << doublings;
+	uint64_t draw =
+		wf_hash(&part->key, sizeof(part->key), quarantine->salt) % 1024;
+
+	return last_crash(part) + length +
+	       (clk_ms)(PROBE_SPREAD * (double)length * (double)draw / 1024);
+}
+
+static bool has_enough_crashes(const struct part *part)
+{
+	return count_crashes(part) >= QUARANTINE_CRASHES;
+}
+
+static bool is_quarantined(const struct qtn_quarantine *quarantine,
+			   const struct part *part, clk_ms now)
+{
+	return has_enough_crashes(part) &&
+	       now < quarantine_end(quarantine, part);
+}
+
+void qtn_record_crash(struct qtn_quarantine *quarantine, clk_ms at,
+		      uint64_t key, uint32_t crash)
+{
+	struct part *part = get(quarantine, at, key);
+	bool was_quarantined;
+	unsigned i;
+
+	/* 0 stands for an event in records. */
+	crash = MAX(crash, 1);
+	if (part->cleared_at >= at || has_crash(part, crash))
+		return;
+	was_quarantined = is_quarantined(quarantine, part, at);
+	if (part->n == MAX_CRASHES) {
+		if (at <= part->crashes[0].at)
+			return;
+		remove_crashes(part, 1);
+	}
+	for (i = part->n; i > 0 && part->crashes[i - 1].at > at; i--)
+		part->crashes[i] = part->crashes[i - 1];
+	part->crashes[i] = (struct crash){crash, at};
+	part->n++;
+	if (!was_quarantined)
+		part->is_reported = false;
+}
+
+void qtn_record_event(struct qtn_quarantine *quarantine, clk_ms now,
+		      const uint64_t *parts, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		struct part *part = find(quarantine, parts[i]);
+
+		if (part)
+			clear(part, now);
+	}
+}
+
+/* Whether all crashes of the part may be due to the other one, which may have
+ * had earlier ones than it keeps. */
+static bool may_be_due_to(const struct part *part, const struct part *other)
+{
+	unsigned i;
+
+	for (i = 0; i < part->n; i++) {
+		bool is_kept = other->n < MAX_CRASHES ||
+			       part->crashes[i].at >= other->crashes[0].at;
+
+		if (is_kept && !has_crash(other, part->crashes[i].id))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Whether one of a request's parts is quarantined for certain. A part whose
+ * crashes may all be due to another one that this request does not hold is not:
+ * sound requests share parts with those that crash engines, and a probe
+ * without the other part tells which of them does it.
+ */
+static bool is_certain(const struct qtn_quarantine *quarantine,
+		       const struct part *part, const uint64_t *parts,
+		       unsigned n)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct part *other = value;
+		unsigned i;
+
+		if (other == part || !has_enough_crashes(other) ||
+		    !may_be_due_to(part, other))
+			continue;
+		for (i = 0; i < n && parts[i] != other->key; i++)
+			;
+		if (i == n)
+			return false;
+	}
+	return true;
+}
+
+clk_ms qtn_time_left(const struct qtn_quarantine *quarantine, clk_ms now,
+		     const uint64_t *parts, unsigned n)
+{
+	clk_ms left = 0;
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		const struct part *part = find(quarantine, parts[i]);
+
+		if (part && is_quarantined(quarantine, part, now) &&
+		    is_certain(quarantine, part, parts, n))
+			left = MAX(left,
+				   quarantine_end(quarantine, part) - now);
+	}
+	return left;
+}
+
+static bool is_probed_one_by_one(const struct part *part)
+{
+	return part && count_crashes(part) >= SUSPECT_CRASHES;
+}
+
+enum qtn_verdict qtn_check(struct qtn_quarantine *quarantine, clk_ms now,
+			   const uint64_t *parts, unsigned n,
+			   clk_ms *retry_after)
+{
+	enum qtn_verdict verdict = QTN_ALLOWED;
+	unsigned i;
+
+	*retry_after = qtn_time_left(quarantine, now, parts, n);
+	if (*retry_after)
+		return QTN_QUARANTINED;
+	for (i = 0; i < n; i++) {
+		const struct part *part = find(quarantine, parts[i]);
+
+		if (!is_probed_one_by_one(part))
+			continue;
+		if (now < part->probe_until) {
+			*retry_after = HELD_RETRY_MS;
+			return QTN_HELD;
+		}
+		verdict = QTN_PROBE;
+	}
+	for (i = 0; verdict == QTN_PROBE && i < n; i++) {
+		struct part *part = find(quarantine, parts[i]);
+
+		if (is_probed_one_by_one(part))
+			part->probe_until = now + MAX_PROBE_MS;
+	}
+	return verdict;
+}
+
+void qtn_end_probe(struct qtn_quarantine *quarantine, const uint64_t *parts,
+		   unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		struct part *part = find(quarantine, parts[i]);
+
+		if (part)
+			part->probe_until = 0;
+	}
+}
+
+bool qtn_is_suspected(const struct qtn_quarantine *quarantine, clk_ms now,
+		      const uint64_t *parts, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		const struct part *part = find(quarantine, parts[i]);
+
+		if (part && part->n && now - last_crash(part) < EVIDENCE_MS)
+			return true;
+	}
+	return false;
+}
+
+unsigned qtn_count(const struct qtn_quarantine *quarantine, clk_ms now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned count = 0;
+
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += is_quarantined(quarantine, value, now);
+	return count;
+}
+
+bool qtn_next_change(struct qtn_quarantine *quarantine, clk_ms now,
+		     struct qtn_change *change)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct part *part = value;
+
+		if (part->is_reported || !is_quarantined(quarantine, part, now))
+			continue;
+		part->is_reported = true;
+		change->part = part->key;
+		change->crashes = count_crashes(part);
+		change->retry_after = quarantine_end(quarantine, part) - now;
+		return true;
+	}
+	return false;
+}
+
+/* Most crashes first. */
+static int compare_parts(gconstpointer a, gconstpointer b)
+{
+	const struct part *left = *(struct part *const *)a;
+	const struct part *right = *(struct part *const *)b;
+
+	return (int)count_crashes(right) - (int)count_crashes(left);
+}
+
+static unsigned write_records(const struct part *part, clk_ms now,
+			      struct qtn_record *records, unsigned room)
+{
+	unsigned n = 0;
+	unsigned i;
+
+	if (part->cleared_at && now - part->cleared_at < CLEARED_SHARED_MS &&
+	    n < room)
+		records[n++] = (struct qtn_record){part->key, 0,
+						   now - part->cleared_at};
+	for (i = 0; i < part->n && n < room; i++)
+		records[n++] =
+			(struct qtn_record){part->key, part->crashes[i].id,
+					    now - part->crashes[i].at};
+	return n;
+}
+
+/* Parts with several crashes come first; the others, most of which are sound
+ * and soon cleared, get what room is left. Both take turns. */
+unsigned qtn_export(struct qtn_quarantine *quarantine, clk_ms now,
+		    struct qtn_record *records)
+{
+	GPtrArray *parts;
+	GHashTableIter iter;
+	gpointer value;
+	unsigned n = 0;
+	guint suspects = 0;
+	guint i;
+
+	if (!g_hash_table_size(quarantine->parts))
+		return 0;
+	expire(quarantine, now);
+	parts = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(parts, value);
+	g_ptr_array_sort(parts, compare_parts);
+	while (suspects < parts->len &&
+	       count_crashes(parts->pdata[suspects]) >= SUSPECT_CRASHES)
+		suspects++;
+	for (i = 0; i < parts->len && n < QTN_MAX_RECORDS; i++) {
+		guint first = i < suspects ? 0 : suspects;
+		guint size = (i < suspects ? suspects : parts->len) - first;
+		guint at = first + (i + quarantine->next_export) % size;
+
+		n += write_records(parts->pdata[at], now, records + n,
+				   QTN_MAX_RECORDS - n);
+	}
+	quarantine->next_export++;
+	g_ptr_array_unref(parts);
+	return n;
+}
+
+void qtn_merge(struct qtn_quarantine *quarantine, clk_ms now,
+	       const struct qtn_record *records, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n && i < QTN_MAX_RECORDS; i++) {
+		const struct qtn_record *record = &records[i];
+		clk_ms at = now - record->age;
+
+		if (record->age < 0 || record->age >= EVIDENCE_MS)
+			continue;
+		if (record->crash)
+			qtn_record_crash(quarantine, at, record->part,
+					 record->crash);
+		else if (find(quarantine, record->part))
+			clear(find(quarantine, record->part), at);
+	}
+}
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -411,7 +411,7 @@
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[19] =
 {
   {
     "instance",
@@ -605,6 +605,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect_part",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wf__LoadReport, n_suspect_part),
+    offsetof(Wf__LoadReport, suspect_part),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspect_crash",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Wf__LoadReport, n_suspect_crash),
+    offsetof(Wf__LoadReport, suspect_crash),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspect_age_ms",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wf__LoadReport, n_suspect_age_ms),
+    offsetof(Wf__LoadReport, suspect_age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__load_report__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -622,13 +658,16 @@
   13,   /* field[13] = on_path */
   7,   /* field[7] = sent_ms */
   4,   /* field[4] = sequence */
+  18,   /* field[18] = suspect_age_ms */
+  17,   /* field[17] = suspect_crash */
+  16,   /* field[16] = suspect_part */
   11,   /* field[11] = target */
 };
 static const ProtobufCIntRange wf__load_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wf__load_report__descriptor =
 {
@@ -638,7 +677,7 @@
   "Wf__LoadReport",
   "wf",
   sizeof(Wf__LoadReport),
-  16,
+  19,
   wf__load_report__field_descriptors,
   wf__load_report__field_indices_by_name,
   2,  wf__load_report__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -181,10 +181,21 @@
    */
   protobuf_c_boolean has_instances;
   uint32_t instances;
+  /*
+   * Recent evidence on parts of prompts that may crash engines: the part, the
+   * process that crashed (0 if the part is sound: a run with it had an event),
+   * and the time since then.
+   */
+  size_t n_suspect_part;
+  uint64_t *suspect_part;
+  size_t n_suspect_crash;
+  uint32_t *suspect_crash;
+  size_t n_suspect_age_ms;
+  uint32_t *suspect_age_ms;
 };
 #define WF__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Wf__EdgeSettings methods */
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -241,9 +241,10 @@
 
 static void answer_report(struct worker *worker, struct wire_conn *conn)
 {
-	json_t *report = json_pack("{s:I,s:b,s:i,s:[]}", "sequence",
-				   (json_int_t)worker->orders->len, "busy", 0,
-				   "pace", 1, "stalled");
+	json_t *report =
+		json_pack("{s:I,s:b,s:i,s:I,s:[]}", "sequence",
+			  (json_int_t)worker->orders->len, "busy", 0, "pace", 1,
+			  "born", (json_int_t)worker->born, "stalled");
 
 	if (worker->stalled)
 		json_array_append_new(json_object_get(report, "stalled"),
@@ -306,13 +307,9 @@
 	g_free(filler);
 }
 
-static void send_stream(struct worker *worker, struct wire_conn *conn,
-			const char *request)
+static void send_events(struct worker *worker, struct wire_conn *conn,
+			const char *last)
 {
-	char *last = wire_header(request, "Last-Event-Id");
-	char *head = signed_head(request, "Transfer-Encoding: chunked\r\n\r\n");
-
-	wire_send(conn, head);
 	if (!last)
 		wire_send(conn, "11\r\nid: 1\ndata: one\n\n\r\n");
 	if (worker->mode == WORKER_ENDLESS) {
@@ -326,6 +323,45 @@
 	} else {
 		wire_send(conn, "11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n");
 	}
+}
+
+static bool is_deadly(const struct worker *worker, const char *request)
+{
+	char *parts = wire_header(request, "X-Wagtailferry-Prompt-Prefix");
+	bool found = parts && worker->world->deadly_part &&
+		     strstr(parts, worker->world->deadly_part);
+
+	g_free(parts);
+	return found;
+}
+
+/* Cuts the stream and is a new process from then on. */
+static void crash(struct worker *worker, struct wire_conn *conn)
+{
+	worker->crashes++;
+	worker->born += 1000;
+	wire_hang_up(conn);
+	json_object_set_new(worker->entry, "born",
+			    json_integer((json_int_t)worker->born));
+	world_put(worker->world, "servers", worker->id,
+		  json_deep_copy(worker->entry));
+}
+
+static void send_stream(struct worker *worker, struct wire_conn *conn,
+			const char *request)
+{
+	char *last = wire_header(request, "Last-Event-Id");
+	char *head = signed_head(request, "Transfer-Encoding: chunked\r\n\r\n");
+
+	wire_send(conn, head);
+	if (is_deadly(worker, request)) {
+		worker->world->deadly_requests++;
+		crash(worker, conn);
+	} else if (worker->mode == WORKER_CUTS_STREAM) {
+		wire_hang_up(conn);
+	} else {
+		send_events(worker, conn, last);
+	}
 	g_free(head);
 	g_free(last);
 }
@@ -427,12 +463,14 @@
 	worker->last_request = g_string_new(NULL);
 	worker->orders = g_ptr_array_new_with_free_func(g_free);
 	worker->order_status = 202;
+	worker->born = 1000;
 	worker->server =
 		wire_server_new(&world->wire, on_worker_request, worker);
-	worker->entry = json_pack(
-		"{s:s,s:s,s:s,s:i,s:s,s:I,s:s}", "service", service, "address",
-		wire_server_address(worker->server), "zone", "z", "slots", 6,
-		"state", "ready", "born", (json_int_t)1000, "type", "large");
+	worker->entry =
+		json_pack("{s:s,s:s,s:s,s:i,s:s,s:I,s:s}", "service", service,
+			  "address", wire_server_address(worker->server),
+			  "zone", "z", "slots", 6, "state", "ready", "born",
+			  (json_int_t)worker->born, "type", "large");
 	if (first < end)
 		json_object_set_new(worker->entry, "layers",
 				    json_pack("{s:i,s:i}", "from", (int)first,
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -33,6 +33,8 @@
 	WORKER_BREAKS_STREAM,
 	/* Sends one event, then nothing. */
 	WORKER_STALLS_STREAM,
+	/* Closes the connection before the first event. */
+	WORKER_CUTS_STREAM,
 	/* Sends a body, or an event, of OVERSIZE_BYTES and does not end it. */
 	WORKER_ENDLESS,
 };
@@ -64,6 +66,10 @@
 	/* Connection of a stalled stream. */
 	struct wire_conn *stream;
 	uint64_t stream_serial;
+	/* Start of its process, and how often it has crashed and started
+	 * again. */
+	int64_t born;
+	unsigned crashes;
 	json_t *entry;
 };
 
@@ -90,6 +96,11 @@
 	GPtrArray *held_watches;
 	uv_timer_t poll_timer;
 	GPtrArray *workers;
+	/* Part of a prompt, "ID:", that crashes each worker which begins to
+	 * write an answer to a request with it; NULL for none. */
+	const char *deadly_part;
+	/* Requests with it that reached a worker. */
+	unsigned deadly_requests;
 
 	struct ctr_set *counters;
 	struct log_logger *log;
--- /dev/null
+++ b/tests/quarantine_test.c
@@ -0,0 +1,341 @@
+/*
+ * Replays of crash patterns against the quarantine of prompt parts. Guards
+ * against a part that crashes engine after engine, and against refusing
+ * requests whose parts are sound: those cut by the same crashes, those that
+ * share parts with the requests that cause them, and those of a failed rack.
+ */
+
+#include <check.h>
+#include <string.h>
+
+#include <wagtailferry/quarantine.h>
+
+#include "support/runner.h"
+
+/* Parts: shared by sound requests, deadly, and of other requests. */
+#define SHARED 1
+#define DEADLY 2
+#define OTHER 3
+/* Between two crashes of a pattern. */
+#define STEP_MS 500
+/* By then each part that was quarantined for three crashes may be probed. */
+#define FIRST_PROBE_MS (90 * CLK_SECOND)
+
+static const uint64_t deadly_request[] = {SHARED, DEADLY};
+static const uint64_t sound_request[] = {SHARED};
+
+static enum qtn_verdict check(struct qtn_quarantine *quarantine, clk_ms now,
+			      const uint64_t *parts, unsigned n)
+{
+	clk_ms retry_after = 0;
+	enum qtn_verdict verdict =
+		qtn_check(quarantine, now, parts, n, &retry_after);
+
+	ck_assert_int_eq(verdict >= QTN_HELD, retry_after > 0);
+	return verdict;
+}
+
+static enum qtn_verdict check_deadly(struct qtn_quarantine *quarantine,
+				     clk_ms now)
+{
+	return check(quarantine, now, deadly_request, 2);
+}
+
+/* Engines first to first + n - 1 crash one after another while they run a
+ * request with the deadly part. Returns the time of the last crash. */
+static clk_ms crash_engines(struct qtn_quarantine *quarantine, clk_ms at,
+			    uint32_t first, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		at += STEP_MS;
+		qtn_record_crash(quarantine, at, SHARED, first + i);
+		qtn_record_crash(quarantine, at, DEADLY, first + i);
+	}
+	return at;
+}
+
+START_TEST(third_crash_quarantines_a_part)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	struct qtn_change change;
+	clk_ms now = crash_engines(quarantine, 1000, 1, 2);
+
+	ck_assert_uint_eq(qtn_count(quarantine, now), 0);
+	ck_assert(!qtn_next_change(quarantine, now, &change));
+	now = crash_engines(quarantine, now, 3, 1);
+	qtn_record_event(quarantine, now, sound_request, 1);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
+	ck_assert(qtn_next_change(quarantine, now, &change));
+	ck_assert_uint_eq(change.part, DEADLY);
+	ck_assert_uint_eq(change.crashes, 3);
+	ck_assert(!qtn_next_change(quarantine, now, &change));
+	ck_assert_uint_eq(qtn_count(quarantine, now), 1);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* From the second crash on one request can't cost several engines at once. */
+START_TEST(suspected_part_is_probed_by_one_request_at_a_time)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = crash_engines(quarantine, 1000, 1, 2);
+
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_HELD);
+	qtn_end_probe(quarantine, deadly_request, 2);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
+	/* A probe that never ends does not block the part for good. */
+	ck_assert_int_eq(check_deadly(quarantine, now + CLK_MINUTE), QTN_PROBE);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+START_TEST(event_of_a_run_clears_its_parts)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = crash_engines(quarantine, 1000, 1, 2);
+
+	qtn_record_event(quarantine, now, deadly_request, 2);
+	ck_assert(!qtn_is_suspected(quarantine, now, deadly_request, 2));
+	now = crash_engines(quarantine, now, 3, 1);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_ALLOWED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* Each crash cuts 40 sound requests; each of their next runs has an event. */
+START_TEST(parts_of_sound_requests_cut_by_crashes_stay_allowed)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = 1000;
+	uint64_t part;
+	unsigned i;
+
+	for (i = 0; i < 20; i++) {
+		now = crash_engines(quarantine, now, i + 1, 1);
+		for (part = 100; part < 140; part++)
+			qtn_record_crash(quarantine, now, part, i + 1);
+		for (part = 100; part < 140; part++)
+			qtn_record_event(quarantine, now + 50, &part, 1);
+		qtn_record_event(quarantine, now + 50, sound_request, 1);
+	}
+	for (part = 100; part < 140; part++)
+		ck_assert_int_eq(check(quarantine, now + 60, &part, 1),
+				 QTN_ALLOWED);
+	ck_assert_int_eq(check(quarantine, now + 60, sound_request, 1),
+			 QTN_ALLOWED);
+	ck_assert_int_eq(check_deadly(quarantine, now + 60), QTN_QUARANTINED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* A rack takes its engines within some ms, and the retries with it. */
+START_TEST(rack_that_fails_quarantines_nothing)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	uint32_t engine;
+
+	for (engine = 1; engine <= 20; engine++)
+		qtn_record_crash(quarantine, 1000 + engine, SHARED, engine);
+	ck_assert_int_eq(check(quarantine, 1050, sound_request, 1),
+			 QTN_ALLOWED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* The same crash is reported for each of the requests that it cut. */
+START_TEST(crash_counts_once_for_a_part)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	unsigned i;
+
+	for (i = 0; i < 10; i++)
+		qtn_record_crash(quarantine, 1000 + i * STEP_MS, DEADLY, 7);
+	ck_assert_int_eq(check_deadly(quarantine, 9000), QTN_ALLOWED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* Only the deadly requests hold the shared part for a while. */
+START_TEST(part_that_shares_all_crashes_is_probed_without_the_other)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	static const uint64_t with_other[] = {OTHER, DEADLY};
+	clk_ms now = crash_engines(quarantine, 1000, 1, 3);
+
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
+	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_PROBE);
+	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_HELD);
+	qtn_record_event(quarantine, now, sound_request, 1);
+	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_ALLOWED);
+	ck_assert_int_eq(check(quarantine, now, with_other, 2),
+			 QTN_QUARANTINED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+START_TEST(quarantine_ends_with_one_probe_and_grows_with_each_crash)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = crash_engines(quarantine, 1000, 1, 3);
+
+	qtn_record_event(quarantine, now, sound_request, 1);
+	ck_assert_int_eq(check_deadly(quarantine, now + 59 * CLK_SECOND),
+			 QTN_QUARANTINED);
+	now += FIRST_PROBE_MS;
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_HELD);
+	qtn_record_crash(quarantine, now, DEADLY, 4);
+	ck_assert_int_eq(check_deadly(quarantine, now + 119 * CLK_SECOND),
+			 QTN_QUARANTINED);
+	now += 2 * FIRST_PROBE_MS;
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
+	qtn_record_event(quarantine, now, deadly_request, 2);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_ALLOWED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+static void send_evidence(struct qtn_quarantine *from,
+			  struct qtn_quarantine *to, clk_ms now)
+{
+	struct qtn_record records[QTN_MAX_RECORDS];
+	unsigned n = qtn_export(from, now, records);
+
+	ck_assert_uint_le(n, QTN_MAX_RECORDS);
+	qtn_merge(to, now, records, n);
+}
+
+/* Each instance sees a crash of its own; a fourth one has just started and
+ * hears of them from one peer. */
+START_TEST(evidence_of_several_instances_adds_up)
+{
+	struct qtn_quarantine *instances[4];
+	clk_ms now = 1000;
+	unsigned i;
+
+	for (i = 0; i < 4; i++)
+		instances[i] = qtn_new(i);
+	for (i = 0; i < 3; i++)
+		now = crash_engines(instances[i], now, i + 1, 1);
+	send_evidence(instances[0], instances[1], now + 100);
+	send_evidence(instances[1], instances[2], now + 200);
+	send_evidence(instances[2], instances[3], now + 300);
+	ck_assert_int_eq(check_deadly(instances[2], now + 300),
+			 QTN_QUARANTINED);
+	ck_assert_int_eq(check_deadly(instances[3], now + 300),
+			 QTN_QUARANTINED);
+	/* An event that one of them sees clears the shared part at all. */
+	qtn_record_event(instances[2], now + 400, sound_request, 1);
+	send_evidence(instances[2], instances[3], now + 500);
+	ck_assert_int_eq(check(instances[3], now + 500, sound_request, 1),
+			 QTN_ALLOWED);
+	/* Older evidence that arrives later does not bring it back. */
+	send_evidence(instances[1], instances[3], now + 600);
+	ck_assert(!qtn_is_suspected(instances[3], now + 600, sound_request, 1));
+	ck_assert_int_eq(check_deadly(instances[3], now + 600),
+			 QTN_QUARANTINED);
+	for (i = 0; i < 4; i++)
+		qtn_drop(instances[i]);
+}
+END_TEST
+
+/* More sound parts with one crash than an exchange carries do not hide the
+ * deadly one, and in the end all are told. */
+START_TEST(evidence_beyond_one_exchange_follows_later)
+{
+	struct qtn_quarantine *from = qtn_new(1);
+	struct qtn_quarantine *to = qtn_new(2);
+	clk_ms now = crash_engines(from, 1000, 1, 3);
+	uint64_t part;
+	unsigned i;
+
+	for (part = 100; part < 200; part++)
+		qtn_record_crash(from, now, part, 3);
+	send_evidence(from, to, now + 100);
+	ck_assert_int_eq(check_deadly(to, now + 100), QTN_QUARANTINED);
+	for (i = 0; i < 200; i++)
+		send_evidence(from, to, now + 100);
+	for (part = 100; part < 200; part++)
+		ck_assert(qtn_is_suspected(to, now + 100, &part, 1));
+	qtn_drop(from);
+	qtn_drop(to);
+}
+END_TEST
+
+/* Forged or damaged evidence is bounded in age and memory. */
+START_TEST(odd_records_are_harmless)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	struct qtn_record records[QTN_MAX_RECORDS] = {
+		{DEADLY, 1, -1},
+		{DEADLY, 2, INT64_MAX},
+		{DEADLY, 3, UINT32_MAX},
+		{OTHER, 0, 0},
+	};
+	uint64_t i;
+
+	qtn_merge(quarantine, 1000, records, 4);
+	qtn_merge(quarantine, 1000, records, 0);
+	ck_assert(!qtn_is_suspected(quarantine, 1000, deadly_request, 2));
+	crash_engines(quarantine, 1000, 1, 3);
+	for (i = 0; i < 100000; i++) {
+		records[0] = (struct qtn_record){1000 + i, (uint32_t)i, 1};
+		qtn_merge(quarantine, 3000, records, 1);
+	}
+	ck_assert_int_eq(check_deadly(quarantine, 3000), QTN_QUARANTINED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+START_TEST(last_part_of_a_prompt_is_never_suspected)
+{
+	uint64_t keys[QTN_MAX_PROMPT_PARTS];
+	uint64_t others[QTN_MAX_PROMPT_PARTS];
+	GString *list = g_string_new("z:1");
+	unsigned i;
+
+	ck_assert_uint_eq(qtn_parse_parts(NULL, "s", keys), 0);
+	ck_assert_uint_eq(qtn_parse_parts("", "s", keys), 0);
+	ck_assert_uint_eq(qtn_parse_parts("a:40", "s", keys), 0);
+	ck_assert_uint_eq(qtn_parse_parts("a:40, b:7,c:9", "s", keys), 2);
+	ck_assert_uint_eq(qtn_parse_parts("b:8,a:1,d", "s", others), 2);
+	ck_assert_uint_eq(keys[0], others[1]);
+	ck_assert_uint_eq(keys[1], others[0]);
+	ck_assert_uint_eq(qtn_parse_parts("a:40,b:7", "t", others), 1);
+	ck_assert_uint_ne(keys[0], others[0]);
+	ck_assert_uint_eq(qtn_parse_parts(",,:,", "s", keys), 3);
+	for (i = 0; i < 1000; i++)
+		g_string_append(list, ",z:1");
+	ck_assert_uint_eq(qtn_parse_parts(list->str, "s", keys),
+			  QTN_MAX_PROMPT_PARTS);
+	g_string_free(list, TRUE);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("quarantine");
+
+	tcase_add_test(tcase, third_crash_quarantines_a_part);
+	tcase_add_test(tcase,
+		       suspected_part_is_probed_by_one_request_at_a_time);
+	tcase_add_test(tcase, event_of_a_run_clears_its_parts);
+	tcase_add_test(tcase,
+		       parts_of_sound_requests_cut_by_crashes_stay_allowed);
+	tcase_add_test(tcase, rack_that_fails_quarantines_nothing);
+	tcase_add_test(tcase, crash_counts_once_for_a_part);
+	tcase_add_test(
+		tcase,
+		part_that_shares_all_crashes_is_probed_without_the_other);
+	tcase_add_test(
+		tcase,
+		quarantine_ends_with_one_probe_and_grows_with_each_crash);
+	tcase_add_test(tcase, evidence_of_several_instances_adds_up);
+	tcase_add_test(tcase, evidence_beyond_one_exchange_follows_later);
+	tcase_add_test(tcase, odd_records_are_harmless);
+	tcase_add_test(tcase, last_part_of_a_prompt_is_never_suspected);
+	return sup_run_case("quarantine", tcase);
+}
