edge: mark a head that crashes as lost at once

Cause: a lost or refused connection counted as the failure of one request. The head was avoided for 0.4 s and then chosen again, although it refused connections, and its layers counted as held, so nobody loaded them.

The question to a head whose connections were lost now also goes out when it refuses connections, and a head that does not report is marked lost, as one is that stalls a path. Its streams move and the plan replaces its layers.

quarantine_wire_test failed before: the lost head got 3 requests instead of one.

--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -279,9 +279,9 @@
 bool edg_check_parts(struct edg_request *request);
 /* The current run had its first event. */
 void edg_parts_had_event(struct edg_request *request);
-/* The connection of the current send was lost: finds out whether its head
- * crashed. */
-void edg_suspect_parts(struct edg_request *request);
+/* The current send has ended. If its connection was lost or refused, finds out
+ * whether its head crashed. */
+void edg_question_head(struct edg_request *request, enum hup_result how);
 /* The request is no longer running. */
 void edg_end_probe(struct edg_request *request);
 /* Ends the requests with parts that were quarantined since the last call. */
--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -8,7 +8,9 @@
  * Runs that end with a lost connection before their first event are evidence
  * on the parts of their prompts if the head has crashed. A head that still
  * reports as the same process has not, and a connection that is lost then is
- * no evidence.
+ * no evidence. One that does not report is lost, and is marked so at once: its
+ * entry is listed for seconds, and paths and the plan would go on counting on
+ * its layers.
  */
 
 /* A request whose runs were cut this often before they had an event is not sent
@@ -16,10 +18,13 @@
 #define MAX_CUT_RUNS 2
 /* Interval at which verdicts are applied, also those learned from peers. */
 #define APPLY_INTERVAL_MS 50
+/* Minimum time between two questions to a head, unless prompt parts are
+ * suspected. */
+#define QUERY_INTERVAL_MS 1000
 /* When a request with a suspected part may return if it was not run. */
 #define SUSPECTED_RETRY_MS 1000
 
-/* A question to a head whose connections were lost. */
+/* A question to a head whose connections were lost or refused. */
 struct cut_inquiry {
 	struct edg_edge *edge;
 	struct flt_target *target;
@@ -154,6 +159,8 @@
 					   inquiry->target->id_hash);
 	guint i;
 
+	if (!inquiry->parts->len)
+		return;
 	ctr_add(edge->counters, "wf_edge_quarantine_crashes_total", 1);
 	edg_log(edge, "prompt parts", "unsuspected", "suspected",
 		"head=%s parts=%u", inquiry->target->id, inquiry->parts->len);
@@ -167,43 +174,59 @@
 static void on_report(void *user, const struct edg_report *report)
 {
 	struct cut_inquiry *inquiry = user;
+	struct edg_edge *edge = inquiry->edge;
 
-	g_hash_table_remove(inquiry->edge->cut_inquiries, inquiry->target);
+	g_hash_table_remove(edge->cut_inquiries, inquiry->target);
 	if (!report || (report->started_at && inquiry->started_at &&
 			report->started_at != inquiry->started_at))
 		record_crash(inquiry);
+	if (!report)
+		stl_mark_lost(edge, inquiry->target, "connections_lost");
 	flt_target_drop(inquiry->target);
 	g_array_unref(inquiry->parts);
 	g_free(inquiry);
 }
 
-void edg_suspect_parts(struct edg_request *request)
+static struct cut_inquiry *ask_head(const struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+	struct cut_inquiry *inquiry = g_new0(struct cut_inquiry, 1);
+
+	inquiry->edge = edge;
+	inquiry->target = flt_target_keep(request->target);
+	inquiry->started_at = request->sent_to_process;
+	inquiry->at = edg_now(edge);
+	inquiry->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	request->target->report_requested_at = inquiry->at;
+	g_hash_table_insert(edge->cut_inquiries, request->target, inquiry);
+	edge->platform->ops->ask_report(edge->platform, request->target,
+					on_report, inquiry);
+	return inquiry;
+}
+
+void edg_question_head(struct edg_request *request, enum hup_result how)
 {
 	struct edg_edge *edge = request->edge;
 	struct flt_target *target = request->target;
 	struct cut_inquiry *inquiry;
-
 	/* A head that leaves ends what it still runs. */
-	if (!request->n_parts || target->state == FLT_DRAINING ||
-	    request->splitter.progress != request->progress_before_send)
+	bool is_suspect =
+		how == HUP_CONN_LOST && request->n_parts &&
+		target->state != FLT_DRAINING &&
+		request->splitter.progress == request->progress_before_send;
+
+	if (!request->path || (how != HUP_CONN_LOST && how != HUP_NOT_SENT))
 		return;
-	request->cut_runs++;
 	inquiry = g_hash_table_lookup(edge->cut_inquiries, target);
-	if (inquiry) {
-		g_array_append_vals(inquiry->parts, request->parts,
-				    request->n_parts);
+	if (!inquiry && !is_suspect &&
+	    edg_now(edge) - target->report_requested_at < QUERY_INTERVAL_MS)
 		return;
-	}
-	inquiry = g_new0(struct cut_inquiry, 1);
-	inquiry->edge = edge;
-	inquiry->target = flt_target_keep(target);
-	inquiry->started_at = request->sent_to_process;
-	inquiry->at = edg_now(edge);
-	inquiry->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	if (!inquiry)
+		inquiry = ask_head(request);
+	if (!is_suspect)
+		return;
+	request->cut_runs++;
 	g_array_append_vals(inquiry->parts, request->parts, request->n_parts);
-	g_hash_table_insert(edge->cut_inquiries, target, inquiry);
-	edge->platform->ops->ask_report(edge->platform, target, on_report,
-					inquiry);
 }
 
 /* Ends a request that waits or has no event yet, if its parts are quarantined.
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -293,8 +293,7 @@
 		outcome = EDG_OUTCOME_UNKNOWN;
 	record_failure(request, outcome);
 	log_failed_send(request, outcome, how);
-	if (how == HUP_CONN_LOST)
-		edg_suspect_parts(request);
+	edg_question_head(request, how);
 	handle_failed_send(request, outcome);
 }
 
--- a/tests/platform/quarantine_wire_test.c
+++ b/tests/platform/quarantine_wire_test.c
@@ -155,6 +155,30 @@
 }
 END_TEST
 
+/* Guards against paths that count on a head until its entry is gone, seconds
+ * after it has crashed. */
+START_TEST(head_that_cuts_connections_and_does_not_report_is_lost)
+{
+	struct platform_world world;
+	struct worker *lost;
+	unsigned i;
+
+	open_heads(&world);
+	lost = world.workers->pdata[0];
+	lost->mode = WORKER_CUTS_STREAM;
+	lost->closes_on_report = true;
+	for (i = 0; i < 100 && !lost->requests; i++)
+		await_events(&world, send_stream(&world, ""));
+	ck_assert_uint_eq(lost->requests, 1);
+	/* Longer than a head is avoided after one failure. */
+	world_run(&world, 600);
+	for (i = 0; i < 100; i++)
+		await_events(&world, send_stream(&world, ""));
+	ck_assert_uint_eq(lost->requests, 1);
+	world_close(&world);
+}
+END_TEST
+
 /* Another instance has learned of the part before this one, which must not
  * send requests that wait or run without an event any further. */
 START_TEST(verdict_of_peers_ends_a_request_in_progress)
@@ -318,6 +342,8 @@
 	tcase_add_test(tcase, part_that_crashes_engines_reaches_few_of_them);
 	tcase_add_test(tcase, deadly_request_costs_two_engines_at_most);
 	tcase_add_test(tcase, cut_connections_without_a_crash_suspect_nothing);
+	tcase_add_test(tcase,
+		       head_that_cuts_connections_and_does_not_report_is_lost);
 	tcase_add_test(tcase, verdict_of_peers_ends_a_request_in_progress);
 	tcase_add_test(tcase, report_carries_evidence);
 	tcase_add_test(tcase, report_with_incomplete_evidence_is_dropped);
