quarantine: crashes explained by another part hold nothing back

A part whose crashes all belong to another one with more crashes, which the request does not hold, is no longer suspected nor told to peers, which leaves the reports to the part that does it. Crashes within 0.1 s, not 0.2 s, are one: a request that crashes two heads then counts twice and is reported at once.

--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -12,7 +12,7 @@
 
 /* Crashes within this time count as one: a rack that fails takes several
  * engines at once, which says nothing about a part. */
-#define SEPARATION_MS 200
+#define SEPARATION_MS 100
 /* From this many crashes on, one request at a time may run. */
 #define SUSPECT_CRASHES 2
 #define QUARANTINE_CRASHES 3
@@ -28,7 +28,7 @@
 /* Peers are told of an event that cleared a part for this time. */
 #define CLEARED_SHARED_MS (3 * CLK_SECOND)
 /* Parts with evidence; the least suspect one makes room for a new one. */
-#define MAX_PARTS 512
+#define MAX_PARTS 256
 /* When a request that is held back may return: about the time to the first
  * event of the probe. */
 #define HELD_RETRY_MS 500
@@ -45,6 +45,8 @@
 	/* In order of time. */
 	struct crash crashes[MAX_CRASHES];
 	unsigned n;
+	/* Those that count: crashes within SEPARATION_MS are one. */
+	unsigned count;
 	/* Last event of a run with it, 0 if none is known. */
 	clk_ms cleared_at;
 	/* The present probe ends by then; 0 if there is none. */
@@ -105,20 +107,18 @@
 	return part->n ? part->crashes[part->n - 1].at : 0;
 }
 
-/* Crashes that count: those within SEPARATION_MS are one. */
-static unsigned count_crashes(const struct part *part)
+static void count_crashes(struct part *part)
 {
 	clk_ms last = 0;
-	unsigned count = 0;
 	unsigned i;
 
+	part->count = 0;
 	for (i = 0; i < part->n; i++) {
-		if (count && part->crashes[i].at - last < SEPARATION_MS)
+		if (part->count && part->crashes[i].at - last < SEPARATION_MS)
 			continue;
 		last = part->crashes[i].at;
-		count++;
+		part->count++;
 	}
-	return count;
 }
 
 static void remove_crashes(struct part *part, unsigned n)
@@ -126,6 +126,7 @@
 	part->n -= n;
 	memmove(part->crashes, part->crashes + n,
 		part->n * sizeof(*part->crashes));
+	count_crashes(part);
 }
 
 static void clear(struct part *part, clk_ms at)
@@ -158,8 +159,8 @@
 /* Whether a is evicted before b. */
 static bool is_less_suspect(const struct part *a, const struct part *b)
 {
-	unsigned left = count_crashes(a);
-	unsigned right = count_crashes(b);
+	unsigned left = a->count;
+	unsigned right = b->count;
 
 	if (left != right)
 		return left < right;
@@ -214,7 +215,7 @@
 static clk_ms quarantine_end(const struct qtn_quarantine *quarantine,
 			     const struct part *part)
 {
-	unsigned doublings = count_crashes(part) - QUARANTINE_CRASHES;
+	unsigned doublings = part->count - QUARANTINE_CRASHES;
 	clk_ms length = QUARANTINE_MS << doublings;
 	uint64_t draw =
 		wf_hash(&part->key, sizeof(part->key), quarantine->salt) % 1024;
@@ -225,7 +226,7 @@
 
 static bool has_enough_crashes(const struct part *part)
 {
-	return count_crashes(part) >= QUARANTINE_CRASHES;
+	return part->count >= QUARANTINE_CRASHES;
 }
 
 static bool is_quarantined(const struct qtn_quarantine *quarantine,
@@ -256,6 +257,7 @@
 		part->crashes[i] = part->crashes[i - 1];
 	part->crashes[i] = (struct crash){crash, at};
 	part->n++;
+	count_crashes(part);
 	if (!was_quarantined)
 		part->is_reported = false;
 }
@@ -289,6 +291,17 @@
 	return true;
 }
 
+static bool contains(const uint64_t *parts, unsigned n, uint64_t key)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		if (parts[i] == key)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Whether one of a request's parts is quarantined for certain. A part whose
  * crashes may all be due to another one that this request does not hold is not:
@@ -305,19 +318,41 @@
 	g_hash_table_iter_init(&iter, quarantine->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct part *other = value;
-		unsigned i;
 
-		if (other == part || !has_enough_crashes(other) ||
-		    !may_be_due_to(part, other))
-			continue;
-		for (i = 0; i < n && parts[i] != other->key; i++)
-			;
-		if (i == n)
+		if (other != part && has_enough_crashes(other) &&
+		    !contains(parts, n, other->key) &&
+		    may_be_due_to(part, other))
 			return false;
 	}
 	return true;
 }
 
+/*
+ * Whether a part that a request does not hold has had more crashes, these among
+ * them. Each crash also cuts sound requests, and under many crashes their parts
+ * collect some before the next event.
+ */
+static bool is_explained(const struct qtn_quarantine *quarantine,
+			 const struct part *part, const uint64_t *parts,
+			 unsigned n)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!part->n)
+		return false;
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct part *other = value;
+
+		if (other->count > part->count &&
+		    !contains(parts, n, other->key) &&
+		    may_be_due_to(part, other))
+			return true;
+	}
+	return false;
+}
+
 clk_ms qtn_time_left(const struct qtn_quarantine *quarantine, clk_ms now,
 		     const uint64_t *parts, unsigned n)
 {
@@ -335,9 +370,12 @@
 	return left;
 }
 
-static bool is_probed_one_by_one(const struct part *part)
+static bool is_probed(const struct qtn_quarantine *quarantine,
+		      const struct part *part, const uint64_t *parts,
+		      unsigned n)
 {
-	return part && count_crashes(part) >= SUSPECT_CRASHES;
+	return part && part->count >= SUSPECT_CRASHES &&
+	       !is_explained(quarantine, part, parts, n);
 }
 
 enum qtn_verdict qtn_check(struct qtn_quarantine *quarantine, clk_ms now,
@@ -353,7 +391,7 @@
 	for (i = 0; i < n; i++) {
 		const struct part *part = find(quarantine, parts[i]);
 
-		if (!is_probed_one_by_one(part))
+		if (!is_probed(quarantine, part, parts, n))
 			continue;
 		if (now < part->probe_until) {
 			*retry_after = HELD_RETRY_MS;
@@ -364,7 +402,7 @@
 	for (i = 0; verdict == QTN_PROBE && i < n; i++) {
 		struct part *part = find(quarantine, parts[i]);
 
-		if (is_probed_one_by_one(part))
+		if (is_probed(quarantine, part, parts, n))
 			part->probe_until = now + MAX_PROBE_MS;
 	}
 	return verdict;
@@ -391,12 +429,21 @@
 	for (i = 0; i < n; i++) {
 		const struct part *part = find(quarantine, parts[i]);
 
-		if (part && part->n && now - last_crash(part) < EVIDENCE_MS)
+		if (part && part->n && now - last_crash(part) < EVIDENCE_MS &&
+		    !is_explained(quarantine, part, parts, n))
 			return true;
 	}
 	return false;
 }
 
+/* Whether the part is quarantined and not due to another one. */
+static bool is_verdict(const struct qtn_quarantine *quarantine,
+		       const struct part *part, clk_ms now)
+{
+	return is_quarantined(quarantine, part, now) &&
+	       !is_explained(quarantine, part, NULL, 0);
+}
+
 unsigned qtn_count(const struct qtn_quarantine *quarantine, clk_ms now)
 {
 	GHashTableIter iter;
@@ -405,7 +452,7 @@
 
 	g_hash_table_iter_init(&iter, quarantine->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += is_quarantined(quarantine, value, now);
+		count += is_verdict(quarantine, value, now);
 	return count;
 }
 
@@ -419,24 +466,27 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct part *part = value;
 
-		if (part->is_reported || !is_quarantined(quarantine, part, now))
+		if (part->is_reported || !is_verdict(quarantine, part, now))
 			continue;
 		part->is_reported = true;
 		change->part = part->key;
-		change->crashes = count_crashes(part);
+		change->crashes = part->count;
 		change->retry_after = quarantine_end(quarantine, part) - now;
 		return true;
 	}
 	return false;
 }
 
-/* Most crashes first. */
+/* Most crashes first. Crashes that are counted as one, of one request at two
+ * engines, say more than a single one. */
 static int compare_parts(gconstpointer a, gconstpointer b)
 {
 	const struct part *left = *(struct part *const *)a;
 	const struct part *right = *(struct part *const *)b;
 
-	return (int)count_crashes(right) - (int)count_crashes(left);
+	int order = (int)right->count - (int)left->count;
+
+	return order ? order : (int)right->n - (int)left->n;
 }
 
 static unsigned write_records(const struct part *part, clk_ms now,
@@ -473,11 +523,13 @@
 	expire(quarantine, now);
 	parts = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, quarantine->parts);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_ptr_array_add(parts, value);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!is_explained(quarantine, value, NULL, 0))
+			g_ptr_array_add(parts, value);
+	}
 	g_ptr_array_sort(parts, compare_parts);
 	while (suspects < parts->len &&
-	       count_crashes(parts->pdata[suspects]) >= SUSPECT_CRASHES)
+	       ((struct part *)parts->pdata[suspects])->n >= SUSPECT_CRASHES)
 		suspects++;
 	for (i = 0; i < parts->len && n < QTN_MAX_RECORDS; i++) {
 		guint first = i < suspects ? 0 : suspects;
