quarantine: crashes after the head of an answer weigh more

The log shows what tells the part apart earlier: the head of the answer had arrived at each run with it, while most sound requests that a crash cuts without an event had no answer at all yet.

Such a crash weighs 3 instead of 2, and 6 are enough. So after one of them only one request at a time may hold the part, and the second one condemns it; crashes without an answer still need three. The bit travels with the id of the crash.

--- a/include/wagtailferry/quarantine.h
+++ b/include/wagtailferry/quarantine.h
@@ -32,8 +32,8 @@
 /* A piece of evidence on a part, as exchanged with peers. */
 struct qtn_record {
 	uint64_t part;
-	/* Identifies the process that crashed; 0 if the record states that a
-	 * run with the part had an event. */
+	/* Identifies the process that crashed, see qtn_crash_id(); 0 if the
+	 * record states that a run with the part had an event. */
 	uint32_t crash;
 	/* Time since then. */
 	clk_ms age;
@@ -59,6 +59,13 @@
  */
 unsigned qtn_parse_parts(const char *list, const char *service, uint64_t *keys);
 
+/*
+ * The id of a crash from a hash of the process. With has_answer, the head of
+ * the answer had arrived, but no event: the engine had begun to write, which
+ * few sound requests meet by chance.
+ */
+uint32_t qtn_crash_id(uint32_t process, bool has_answer);
+
 /* The process crash ended at the time at, while it ran a request with the part
  * that had no event yet. */
 void qtn_record_crash(struct qtn_quarantine *quarantine, clk_ms at,
--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -31,8 +31,10 @@
 	/* The process to which the requests were sent. */
 	int64_t started_at;
 	clk_ms at;
-	/* Keys of the parts of the requests that were cut. */
+	/* Keys of the parts of the requests that were cut, and of those among
+	 * them to which the head of an answer had come. */
 	GArray *parts;
+	GArray *answered_parts;
 };
 
 static void on_apply(uv_timer_t *timer)
@@ -151,23 +153,33 @@
 	request->is_probe = false;
 }
 
+static void record_parts(struct edg_edge *edge, clk_ms at, const GArray *parts,
+			 uint32_t crash)
+{
+	guint i;
+
+	for (i = 0; i < parts->len; i++)
+		qtn_record_crash(edge->quarantine, at,
+				 g_array_index(parts, uint64_t, i), crash);
+}
+
 static void record_crash(const struct cut_inquiry *inquiry)
 {
 	struct edg_edge *edge = inquiry->edge;
-	uint32_t crash = (uint32_t)wf_hash(&inquiry->started_at,
-					   sizeof(inquiry->started_at),
-					   inquiry->target->id_hash);
-	guint i;
+	uint32_t process = (uint32_t)wf_hash(&inquiry->started_at,
+					     sizeof(inquiry->started_at),
+					     inquiry->target->id_hash);
 
-	if (!inquiry->parts->len)
+	if (!inquiry->parts->len && !inquiry->answered_parts->len)
 		return;
 	ctr_add(edge->counters, "wf_edge_quarantine_crashes_total", 1);
 	edg_log(edge, "prompt parts", "unsuspected", "suspected",
-		"head=%s parts=%u", inquiry->target->id, inquiry->parts->len);
-	for (i = 0; i < inquiry->parts->len; i++)
-		qtn_record_crash(edge->quarantine, inquiry->at,
-				 g_array_index(inquiry->parts, uint64_t, i),
-				 crash);
+		"head=%s parts=%u answered_parts=%u", inquiry->target->id,
+		inquiry->parts->len, inquiry->answered_parts->len);
+	record_parts(edge, inquiry->at, inquiry->parts,
+		     qtn_crash_id(process, false));
+	record_parts(edge, inquiry->at, inquiry->answered_parts,
+		     qtn_crash_id(process, true));
 	edg_apply_quarantine(edge);
 }
 
@@ -184,6 +196,7 @@
 		stl_mark_lost(edge, inquiry->target, "connections_lost");
 	flt_target_drop(inquiry->target);
 	g_array_unref(inquiry->parts);
+	g_array_unref(inquiry->answered_parts);
 	g_free(inquiry);
 }
 
@@ -197,6 +210,7 @@
 	inquiry->started_at = request->sent_to_process;
 	inquiry->at = edg_now(edge);
 	inquiry->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	inquiry->answered_parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	request->target->report_requested_at = inquiry->at;
 	g_hash_table_insert(edge->cut_inquiries, request->target, inquiry);
 	edge->platform->ops->ask_report(edge->platform, request->target,
@@ -226,7 +240,9 @@
 	if (!is_suspect)
 		return;
 	request->cut_runs++;
-	g_array_append_vals(inquiry->parts, request->parts, request->n_parts);
+	g_array_append_vals(request->status == 200 ? inquiry->answered_parts
+						   : inquiry->parts,
+			    request->parts, request->n_parts);
 }
 
 /* Ends a request that waits or has no event yet, if its parts are quarantined.
--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -13,14 +13,22 @@
 /* Crashes within this time count as one: a rack that fails takes several
  * engines at once, which says nothing about a part. */
 #define SEPARATION_MS 100
-/* From this many crashes on, one request at a time may run. */
-#define SUSPECT_CRASHES 2
-#define QUARANTINE_CRASHES 3
+/* Weight of a crash, without and with the head of an answer. */
+#define CRASH_WEIGHT 2
+#define ANSWER_CRASH_WEIGHT 3
+/* From this weight on, one request at a time may run: two crashes, or one
+ * after the head of an answer. */
+#define SUSPECT_WEIGHT 3
+/* Three crashes, or two after the heads of answers. */
+#define QUARANTINE_WEIGHT 6
 /* Time from the last crash of a quarantined part to the next probe, doubled
- * with each crash beyond QUARANTINE_CRASHES. */
+ * with the weight of each crash beyond QUARANTINE_WEIGHT. */
 #define QUARANTINE_MS (60 * CLK_SECOND)
+#define MAX_DOUBLINGS 3
 /* Fraction of that time over which the instances spread their probes. */
 #define PROBE_SPREAD 0.5
+/* Bit of a crash's id that is set if the head of an answer had arrived. */
+#define ANSWER_BIT 1u
 /* Crashes kept for a part, the latest. */
 #define MAX_CRASHES 6
 /* Longer than the longest quarantine with its spread, which is 12 minutes. */
@@ -47,6 +55,7 @@
 	unsigned n;
 	/* Those that count: crashes within SEPARATION_MS are one. */
 	unsigned count;
+	unsigned weight;
 	/* Last event of a run with it, 0 if none is known. */
 	clk_ms cleared_at;
 	/* The present probe ends by then; 0 if there is none. */
@@ -110,14 +119,27 @@
 static void count_crashes(struct part *part)
 {
 	clk_ms last = 0;
+	unsigned weight = 0;
 	unsigned i;
 
 	part->count = 0;
+	part->weight = 0;
 	for (i = 0; i < part->n; i++) {
-		if (part->count && part->crashes[i].at - last < SEPARATION_MS)
+		const struct crash *crash = &part->crashes[i];
+		unsigned own = crash->id & ANSWER_BIT ? ANSWER_CRASH_WEIGHT
+						      : CRASH_WEIGHT;
+
+		if (part->count && crash->at - last < SEPARATION_MS) {
+			/* The heaviest of them counts. */
+			if (own > weight)
+				part->weight += own - weight;
+			weight = MAX(weight, own);
 			continue;
-		last = part->crashes[i].at;
+		}
+		last = crash->at;
+		weight = own;
 		part->count++;
+		part->weight += own;
 	}
 }
 
@@ -159,8 +181,8 @@
 /* Whether a is evicted before b. */
 static bool is_less_suspect(const struct part *a, const struct part *b)
 {
-	unsigned left = a->count;
-	unsigned right = b->count;
+	unsigned left = a->weight;
+	unsigned right = b->weight;
 
 	if (left != right)
 		return left < right;
@@ -200,23 +222,29 @@
 	return part;
 }
 
-static bool has_crash(const struct part *part, uint32_t id)
+uint32_t qtn_crash_id(uint32_t process, bool has_answer)
+{
+	/* 0 stands for an event in records. */
+	return MAX(process & ~ANSWER_BIT, 2) | (has_answer ? ANSWER_BIT : 0);
+}
+
+static struct crash *find_crash(struct part *part, uint32_t id)
 {
 	unsigned i;
 
 	for (i = 0; i < part->n; i++) {
-		if (part->crashes[i].id == id)
-			return true;
+		if ((part->crashes[i].id | ANSWER_BIT) == (id | ANSWER_BIT))
+			return &part->crashes[i];
 	}
-	return false;
+	return NULL;
 }
 
 /* Time until which a part with enough crashes is quarantined. */
 static clk_ms quarantine_end(const struct qtn_quarantine *quarantine,
 			     const struct part *part)
 {
-	unsigned doublings = part->count - QUARANTINE_CRASHES;
-	clk_ms length = QUARANTINE_MS << doublings;
+	unsigned doublings = (part->weight - QUARANTINE_WEIGHT) / CRASH_WEIGHT;
+	clk_ms length = QUARANTINE_MS << MIN(doublings, MAX_DOUBLINGS);
 	uint64_t draw =
 		wf_hash(&part->key, sizeof(part->key), quarantine->salt) % 1024;
 
@@ -226,7 +254,7 @@
 
 static bool has_enough_crashes(const struct part *part)
 {
-	return part->count >= QUARANTINE_CRASHES;
+	return part->weight >= QUARANTINE_WEIGHT;
 }
 
 static bool is_quarantined(const struct qtn_quarantine *quarantine,
@@ -240,13 +268,18 @@
 		      uint64_t key, uint32_t crash)
 {
 	struct part *part = get(quarantine, at, key);
+	struct crash *known;
 	bool was_quarantined;
 	unsigned i;
 
-	/* 0 stands for an event in records. */
-	crash = MAX(crash, 1);
-	if (part->cleared_at >= at || has_crash(part, crash))
+	if (part->cleared_at >= at)
 		return;
+	known = find_crash(part, crash);
+	if (known) {
+		known->id |= crash & ANSWER_BIT;
+		count_crashes(part);
+		return;
+	}
 	was_quarantined = is_quarantined(quarantine, part, at);
 	if (part->n == MAX_CRASHES) {
 		if (at <= part->crashes[0].at)
@@ -277,7 +310,7 @@
 
 /* Whether all crashes of the part may be due to the other one, which may have
  * had earlier ones than it keeps. */
-static bool may_be_due_to(const struct part *part, const struct part *other)
+static bool may_be_due_to(const struct part *part, struct part *other)
 {
 	unsigned i;
 
@@ -285,7 +318,7 @@
 		bool is_kept = other->n < MAX_CRASHES ||
 			       part->crashes[i].at >= other->crashes[0].at;
 
-		if (is_kept && !has_crash(other, part->crashes[i].id))
+		if (is_kept && !find_crash(other, part->crashes[i].id))
 			return false;
 	}
 	return true;
@@ -317,7 +350,7 @@
 
 	g_hash_table_iter_init(&iter, quarantine->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct part *other = value;
+		struct part *other = value;
 
 		if (other != part && has_enough_crashes(other) &&
 		    !contains(parts, n, other->key) &&
@@ -343,9 +376,9 @@
 		return false;
 	g_hash_table_iter_init(&iter, quarantine->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct part *other = value;
+		struct part *other = value;
 
-		if (other->count > part->count &&
+		if (other->weight > part->weight &&
 		    !contains(parts, n, other->key) &&
 		    may_be_due_to(part, other))
 			return true;
@@ -374,7 +407,7 @@
 		      const struct part *part, const uint64_t *parts,
 		      unsigned n)
 {
-	return part && part->count >= SUSPECT_CRASHES &&
+	return part && part->weight >= SUSPECT_WEIGHT &&
 	       !is_explained(quarantine, part, parts, n);
 }
 
@@ -484,7 +517,7 @@
 	const struct part *left = *(struct part *const *)a;
 	const struct part *right = *(struct part *const *)b;
 
-	int order = (int)right->count - (int)left->count;
+	int order = (int)right->weight - (int)left->weight;
 
 	return order ? order : (int)right->n - (int)left->n;
 }
@@ -529,7 +562,9 @@
 	}
 	g_ptr_array_sort(parts, compare_parts);
 	while (suspects < parts->len &&
-	       ((struct part *)parts->pdata[suspects])->n >= SUSPECT_CRASHES)
+	       (((struct part *)parts->pdata[suspects])->n > 1 ||
+		((struct part *)parts->pdata[suspects])->weight >=
+			SUSPECT_WEIGHT))
 		suspects++;
 	for (i = 0; i < parts->len && n < QTN_MAX_RECORDS; i++) {
 		guint first = i < suspects ? 0 : suspects;
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -183,8 +183,9 @@
   uint32_t instances;
   /*
    * Recent evidence on parts of prompts that may crash engines: the part, the
-   * process that crashed (0 if the part is sound: a run with it had an event),
-   * and the time since then.
+   * process that crashed, its lowest bit set if the head of an answer had come
+   * (0 if the part is sound: a run with it had an event), and the time since
+   * then.
    */
   size_t n_suspect_part;
   uint64_t *suspect_part;
