Merge branch 'poison': quarantine of prompt parts that crash engines

A request with a suspected part is not sent to a second head while the first is silent, and a takeover that is cut counts as evidence like any other run.

--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -11,6 +11,7 @@
 #include <uv.h>
 
 #include <wagtailferry/fleet.h>
+#include <wagtailferry/quarantine.h>
 #include <wagtailferry/schema.h>
 
 #include "edge/hup_client.h"
@@ -39,6 +40,9 @@
 	const char *token_counts;
 	/* Expected number of answer tokens. */
 	const char *length_hint;
+	/* Parts of the prompt in order, "ID:TOKENS,..."; the last one belongs
+	 * to the request or its session, the others are shared. */
+	const char *prompt_parts;
 	/* Id of the last event that the caller of a stream received. */
 	const char *last_event_id;
 	/* Set by a target to prove that it produced the answer itself. */
@@ -213,6 +217,9 @@
 void edg_note_answer(struct edg_edge *edge, const char *target_id,
 		     int64_t started_at, const struct hup_response *response);
 
+/* Evidence on prompt parts that may crash engines. */
+struct qtn_quarantine *edg_quarantine(struct edg_edge *edge);
+
 /* To be called when the fleet is first complete and on each change. */
 void edg_fleet_changed(struct edg_edge *edge);
 
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -169,11 +169,18 @@
 	return hup_send(edge->client, &send, ops, user);
 }
 
+void edg_start_run(struct edg_request *request)
+{
+	request->events_before_send = request->splitter.events;
+	request->progress_before_send = request->splitter.progress;
+}
+
 void edg_send(struct edg_request *request, const struct hup_ops *ops)
 {
 	reset_answer(request);
 	request->sent_at = edg_now(request->edge);
 	request->sent_to_start = request->target->latest_start;
+	edg_start_run(request);
 	if (!request->path)
 		request->target->in_flight++;
 	request->exchange = edg_open_send(request, request->target,
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_EDG_PRIVATE_H
 #define EDGE_EDG_PRIVATE_H
 
+#include <wagtailferry/quarantine.h>
 #include <wagtailferry/sched.h>
 
 #include "daemon/drv_clock.h"
@@ -71,6 +72,13 @@
 	uv_timer_t drain_timer;
 	clk_ms drain_started_at;
 
+	/* Prompt parts that may crash engines. */
+	struct qtn_quarantine *quarantine;
+	/* Target to the pending struct cut_inquiry. */
+	GHashTable *cut_inquiries;
+	/* Ends the requests with a part that was quarantined. */
+	uv_timer_t quarantine_timer;
+
 	struct lgb_budget log_budget;
 };
 
@@ -128,6 +136,16 @@
 	double prompt_tokens;
 	double answer_tokens;
 	struct evs_splitter splitter;
+	/* Events, and those that are progress, before the current send. */
+	unsigned events_before_send;
+	unsigned progress_before_send;
+	/* Keys of its prompt parts. */
+	uint64_t *parts;
+	unsigned n_parts;
+	/* The only request with a suspected part. */
+	bool is_probe;
+	/* Runs that were cut before they had an event. */
+	unsigned cut_runs;
 	/* The response head was sent to the caller. */
 	bool is_answer_started;
 	/* Content type of that response, or NULL, and whether the answer to the
@@ -222,6 +240,8 @@
 				   struct flt_target *target,
 				   const struct pth_path *path,
 				   const struct hup_ops *ops, void *user);
+/* Counts the events from here on as those of the current send. */
+void edg_start_run(struct edg_request *request);
 /* Whether the response declares that its request was not run. */
 bool edg_declares_not_run(const struct edg_edge *edge,
 			  const struct hup_response *response);
@@ -292,6 +312,29 @@
 /* Sends waiting streams, in order, while there is capacity. */
 void edg_serve_waiting(struct edg_edge *edge);
 
+/* edg_quarantine.c */
+void edg_open_quarantine(struct edg_edge *edge);
+void edg_close_quarantine(struct edg_edge *edge);
+void edg_read_parts(struct edg_request *request);
+/* Whether the request may be sent in view of its prompt parts; ends it if
+ * not. */
+bool edg_check_parts(struct edg_request *request);
+/* The current run had its first event. */
+void edg_parts_had_event(struct edg_request *request);
+/* The current send has ended. If its connection was lost or refused, finds out
+ * whether its head crashed. */
+void edg_question_head(struct edg_request *request, enum hup_result how);
+/* The same for a takeover without an answer, sent to a process of the target
+ * that started at started_at. */
+void edg_question_target(struct edg_request *request, struct flt_target *target,
+			 int64_t started_at, enum hup_result how);
+/* Whether engines may have crashed on a part of the request's prompt. */
+bool edg_has_suspected_part(const struct edg_request *request);
+/* The request is no longer running. */
+void edg_end_probe(struct edg_request *request);
+/* Ends the requests with parts that were quarantined since the last call. */
+void edg_apply_quarantine(struct edg_edge *edge);
+
 /* edg_reroute.c */
 /* Moves a request whose path has lost an engine to another path: its head
  * changes the path, or another head continues after the last event. */
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -43,6 +43,7 @@
 	edg_stop_waiting(request);
 	tko_drop(request, "request_ended");
 	edg_release_send(request);
+	edg_end_probe(request);
 	g_hash_table_remove(request->edge->requests, request);
 	g_ptr_array_unref(request->tried_targets);
 	g_array_unref(request->runs);
@@ -52,6 +53,7 @@
 	evs_clear(&request->splitter);
 	g_free(request->failed_address);
 	g_free(request->stream_type);
+	g_free(request->parts);
 	g_free(request->id);
 	cat_drop(request->catalog);
 	uv_close((uv_handle_t *)&request->timer, on_handle_closed);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -10,6 +10,8 @@
 /* Sends allowed beyond the route's limit, which counts engines: after the loss
  * of a head, or to a head that ran the request before. */
 #define MAX_EXTRA_SENDS 3
+/* Characters of the list of prompt parts in a log line. */
+#define MAX_LOGGED_PARTS_CHARS 120
 
 /* A refusal within 1/3 of the engines' stall timeout means a full engine. */
 #define FULL_REFUSAL_DIVISOR 3
@@ -126,6 +128,7 @@
 	if (request->splitter.progress > progress) {
 		if (request->takeover)
 			keep_run(request);
+		edg_parts_had_event(request);
 		record_event(request);
 		watch_silence(request);
 	}
@@ -311,6 +314,22 @@
 		     request->sends);
 }
 
+static void log_failed_send(struct edg_request *request,
+			    enum edg_outcome outcome, enum hup_result how)
+{
+	const char *parts = hdr_get(&request->http->headers,
+				    request->edge->fields->prompt_parts);
+
+	edg_log_send(request, edg_outcome_name(outcome),
+		     "head=%s status=%d end=%d at=%s after_event=%s send=%u "
+		     "run_events=%u parts=%.*s",
+		     request->target->id, request->status, (int)how,
+		     request->failed_address ? request->failed_address : "-",
+		     request->splitter.last_id->str, request->sends,
+		     request->splitter.events - request->events_before_send,
+		     MAX_LOGGED_PARTS_CHARS, parts ? parts : "-");
+}
+
 static void on_end(void *user, enum hup_result how)
 {
 	struct edg_request *request = user;
@@ -338,11 +357,8 @@
 	if (outcome == EDG_OUTCOME_ANSWERED)
 		outcome = EDG_OUTCOME_UNKNOWN;
 	record_failure(request, outcome);
-	edg_log_send(request, edg_outcome_name(outcome),
-		     "head=%s status=%d end=%d at=%s after_event=%s send=%u",
-		     request->target->id, request->status, (int)how,
-		     request->failed_address ? request->failed_address : "-",
-		     request->splitter.last_id->str, request->sends);
+	log_failed_send(request, outcome, how);
+	edg_question_head(request, how);
 	if (tko_promote(request))
 		watch_silence(request);
 	else
@@ -432,6 +448,8 @@
 	bool found;
 
 	evs_discard_partial(&request->splitter);
+	if (!edg_check_parts(request))
+		return;
 	found = request->service->engine ? find_path(request, keeps_head)
 					 : find_target(request);
 	if (found)
@@ -462,5 +480,6 @@
 		    request->edge->fields->last_event_id))
 		request->splitter.awaits_event = false;
 	parse_token_counts(request);
+	edg_read_parts(request);
 	send_next(request, false);
 }
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -52,6 +52,7 @@
 	request->exchange = takeover->exchange;
 	request->sent_at = takeover->sent_at;
 	request->sent_to_start = takeover->sent_to_start;
+	edg_start_run(request);
 	edg_bind_stream(request);
 	g_free(takeover);
 }
@@ -123,6 +124,8 @@
 	else
 		edg_record_run(request, takeover->target);
 	flt_record_failure(takeover->target, edg_now(request->edge));
+	edg_question_target(request, takeover->target, takeover->sent_to_start,
+			    how);
 	takeover_free(takeover);
 }
 
@@ -143,9 +146,13 @@
 bool tko_start(struct edg_request *request)
 {
 	struct edg_edge *edge = request->edge;
-	struct pth_path *path = find_other_path(request);
 	struct tko_takeover *takeover;
+	struct pth_path *path;
 
+	/* One head at a time is enough for a prompt that may crash it. */
+	if (edg_has_suspected_part(request))
+		return false;
+	path = find_other_path(request);
 	if (!path)
 		return false;
 	if (!edg_may_run_elsewhere(request)) {
