stand-in: export the route and two header names

The soak builds configurations with routes that come and go, and its workers and callers use two more fields. The platform's names may only stand in platform/ and tests/platform/, so both come from the stand-in. No change of behaviour: the route function is only renamed.

--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -444,8 +444,8 @@
 
 /* Configuration */
 
-static json_t *route(const char *prefix, const char *type, const char *service,
-		     int attempts, bool is_public)
+json_t *world_route(const char *prefix, const char *type, const char *service,
+		    int attempts, bool is_public)
 {
 	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:b,s:b}", "name",
 			 prefix, "host", "h", "path-prefix", prefix, "type",
@@ -465,17 +465,18 @@
 		"usual", "prompt", 100, "answer", 100, "kinds", "name", "large",
 		"size-mb", 6000.0, "pace", 1.0, "read-factor", 1.0);
 
-	return json_pack("{s:i,s:[o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
-			 "s:[{s:s,s:[s,s]}]}",
-			 "version", version, "routes",
-			 route("/read/", "idempotent", "plain", 2, false),
-			 route("/once/", "non_idempotent", "plain", 2, false),
-			 route("/open/", "idempotent", "plain", 2, true),
-			 route("/stream/", "streaming", "model", 2, false),
-			 route("/lines/", "streaming", "plain", 2, false),
-			 "services", "name", "plain", "max-conns", 100, "name",
-			 "model", "max-conns", 100, "engine", engine, "tenants",
-			 "name", "org", "api-keys", "key1", "key2");
+	return json_pack(
+		"{s:i,s:[o,o,o,o,o],s:[{s:s,s:i},{s:s,s:i,s:o}],"
+		"s:[{s:s,s:[s,s]}]}",
+		"version", version, "routes",
+		world_route("/read/", "idempotent", "plain", 2, false),
+		world_route("/once/", "non_idempotent", "plain", 2, false),
+		world_route("/open/", "idempotent", "plain", 2, true),
+		world_route("/stream/", "streaming", "model", 2, false),
+		world_route("/lines/", "streaming", "plain", 2, false),
+		"services", "name", "plain", "max-conns", 100, "name", "model",
+		"max-conns", 100, "engine", engine, "tenants", "name", "org",
+		"api-keys", "key1", "key2");
 }
 
 json_t *world_config_with_keys(int version, json_t *keys)
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -12,6 +12,10 @@
 #include "platform/ptf.h"
 #include "support/wire/wire.h"
 
+/* Fields that workers and callers use. */
+#define WORLD_PROMPT_PARTS "X-Wagtailferry-Prompt-Prefix"
+#define WORLD_LEAVING "Server-Leaving"
+
 /* How a worker answers the next requests. */
 enum worker_mode {
 	WORKER_ANSWERS,
@@ -113,6 +117,9 @@
 void world_delete(struct platform_world *world, const char *kind,
 		  const char *name);
 
+/* A route for host "h". */
+json_t *world_route(const char *prefix, const char *type, const char *service,
+		    int attempts, bool is_public);
 /* A configuration with a route of each type for host "h". */
 json_t *world_config(int version);
 /* The same with other keys for its organisation; takes ownership of them. */
