soak: add silent workers, series of changes, idle connections

The users' reports name losses beside changes of the configuration and with workers that fall silent and go on. The soak had neither, and no check that a request that was read is answered, so it passed on the code that they ran.

New disruptions: silence of 0.7 to 1.5 s of one or several workers at any place of a path; series of changes (routes, shares, timeouts, idle timeouts, keys, 400 more routes); answers and streams that end with their connection; copies of earlier refusals; errors as answers to resumed streams. Callers keep connections and use them until the process is gone; some rely on four fifths of the idle timeout that they know. The seed modulo 3 selects all faults, those of workers, or planned work. New checks: LOST, CONFIG for routes, shares and timeouts, ROUTE, and the prompt of streams.

--- a/tests/soak/edge.c
+++ b/tests/soak/edge.c
@@ -57,9 +57,10 @@
 		"\"caller_address\":\"%s\",\"ready_address\":\"%s\","
 		"\"peer_address\":\"%s\",\"store_address\":\"%s\","
 		"\"key_removal_ms\":5000,\"drain_limit_ms\":8000,"
-		"\"retry_slack\":2000}",
+		"\"retry_slack\":%d}",
 		edge->name, edge->address, edge->ready_address,
-		edge->peer_address, proxy_address(edge->store));
+		edge->peer_address, proxy_address(edge->store),
+		edge->soak->retry_slack);
 
 	if (!g_file_set_contents(edge->settings_file, text, -1, NULL))
 		g_error("can't write %s", edge->settings_file);
@@ -109,6 +110,8 @@
 	edge->is_stopped = false;
 	edge->started_at = soak_now(edge->soak);
 	edge->faulty_until = edge->started_at;
+	edge->disrupted_until = edge->started_at;
+	soak_forget_notices(edge);
 	if (uv_spawn(&edge->soak->world.wire.loop, &edge->process, &options))
 		g_error("can't start %s", edge->soak->program);
 	edge->is_running = true;
@@ -128,6 +131,12 @@
 		edge->is_stopped = true;
 	if (signal == SIGCONT)
 		edge->is_stopped = false;
+	if (signal == SIGKILL || signal == SIGSTOP)
+		edge->disrupted_until = CLK_NEVER;
+	if (signal == SIGCONT) {
+		edge->disrupted_until = soak_now(edge->soak);
+		soak_forget_notices(edge);
+	}
 	uv_process_kill(&edge->process, signal);
 }
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,6 +12,15 @@
 #define ENTRY_EXPIRY_MS 3600
 #define KILL_DELAY_MS 8000
 
+/* Silence of a sound worker. */
+#define MIN_SILENCE_MS 700
+#define MAX_SILENCE_MS 1500
+#define MIN_LEAVING_MS 3000
+#define MAX_LEAVING_MS 6000
+#define MAX_FULL_MS 3000
+/* Beyond what JSON parsers accept. */
+#define ODD_DEPTH 3000
+
 enum fault {
 	FAULT_EDGE_KILL,
 	FAULT_EDGE_TERM,
@@ -24,11 +33,21 @@
 	FAULT_WORKER_CRASH,
 	FAULT_WORKER_LINK,
 	FAULT_WORKER_DRAIN,
+	FAULT_WORKER_SILENT,
+	FAULT_WORKER_LEAVING,
+	FAULT_WORKER_FULL,
+	FAULT_ODD_ENTRY,
 	FAULT_CONFIG,
-	FAULT_KEY_REMOVED,
 	N_FAULTS,
 };
 
+/* How often a profile has each fault, relative to the others. */
+static const unsigned shares[SOAK_PROFILES][N_FAULTS] = {
+	[SOAK_ALL_FAULTS] = {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 3, 2, 2, 2, 3},
+	[SOAK_WORKER_FAULTS] = {0, 1, 0, 1, 0, 0, 0, 0, 1, 1, 1, 4, 2, 2, 2, 3},
+	[SOAK_PLANNED_WORK] = {0, 1, 0, 1, 0, 0, 0, 0, 0, 0, 1, 5, 2, 2, 2, 4},
+};
+
 /* A fault in effect; its timer ends it. */
 struct active_fault {
 	uv_timer_t timer;
@@ -49,9 +68,13 @@
 	if (active->fault == FAULT_WORKER_LINK) {
 		proxy_set_mode(worker->proxy, PROXY_PASS);
 		worker->is_dead = false;
+		worker->disrupted_until = soak_now(active->soak);
+		worker->unplanned_until = worker->disrupted_until;
 		return;
 	}
-	if (active->fault == FAULT_WORKER_DRAIN)
+	if (active->fault == FAULT_WORKER_CRASH)
+		worker->unplanned_until = soak_now(active->soak);
+	else
 		soak_worker_crash(worker);
 	proxy_set_mode(worker->proxy, PROXY_PASS);
 	soak_worker_restart(worker);
@@ -95,6 +118,10 @@
 		((struct soak_edge *)active->subject)->faulty_until =
 			soak_now(soak);
 		break;
+	case FAULT_ODD_ENTRY:
+		world_delete(&soak->world, "servers", active->subject);
+		g_free(active->subject);
+		break;
 	default:
 		end_worker_fault(active);
 	}
@@ -140,7 +167,9 @@
 	struct soak_worker *worker = soak->workers->pdata[g_rand_int_range(
 		soak->rand, 0, (gint32)soak->workers->len)];
 
-	return worker->is_dead || worker->is_draining ? NULL : worker;
+	return worker->is_dead || worker->is_draining || worker->says_leaving
+		       ? NULL
+		       : worker;
 }
 
 static void inject_edge_fault(struct soak *soak, enum fault fault)
@@ -169,6 +198,8 @@
 		if (!edge)
 			return;
 		edge->faulty_until = soak_now(soak) + duration;
+		edge->disrupted_until = edge->faulty_until;
+		soak_forget_notices(edge);
 		proxy_set_mode(edge->store, draw_mode(soak));
 		end_fault_after(soak, fault, edge, duration);
 		return;
@@ -180,37 +211,130 @@
 	end_fault_after(soak, fault, NULL, duration);
 }
 
+void soak_crash_worker_for(struct soak_worker *worker, clk_ms delay)
+{
+	soak_worker_crash(worker);
+	worker->unplanned_until = CLK_NEVER;
+	end_fault_after(worker->soak, FAULT_WORKER_CRASH, worker, delay);
+}
+
+static void disrupt_link(struct soak_worker *worker)
+{
+	struct soak *soak = worker->soak;
+
+	proxy_set_mode(worker->proxy, draw_mode(soak));
+	worker->disrupted_until = CLK_NEVER;
+	worker->unplanned_until = CLK_NEVER;
+	/* Other engines, which bypass the proxy, can't reach it either. */
+	worker->is_dead = worker->is_engine;
+	end_fault_after(soak, FAULT_WORKER_LINK, worker, draw_duration(soak));
+}
+
+static void drain_worker(struct soak_worker *worker)
+{
+	struct soak *soak = worker->soak;
+
+	worker->is_draining = true;
+	worker->draining_since = soak_now(soak);
+	soak_worker_publish(worker);
+	end_fault_after(soak, FAULT_WORKER_DRAIN, worker, ENTRY_EXPIRY_MS);
+}
+
+/* Silences the worker, and at times others beside it. */
+static void silence_workers(struct soak_worker *worker)
+{
+	struct soak *soak = worker->soak;
+	int others = soak_chance(soak, 0.3)
+			     ? g_rand_int_range(soak->rand, 1,
+						(gint32)soak->workers->len)
+			     : 0;
+
+	for (;;) {
+		if (worker && !soak_is_silent(worker))
+			soak_worker_silence(
+				worker,
+				g_rand_int_range(soak->rand, MIN_SILENCE_MS,
+						 MAX_SILENCE_MS + 1));
+		if (!others--)
+			return;
+		worker = draw_worker(soak);
+	}
+}
+
 static void inject_worker_fault(struct soak *soak, enum fault fault)
 {
 	struct soak_worker *worker = draw_worker(soak);
 
 	if (!worker)
 		return;
-	if (fault == FAULT_WORKER_DRAIN) {
-		worker->is_draining = true;
-		worker->draining_since = soak_now(soak);
-		soak_worker_publish(worker);
-		end_fault_after(soak, fault, worker, ENTRY_EXPIRY_MS);
-		return;
+	switch (fault) {
+	case FAULT_WORKER_DRAIN:
+		drain_worker(worker);
+		break;
+	case FAULT_WORKER_CRASH:
+		soak_crash_worker_for(worker, ENTRY_EXPIRY_MS);
+		break;
+	case FAULT_WORKER_SILENT:
+		silence_workers(worker);
+		break;
+	case FAULT_WORKER_LEAVING:
+		/* Not drawn for other faults until it has left. */
+		worker->says_leaving = true;
+		end_fault_after(soak, fault, worker,
+				g_rand_int_range(soak->rand, MIN_LEAVING_MS,
+						 MAX_LEAVING_MS));
+		break;
+	case FAULT_WORKER_FULL:
+		worker->full_until =
+			soak_now(soak) +
+			g_rand_int_range(soak->rand, CLK_SECOND, MAX_FULL_MS);
+		break;
+	default:
+		disrupt_link(worker);
 	}
-	if (fault == FAULT_WORKER_CRASH) {
-		soak_worker_crash(worker);
-		end_fault_after(soak, fault, worker, ENTRY_EXPIRY_MS);
-		return;
+}
+
+/* An entry as another writer could leave it; no worker uses it. */
+static json_t *odd_entry(struct soak *soak)
+{
+	json_t *entry = json_pack("{s:s,s:s,s:s,s:i,s:s,s:I,s:s}", "service",
+				  "plain", "address", "127.0.0.1:9", "zone",
+				  "z", "slots", 50, "state", "ready", "born",
+				  (json_int_t)1, "type", "large");
+	json_t *nested = json_array();
+	unsigned depth;
+
+	switch (g_rand_int_range(soak->rand, 0, 4)) {
+	case 0:
+		for (depth = 0; depth < ODD_DEPTH; depth++) {
+			json_t *outer = json_array();
+
+			json_array_append_new(outer, nested);
+			nested = outer;
+		}
+		json_object_set(entry, "version", nested);
+		break;
+	case 1:
+		json_object_set_new(entry, "slots", json_real(1e300));
+		break;
+	case 2:
+		json_object_set_new(entry, "born", json_integer(INT64_MAX));
+		json_object_set_new(entry, "slots", json_integer(INT64_MIN));
+		break;
+	default:
+		json_object_set_new(entry, "address",
+				    json_string("127.0.0.1:98765"));
 	}
-	proxy_set_mode(worker->proxy, draw_mode(soak));
-	/* Other engines, which bypass the proxy, can't reach it either. */
-	worker->is_dead = worker->is_engine;
-	end_fault_after(soak, fault, worker, draw_duration(soak));
+	json_decref(nested);
+	return entry;
 }
 
-static void remove_key(struct soak *soak)
+static void put_odd_entry(struct soak *soak)
 {
-	unsigned key = (unsigned)g_rand_int_range(soak->rand, 1, 4);
+	char *name = g_strdup_printf("odd-%u", soak->faults);
 
-	if (!soak->key_removed_at[key])
-		soak->key_removed_at[key] = soak_now(soak);
-	soak_put_config(soak);
+	world_put(&soak->world, "servers", name, odd_entry(soak));
+	end_fault_after(soak, FAULT_ODD_ENTRY, name, draw_duration(soak));
 }
 
 static void inject_fault(struct soak *soak, enum fault fault)
@@ -220,12 +344,37 @@
 		inject_edge_fault(soak, fault);
 	else if (fault <= FAULT_STORE_LINK)
 		inject_store_fault(soak, fault);
-	else if (fault <= FAULT_WORKER_DRAIN)
+	else if (fault <= FAULT_WORKER_FULL)
 		inject_worker_fault(soak, fault);
-	else if (fault == FAULT_KEY_REMOVED)
-		remove_key(soak);
-	else
-		soak_put_config(soak);
+	else if (fault == FAULT_ODD_ENTRY)
+		put_odd_entry(soak);
+	else if (!soak->changes_left)
+		soak_start_changes(soak);
+}
+
+static unsigned share_of(const struct soak *soak, enum fault fault)
+{
+	bool is_off = false;
+
+	if (fault == FAULT_WORKER_LEAVING || fault == FAULT_WORKER_FULL)
+		is_off = !soak->with_leaving;
+	if (fault == FAULT_ODD_ENTRY)
+		is_off = !soak->with_odd_entries;
+	return is_off ? 0 : shares[soak->profile][fault];
+}
+
+static enum fault draw_fault(struct soak *soak)
+{
+	unsigned sum = 0;
+	unsigned draw;
+	int fault;
+
+	for (fault = 0; fault < N_FAULTS; fault++)
+		sum += share_of(soak, (enum fault)fault);
+	draw = (unsigned)g_rand_int_range(soak->rand, 0, (gint32)sum);
+	for (fault = 0; draw >= share_of(soak, (enum fault)fault); fault++)
+		draw -= share_of(soak, (enum fault)fault);
+	return (enum fault)fault;
 }
 
 /* Restarts edges that have exited after SIGTERM. */
@@ -247,8 +396,7 @@
 
 	restart_terminated(soak);
 	if (soak_now(soak) < soak->faults_until)
-		inject_fault(soak, (enum fault)g_rand_int_range(soak->rand, 0,
-								N_FAULTS));
+		inject_fault(soak, draw_fault(soak));
 	uv_timer_start(timer, on_fault_timer,
 		       (uint64_t)g_rand_int_range(soak->rand, MIN_INTERVAL_MS,
 						  MAX_INTERVAL_MS),
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -7,9 +7,9 @@
 
 #include "soak.h"
 
-#define EDGES 4
 #define ENGINES 6
 #define PLAIN_WORKERS 3
+#define SPARE_WORKERS 2
 #define SEND_INTERVAL_MS 8
 #define START_MS 2500
 /* Covers the last fault, expiry of entries, layer loads and new watches. */
@@ -31,29 +31,13 @@
 
 	soak->violations++;
 	printf("seed %u at %.3f s: ", soak->seed,
-	       (double)soak_now(soak) / CLK_SECOND);
+	       (double)(soak_now(soak) - soak->started_at) / CLK_SECOND);
 	va_start(args, format);
 	vprintf(format, args);
 	va_end(args);
 	printf("\n");
 }
 
-void soak_put_config(struct soak *soak)
-{
-	json_t *keys = json_array();
-	unsigned key;
-
-	for (key = 0; key < G_N_ELEMENTS(soak->key_removed_at); key++) {
-		char *name = g_strdup_printf("key%u", key);
-
-		if (!soak->key_removed_at[key])
-			json_array_append_new(keys, json_string(name));
-		g_free(name);
-	}
-	world_put(&soak->world, "config", "main",
-		  world_config_with_keys(++soak->version, keys));
-}
-
 static void on_send(uv_timer_t *timer)
 {
 	soak_send_next(timer->data);
@@ -76,26 +60,34 @@
 	uv_run(&soak->world.wire.loop, UV_RUN_NOWAIT);
 }
 
+static void add_workers(struct soak *soak, const char *service, unsigned count)
+{
+	while (count--)
+		g_ptr_array_add(soak->workers, soak_worker_new(soak, service));
+}
+
 static void setup_soak(struct soak *soak)
 {
 	unsigned i;
 
 	world_open(&soak->world);
+	soak->started_at = soak_now(soak);
 	soak->rand = g_rand_new_with_seed(soak->seed);
 	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
 	soak->edges = g_ptr_array_new();
 	soak->workers = g_ptr_array_new();
 	soak->requests = g_hash_table_new(g_str_hash, g_str_equal);
-	soak->client = hup_new(&soak->world.wire.loop, soak->world.counters);
+	soak->profile = (enum soak_profile)(soak->seed % SOAK_PROFILES);
+	soak_setup_callers(soak);
 	uv_timer_init(&soak->world.wire.loop, &soak->send_timer);
 	uv_timer_init(&soak->world.wire.loop, &soak->fault_timer);
 	soak->send_timer.data = soak;
 	soak->fault_timer.data = soak;
-	soak_put_config(soak);
-	for (i = 0; i < ENGINES + PLAIN_WORKERS; i++)
-		g_ptr_array_add(soak->workers,
-				soak_worker_new(soak, i < ENGINES));
-	for (i = 0; i < EDGES; i++) {
+	soak_setup_config(soak);
+	add_workers(soak, "model", ENGINES);
+	add_workers(soak, "plain", PLAIN_WORKERS);
+	add_workers(soak, "spare", SPARE_WORKERS);
+	for (i = 0; i < SOAK_EDGES; i++) {
 		struct soak_edge *edge = soak_edge_new(soak, i);
 
 		g_ptr_array_add(soak->edges, edge);
@@ -155,18 +147,15 @@
 
 static void measure_recovery(struct soak *soak)
 {
-	guint key;
-
-	for (key = 0; key < G_N_ELEMENTS(soak->key_removed_at); key++)
-		soak->key_removed_at[key] = 0;
-	soak->keys_restored_at = soak_now(soak);
-	soak_put_config(soak);
+	soak_restore_config(soak);
 	run_for(soak, RECOVERY_MS);
 	soak->is_recovered = true;
 	run_for(soak, MEASURE_MS);
 	uv_timer_stop(&soak->send_timer);
+	uv_timer_stop(&soak->idle_timer);
 	run_for(soak, 4 * CLK_SECOND);
 	check_recovery(soak);
+	soak_check_sums(soak);
 }
 
 static int run_soak(struct soak *soak, clk_ms duration)
@@ -174,6 +163,7 @@
 	setup_soak(soak);
 	run_for(soak, START_MS);
 	uv_timer_start(&soak->send_timer, on_send, 0, SEND_INTERVAL_MS);
+	soak_start_idle_callers(soak);
 	soak_schedule_faults(soak, duration);
 	run_for(soak, duration);
 	measure_recovery(soak);
@@ -201,6 +191,13 @@
 		 "duration of fault injection", "N"},
 		{"program", 'p', POPT_ARG_STRING, &soak.program, 0,
 		 "the edge daemon", "FILE"},
+		{"leaving", 0, POPT_ARG_NONE, &soak.with_leaving, 0,
+		 "workers say that they leave, or want nothing for a while",
+		 NULL},
+		{"deadly-prompt", 0, POPT_ARG_NONE, &soak.with_deadly_prompt, 0,
+		 "a part of prompts crashes workers", NULL},
+		{"odd-entries", 0, POPT_ARG_NONE, &soak.with_odd_entries, 0,
+		 "invalid entries among those of the workers", NULL},
 		POPT_AUTOHELP POPT_TABLEEND};
 	poptContext context = poptGetContext("soak", argc, argv, options, 0);
 
