edge: takeovers end only for another one, and start from an empty answer

A takeover whose own engine gave no report in time was cancelled before another place was known, the fault that takeovers are to prevent. One that ended before an answer was not replaced until the next question to the silent engine, a second later. When the silent run failed while a takeover was pending, the body of its error stayed in the buffer: the caller got it in front of the body of the next answer.

A takeover is now replaced only once another path is found and may be used, a failed one is followed by the next at once, and the answer of the earlier send is discarded on promotion.

answer_after_a_takeover_has_only_its_own_body failed before and passes now; the other two have no test of their own yet.

--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -108,7 +108,7 @@
 	       edge->buffered_bytes <= edge->max_buffered_bytes;
 }
 
-static void reset_answer(struct edg_request *request)
+void edg_reset_answer(struct edg_request *request)
 {
 	request->status = 0;
 	g_string_truncate(request->headers, 0);
@@ -177,7 +177,7 @@
 
 void edg_send(struct edg_request *request, const struct hup_ops *ops)
 {
-	reset_answer(request);
+	edg_reset_answer(request);
 	request->sent_at = edg_now(request->edge);
 	request->sent_to_start = request->target->latest_start;
 	edg_start_run(request);
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -240,6 +240,8 @@
 				   struct flt_target *target,
 				   const struct pth_path *path,
 				   const struct hup_ops *ops, void *user);
+/* Discards the answer to the last send. */
+void edg_reset_answer(struct edg_request *request);
 /* Counts the events from here on as those of the current send. */
 void edg_start_run(struct edg_request *request);
 /* Whether the response declares that its request was not run. */
@@ -341,7 +343,8 @@
 void edg_change_path(struct edg_request *request, const char *why);
 
 /* stream_takeover.c */
-/* Sends the request to another head; returns false if it can't be. */
+/* Sends the request to another head, in place of a present takeover. Returns
+ * false if it can't be sent; a present takeover then goes on. */
 bool tko_start(struct edg_request *request);
 /* Cancels the takeover if there is one. */
 void tko_drop(struct edg_request *request, const char *why);
--- a/src/edge/stall_detection.c
+++ b/src/edge/stall_detection.c
@@ -78,12 +78,12 @@
 
 		const struct pth_path *taking_over = tko_path(request);
 
-		if (!request->path || !request->exchange ||
+		if (request->is_freed || !request->path || !request->exchange ||
 		    !is_silent(request, now))
 			continue;
-		if (taking_over && pth_contains(taking_over, lost)) {
-			tko_drop(request, why);
-			edg_resume(request, why);
+		if (taking_over) {
+			if (pth_contains(taking_over, lost))
+				tko_start(request);
 			continue;
 		}
 		if (!pth_contains(request->path, lost))
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -7,6 +7,9 @@
  * too. Whichever run continues first keeps the stream.
  */
 
+/* Takeovers of a request that may fail before a byte is sent. */
+#define MAX_UNREACHABLE 3
+
 struct tko_takeover {
 	struct edg_request *request;
 	struct hup_exchange *exchange;
@@ -47,6 +50,7 @@
 	request->takeover = NULL;
 	edg_release_send(request);
 	evs_discard_partial(&request->splitter);
+	edg_reset_answer(request);
 	request->target = takeover->target;
 	request->path = takeover->path;
 	request->exchange = takeover->exchange;
@@ -115,18 +119,24 @@
 {
 	struct tko_takeover *takeover = user;
 	struct edg_request *request = takeover->request;
+	struct flt_target *target = flt_target_keep(takeover->target);
+	int64_t sent_to_start = takeover->sent_to_start;
+	bool is_not_sent = how == HUP_NOT_SENT;
 
 	takeover->exchange = NULL;
-	edg_log_send(request, "takeover failed", "head=%s end=%d",
-		     takeover->target->id, (int)how);
-	if (how == HUP_NOT_SENT)
+	edg_log_send(request, "takeover failed", "head=%s end=%d", target->id,
+		     (int)how);
+	takeover_free(takeover);
+	if (is_not_sent)
 		request->sends--;
 	else
-		edg_record_run(request, takeover->target);
-	flt_record_failure(takeover->target, edg_now(request->edge));
-	edg_question_target(request, takeover->target, takeover->sent_to_start,
-			    how);
-	takeover_free(takeover);
+		edg_record_run(request, target);
+	flt_record_failure(target, edg_now(request->edge));
+	edg_question_target(request, target, sent_to_start, how);
+	flt_target_drop(target);
+	if (!request->is_freed && !request->takeover &&
+	    !(is_not_sent && ++request->connect_failures > MAX_UNREACHABLE))
+		edg_resume(request, "takeover_failed");
 }
 
 static const struct hup_ops ops = {on_head, on_data, on_end};
@@ -155,10 +165,13 @@
 	path = find_other_path(request);
 	if (!path)
 		return false;
+	if (request->takeover)
+		edg_record_run(request, request->takeover->target);
 	if (!edg_may_run_elsewhere(request)) {
 		pth_free(path);
 		return false;
 	}
+	tko_drop(request, "replaced");
 	takeover = g_new0(struct tko_takeover, 1);
 	takeover->request = request;
 	takeover->path = path;
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -170,6 +170,72 @@
 }
 END_TEST
 
+/* Answers all, so that the caller gets it if the run counts. */
+static bool answer_400(struct worker *worker, struct wire_conn *conn,
+		       const char *request)
+{
+	(void)worker;
+	if (!g_str_has_prefix(request, "POST /stream/"))
+		return false;
+	wire_answer(conn, 400, "X-Wagtailferry-Server-Stamp: sig\r\n", "later");
+	return true;
+}
+
+static bool answer_500(struct worker *worker, struct wire_conn *conn,
+		       const char *request)
+{
+	(void)worker;
+	(void)request;
+	wire_answer(conn, 500, "X-Wagtailferry-Server-Stamp: sig\r\n",
+		    "earlier");
+	return true;
+}
+
+static bool has_late_request(void *user)
+{
+	return ((struct worker *)user)->late_requests->len > 0;
+}
+
+static bool has_any_late_request(void *user)
+{
+	struct platform_world *world = user;
+
+	return has_late_request(worker(world, 0)) ||
+	       has_late_request(worker(world, 2));
+}
+
+/* Guards against an answer made of the bodies of two runs: the silent one fails
+ * while another head has the request. */
+START_TEST(answer_after_a_takeover_has_only_its_own_body)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *first;
+	struct worker *second;
+	guint i;
+
+	open_engines(&world, 2);
+	for (i = 0; i < world.workers->len; i++)
+		worker(&world, i)->is_late = true;
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_run_until(&world.wire, has_any_late_request, &world);
+	first = worker(&world, has_late_request(worker(&world, 0)) ? 0 : 2);
+	second = worker(&world, first == worker(&world, 0) ? 2 : 0);
+	wire_run_until(&world.wire, has_late_request, second);
+	first->script = answer_500;
+	worker_release_late(first);
+	world_run(&world, 100);
+	ck_assert_uint_eq(client->received->len, 0);
+	second->script = answer_400;
+	worker_release_late(second);
+	wire_client_await(&world.wire, client, "later");
+	ck_assert_ptr_null(strstr(client->received->str, "earlier"));
+	ck_assert_ptr_nonnull(strstr(client->received->str, "HTTP/1.1 400"));
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 /* Number of engines on the path of the head's request that count as down. */
 static unsigned count_down(struct platform_world *world,
 			   const struct worker *head)
@@ -286,6 +352,7 @@
 	tcase_add_test(
 		tcase,
 		stream_continues_at_the_head_that_got_it_during_the_silence);
+	tcase_add_test(tcase, answer_after_a_takeover_has_only_its_own_body);
 	tcase_add_test(tcase, silent_second_engine_keeps_its_stream);
 	tcase_add_test(tcase, silent_engine_keeps_a_request_without_an_event);
 	tcase_add_test(tcase, silent_plain_target_keeps_its_request);
