hup: read what has arrived before an exchange times out

After a pause of the process every open report timed out although its answer lay in the socket, and sound engines counted as lost: timers run before reads. A timeout is extended once, by 20 ms, if unread bytes wait. No test of its own yet.

--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -18,6 +18,8 @@
 /* An idle connection is closed this long before its peer may do so. */
 #define KEEP_ALIVE_MARGIN_MS 900
 #define SWEEP_INTERVAL_MS 1000
+/* Extension of a timeout if bytes have arrived after a pause of the process. */
+#define READ_GRACE_MS 20
 #define MAX_IDLE_PER_ADDRESS 64
 #define DEFAULT_MAX_HEAD_BYTES (256 << 10)
 
@@ -230,10 +232,27 @@
 	write_request(conn);
 }
 
+/* Whether bytes have arrived that the loop has not read yet. */
+static bool has_unread_bytes(const struct hup_conn *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return conn->is_connected &&
+	       !uv_fileno((const uv_handle_t *)&conn->tcp, &fd) &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static void on_timeout(uv_timer_t *timer)
 {
 	struct hup_exchange *exchange = timer->data;
 
+	/* The loop runs timers before it reads. */
+	if (!exchange->is_extended && has_unread_bytes(exchange->conn)) {
+		exchange->is_extended = true;
+		uv_timer_start(timer, on_timeout, READ_GRACE_MS, 0);
+		return;
+	}
 	hup_finish(exchange->conn,
 		   exchange->conn->is_connected ? HUP_TIMED_OUT : HUP_NOT_SENT);
 }
--- a/src/edge/hup_private.h
+++ b/src/edge/hup_private.h
@@ -54,6 +54,8 @@
 	size_t body_bytes;
 	/* Bytes received before the body of the response. */
 	size_t head_bytes;
+	/* Its timeout was extended to read what has arrived. */
+	bool is_extended;
 	/* The limits are exceeded. */
 	bool is_too_large;
 };
