hsv: let no limit end what a caller may still rely on

The causes of the requests that got no answer, elsewhere in the server:

* A stream whose head was sent before a stop did not say that its connection closes; the caller's next request was read and dropped.
The connection now closes only after a response that said so, and pipelined requests are answered before it does.
* A lower idle timeout held for responses sent right after the change, though callers learn of it later: the earlier one stays in force for 5 s.
* A request whose rest had arrived during a pause of the process got 408.
* A connection with unsent bytes could be closed as idle, or after 1 s of lingering, or by the end of a drain.
No test of its own yet.

--- a/src/edge/hsv_conn.c
+++ b/src/edge/hsv_conn.c
@@ -16,7 +16,7 @@
 	conn->phase = phase;
 	conn->phase_since = (clk_ms)uv_now(conn->server->loop);
 	if (phase == PHASE_IDLE)
-		conn->idle_timeout = conn->server->limits.idle_timeout;
+		conn->idle_timeout = hsv_promised_idle_timeout(conn->server);
 }
 
 static void on_conn_closed(uv_handle_t *handle)
@@ -108,7 +108,8 @@
 
 static bool will_close(const struct hsv_conn *conn)
 {
-	return !conn->keeps_alive || conn->server->closes_after_responses;
+	return !conn->keeps_alive ||
+	       (conn->server->closes_after_responses && !conn->pipelined->len);
 }
 
 static GString *start_response(struct hsv_conn *conn, int status,
@@ -119,7 +120,8 @@
 	g_string_printf(out, "HTTP/1.1 %d %s\r\n", status,
 			net_reason_phrase(status));
 	g_string_append(out, headers);
-	if (will_close(conn))
+	conn->announced_close = will_close(conn);
+	if (conn->announced_close)
 		g_string_append(out, "Connection: close\r\n");
 	return out;
 }
@@ -230,7 +232,8 @@
 
 	release_body_bytes(conn);
 	conn->is_chunked = false;
-	if (will_close(conn)) {
+	/* A caller that was not told may send its next request. */
+	if (conn->announced_close) {
 		linger(conn);
 		return;
 	}
--- a/src/edge/hsv_private.h
+++ b/src/edge/hsv_private.h
@@ -39,6 +39,8 @@
 	bool is_closing;
 	bool is_chunked;
 	bool keeps_alive;
+	/* The head of the current response says that the connection closes. */
+	bool announced_close;
 	bool expects_continue;
 	/* Part of the server's body_bytes that this request holds. */
 	size_t counted_body_bytes;
@@ -56,6 +58,10 @@
 	bool closes_after_responses;
 	uv_timer_t sweep;
 	struct hsv_limits limits;
+	/* Idle timeout before the last change, and until when callers may still
+	 * rely on it. */
+	clk_ms earlier_idle_timeout;
+	clk_ms earlier_limit_until;
 	struct ctr_set *counters;
 	const struct hsv_ops *ops;
 	void *user;
@@ -68,6 +74,8 @@
 
 /* hsv_server.c */
 void hsv_server_unref(struct hsv_server *server);
+/* Time for which a caller may rely on an idle connection. */
+clk_ms hsv_promised_idle_timeout(const struct hsv_server *server);
 
 /* hsv_conn.c */
 /* Creates a connection whose socket is not open yet. */
--- a/src/edge/hsv_server.c
+++ b/src/edge/hsv_server.c
@@ -9,6 +9,11 @@
 /* After the last response the connection is read for up to this long before it
  * is closed: closing with unread bytes would reset it. */
 #define LINGER_TIMEOUT_MS 1000
+/* The same while the response has not been sent whole. */
+#define UNSENT_TIMEOUT_MS 10000
+/* Time for which a lower idle timeout is not applied: callers learn of it with
+ * the configuration. */
+#define LOWER_LIMIT_GRACE_MS 5000
 /* Time for the first request of a connection once the server has stopped
  * listening: TCP retransmits a lost first packet after 1 s (RFC 6298). */
 #define FIRST_REQUEST_TIMEOUT_MS 1000
@@ -43,11 +48,17 @@
 	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+static bool has_unsent_bytes(const struct hsv_conn *conn)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) >
+	       0;
+}
+
 /* The loop runs timers before it reads, so after a pause of the process a
  * request may be waiting on a connection that looks idle. */
 static void close_idle(struct hsv_conn *conn)
 {
-	if (has_unread_bytes(conn)) {
+	if (has_unread_bytes(conn) || has_unsent_bytes(conn)) {
 		ctr_add(conn->server->counters, "wf_edge_idle_spared_total", 1);
 		return;
 	}
@@ -67,15 +78,16 @@
 			close_idle(conn);
 		break;
 	case PHASE_HEADER:
-		if (elapsed > limits->header_timeout)
+		if (elapsed > limits->header_timeout && !has_unread_bytes(conn))
 			hsv_refuse(conn, 408);
 		break;
 	case PHASE_BODY:
-		if (elapsed > BODY_IDLE_TIMEOUT_MS)
+		if (elapsed > BODY_IDLE_TIMEOUT_MS && !has_unread_bytes(conn))
 			hsv_refuse(conn, 408);
 		break;
 	case PHASE_LINGER:
-		if (elapsed > LINGER_TIMEOUT_MS)
+		if (elapsed > (has_unsent_bytes(conn) ? UNSENT_TIMEOUT_MS
+						      : LINGER_TIMEOUT_MS))
 			hsv_conn_close(conn);
 		break;
 	case PHASE_RESPONSE:
@@ -156,6 +168,7 @@
 
 	for (conn = server->conns; conn; conn = conn->next) {
 		if (conn->phase == PHASE_HEADER || conn->phase == PHASE_BODY ||
+		    has_unsent_bytes(conn) ||
 		    (conn->phase == PHASE_IDLE &&
 		     (awaits_first_request(conn) || has_unread_bytes(conn))))
 			return true;
@@ -202,9 +215,23 @@
 
 void hsv_set_limits(struct hsv_server *server, const struct hsv_limits *limits)
 {
+	clk_ms now = (clk_ms)uv_now(server->loop);
+
+	server->earlier_idle_timeout = hsv_promised_idle_timeout(server);
+	server->earlier_limit_until = now + LOWER_LIMIT_GRACE_MS;
 	server->limits = *limits;
 }
 
+clk_ms hsv_promised_idle_timeout(const struct hsv_server *server)
+{
+	clk_ms now = (clk_ms)uv_now(server->loop);
+	clk_ms earlier = now < server->earlier_limit_until
+				 ? server->earlier_idle_timeout
+				 : 0;
+
+	return MAX(server->limits.idle_timeout, earlier);
+}
+
 void hsv_close_after_responses(struct hsv_server *server)
 {
 	server->closes_after_responses = true;
