tests: keep a reserved address until the test ends

The socket now stays bound, without listening, until wire_close(): with SO_REUSEADDR a server can still listen on the address, connections are refused until then, and the system doesn't choose the port again.

cluster.c and the soak choose ports below the range from which the system takes ports for port 0, so this doesn't reach them.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -25,7 +25,7 @@
 		>"$build/test-output/$(basename "$1").txt" 2>&1
 	echo $? >"$build/test-output/$(basename "$1").rc"
 }
-# Wire tests use fixed loopback ports, so they run one after another.
+# Wire tests depend on time limits, so they run one after another.
 parallel=
 serial=
 for program in $programs
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -249,7 +249,7 @@
 	char *address;
 
 	open_fixture(&fixture, run_script, NULL, &whole_ops);
-	address = wire_refused_address(&fixture.wire);
+	address = wire_reserve_address(&fixture.wire);
 	fixture.spec.address = address;
 	run(&fixture);
 	ck_assert(!fixture.probe.result.ok);
--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -57,7 +57,7 @@
 	memset(probe, 0, sizeof(*probe));
 	wire_open(&probe->wire);
 	probe->counters = ctr_new();
-	probe->address = wire_refused_address(&probe->wire);
+	probe->address = wire_reserve_address(&probe->wire);
 	probe->server = hsv_new(&probe->wire.loop, &limits, probe->counters,
 				&ops, probe);
 	ck_assert(hsv_listen(probe->server, probe->address, &error));
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -428,7 +428,7 @@
 	char *address;
 
 	setup(&probe, NULL);
-	address = wire_refused_address(&probe.wire);
+	address = wire_reserve_address(&probe.wire);
 	send_to(&probe, address, "1", 0);
 	ck_assert_int_eq(probe.result, HUP_NOT_SENT);
 	send_to(&probe, "no address", "1", 0);
--- a/tests/peer_wire_test.c
+++ b/tests/peer_wire_test.c
@@ -301,7 +301,7 @@
 	unsigned i;
 
 	open_fixture(&fixture);
-	address = wire_refused_address(&fixture.wire);
+	address = wire_reserve_address(&fixture.wire);
 	for (i = 0; i < 2000; i++)
 		queued += peer_send(fixture.a, "b", address, 1, "x", 1);
 	ck_assert_uint_le(queued, 256);
--- a/tests/plat_wire_test.c
+++ b/tests/plat_wire_test.c
@@ -203,7 +203,7 @@
 
 	open_fixture(&fixture, HEAD("200", "", "13") "{\"version\":5}", false);
 	fixture.addresses[1] = fixture.addresses[0];
-	fixture.addresses[0] = wire_refused_address(&fixture.wire);
+	fixture.addresses[0] = wire_reserve_address(&fixture.wire);
 	fixture.n_addresses = 2;
 	open_plat(&fixture);
 	run(&fixture, &action, NULL, 1);
@@ -224,7 +224,7 @@
 
 	open_fixture(&fixture, NULL, false);
 	g_free(fixture.addresses[0]);
-	fixture.addresses[0] = wire_refused_address(&fixture.wire);
+	fixture.addresses[0] = wire_reserve_address(&fixture.wire);
 	open_plat(&fixture);
 	run(&fixture, &action, NULL, 1);
 	ck_assert_str_eq(fixture.recorder.text->str, "unavailable 0\n");
@@ -484,7 +484,7 @@
 
 	open_fixture(&fixture, NULL, false);
 	open_plat(&fixture);
-	action.address = wire_refused_address(&fixture.wire);
+	action.address = wire_reserve_address(&fixture.wire);
 	run(&fixture, &action, "book", 1);
 	ck_assert_str_eq(fixture.recorder.text->str,
 			 "ok=0 sent=0 0 target_failed\n");
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -730,8 +730,8 @@
 	char *text;
 	GError *error = NULL;
 
-	world->address = wire_refused_address(&world->wire);
-	world->ready_address = wire_refused_address(&world->wire);
+	world->address = wire_reserve_address(&world->wire);
+	world->ready_address = wire_reserve_address(&world->wire);
 	text = g_strdup_printf(
 		"{\"instance\":\"one\",\"data_center\":\"z\","
 		"\"caller_address\":\"%s\",\"ready_address\":\"%s\","
--- a/tests/support/wire/wire.h
+++ b/tests/support/wire/wire.h
@@ -21,10 +21,18 @@
 	bool (*condition)(void *user);
 	void *user;
 	bool expired;
+	GArray *reserved; /* int: bound sockets */
 };
 
 void wire_open(struct wire_loop *wire);
 
+/*
+ * Reserves an address on which nothing listens; connections are refused. Until
+ * wire_close() a server can listen on it with SO_REUSEADDR, and the system
+ * gives its port to no other socket. Free with g_free().
+ */
+char *wire_reserve_address(struct wire_loop *wire);
+
 /* Runs the loop until the condition holds; fails the test after 10 s. */
 void wire_run_until(struct wire_loop *wire, bool (*condition)(void *user),
 		    void *user);
@@ -70,9 +78,6 @@
 /* Sends last bytes, FIN and RST before the peer can read on. */
 void wire_end_and_reset(struct wire_conn *conn, const char *last_bytes);
 
-/* An address on which nothing listens. Free with g_free(). */
-char *wire_refused_address(struct wire_loop *wire);
-
 /* Client */
 
 struct wire_client {
--- a/tests/support/wire/wire_loop.c
+++ b/tests/support/wire/wire_loop.c
@@ -1,5 +1,7 @@
 #include <check.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "wire.h"
 
@@ -39,6 +41,27 @@
 	wire->check.data = wire;
 	wire->condition = NULL;
 	wire->expired = false;
+	wire->reserved = g_array_new(FALSE, FALSE, sizeof(int));
+}
+
+char *wire_reserve_address(struct wire_loop *wire)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)), 0);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, size), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &size),
+			 0);
+	g_array_append_val(wire->reserved, fd);
+	return g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
 }
 
 void wire_run_until(struct wire_loop *wire, bool (*condition)(void *user),
@@ -58,6 +81,8 @@
 
 void wire_close(struct wire_loop *wire)
 {
+	guint i;
+
 	uv_unref((uv_handle_t *)&wire->watchdog);
 	uv_timer_start(&wire->watchdog, on_watchdog, WATCHDOG_MS, 0);
 	while (!wire->expired && uv_run(&wire->loop, UV_RUN_ONCE))
@@ -67,4 +92,7 @@
 	uv_close((uv_handle_t *)&wire->watchdog, NULL);
 	uv_run(&wire->loop, UV_RUN_DEFAULT);
 	ck_assert_int_eq(uv_loop_close(&wire->loop), 0);
+	for (i = 0; i < wire->reserved->len; i++)
+		close(g_array_index(wire->reserved, int, i));
+	g_array_free(wire->reserved, TRUE);
 }
--- a/tests/support/wire/wire_server.c
+++ b/tests/support/wire/wire_server.c
@@ -128,15 +128,14 @@
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
-static char *listen_on_loopback(uv_tcp_t *tcp, uv_connection_cb callback)
+static char *listen_on_loopback(uv_tcp_t *tcp)
 {
 	struct sockaddr_in address;
 	int size = sizeof(address);
 
 	uv_ip4_addr("127.0.0.1", 0, &address);
 	uv_tcp_bind(tcp, (const struct sockaddr *)&address, 0);
-	if (callback)
-		uv_listen((uv_stream_t *)tcp, 64, callback);
+	uv_listen((uv_stream_t *)tcp, 64, on_connection);
 	uv_tcp_getsockname(tcp, (struct sockaddr *)&address, &size);
 	return g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
 }
@@ -152,7 +151,7 @@
 	server->conns = g_hash_table_new(NULL, NULL);
 	uv_tcp_init(&wire->loop, &server->tcp);
 	server->tcp.data = server;
-	server->address = listen_on_loopback(&server->tcp, on_connection);
+	server->address = listen_on_loopback(&server->tcp);
 	return server;
 }
 
@@ -272,18 +271,6 @@
 	wire_reset(conn);
 }
 
-/* A port that was bound and has been closed again. */
-char *wire_refused_address(struct wire_loop *wire)
-{
-	uv_tcp_t *tcp = g_new0(uv_tcp_t, 1);
-	char *address;
-
-	uv_tcp_init(&wire->loop, tcp);
-	address = listen_on_loopback(tcp, NULL);
-	uv_close((uv_handle_t *)tcp, (uv_close_cb)g_free);
-	return address;
-}
-
 char *wire_header(const char *request, const char *name)
 {
 	char *line = g_strdup_printf("\r\n%s: ", name);
