silence_wire_test: a lost engine behind a head that keeps its path

The second test holds the bound on the other side: a run whose engine may be sound isn't given up within 1100 ms.

--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -337,6 +337,60 @@
 }
 END_TEST
 
+static bool has_second_request(void *user)
+{
+	return ((struct worker *)user)->requests > 1;
+}
+
+/* Guards against a stream that waits for a lost engine until its caller leaves:
+ * its head refuses to change the path, and no other head exists. */
+START_TEST(lost_second_engine_costs_no_stream_of_a_head_that_keeps_its_path)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+
+	open_engines(&world, 1);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	head = worker(&world, 0);
+	head->order_status = 409;
+	head->stalled = wire_server_address(worker(&world, 1)->server);
+	head->mode = WORKER_ANSWERS;
+	world_worker(&world, "tail1", "model", 4, 8);
+	wire_run_until(&world.wire, has_second_request, head);
+	ck_assert_ptr_null(strstr(head->last_request->str, head->stalled));
+	ck_assert_ptr_nonnull(
+		strstr(head->last_request->str, "Last-Event-Id: 1\r\n"));
+	wire_client_await(&world.wire, client,
+			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against restarting a stream whose engine is silent for about a
+ * second, which sound ones are. */
+START_TEST(sound_second_engine_keeps_its_run_for_a_second)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+
+	open_engines(&world, 1);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	head = worker(&world, 0);
+	head->order_status = 409;
+	head->stalled = wire_server_address(worker(&world, 1)->server);
+	world_worker(&world, "tail1", "model", 4, 8);
+	world_run(&world, 1100);
+	expect_rest(&world, client, head);
+	ck_assert_uint_eq(head->requests, 1);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("silence");
@@ -356,5 +410,9 @@
 	tcase_add_test(tcase, silent_second_engine_keeps_its_stream);
 	tcase_add_test(tcase, silent_engine_keeps_a_request_without_an_event);
 	tcase_add_test(tcase, silent_plain_target_keeps_its_request);
+	tcase_add_test(
+		tcase,
+		lost_second_engine_costs_no_stream_of_a_head_that_keeps_its_path);
+	tcase_add_test(tcase, sound_second_engine_keeps_its_run_for_a_second);
 	return sup_run_case("silence_wire", tcase);
 }
