edge: a stream does not wait for a lost engine to the end

When a later engine is lost, the head may refuse to change the path and no other head may have one. The silent run was then kept until the caller left, although a run on other engines at the same head would have served it.

--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -288,6 +288,9 @@
  * false if there is none. edg_send_stream() then sends it. */
 bool edg_reserve_path(struct edg_request *request);
 void edg_send_stream(struct edg_request *request);
+/* Ends the current send and sends the request on that path, which it takes
+ * over. */
+void edg_resend_on(struct edg_request *request, struct pth_path *path);
 /* Sends the request to another head too if a retry is allowed and a path is
  * found. Its present run goes on until the other head answers. */
 void edg_resume(struct edg_request *request, const char *why);
@@ -341,6 +344,10 @@
 /* Moves a request whose path has lost an engine to another path: its head
  * changes the path, or another head continues after the last event. */
 void edg_change_path(struct edg_request *request, const char *why);
+/* Ends a silent run whose path has lost an engine, and sends the request again
+ * on a path without lost engines, if there is one and a retry is allowed. The
+ * head may be the same. */
+void edg_restart_without_lost(struct edg_request *request);
 
 /* stream_takeover.c */
 /* Sends the request to another head, in place of a present takeover. Returns
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -129,3 +129,56 @@
 	if (!reroute(request))
 		edg_resume(request, why);
 }
+
+static struct flt_target *find_down(const struct pth_path *path, clk_ms now)
+{
+	guint i;
+
+	for (i = 0; i < path->stages->len; i++) {
+		struct flt_target *target =
+			g_array_index(path->stages, struct pth_stage, i).target;
+
+		if (now < target->down_until)
+			return target;
+	}
+	return NULL;
+}
+
+/* Finds a path without the engines that are down, with the same head if that
+ * is not one of them. */
+static struct pth_path *find_path_without(const struct edg_request *request,
+					  const struct flt_target *down)
+{
+	struct edg_edge *edge = request->edge;
+	struct pth_query query = edg_path_query(request);
+	struct pth_path *path = NULL;
+
+	query.without = down;
+	if (edg_now(edge) >= request->target->down_until)
+		query.current = request->path;
+	pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	return path;
+}
+
+void edg_restart_without_lost(struct edg_request *request)
+{
+	const struct flt_target *down;
+	struct pth_path *path;
+
+	if (request->takeover || request->next_path ||
+	    edg_has_suspected_part(request))
+		return;
+	down = find_down(request->path, edg_now(request->edge));
+	path = down ? find_path_without(request, down) : NULL;
+	if (!path)
+		return;
+	if (!edg_may_run_elsewhere(request)) {
+		pth_free(path);
+		return;
+	}
+	edg_log_send(request, "restarted",
+		     "head=%s from=%s without=%s after_event=%s",
+		     pth_head(path)->id, request->target->id, down->id,
+		     request->splitter.last_id->str);
+	edg_resend_on(request, path);
+}
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -443,6 +443,17 @@
 	watch_silence(request);
 }
 
+void edg_resend_on(struct edg_request *request, struct pth_path *path)
+{
+	pth_reserve(path, edg_now(request->edge),
+		    edg_path_query(request).tokens);
+	edg_release_send(request);
+	evs_discard_partial(&request->splitter);
+	request->path = path;
+	request->target = flt_target_keep(pth_head(path));
+	edg_send_stream(request);
+}
+
 static void send_next(struct edg_request *request, bool keeps_head)
 {
 	bool found;
