edge: search rarely for a path around a lost engine

A silent stream whose path has a lost engine looked for another path at each check of its silence, every 110 ms, while there was none. Many streams are silent at once when an engine is lost, and a search costs more with each engine. A stream now searches at most every 500 ms. No saving of processor time was measured.

--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -163,6 +163,8 @@
 	 * accepted. */
 	struct pth_path *next_path;
 	unsigned reroutes;
+	/* When edg_restart_without_lost() may next look for a path. */
+	clk_ms next_restart_at;
 	/* Orders sent for the current change of path. */
 	unsigned reroute_orders;
 	/* Sent to another head as well, because the current one is silent. */
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -5,6 +5,9 @@
 /* Maximum orders for one change of path while there is no answer. Repeating is
  * safe: each order has the same path, also if the engine executes one late. */
 #define MAX_REROUTE_ORDERS 3
+/* Minimum time between two searches for a path of a silent stream: many streams
+ * are silent at once when an engine is lost. */
+#define RESTART_INTERVAL_MS 500
 /* Estimated tokens per event, for the context length of a stream. */
 #define TOKENS_PER_EVENT 4
 
@@ -162,13 +165,18 @@
 
 void edg_restart_without_lost(struct edg_request *request)
 {
+	clk_ms now = edg_now(request->edge);
 	const struct flt_target *down;
 	struct pth_path *path;
 
+#ifdef WF_GUARD_OFF_EDGE_LOST_ENGINE
+	return;
+#endif
 	if (request->takeover || request->next_path ||
-	    edg_has_suspected_part(request))
+	    now < request->next_restart_at || edg_has_suspected_part(request))
 		return;
-	down = find_down(request->path, edg_now(request->edge));
+	request->next_restart_at = now + RESTART_INTERVAL_MS;
+	down = find_down(request->path, now);
 	path = down ? find_path_without(request, down) : NULL;
 	if (!path)
 		return;
