edge: restart a stream only around an engine that is still lost

The review of the restart found that it trusted one mark, which lasts 5 s: an engine that was suspected once, or before the stream's last event, cost a run that would have gone on. It also kept the old path's head and engines in the search, so the new send could go to a head that is leaving or closed, onto memory that the path's engines don't have, and the same id could meet a late order.

An engine now counts as lost for this only if it was found down again after a second of the stream's silence. The path is searched as for a new request, never with the same head after an order without answer, and a request that ended while its engines were queried is left alone. engine_that_is_not_found_lost_again_keeps_its_run fails before (a second request is sent) and passes now; silence, edge, quarantine, leaving, answers and fleet tests pass (153 checks).

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -88,6 +88,8 @@
 	clk_ms closed_until;
 	/* Treated as down until this time: its layers do not count. */
 	clk_ms down_until;
+	/* When it was last found to be down. */
+	clk_ms marked_down_at;
 	/* Failures since the last success. */
 	unsigned failures;
 	/* Layers that it was last ordered to hold, and the time until which
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -163,6 +163,8 @@
 	 * accepted. */
 	struct pth_path *next_path;
 	unsigned reroutes;
+	/* An order had no answer; its head may carry it out late. */
+	bool has_unknown_order;
 	/* When edg_restart_without_lost() may next look for a path. */
 	clk_ms next_restart_at;
 	/* Orders sent for the current change of path. */
@@ -346,9 +348,9 @@
 /* Moves a request whose path has lost an engine to another path: its head
  * changes the path, or another head continues after the last event. */
 void edg_change_path(struct edg_request *request, const char *why);
-/* Ends a silent run whose path has lost an engine, and sends the request again
- * on a path without lost engines, if there is one and a retry is allowed. The
- * head may be the same. */
+/* Ends a silent run that waits for an engine which was found to be lost more
+ * than once, and sends the request again on a path without lost engines, if
+ * there is one and a retry is allowed. The head may be the same. */
 void edg_restart_without_lost(struct edg_request *request);
 
 /* stream_takeover.c */
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -5,6 +5,8 @@
 /* Maximum orders for one change of path while there is no answer. Repeating is
  * safe: each order has the same path, also if the engine executes one late. */
 #define MAX_REROUTE_ORDERS 3
+/* A sound engine may be silent for about a second. */
+#define LOST_AFTER_MS 1000
 /* Minimum time between two searches for a path of a silent stream: many streams
  * are silent at once when an engine is lost. */
 #define RESTART_INTERVAL_MS 500
@@ -62,6 +64,8 @@
 		switch_path(request);
 		return;
 	}
+	if (result == EDG_ORDER_UNKNOWN)
+		request->has_unknown_order = true;
 	if (result == EDG_ORDER_UNKNOWN &&
 	    request->reroute_orders < MAX_REROUTE_ORDERS &&
 	    edg_now(request->edge) >= request->target->down_until) {
@@ -101,6 +105,12 @@
 				     on_rerouted, call);
 }
 
+static double tokens_so_far(const struct edg_request *request)
+{
+	return request->prompt_tokens +
+	       request->splitter.events * TOKENS_PER_EVENT;
+}
+
 /* Changes the path of the running request: the other engines keep their state
  * and nothing is sent again. */
 static bool reroute(struct edg_request *request)
@@ -109,8 +119,7 @@
 	struct pth_query query = edg_path_query(request);
 
 	query.current = request->path;
-	query.prefill_tokens = request->prompt_tokens +
-			       request->splitter.events * TOKENS_PER_EVENT;
+	query.prefill_tokens = tokens_so_far(request);
 	if (request->reroutes >= MAX_REROUTES ||
 	    edg_now(edge) < request->target->down_until ||
 	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
@@ -133,40 +142,51 @@
 		edg_resume(request, why);
 }
 
-static struct flt_target *find_down(const struct pth_path *path, clk_ms now)
+/* An engine of the path that was still down after a second of silence. A mark
+ * from before that may be of an engine that is only slow. */
+static struct flt_target *find_lost(const struct edg_request *request,
+				    clk_ms now)
 {
+	clk_ms silent_since = MAX(request->last_event_at, request->sent_at);
+	const GArray *stages = request->path->stages;
 	guint i;
 
-	for (i = 0; i < path->stages->len; i++) {
+	for (i = 0; i < stages->len; i++) {
 		struct flt_target *target =
-			g_array_index(path->stages, struct pth_stage, i).target;
+			g_array_index(stages, struct pth_stage, i).target;
 
-		if (now < target->down_until)
+		if (now < target->down_until &&
+		    target->marked_down_at >= silent_since + LOST_AFTER_MS)
 			return target;
 	}
 	return NULL;
 }
 
-/* Finds a path without the engines that are down, with the same head if that
- * is not one of them. */
+/* Finds a path as for a new request, without the engines that are down. */
 static struct pth_path *find_path_without(const struct edg_request *request,
-					  const struct flt_target *down)
+					  const struct flt_target *lost)
 {
 	struct edg_edge *edge = request->edge;
 	struct pth_query query = edg_path_query(request);
 	struct pth_path *path = NULL;
 
-	query.without = down;
-	if (edg_now(edge) >= request->target->down_until)
-		query.current = request->path;
-	pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	query.without = lost;
+	query.prefill_tokens = tokens_so_far(request);
+	if (pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path) !=
+	    PTH_FOUND)
+		return NULL;
+	/* A late order would move the new run of the same id too. */
+	if (pth_head(path) == request->target && request->has_unknown_order) {
+		pth_free(path);
+		return NULL;
+	}
 	return path;
 }
 
 void edg_restart_without_lost(struct edg_request *request)
 {
 	clk_ms now = edg_now(request->edge);
-	const struct flt_target *down;
+	const struct flt_target *lost;
 	struct pth_path *path;
 
 #ifdef WF_GUARD_OFF_EDGE_LOST_ENGINE
@@ -175,9 +195,11 @@
 	if (request->takeover || request->next_path ||
 	    now < request->next_restart_at || edg_has_suspected_part(request))
 		return;
+	lost = find_lost(request, now);
+	if (!lost)
+		return;
 	request->next_restart_at = now + RESTART_INTERVAL_MS;
-	down = find_down(request->path, now);
-	path = down ? find_path_without(request, down) : NULL;
+	path = find_path_without(request, lost);
 	if (!path)
 		return;
 	if (!edg_may_run_elsewhere(request)) {
@@ -186,7 +208,7 @@
 	}
 	edg_log_send(request, "restarted",
 		     "head=%s from=%s without=%s after_event=%s",
-		     pth_head(path)->id, request->target->id, down->id,
+		     pth_head(path)->id, request->target->id, lost->id,
 		     request->splitter.last_id->str);
 	edg_resend_on(request, path);
 }
--- a/src/edge/stall_detection.c
+++ b/src/edge/stall_detection.c
@@ -21,8 +21,8 @@
 #define MIN_SILENT_STREAMS 2
 #define MIN_SILENT_FRACTION 0.4
 #define LONG_SILENCE_MS 250
-/* A sound engine may be silent for about a second, and callers leave after two.
- * Between them a run that waits for a lost engine is given up. */
+/* A run that waits for a lost engine is given up after this time, before its
+ * caller leaves; callers wait for about two seconds. */
 #define RESTART_SILENCE_MS 1250
 /* Minimum time between two queries of an engine. */
 #define QUERY_INTERVAL_MS 1000
@@ -243,6 +243,8 @@
 		query_path(request->edge, request->path);
 	if (is_takeover_late(request, now))
 		query_path(request->edge, tko_path(request));
+	if (request->is_freed || !request->path || !request->exchange)
+		return;
 	if (silence(request, now) >= RESTART_SILENCE_MS)
 		edg_restart_without_lost(request);
 	stl_watch_stream(request);
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -444,6 +444,7 @@
 	target->failures++;
 	target->avoid_until = now + DOWN_AVOID_MS;
 	target->down_until = now + DOWN_AVOID_MS;
+	target->marked_down_at = now;
 }
 
 void flt_mark_up(struct flt_target *target)
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -391,6 +391,37 @@
 }
 END_TEST
 
+static bool is_any_down(void *user)
+{
+	struct platform_world *world = user;
+
+	return count_down(world, worker(world, 0)) > 0;
+}
+
+/* Guards against giving up a run because an engine of its path was suspected
+ * once, when a later report doesn't name it. */
+START_TEST(engine_that_is_not_found_lost_again_keeps_its_run)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head;
+
+	open_engines(&world, 1);
+	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world.wire, client, "data: one");
+	head = worker(&world, 0);
+	head->order_status = 409;
+	head->stalled = wire_server_address(worker(&world, 1)->server);
+	world_worker(&world, "tail1", "model", 4, 8);
+	wire_run_until(&world.wire, is_any_down, &world);
+	head->stalled = NULL;
+	world_run(&world, 1500);
+	expect_rest(&world, client, head);
+	ck_assert_uint_eq(head->requests, 1);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("silence");
@@ -414,5 +445,7 @@
 		tcase,
 		lost_second_engine_costs_no_stream_of_a_head_that_keeps_its_path);
 	tcase_add_test(tcase, sound_second_engine_keeps_its_run_for_a_second);
+	tcase_add_test(tcase,
+		       engine_that_is_not_found_lost_again_keeps_its_run);
 	return sup_run_case("silence_wire", tcase);
 }
