edge: a stopping instance passes on no stream that the stop would cut

Once the instance has stopped listening, 2.8 s into the drain, a new stream gets 503 "stopping" with Retry-After 0.05: the caller's next connection reaches another instance. Other requests end within the drain and are served as before. drain_passes_on_no_stream_that_it_would_cut covers it. edge_wire, edge_callers_wire and loopback_wire tests pass (85 checks).

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -431,6 +431,12 @@
 	uv_close((uv_handle_t *)&edge->quarantine_timer, on_timer_closed);
 }
 
+bool edg_is_closing(const struct edg_edge *edge)
+{
+	return edge->is_draining &&
+	       edg_now(edge) - edge->drain_started_at >= DRAIN_LISTEN_MS;
+}
+
 static void finish_drain(struct edg_edge *edge)
 {
 	uv_timer_stop(&edge->drain_timer);
@@ -444,7 +450,7 @@
 	struct edg_edge *edge = timer->data;
 	clk_ms passed = edg_now(edge) - edge->drain_started_at;
 
-	if (passed < DRAIN_LISTEN_MS)
+	if (!edg_is_closing(edge))
 		return;
 	hsv_stop_accepting(edge->caller_server);
 	if (passed >= edge->drain_limit - DRAIN_MARGIN_MS) {
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -189,6 +189,8 @@
 /* edg.c */
 /* Whether the catalog is recent enough to accept or refuse keys by it. */
 bool edg_is_catalog_fresh(const struct edg_edge *edge);
+/* Whether the instance is stopping and takes no new connections. */
+bool edg_is_closing(const struct edg_edge *edge);
 
 /* edg_request.c */
 void edg_accept_request(void *user, struct hsv_request *http);
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -9,6 +9,8 @@
 #define DEFAULT_DEADLINE_MS 30000
 #define MAX_DEADLINE_MS (10 * CLK_MINUTE)
 /* For requests that arrive before there is a fresh configuration. */
+/* The caller's next connection reaches another instance. */
+#define STOPPING_RETRY_MS 50
 #define NOT_READY_RETRY_MS 500
 
 struct edg_request *edg_request_keep(struct edg_request *request)
@@ -287,6 +289,12 @@
 			   " up to 600000");
 		return;
 	}
+	/* The end of the drain would cut the stream. */
+	if (request->route->is_stream && edg_is_closing(edge)) {
+		edg_refuse_not_run(request, STOPPING_RETRY_MS, "stopping",
+				   "the instance is stopping");
+		return;
+	}
 	if (!choose_service(request))
 		return;
 	rty_deposit(edg_retry_budget(edge, request->service->name));
--- a/tests/loopback_wire_test.c
+++ b/tests/loopback_wire_test.c
@@ -22,9 +22,11 @@
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	int on = 1;
 
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	bind(fd, (struct sockaddr *)&address, size);
-	getsockname(fd, (struct sockaddr *)&address, &size);
+	ck_assert_int_eq(
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)), 0);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, size), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &size),
+			 0);
 	close(fd);
 	return ntohs(address.sin_port);
 }
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -988,6 +988,36 @@
 }
 END_TEST
 
+/* Ends soon after the draining instance has stopped listening. */
+#define AFTER_LISTENER_CLOSE_MS 2950
+
+/* Guards against passing on a stream that the end of the drain cuts: it comes
+ * on a connection that a stream from before the stop has kept open. */
+START_TEST(drain_passes_on_no_stream_that_it_would_cut)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	open_engines(&world);
+	set_modes(&world, WORKER_STALLS_STREAM);
+	client = open_stream(&world);
+	edg_drain(world.edge);
+	world_run(&world, AFTER_LISTENER_CLOSE_MS);
+	worker_resume_stream(used_worker(&world));
+	wire_client_await(&world.wire, client, "0\r\n\r\n");
+	wire_client_send(client,
+			 "POST /stream/ HTTP/1.1\r\nHost: h\r\n"
+			 "X-Wagtailferry-Attempt-Id: next\r\n" KEY TOKENS
+			 "Content-Length: 0\r\n\r\n");
+	wire_client_await(&world.wire, client, "HTTP/1.1 503 ");
+	ck_assert_ptr_nonnull(strstr(client->received->str, "Retry-After: "));
+	ck_assert_uint_eq(total_requests(&world), 1);
+	wire_run_until(&world.wire, is_drained, &world);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 /* Ends shortly before the draining instance stops listening. */
 #define BEFORE_LISTENER_CLOSE_MS 2750
 #define PAST_LISTENER_CLOSE_US 300000
@@ -1064,6 +1094,7 @@
 	tcase_add_test(tcase, drain_turns_unready_and_still_serves);
 	tcase_add_test(tcase, every_pair_of_faults_runs_at_most_once);
 	tcase_add_test(tcase, drain_answers_waiting_streams);
+	tcase_add_test(tcase, drain_passes_on_no_stream_that_it_would_cut);
 	tcase_add_test(tcase, callers_at_listener_close_are_answered);
 	return sup_run_case("edge_wire", tcase);
 }
