net: one check for bytes that the loop has not read

hsv_server.c and hup_client.c each peeked at their socket in the same way. Both call net_has_unread_bytes() now. No change of behaviour; edge_callers_wire and edge_upstream_wire tests pass (69 checks).

--- a/src/daemon/net.c
+++ b/src/daemon/net.c
@@ -23,6 +23,15 @@
 	return *out >= 0;
 }
 
+bool net_has_unread_bytes(const uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	return !uv_fileno((const uv_handle_t *)tcp, &fd) &&
+	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 const char *net_reason_phrase(int status)
 {
 	switch (status) {
--- a/src/daemon/net.h
+++ b/src/daemon/net.h
@@ -17,6 +17,10 @@
  */
 bool net_accept_pending(uv_tcp_t *listener, uv_os_sock_t *out);
 
+/* Whether bytes have arrived on an open connection that the loop has not read
+ * yet: it runs timers before it reads. */
+bool net_has_unread_bytes(const uv_tcp_t *tcp);
+
 /* The reason phrase of an HTTP status. */
 const char *net_reason_phrase(int status);
 
--- a/src/edge/hsv_server.c
+++ b/src/edge/hsv_server.c
@@ -1,4 +1,3 @@
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "daemon/net.h"
@@ -38,16 +37,6 @@
 	hsv_conn_open(conn, uv_accept(listener, (uv_stream_t *)&conn->tcp));
 }
 
-/* Whether the caller has sent bytes that the loop has not read yet. */
-static bool has_unread_bytes(const struct hsv_conn *conn)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	return !uv_fileno((const uv_handle_t *)&conn->tcp, &fd) &&
-	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 static bool has_unsent_bytes(const struct hsv_conn *conn)
 {
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) >
@@ -58,7 +47,7 @@
  * request may be waiting on a connection that looks idle. */
 static void close_idle(struct hsv_conn *conn)
 {
-	if (has_unread_bytes(conn) || has_unsent_bytes(conn)) {
+	if (net_has_unread_bytes(&conn->tcp) || has_unsent_bytes(conn)) {
 		ctr_add(conn->server->counters, "wf_edge_idle_spared_total", 1);
 		return;
 	}
@@ -78,11 +67,13 @@
 			close_idle(conn);
 		break;
 	case PHASE_HEADER:
-		if (elapsed > limits->header_timeout && !has_unread_bytes(conn))
+		if (elapsed > limits->header_timeout &&
+		    !net_has_unread_bytes(&conn->tcp))
 			hsv_refuse(conn, 408);
 		break;
 	case PHASE_BODY:
-		if (elapsed > BODY_IDLE_TIMEOUT_MS && !has_unread_bytes(conn))
+		if (elapsed > BODY_IDLE_TIMEOUT_MS &&
+		    !net_has_unread_bytes(&conn->tcp))
 			hsv_refuse(conn, 408);
 		break;
 	case PHASE_LINGER:
@@ -170,7 +161,8 @@
 		if (conn->phase == PHASE_HEADER || conn->phase == PHASE_BODY ||
 		    has_unsent_bytes(conn) ||
 		    (conn->phase == PHASE_IDLE &&
-		     (awaits_first_request(conn) || has_unread_bytes(conn))))
+		     (awaits_first_request(conn) ||
+		      net_has_unread_bytes(&conn->tcp))))
 			return true;
 	}
 	return false;
--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -232,23 +232,13 @@
 	write_request(conn);
 }
 
-/* Whether bytes have arrived that the loop has not read yet. */
-static bool has_unread_bytes(const struct hup_conn *conn)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	return conn->is_connected &&
-	       !uv_fileno((const uv_handle_t *)&conn->tcp, &fd) &&
-	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 static void on_timeout(uv_timer_t *timer)
 {
 	struct hup_exchange *exchange = timer->data;
 
 	/* The loop runs timers before it reads. */
-	if (!exchange->is_extended && has_unread_bytes(exchange->conn)) {
+	if (!exchange->is_extended && exchange->conn->is_connected &&
+	    net_has_unread_bytes(&exchange->conn->tcp)) {
 		exchange->is_extended = true;
 		uv_timer_start(timer, on_timeout, READ_GRACE_MS, 0);
 		return;
