fleet: derive when a target was found down, share what marks it up

marked_down_at repeated what down_until says: that is set only DOWN_AVOID_MS after a mark. flt_was_down_since() derives it. flt_record_response() marks the target up as flt_mark_up() does, and calls it. The time since which a stream is silent was computed in three places; stl_silent_since() serves all.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -88,8 +88,6 @@
 	clk_ms closed_until;
 	/* Treated as down until this time: its layers do not count. */
 	clk_ms down_until;
-	/* When it was last found to be down. */
-	clk_ms marked_down_at;
 	/* Failures since the last success. */
 	unsigned failures;
 	/* Layers that it was last ordered to hold, and the time until which
@@ -188,6 +186,9 @@
 /* The target is known to be down: it is avoided for a few seconds, and what
  * it holds does not count. */
 void flt_mark_down(struct flt_target *target, clk_ms now);
+/* Whether it is treated as down because it was found so at since or later. */
+bool flt_was_down_since(const struct flt_target *target, clk_ms now,
+			clk_ms since);
 /* The target, thought to be down, has continued to work. */
 void flt_mark_up(struct flt_target *target);
 /* The target refused a request for lack of capacity: it is avoided briefly. */
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -372,6 +372,8 @@
 /* Starts the timer that queries the engines of the request's path when no event
  * arrives for too long. */
 void stl_watch_stream(struct edg_request *request);
+/* Time of the request's last event or, if that was later, of its send. */
+clk_ms stl_silent_since(const struct edg_request *request);
 /* Marks the target as lost and moves the streams that it stalls. */
 void stl_mark_lost(struct edg_edge *edge, struct flt_target *target,
 		   const char *why);
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -147,7 +147,7 @@
 static struct flt_target *find_lost(const struct edg_request *request,
 				    clk_ms now)
 {
-	clk_ms silent_since = MAX(request->last_event_at, request->sent_at);
+	clk_ms silent_since = stl_silent_since(request);
 	const GArray *stages = request->path->stages;
 	guint i;
 
@@ -155,8 +155,8 @@
 		struct flt_target *target =
 			g_array_index(stages, struct pth_stage, i).target;
 
-		if (now < target->down_until &&
-		    target->marked_down_at >= silent_since + LOST_AFTER_MS)
+		if (flt_was_down_since(target, now,
+				       silent_since + LOST_AFTER_MS))
 			return target;
 	}
 	return NULL;
--- a/src/edge/stall_detection.c
+++ b/src/edge/stall_detection.c
@@ -43,9 +43,14 @@
 	bool is_answered;
 };
 
+clk_ms stl_silent_since(const struct edg_request *request)
+{
+	return MAX(request->last_event_at, request->sent_at);
+}
+
 static clk_ms silence(const struct edg_request *request, clk_ms now)
 {
-	return now - MAX(request->last_event_at, request->sent_at);
+	return now - stl_silent_since(request);
 }
 
 static clk_ms silence_threshold(const struct edg_request *request)
@@ -253,7 +258,7 @@
 void stl_watch_stream(struct edg_request *request)
 {
 	clk_ms now = edg_now(request->edge);
-	clk_ms since = MAX(request->last_event_at, request->sent_at);
+	clk_ms since = stl_silent_since(request);
 	clk_ms due = since + silence_threshold(request);
 
 	if (due <= now)
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -420,9 +420,7 @@
 	double sample = (double)took;
 
 	(void)now;
-	target->failures = 0;
-	target->avoid_until = 0;
-	target->down_until = 0;
+	flt_mark_up(target);
 	if (target->answer_ms <= 0)
 		target->answer_ms = sample;
 	else
@@ -444,7 +442,13 @@
 	target->failures++;
 	target->avoid_until = now + DOWN_AVOID_MS;
 	target->down_until = now + DOWN_AVOID_MS;
-	target->marked_down_at = now;
+}
+
+bool flt_was_down_since(const struct flt_target *target, clk_ms now,
+			clk_ms since)
+{
+	return now < target->down_until &&
+	       target->down_until - DOWN_AVOID_MS >= since;
 }
 
 void flt_mark_up(struct flt_target *target)
