edge: decide once per answer whether it is the stream

edg_is_stream_head() tested a response and is_stream_answer() tested nearly the same conditions on what was kept of it, again for each chunk. The head of the answer now sets is_stream, which replaces has_other_type too. No change of behaviour; the seven wire tests of the edge that reach it pass.

--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -117,6 +117,7 @@
 	request->is_signed = false;
 	request->is_not_run = false;
 	request->is_encoded = false;
+	request->is_stream = false;
 	g_clear_pointer(&request->failed_address, g_free);
 }
 
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -128,6 +128,8 @@
 	bool is_signed;
 	bool is_not_run;
 	bool is_encoded;
+	/* It begins the stream, or continues it. */
+	bool is_stream;
 	char *failed_address;
 
 	/* Streams. */
@@ -148,10 +150,8 @@
 	unsigned cut_runs;
 	/* The response head was sent to the caller. */
 	bool is_answer_started;
-	/* Content type of that response, or NULL, and whether the answer to the
-	 * current send has another. */
+	/* Content type of that response, or NULL. */
 	char *stream_type;
-	bool has_other_type;
 	clk_ms first_event_at;
 	clk_ms last_event_at;
 	clk_ms longest_pause;
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -18,13 +18,6 @@
 
 static void send_next(struct edg_request *request, bool keeps_head);
 
-static bool is_stream_answer(const struct edg_request *request)
-{
-	return request->status == 200 && request->is_signed &&
-	       !request->is_encoded && !request->has_other_type &&
-	       strcmp(request->http->method, "HEAD") != 0;
-}
-
 static void watch_silence(struct edg_request *request)
 {
 	if (request->path)
@@ -57,16 +50,14 @@
 void edg_begin_stream(struct edg_request *request,
 		      const struct hup_response *response)
 {
-	const char *type = hdr_get(&response->headers, "Content-Type");
-
 	edg_read_response_head(request, response);
-	if (request->is_answer_started)
-		request->has_other_type =
-			!is_same_type(type, request->stream_type);
-	if (!is_stream_answer(request) || request->is_answer_started)
+	request->is_stream = edg_is_stream_head(request, response) &&
+			     strcmp(request->http->method, "HEAD") != 0;
+	if (!request->is_stream || request->is_answer_started)
 		return;
 	request->is_answer_started = true;
-	request->stream_type = g_strdup(type);
+	request->stream_type =
+		g_strdup(hdr_get(&response->headers, "Content-Type"));
 	hsv_begin_chunked(request->http, request->status,
 			  request->headers->str);
 }
@@ -152,7 +143,7 @@
 {
 	struct edg_request *request = user;
 
-	if (is_stream_answer(request)) {
+	if (request->is_stream) {
 		on_stream_data(request, bytes, len);
 		return;
 	}
@@ -344,13 +335,13 @@
 	is_partial = false;
 	outcome = EDG_OUTCOME_ANSWERED;
 #endif
-	if (outcome == EDG_OUTCOME_ANSWERED && is_stream_answer(request) &&
+	if (outcome == EDG_OUTCOME_ANSWERED && request->is_stream &&
 	    !is_partial && !request->splitter.awaits_event) {
 		complete(request);
 		return;
 	}
 	if (outcome == EDG_OUTCOME_ANSWERED && !request->is_answer_started &&
-	    !is_stream_answer(request)) {
+	    !request->is_stream) {
 		edg_deliver(request);
 		return;
 	}
