edge: one place that makes a path that of the next send

reserve_path() and edg_resend_on() reserved a path and set it and its head in the same way; use_path() serves both. The reservation of a restart now comes after the old send is released, as that of other sends does; rounds of waiting requests start from a timer, so none comes in between. edge_wire, edge_parts_wire, answers_wire and silence_wire tests pass.

--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -376,6 +376,15 @@
 	return query;
 }
 
+/* Reserves the path for the next send, and takes it over. */
+static void use_path(struct edg_request *request, struct pth_path *path)
+{
+	pth_reserve(path, edg_now(request->edge),
+		    edg_path_query(request).tokens);
+	request->path = path;
+	request->target = flt_target_keep(pth_head(path));
+}
+
 static enum pth_result reserve_path(struct edg_request *request,
 				    bool keeps_head)
 {
@@ -390,11 +399,8 @@
 	result =
 		pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
 	edg_release_send(request);
-	if (result == PTH_FOUND) {
-		pth_reserve(path, edg_now(edge), query.tokens);
-		request->path = path;
-		request->target = flt_target_keep(pth_head(path));
-	}
+	if (result == PTH_FOUND)
+		use_path(request, path);
 	return result;
 }
 
@@ -436,12 +442,9 @@
 
 void edg_resend_on(struct edg_request *request, struct pth_path *path)
 {
-	pth_reserve(path, edg_now(request->edge),
-		    edg_path_query(request).tokens);
 	edg_release_send(request);
 	evs_discard_partial(&request->splitter);
-	request->path = path;
-	request->target = flt_target_keep(pth_head(path));
+	use_path(request, path);
 	edg_send_stream(request);
 }
 
