tests: share what the wire tests of the edge repeat

open_plain() stood in three test programs, open_engines(), set_modes(), total_requests() and holds_all_layers() in two each; they are the stand-in's now. Three tests of silence_wire_test repeated the set-up of a stream with a stalled engine; open_stalled_stream() serves them.

--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -13,15 +13,6 @@
 #define CHUNKED "Transfer-Encoding: chunked\r\n"
 #define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
 
-static void open_plain(struct platform_world *world)
-{
-	world_open(world);
-	world_put(world, "config", "main", world_config(1));
-	world_worker(world, "p1", "plain", 0, 0);
-	world_worker(world, "p2", "plain", 0, 0);
-	world_start_ready_edge(world);
-}
-
 /* One head, so that a request that it refuses can only return to it. */
 static void open_one_head(struct platform_world *world)
 {
@@ -215,7 +206,7 @@
 
 	answers = expected;
 	n_answers = n;
-	open_plain(world);
+	world_open_plain(world);
 	worker(world, 0)->script = answer_in_order;
 	worker(world, 1)->script = answer_in_order;
 	client = world_request(world, "POST", path, KEY, "");
@@ -401,7 +392,7 @@
 
 	answers = &head;
 	n_answers = 1;
-	open_plain(&world);
+	world_open_plain(&world);
 	worker(&world, 0)->script = answer_in_order;
 	worker(&world, 1)->script = answer_in_order;
 	client = world_request(&world, "HEAD", "/lines/", KEY, "");
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -10,51 +10,11 @@
 #define KEY "Authorization: Token key1\r\n"
 #define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
 
-/* Two plain workers and the configuration. */
-static void open_plain(struct platform_world *world)
-{
-	world_open(world);
-	world_put(world, "config", "main", world_config(1));
-	world_worker(world, "p1", "plain", 0, 0);
-	world_worker(world, "p2", "plain", 0, 0);
-	world_start_ready_edge(world);
-}
-
-/* Two heads and two engines for the other half of the layers. */
-static void open_engines(struct platform_world *world)
-{
-	world_open(world);
-	world_put(world, "config", "main", world_config(1));
-	world_worker(world, "e1", "model", 0, 4);
-	world_worker(world, "e2", "model", 0, 4);
-	world_worker(world, "e3", "model", 4, 8);
-	world_worker(world, "e4", "model", 4, 8);
-	world_start_ready_edge(world);
-}
-
 static struct worker *worker(struct platform_world *world, guint i)
 {
 	return world->workers->pdata[i];
 }
 
-static void set_modes(struct platform_world *world, enum worker_mode mode)
-{
-	guint i;
-
-	for (i = 0; i < world->workers->len; i++)
-		worker(world, i)->mode = mode;
-}
-
-static unsigned total_requests(struct platform_world *world)
-{
-	unsigned sum = 0;
-	guint i;
-
-	for (i = 0; i < world->workers->len; i++)
-		sum += worker(world, i)->requests;
-	return sum;
-}
-
 static unsigned workers_used(struct platform_world *world)
 {
 	unsigned used = 0;
@@ -96,7 +56,7 @@
 	const char *seen;
 	long remaining;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	client = world_request(&world, "POST", "/once/a?b=c",
 			       KEY "X-Wagtailferry-Tenant: forged\r\n"
 				   "X-Own: 1\r\nConnection: X-Hop\r\n"
@@ -145,10 +105,10 @@
 {
 	struct platform_world world;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	expect(&world, "GET", rejected_requests[_i].path,
 	       rejected_requests[_i].headers, rejected_requests[_i].answer);
-	ck_assert_uint_eq(total_requests(&world), 0);
+	ck_assert_uint_eq(world_total_requests(&world), 0);
 	world_close(&world);
 }
 END_TEST
@@ -157,7 +117,7 @@
 {
 	struct platform_world world;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	expect(&world, "GET", "/open/", "", "body");
 	ck_assert_ptr_null(strstr(used_worker(&world)->last_request->str,
 				  "X-Wagtailferry-Tenant"));
@@ -213,11 +173,11 @@
 	const struct failure *failure = &failures[_i];
 	struct platform_world world;
 
-	open_plain(&world);
-	set_modes(&world, failure->mode);
+	world_open_plain(&world);
+	world_set_modes(&world, failure->mode);
 	expect(&world, "POST", failure->path,
 	       KEY "X-Wagtailferry-Deadline-Ms: 700\r\n", failure->answer);
-	ck_assert_uint_eq(total_requests(&world), failure->sends);
+	ck_assert_uint_eq(world_total_requests(&world), failure->sends);
 	world_close(&world);
 }
 END_TEST
@@ -291,7 +251,7 @@
 	size_t first;
 	size_t second;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	for (path = 0; path < G_N_ELEMENTS(paths); path++)
 		for (first = 0; first < G_N_ELEMENTS(modes); first++)
 			for (second = 0; second < G_N_ELEMENTS(modes);
@@ -315,7 +275,7 @@
 	struct platform_world world;
 	int i;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	worker(&world, 0)->mode = modes[_i];
 	for (i = 0; i < 4; i++)
 		expect(&world, "GET", "/read/", KEY, "body");
@@ -329,7 +289,7 @@
 {
 	struct platform_world world;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	expect(&world, "GET", "/read/", KEY, "body");
 	world.store_mode = STORE_SILENT;
 	world_run(&world, 3200);
@@ -353,7 +313,7 @@
 {
 	struct platform_world world;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	world_put(&world, "config", "main",
 		  world_config_with_keys(2, json_pack("[s]", "key2")));
 	wire_run_until(&world.wire, is_version_2, &world);
@@ -372,7 +332,7 @@
 {
 	struct platform_world world;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	world.store_mode = STORE_GONE;
 	json_array_clear(world.events);
 	world_put(&world, "config", "main", world_config(2));
@@ -397,7 +357,7 @@
 {
 	struct platform_world world;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	world.store_mode = STORE_BUSY;
 	world_run(&world, 2500);
 	world_delete(&world, "servers", "p1");
@@ -433,7 +393,7 @@
 	json_t *entry;
 	clk_ms lost_at;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	world_run(&world, 600);
 	g_ptr_array_set_size(world.held_watches, 0);
 	lost_at = edg_now(world.edge);
@@ -448,7 +408,7 @@
 
 static bool has_any_request(void *user)
 {
-	return total_requests(user) > 0;
+	return world_total_requests(user) > 0;
 }
 
 /* Guards against missing, repeated and truncated events when a stream resumes
@@ -459,12 +419,12 @@
 	struct wire_client *client;
 	struct worker *first;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_BREAKS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_BREAKS_STREAM);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_run_until(&world.wire, has_any_request, &world);
 	first = used_worker(&world);
-	set_modes(&world, WORKER_ANSWERS);
+	world_set_modes(&world, WORKER_ANSWERS);
 	first->mode = WORKER_BREAKS_STREAM;
 	wire_client_await(&world.wire, client,
 			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
@@ -473,7 +433,7 @@
 	ck_assert_ptr_null(
 		strstr(strstr(client->received->str, "id: 1") + 5, "id: 1"));
 	ck_assert_ptr_null(strstr(client->received->str + 9, "HTTP/1.1"));
-	ck_assert_uint_eq(total_requests(&world), 2);
+	ck_assert_uint_eq(world_total_requests(&world), 2);
 	wire_client_drop(client);
 	world_close(&world);
 }
@@ -487,17 +447,17 @@
 	struct wire_client *client;
 	struct worker *first;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_ENDLESS);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_ENDLESS);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_run_until(&world.wire, has_any_request, &world);
 	first = used_worker(&world);
-	set_modes(&world, WORKER_ANSWERS);
+	world_set_modes(&world, WORKER_ANSWERS);
 	first->mode = WORKER_ENDLESS;
 	wire_client_await(&world.wire, client,
 			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
 	ck_assert_ptr_null(strstr(client->received->str, "xxx"));
-	ck_assert_uint_eq(total_requests(&world), 2);
+	ck_assert_uint_eq(world_total_requests(&world), 2);
 	wire_client_drop(client);
 	world_close(&world);
 }
@@ -509,7 +469,7 @@
 	char **stages;
 	char *path;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	expect(&world, "POST", "/stream/", KEY TOKENS, "data: two");
 	path = strstr(used_worker(&world)->last_request->str, "Hop-Count: ");
 	ck_assert_ptr_nonnull(path);
@@ -526,7 +486,7 @@
 }
 END_TEST
 
-/* Streams that the two heads of open_engines() may run together. */
+/* Streams that the two heads of world_open_engines() may run together. */
 #define HEAD_STREAMS 12
 
 static struct wire_client *open_stream(struct platform_world *world)
@@ -552,8 +512,8 @@
 	unsigned before;
 	guint i;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	for (i = 0; i < HEAD_STREAMS; i++)
 		streams[i] = open_stream(&world);
 	/* No stream has ended yet, so nothing tells when there will be room. */
@@ -562,11 +522,11 @@
 		wire_client_drop(streams[i]);
 		streams[i] = open_stream(&world);
 	}
-	before = total_requests(&world);
+	before = world_total_requests(&world);
 	waiting = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	world_run(&world, 60);
 	ck_assert_uint_eq(waiting->received->len, 0);
-	ck_assert_uint_eq(total_requests(&world), before);
+	ck_assert_uint_eq(world_total_requests(&world), before);
 	wire_client_drop(streams[0]);
 	wire_client_await(&world.wire, waiting, "data: one");
 	streams[0] = waiting;
@@ -577,7 +537,7 @@
 	ck_assert_ptr_nonnull(after);
 	ck_assert_double_ge(g_ascii_strtod(after, NULL), 0.4);
 	ck_assert_double_le(g_ascii_strtod(after, NULL), 1.0);
-	ck_assert_uint_eq(total_requests(&world), before + 1);
+	ck_assert_uint_eq(world_total_requests(&world), before + 1);
 	g_free(after);
 	wire_client_drop(waiting);
 	for (i = 0; i < HEAD_STREAMS; i++)
@@ -605,8 +565,8 @@
 	struct wire_client *client;
 	struct worker *head;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_run_until(&world.wire, has_any_request, &world);
 	head = used_worker(&world);
@@ -615,7 +575,7 @@
 	ck_assert_uint_eq(head->orders->len, 1);
 	ck_assert_ptr_nonnull(strstr(head->orders->pdata[0], "repath"));
 	ck_assert_ptr_null(strstr(head->orders->pdata[0], head->stalled));
-	ck_assert_uint_eq(total_requests(&world), 1);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
 	wire_client_drop(client);
 	world_close(&world);
 }
@@ -628,8 +588,8 @@
 	struct worker *head;
 	guint i;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_run_until(&world.wire, has_any_request, &world);
 	head = used_worker(&world);
@@ -639,7 +599,7 @@
 	}
 	head->stalled = second_engine(&world, head);
 	wire_client_await(&world.wire, client, "data: two");
-	ck_assert_uint_eq(total_requests(&world), 2);
+	ck_assert_uint_eq(world_total_requests(&world), 2);
 	wire_client_drop(client);
 	world_close(&world);
 }
@@ -660,9 +620,9 @@
 	struct platform_world world;
 	struct wire_client *client;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	add_heads(&world);
-	set_modes(&world, WORKER_BREAKS_STREAM);
+	world_set_modes(&world, WORKER_BREAKS_STREAM);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_client_await_close(&world.wire, client);
 	ck_assert_ptr_nonnull(strstr(client->received->str, "data: one"));
@@ -678,11 +638,11 @@
 	struct platform_world world;
 	struct wire_client *client;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	world_worker(&world, "p3", "plain", 0, 0);
 	world_worker(&world, "p4", "plain", 0, 0);
 	world_run(&world, 600);
-	set_modes(&world, WORKER_BREAKS_STREAM);
+	world_set_modes(&world, WORKER_BREAKS_STREAM);
 	client = world_request(&world, "POST", "/lines/", KEY, "");
 	wire_client_await_close(&world.wire, client);
 	ck_assert_ptr_nonnull(strstr(client->received->str, "data: one"));
@@ -701,9 +661,9 @@
 	struct wire_client *client;
 	guint i;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	add_heads(&world);
-	set_modes(&world, WORKER_BREAKS_STREAM);
+	world_set_modes(&world, WORKER_BREAKS_STREAM);
 	for (i = 0; i < world.workers->len; i++)
 		worker(&world, i)->closes_on_report = true;
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
@@ -722,8 +682,8 @@
 	struct wire_client *client;
 	struct worker *head;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_run_until(&world.wire, has_any_request, &world);
 	head = used_worker(&world);
@@ -732,7 +692,7 @@
 	wire_client_await(&world.wire, client, "data: two");
 	ck_assert_uint_eq(head->orders->len, 2);
 	ck_assert_str_eq(head->orders->pdata[0], head->orders->pdata[1]);
-	ck_assert_uint_eq(total_requests(&world), 1);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
 	wire_client_drop(client);
 	world_close(&world);
 }
@@ -750,8 +710,8 @@
 	clk_ms unresponsive_at;
 	guint i;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	worker(&world, 1)->mode = WORKER_REFUSES;
 	for (i = 0; i < G_N_ELEMENTS(clients); i++) {
 		clients[i] = world_request(&world, "POST", "/stream/",
@@ -759,7 +719,7 @@
 		wire_client_await(&world.wire, clients[i], "data: one");
 	}
 	head = worker(&world, 0);
-	set_modes(&world, WORKER_ANSWERS);
+	world_set_modes(&world, WORKER_ANSWERS);
 	head->is_unresponsive = true;
 	unresponsive_at = edg_now(world.edge);
 	for (i = 0; i < G_N_ELEMENTS(clients); i++)
@@ -772,21 +732,6 @@
 }
 END_TEST
 
-static bool holds_all_layers(void *user)
-{
-	struct platform_world *world = user;
-	const GPtrArray *targets = flt_targets(edg_fleet(world->edge));
-	unsigned held = 0;
-	guint i;
-
-	for (i = 0; i < targets->len; i++) {
-		const struct flt_target *target = targets->pdata[i];
-
-		held += target->holds.end - target->holds.first;
-	}
-	return held >= 8;
-}
-
 START_TEST(empty_engines_are_ordered_to_hold_layers)
 {
 	struct platform_world world;
@@ -797,7 +742,7 @@
 	world_worker(&world, "e1", "model", 0, 0);
 	world_worker(&world, "e2", "model", 0, 0);
 	world_start_edge(&world);
-	wire_run_until(&world.wire, holds_all_layers, &world);
+	wire_run_until(&world.wire, world_holds_all_layers, &world);
 	ck_assert_uint_eq(worker(&world, 0)->orders->len, 1);
 	order = worker(&world, 0)->orders->pdata[0];
 	ck_assert_ptr_nonnull(strstr(order, "\"operation\":\"place\""));
@@ -851,8 +796,8 @@
 	struct platform_world world;
 	struct wire_client *client;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_client_await(&world.wire, client, "data: one");
 	wire_client_drop(client);
@@ -902,8 +847,8 @@
 	clk_ms seconds;
 	unsigned i;
 
-	open_plain(&world);
-	set_modes(&world, WORKER_FAILS);
+	world_open_plain(&world);
+	world_set_modes(&world, WORKER_FAILS);
 	began = edg_now(world.edge);
 	for (i = 0; i < FLOOD_CONNECTIONS; i++)
 		clients[i] = wire_client_new(&world.wire, world.address);
@@ -936,7 +881,7 @@
 	struct platform_world world;
 	struct wire_client *ready;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	edg_drain(world.edge);
 	ready = wire_client_new(&world.wire, world.ready_address);
 	wire_client_send(ready, "GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -960,26 +905,26 @@
 	unsigned before;
 	guint i;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	for (i = 0; i < HEAD_STREAMS; i++)
 		streams[i] = open_stream(&world);
 	for (i = 0; i < 6; i++) {
 		wire_client_drop(streams[i]);
 		streams[i] = open_stream(&world);
 	}
-	before = total_requests(&world);
+	before = world_total_requests(&world);
 	for (i = 0; i < 2; i++)
 		waiting[i] = world_request(&world, "POST", "/stream/",
 					   KEY TOKENS, "");
 	world_run(&world, 30);
 	edg_drain(world.edge);
-	ck_assert_uint_eq(total_requests(&world), before);
+	ck_assert_uint_eq(world_total_requests(&world), before);
 	wire_client_drop(streams[0]);
 	wire_client_await(&world.wire, waiting[0], "data: one");
 	streams[0] = waiting[0];
 	wire_client_await(&world.wire, waiting[1], "HTTP/1.1 503 ");
-	ck_assert_uint_eq(total_requests(&world), before + 1);
+	ck_assert_uint_eq(world_total_requests(&world), before + 1);
 	wire_client_drop(waiting[1]);
 	for (i = 0; i < HEAD_STREAMS; i++)
 		wire_client_drop(streams[i]);
@@ -998,8 +943,8 @@
 	struct platform_world world;
 	struct wire_client *client;
 
-	open_engines(&world);
-	set_modes(&world, WORKER_STALLS_STREAM);
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
 	client = open_stream(&world);
 	edg_drain(world.edge);
 	world_run(&world, AFTER_LISTENER_CLOSE_MS);
@@ -1011,7 +956,7 @@
 			 "Content-Length: 0\r\n\r\n");
 	wire_client_await(&world.wire, client, "HTTP/1.1 503 ");
 	ck_assert_ptr_nonnull(strstr(client->received->str, "Retry-After: "));
-	ck_assert_uint_eq(total_requests(&world), 1);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
 	wire_run_until(&world.wire, is_drained, &world);
 	wire_client_drop(client);
 	world_close(&world);
@@ -1034,7 +979,7 @@
 	const char *request = "GET /read/ HTTP/1.1\r\nHost: h\r\n"
 			      "X-Wagtailferry-Attempt-Id: last\r\n" KEY "\r\n";
 
-	open_plain(&world);
+	world_open_plain(&world);
 	edg_drain(world.edge);
 	world_run(&world, BEFORE_LISTENER_CLOSE_MS);
 	slow = wire_client_new(&world.wire, world.address);
--- a/tests/platform/leaving_wire_test.c
+++ b/tests/platform/leaving_wire_test.c
@@ -20,28 +20,6 @@
 	return world->workers->pdata[i];
 }
 
-/* Two plain workers and the configuration. */
-static void open_plain(struct platform_world *world)
-{
-	world_open(world);
-	world_put(world, "config", "main", world_config(1));
-	world_worker(world, "p1", "plain", 0, 0);
-	world_worker(world, "p2", "plain", 0, 0);
-	world_start_ready_edge(world);
-}
-
-/* Two heads and two engines for the other half of the layers. */
-static void open_engines(struct platform_world *world)
-{
-	world_open(world);
-	world_put(world, "config", "main", world_config(1));
-	world_worker(world, "e1", "model", 0, 4);
-	world_worker(world, "e2", "model", 0, 4);
-	world_worker(world, "e3", "model", 4, 8);
-	world_worker(world, "e4", "model", 4, 8);
-	world_start_ready_edge(world);
-}
-
 static bool has_answer_head(void *user)
 {
 	struct wire_client *client = user;
@@ -147,7 +125,7 @@
 	unsigned before;
 	int i;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	one = worker(&world, 0);
 	one->mode = modes[_i];
 	one->fields = LEAVING;
@@ -178,7 +156,7 @@
 	unsigned before;
 	int i;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	one = worker(&world, 0);
 	one->fields = LEAVING;
 	reach(&world, one, "/read/");
@@ -203,7 +181,7 @@
 	unsigned before;
 	int i;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	one = worker(&world, 0);
 	one->fields = LEAVING;
 	one->mode = WORKER_STALLS_STREAM;
@@ -245,7 +223,7 @@
 	const char *address;
 	int i;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	third = worker(&world, 2);
 	address = wire_server_address(third->server);
 	third->fields = LEAVING;
@@ -268,21 +246,6 @@
 }
 END_TEST
 
-static bool holds_all_layers(void *user)
-{
-	struct platform_world *world = user;
-	const GPtrArray *targets = flt_targets(edg_fleet(world->edge));
-	unsigned held = 0;
-	guint i;
-
-	for (i = 0; i < targets->len; i++) {
-		const struct flt_target *target = targets->pdata[i];
-
-		held += target->holds.end - target->holds.first;
-	}
-	return held >= 8;
-}
-
 /* Guards against layers that are ordered at an engine that is leaving. */
 START_TEST(leaving_engine_is_not_ordered_to_load_layers)
 {
@@ -299,7 +262,7 @@
 	}
 	worker(&world, 0)->fields = LEAVING;
 	world_start_edge(&world);
-	wire_run_until(&world.wire, holds_all_layers, &world);
+	wire_run_until(&world.wire, world_holds_all_layers, &world);
 	ck_assert_uint_eq(worker(&world, 0)->orders->len, 0);
 	ck_assert_int_eq(ask(&world, "/stream/"), 200);
 	world_close(&world);
@@ -344,7 +307,7 @@
 	struct worker *two;
 	clk_ms closed_at;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	one = worker(&world, 0);
 	two = worker(&world, 1);
 	one->mode = modes[_i];
@@ -392,7 +355,7 @@
 	struct flt_target *target;
 	size_t i;
 
-	open_plain(&world);
+	world_open_plain(&world);
 	worker(&world, 0)->mode = WORKER_REFUSES;
 	worker(&world, 1)->mode = WORKER_REFUSES;
 	for (i = 0; i < G_N_ELEMENTS(values); i++) {
@@ -424,7 +387,7 @@
 	unsigned before;
 	guint i;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	for (i = 0; i < 2; i++) {
 		heads[i] = worker(&world, i);
 		heads[i]->mode = WORKER_REFUSES;
@@ -456,7 +419,7 @@
 	char *fields;
 	guint i;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	third = worker(&world, 2);
 	address = wire_server_address(third->server);
 	fields =
@@ -509,7 +472,7 @@
 	world_run(&world, CLOSED_MS - 100);
 	ck_assert_uint_eq(worker(&world, 0)->orders->len, 0);
 	ck_assert_uint_eq(worker(&world, 1)->orders->len, 1);
-	wire_run_until(&world.wire, holds_all_layers, &world);
+	wire_run_until(&world.wire, world_holds_all_layers, &world);
 	ck_assert_int_ge(edg_now(world.edge) - closed_at, CLOSED_MS);
 	world_close(&world);
 }
@@ -523,7 +486,7 @@
 	struct wire_client *client;
 	guint i;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	for (i = 0; i < 4; i++)
 		worker(&world, i)->mode = WORKER_STALLS_STREAM;
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
@@ -551,7 +514,7 @@
 	struct wire_client *client;
 	guint i;
 
-	open_engines(&world);
+	world_open_engines(&world);
 	for (i = 0; i < 2; i++)
 		worker(&world, i)->mode = WORKER_BREAKS_STREAM;
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
--- a/tests/platform/quarantine_wire_test.c
+++ b/tests/platform/quarantine_wire_test.c
@@ -45,14 +45,6 @@
 	world_start_ready_edge(world);
 }
 
-static void set_modes(struct platform_world *world, enum worker_mode mode)
-{
-	guint i;
-
-	for (i = 0; i < world->workers->len; i++)
-		((struct worker *)world->workers->pdata[i])->mode = mode;
-}
-
 /* Sends a stream whose own, last part differs from all others. */
 static struct wire_client *send_stream(struct platform_world *world,
 				       const char *parts)
@@ -142,14 +134,14 @@
 	unsigned i;
 
 	open_heads(&world);
-	set_modes(&world, WORKER_CUTS_STREAM);
+	world_set_modes(&world, WORKER_CUTS_STREAM);
 	for (i = 0; i < 6; i++) {
 		await_end(&world, send_stream(&world, SOUND_PARTS));
 		world_run(&world, GAP_MS);
 	}
 	ck_assert_int_eq(
 		ctr_get(world.counters, "wf_edge_quarantine_crashes_total"), 0);
-	set_modes(&world, WORKER_ANSWERS);
+	world_set_modes(&world, WORKER_ANSWERS);
 	await_events(&world, send_stream(&world, SOUND_PARTS));
 	world_close(&world);
 }
@@ -191,7 +183,7 @@
 	unsigned i;
 
 	open_heads(&world);
-	set_modes(&world, WORKER_SILENT);
+	world_set_modes(&world, WORKER_SILENT);
 	client = send_stream(&world, DEADLY_PARTS);
 	world_run(&world, 50);
 	ck_assert_uint_eq(qtn_parse_parts("5a,dead,x", "model", keys), 2);
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -17,16 +17,6 @@
 	return world->workers->pdata[i];
 }
 
-static unsigned total_requests(struct platform_world *world)
-{
-	unsigned sum = 0;
-	guint i;
-
-	for (i = 0; i < world->workers->len; i++)
-		sum += worker(world, i)->requests;
-	return sum;
-}
-
 /* Engines for all layers: heads of the first half and as many others. */
 static void open_engines(struct platform_world *world, unsigned heads)
 {
@@ -90,7 +80,7 @@
 	world_run(&world, SILENCE_MS);
 	ck_assert_int_eq(ctr_get(world.counters, "wf_edge_config_version"), 2);
 	expect_rest(&world, client, head);
-	ck_assert_uint_eq(total_requests(&world), 1);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
 	world_close(&world);
 }
 END_TEST
@@ -106,7 +96,7 @@
 	client = open_silent_stream(&world, "/final/", &head);
 	world_run(&world, SILENCE_MS);
 	expect_rest(&world, client, head);
-	ck_assert_uint_eq(total_requests(&world), 1);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
 	world_close(&world);
 }
 END_TEST
@@ -126,7 +116,7 @@
 			worker(&world, i)->mode = WORKER_REFUSES;
 	}
 	world_run(&world, SILENCE_MS);
-	ck_assert_uint_gt(total_requests(&world), 1);
+	ck_assert_uint_gt(world_total_requests(&world), 1);
 	expect_rest(&world, client, head);
 	world_close(&world);
 }
@@ -287,7 +277,7 @@
 	world_run(&world, SILENCE_MS);
 	worker_release_late(worker(&world, 1));
 	expect_rest(&world, client, worker(&world, 0));
-	ck_assert_uint_eq(total_requests(&world), 1);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
 	world_close(&world);
 }
 END_TEST
@@ -331,12 +321,29 @@
 	ck_assert_uint_eq(client->received->len, 0);
 	worker_release_late(worker(&world, 0));
 	wire_client_await(&world.wire, client, "body");
-	ck_assert_uint_eq(total_requests(&world), 1);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
 	wire_client_drop(client);
 	world_close(&world);
 }
 END_TEST
 
+/* Opens a stream and stalls its second engine, of which another one then
+ * appears. The head, the only one, refuses to change the path. */
+static struct wire_client *open_stalled_stream(struct platform_world *world)
+{
+	struct wire_client *client;
+	struct worker *head;
+
+	open_engines(world, 1);
+	client = world_request(world, "POST", "/stream/", KEY TOKENS, "");
+	wire_client_await(&world->wire, client, "data: one");
+	head = worker(world, 0);
+	head->order_status = 409;
+	head->stalled = wire_server_address(worker(world, 1)->server);
+	world_worker(world, "tail1", "model", 4, 8);
+	return client;
+}
+
 static bool has_second_request(void *user)
 {
 	return ((struct worker *)user)->requests > 1;
@@ -347,17 +354,10 @@
 START_TEST(lost_second_engine_costs_no_stream_of_a_head_that_keeps_its_path)
 {
 	struct platform_world world;
-	struct wire_client *client;
-	struct worker *head;
+	struct wire_client *client = open_stalled_stream(&world);
+	struct worker *head = worker(&world, 0);
 
-	open_engines(&world, 1);
-	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
-	wire_client_await(&world.wire, client, "data: one");
-	head = worker(&world, 0);
-	head->order_status = 409;
-	head->stalled = wire_server_address(worker(&world, 1)->server);
 	head->mode = WORKER_ANSWERS;
-	world_worker(&world, "tail1", "model", 4, 8);
 	wire_run_until(&world.wire, has_second_request, head);
 	ck_assert_ptr_null(strstr(head->last_request->str, head->stalled));
 	ck_assert_ptr_nonnull(
@@ -374,16 +374,9 @@
 START_TEST(sound_second_engine_keeps_its_run_for_a_second)
 {
 	struct platform_world world;
-	struct wire_client *client;
-	struct worker *head;
+	struct wire_client *client = open_stalled_stream(&world);
+	struct worker *head = worker(&world, 0);
 
-	open_engines(&world, 1);
-	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
-	wire_client_await(&world.wire, client, "data: one");
-	head = worker(&world, 0);
-	head->order_status = 409;
-	head->stalled = wire_server_address(worker(&world, 1)->server);
-	world_worker(&world, "tail1", "model", 4, 8);
 	world_run(&world, 1100);
 	expect_rest(&world, client, head);
 	ck_assert_uint_eq(head->requests, 1);
@@ -403,16 +396,9 @@
 START_TEST(engine_that_is_not_found_lost_again_keeps_its_run)
 {
 	struct platform_world world;
-	struct wire_client *client;
-	struct worker *head;
+	struct wire_client *client = open_stalled_stream(&world);
+	struct worker *head = worker(&world, 0);
 
-	open_engines(&world, 1);
-	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
-	wire_client_await(&world.wire, client, "data: one");
-	head = worker(&world, 0);
-	head->order_status = 409;
-	head->stalled = wire_server_address(worker(&world, 1)->server);
-	world_worker(&world, "tail1", "model", 4, 8);
 	wire_run_until(&world.wire, is_any_down, &world);
 	head->stalled = NULL;
 	world_run(&world, 1500);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -768,6 +768,59 @@
 	wire_run_until(&world->wire, world_is_ready, world);
 }
 
+void world_open_plain(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "p1", "plain", 0, 0);
+	world_worker(world, "p2", "plain", 0, 0);
+	world_start_ready_edge(world);
+}
+
+void world_open_engines(struct platform_world *world)
+{
+	world_open(world);
+	world_put(world, "config", "main", world_config(1));
+	world_worker(world, "e1", "model", 0, 4);
+	world_worker(world, "e2", "model", 0, 4);
+	world_worker(world, "e3", "model", 4, 8);
+	world_worker(world, "e4", "model", 4, 8);
+	world_start_ready_edge(world);
+}
+
+unsigned world_total_requests(struct platform_world *world)
+{
+	unsigned sum = 0;
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++)
+		sum += ((struct worker *)world->workers->pdata[i])->requests;
+	return sum;
+}
+
+void world_set_modes(struct platform_world *world, enum worker_mode mode)
+{
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++)
+		((struct worker *)world->workers->pdata[i])->mode = mode;
+}
+
+bool world_holds_all_layers(void *user)
+{
+	struct platform_world *world = user;
+	const GPtrArray *targets = flt_targets(edg_fleet(world->edge));
+	unsigned held = 0;
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+
+		held += target->holds.end - target->holds.first;
+	}
+	return held >= 8;
+}
+
 struct span {
 	struct platform_world *world;
 	clk_ms end;
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -163,6 +163,14 @@
 struct worker *world_worker(struct platform_world *world, const char *id,
 			    const char *service, unsigned first, unsigned end);
 
+/* Number of requests that all workers have received. */
+unsigned world_total_requests(struct platform_world *world);
+/* Sets how all workers answer. */
+void world_set_modes(struct platform_world *world, enum worker_mode mode);
+/* Whether the workers together hold as many layers as the model has. user is
+ * the world. */
+bool world_holds_all_layers(void *user);
+
 /* Sends the second event of the worker's stalled stream, and its end. */
 void worker_resume_stream(struct worker *worker);
 /* Answers the requests that the worker has kept, and is not late any more. */
@@ -172,6 +180,12 @@
 void world_start_edge(struct platform_world *world);
 /* The same, and waits until it is ready. */
 void world_start_ready_edge(struct platform_world *world);
+/* Opens a world with the configuration, two plain workers, p1 and p2, and an
+ * edge that is ready. */
+void world_open_plain(struct platform_world *world);
+/* The same with two heads, e1 and e2, and two engines for the other half of the
+ * layers, e3 and e4. */
+void world_open_engines(struct platform_world *world);
 
 /* Sends a request with a new id and the extra header lines to the edge. */
 struct wire_client *world_request(struct platform_world *world,
