--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -593,7 +593,7 @@
 		if (record->crash)
 			qtn_record_crash(quarantine, at, record->part,
 					 record->crash);
-		else if (find(quarantine, record->part))
-			clear(find(quarantine, record->part), at);
+		else
+			qtn_record_event(quarantine, at, &record->part, 1);
 	}
 }
