tests: run the loop of wire tests for the time asked

If the first response came 1 to 2 ms after the server's start, the second request was sent not 1125 ms but 1500 ms after it, at the idle timeout itself: the server closed the connection as it may, and the request was never answered.

wire_run_for() uses a timer of its own. No bound or check of the tests has changed.

--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -204,14 +204,6 @@
 	wire_client_await(&probe->wire, client, "one");
 }
 
-static void run_for(struct probe *probe, clk_ms span)
-{
-	clk_ms end = (clk_ms)uv_now(&probe->wire.loop) + span;
-
-	while ((clk_ms)uv_now(&probe->wire.loop) < end)
-		uv_run(&probe->wire.loop, UV_RUN_ONCE);
-}
-
 /* Longer than the time for which callers may rely on an earlier limit. */
 #define LOWER_LIMIT_GRACE_MS 5200
 
@@ -226,21 +218,21 @@
 	setup(&probe);
 	client = wire_client_new(&probe.wire, probe.address);
 	expect_one_answer(&probe, client);
-	run_for(&probe, limits.idle_timeout / 2);
+	wire_run_for(&probe.wire, limits.idle_timeout / 2);
 	lower.idle_timeout = limits.idle_timeout / 4;
 	hsv_set_limits(probe.server, &lower);
-	run_for(&probe, limits.idle_timeout / 4);
+	wire_run_for(&probe.wire, limits.idle_timeout / 4);
 	ck_assert(!client->closed);
 	expect_one_answer(&probe, client);
-	run_for(&probe, limits.idle_timeout * 4 / 5);
+	wire_run_for(&probe.wire, limits.idle_timeout * 4 / 5);
 	ck_assert(!client->closed);
-	run_for(&probe, limits.idle_timeout / 5 + 350);
+	wire_run_for(&probe.wire, limits.idle_timeout / 5 + 350);
 	ck_assert(client->closed);
 	wire_client_drop(client);
-	run_for(&probe, LOWER_LIMIT_GRACE_MS);
+	wire_run_for(&probe.wire, LOWER_LIMIT_GRACE_MS);
 	client = wire_client_new(&probe.wire, probe.address);
 	expect_one_answer(&probe, client);
-	run_for(&probe, lower.idle_timeout + 350);
+	wire_run_for(&probe.wire, lower.idle_timeout + 350);
 	ck_assert(client->closed);
 	wire_client_drop(client);
 	teardown(&probe);
@@ -257,7 +249,7 @@
 	setup(&probe);
 	client = wire_client_new(&probe.wire, probe.address);
 	expect_one_answer(&probe, client);
-	run_for(&probe, limits.idle_timeout / 2);
+	wire_run_for(&probe.wire, limits.idle_timeout / 2);
 	g_string_truncate(client->received, 0);
 	wire_client_send(client, HEAD "Content-Length: 3\r\n\r\ntwo");
 	g_usleep((gulong)limits.idle_timeout * 1000);
@@ -330,7 +322,7 @@
 	setup(&probe);
 	client = wire_client_new(&probe.wire, probe.address);
 	wire_client_send(client, HEAD "Content-Le");
-	run_for(&probe, limits.header_timeout / 2);
+	wire_run_for(&probe.wire, limits.header_timeout / 2);
 	wire_client_send(client, "ngth: 3\r\n\r\ntwo");
 	g_usleep((gulong)limits.header_timeout * 2000);
 	wire_client_await(&probe.wire, client, "two");
@@ -391,7 +383,7 @@
 				       HEAD "Content-Length: %d\r\n\r\n%s",
 				       LARGE_BODY_BYTES, body);
 	wire_client_send(client, text->str);
-	run_for(&probe, 200);
+	wire_run_for(&probe.wire, 200);
 	ck_assert_uint_eq(probe.requests, 1);
 	probe.echoes_body = true;
 	hsv_respond(probe.request, 200, "", "", 0);
--- a/tests/support/wire/wire.h
+++ b/tests/support/wire/wire.h
@@ -37,6 +37,9 @@
 void wire_run_until(struct wire_loop *wire, bool (*condition)(void *user),
 		    void *user);
 
+/* Runs the loop for a time that does not depend on the loop's other timers. */
+void wire_run_for(struct wire_loop *wire, clk_ms span);
+
 /* Runs until all closed handles are gone; fails the test if some remain. */
 void wire_close(struct wire_loop *wire);
 
--- a/tests/support/wire/wire_loop.c
+++ b/tests/support/wire/wire_loop.c
@@ -79,6 +79,15 @@
 	uv_timer_stop(&wire->watchdog);
 }
 
+void wire_run_for(struct wire_loop *wire, clk_ms span)
+{
+	uv_update_time(&wire->loop);
+	uv_timer_start(&wire->watchdog, on_watchdog, (uint64_t)span, 0);
+	while (!wire->expired)
+		uv_run(&wire->loop, UV_RUN_ONCE);
+	wire->expired = false;
+}
+
 void wire_close(struct wire_loop *wire)
 {
 	guint i;
