srv: end handshakes before the listener closes

Callers saw a connection that was established, and then reset after they had sent their request: they can't tell whether it ran.

Cause: an exiting instance accepted what waited in the backlog, then closed the listener.

Now connection requests are ignored first (a socket filter that drops SYN), the listener is read for 50 ms more and then closed. A caller whose request was ignored repeats it after 1 s and is refused, which tells that nothing ran.

no_connection_is_established_while_the_listener_closes is new.

--- a/src/daemon/driver.c
+++ b/src/daemon/driver.c
@@ -108,7 +108,8 @@
 	struct drv_driver *driver = timer->data;
 	clk_ms now = drv_clock_now(&driver->clock);
 
-	srv_stop_listening(driver->server);
+	if (!srv_stop_listening(driver->server))
+		return;
 	if (srv_count_undelivered(driver->server) &&
 	    now < driver->exit_deadline)
 		return;
--- a/src/daemon/net.c
+++ b/src/daemon/net.c
@@ -1,3 +1,4 @@
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <wagtailferry/schema.h>
@@ -23,6 +24,28 @@
 	return *out >= 0;
 }
 
+/* The byte of a TCP header that holds its flags. */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_SYN 0x02
+#define TCP_ACK 0x10
+
+void net_ignore_new_connections(uv_tcp_t *listener)
+{
+	struct sock_filter drop_syn[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TCP_SYN | TCP_ACK),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = {G_N_ELEMENTS(drop_syn), drop_syn};
+	uv_os_fd_t fd;
+
+	if (!uv_fileno((uv_handle_t *)listener, &fd))
+		setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+			   sizeof(program));
+}
+
 bool net_has_unread_bytes(const uv_tcp_t *tcp)
 {
 	uv_os_fd_t fd;
--- a/src/daemon/net.h
+++ b/src/daemon/net.h
@@ -17,6 +17,14 @@
  */
 bool net_accept_pending(uv_tcp_t *listener, uv_os_sock_t *out);
 
+/*
+ * Makes the system ignore connection requests to a listener. Handshakes that
+ * have begun still complete, so that a listener can be closed without a reset
+ * of connections that nobody has accepted. Callers repeat an ignored request
+ * after 1 s (RFC 6298) and are refused by then if the listener is closed.
+ */
+void net_ignore_new_connections(uv_tcp_t *listener);
+
 /* Whether bytes have arrived on an open connection that the loop has not read
  * yet: it runs timers before it reads. */
 bool net_has_unread_bytes(const uv_tcp_t *tcp);
--- a/src/daemon/srv_internal.h
+++ b/src/daemon/srv_internal.h
@@ -23,6 +23,7 @@
 	h2o_hostconf_t *hosts[2];
 	char *address;
 	bool open;
+	clk_ms closing_since; /* 0 while it accepts new connections */
 };
 
 struct srv_server {
--- a/src/daemon/srv_server.c
+++ b/src/daemon/srv_server.c
@@ -15,6 +15,8 @@
 #define DEFAULT_UNSENT_LIMIT ((size_t)256 << 10)
 #define DEFAULT_STALL_LIMIT_MS (30 * CLK_SECOND)
 #define STALL_CHECKS_PER_LIMIT 4
+/* Time from the last connection request to the end of its handshake. */
+#define HANDSHAKE_TIMEOUT_MS 50
 #define N_SERVER_HANDLES 4 /* two listeners and two timers */
 
 struct server_handler {
@@ -371,11 +373,22 @@
 	}
 }
 
-void srv_stop_listening(struct srv_server *server)
+bool srv_stop_listening(struct srv_server *server)
 {
-	if (server->callers.open)
-		accept_waiting(&server->callers);
-	close_listener(&server->callers);
+	struct srv_listener *listener = &server->callers;
+	clk_ms now = (clk_ms)uv_now(server->loop);
+
+	if (!listener->open)
+		return true;
+	if (!listener->closing_since) {
+		net_ignore_new_connections(&listener->tcp);
+		listener->closing_since = now;
+	}
+	accept_waiting(listener);
+	if (now - listener->closing_since < HANDSHAKE_TIMEOUT_MS)
+		return false;
+	close_listener(listener);
+	return true;
 }
 
 size_t srv_count_new_connections(const struct srv_server *server)
--- a/src/daemon/srv_server.h
+++ b/src/daemon/srv_server.h
@@ -71,10 +71,12 @@
 void srv_start_drain(struct srv_server *server);
 
 /*
- * Accepts the connections that wait in the listen backlog, then closes the
- * callers' listener. The system refuses later connections.
+ * Accepts the connections that wait in the listen backlog and takes no new
+ * ones. To be called repeatedly until it returns true: then handshakes that had
+ * begun at the first call are over, and the callers' listener is closed. The
+ * system refuses later connections.
  */
-void srv_stop_listening(struct srv_server *server);
+bool srv_stop_listening(struct srv_server *server);
 
 /* The number of callers' connections without a complete request so far. */
 size_t srv_count_new_connections(const struct srv_server *server);
--- a/tests/srv_wire_test.c
+++ b/tests/srv_wire_test.c
@@ -572,6 +572,45 @@
 }
 END_TEST
 
+/* Several steps of the exit, in which handshakes end. */
+#define STOPPING_MS 30
+
+static bool stops_listening(void *user)
+{
+	return srv_stop_listening(((struct fixture *)user)->server);
+}
+
+/*
+ * Guards against connections that are established when the listener closes, but
+ * not accepted: the system resets them, and their callers can't tell whether
+ * the request ran.
+ */
+START_TEST(no_connection_is_established_while_the_listener_closes)
+{
+	struct fixture fixture;
+	struct wire_client *waiting;
+	struct wire_client *late;
+
+	open_fixture(&fixture, give_token);
+	waiting = wire_client_new(&fixture.wire,
+				  srv_caller_address(fixture.server));
+	ck_assert(!srv_stop_listening(fixture.server));
+	late = wire_client_new(&fixture.wire,
+			       srv_caller_address(fixture.server));
+	wire_run_for(&fixture.wire, STOPPING_MS);
+	ck_assert(waiting->connected);
+	ck_assert(!late->connected);
+	wire_run_until(&fixture.wire, stops_listening, &fixture);
+	ck_assert(!late->connected);
+	wire_client_await_close(&fixture.wire, late);
+	ck_assert(!late->connected);
+	ck_assert(!waiting->closed);
+	wire_client_drop(waiting);
+	wire_client_drop(late);
+	close_fixture(&fixture);
+}
+END_TEST
+
 /* Guards against operators' pages on the callers' listener or the reverse. */
 START_TEST(operators_have_their_own_listener)
 {
@@ -941,6 +980,8 @@
 	tcase_add_test(tcase, http2_refusals_are_typed);
 	tcase_add_test(tcase, http2_disconnect_is_reported);
 	tcase_add_test(tcase, http2_caller_without_window_is_disconnected);
+	tcase_add_test(tcase,
+		       no_connection_is_established_while_the_listener_closes);
 	tcase_add_test(tcase, tls_callers_get_http2);
 	tcase_add_test(tcase, unusable_tls_files_are_bad_settings);
 }
