--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -21,7 +21,10 @@
 mkdir -p "$build/test-output"
 run_one()
 {
-	CK_VERBOSITY=verbose WF_BUILD=$build timeout 900 "$1" \
+	# A test without a limit of its own has 4 s by default, too short under
+	# sanitizers beside other load.
+	CK_DEFAULT_TIMEOUT=60 CK_VERBOSITY=verbose WF_BUILD=$build \
+		timeout 900 "$1" \
 		>"$build/test-output/$(basename "$1").txt" 2>&1
 	echo $? >"$build/test-output/$(basename "$1").rc"
 }
