--- a/tests/support/child.c
+++ b/tests/support/child.c
@@ -135,11 +135,17 @@
 	if (!child->pid)
 		return 0;
 	if (!sup_wait(has_ended, &wait, STOP_BOUND_MS)) {
+		fprintf(stderr, "process %d did not end within %d ms\n",
+			(int)child->pid, STOP_BOUND_MS);
 		sup_kill(child);
 		return -1;
 	}
 	reset_child(child);
-	return WIFEXITED(wait.status) ? WEXITSTATUS(wait.status) : -1;
+	if (WIFEXITED(wait.status))
+		return WEXITSTATUS(wait.status);
+	fprintf(stderr, "process %d was ended by signal %d\n", (int)wait.pid,
+		WTERMSIG(wait.status));
+	return -1;
 }
 
 int sup_stop(struct sup_child *child)
