edge: send complete answers before a stop ends the process

When its drain ended, an instance stopped at once, also while an answer that was complete had not been sent whole: its caller got a cut answer. It needs an answer larger than the sockets hold or a slow caller, or one that ended just before.

Now open requests end 600 ms before the process would be killed, as before, and the instance waits for unsent answers, and for requests that are being read, until 250 ms before it. Requests that come meanwhile are refused. A drain limit below 3.4 s no longer refuses requests while the instance listens.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -27,6 +27,8 @@
 #define DRAIN_LISTEN_MS 2800
 /* Requests still open are ended this long before the process is killed. */
 #define DRAIN_MARGIN_MS 600
+/* Answers may be sent until this long before it. */
+#define EXIT_MARGIN_MS 250
 /* Instances assumed to share the retry budget until they have been listed. */
 #define ASSUMED_INSTANCES 24
 /* Fraction of the budget that is used: a new instance uses its share before
@@ -438,16 +440,20 @@
 	uv_close((uv_handle_t *)&edge->quarantine_timer, on_timer_closed);
 }
 
+static clk_ms time_since_drain(const struct edg_edge *edge)
+{
+	return edg_now(edge) - edge->drain_started_at;
+}
+
 bool edg_is_closing(const struct edg_edge *edge)
 {
-	return edge->is_draining &&
-	       edg_now(edge) - edge->drain_started_at >= DRAIN_LISTEN_MS;
+	return edge->is_draining && time_since_drain(edge) >= DRAIN_LISTEN_MS;
 }
 
-bool edg_has_drained(const struct edg_edge *edge)
+bool edg_is_drain_over(const struct edg_edge *edge)
 {
-	return edge->is_draining && edg_now(edge) - edge->drain_started_at >=
-					    edge->drain_limit - DRAIN_MARGIN_MS;
+	return edg_is_closing(edge) &&
+	       time_since_drain(edge) >= edge->drain_limit - DRAIN_MARGIN_MS;
 }
 
 static void finish_drain(struct edg_edge *edge)
@@ -465,13 +471,12 @@
 	if (!edg_is_closing(edge))
 		return;
 	hsv_stop_accepting(edge->caller_server);
-	if (edg_has_drained(edge)) {
+	if (edg_is_drain_over(edge))
 		end_requests(edge, stop_request);
+	if ((!g_hash_table_size(edge->requests) &&
+	     !hsv_is_reading(edge->caller_server)) ||
+	    time_since_drain(edge) >= edge->drain_limit - EXIT_MARGIN_MS)
 		finish_drain(edge);
-	} else if (!g_hash_table_size(edge->requests) &&
-		   !hsv_is_reading(edge->caller_server)) {
-		finish_drain(edge);
-	}
 }
 
 void edg_drain(struct edg_edge *edge)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -191,8 +191,8 @@
 bool edg_is_catalog_fresh(const struct edg_edge *edge);
 /* Whether the instance is stopping and takes no new connections. */
 bool edg_is_closing(const struct edg_edge *edge);
-/* Whether the time to complete open requests is over. */
-bool edg_has_drained(const struct edg_edge *edge);
+/* Whether the time of a stop in which open requests may end is over. */
+bool edg_is_drain_over(const struct edg_edge *edge);
 
 /* edg_request.c */
 void edg_accept_request(void *user, struct hsv_request *http);
@@ -211,7 +211,7 @@
 			const char *type, const char *message);
 /* Answers, before the answer has started, that the instance is stopping. */
 void edg_refuse_stopping(struct edg_request *request);
-/* Ends a started answer by closing its connection and frees the request;
+/* Closes the connection, counts the answer as cut and frees the request;
  * outcome is for the log. */
 void edg_cut_answer(struct edg_request *request, const char *outcome);
 clk_ms edg_remaining_time(const struct edg_request *request);
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -305,8 +305,8 @@
 			   " up to 600000");
 		return;
 	}
-	/* The end of the drain would cut the answer. */
-	if (edg_has_drained(edge) ||
+	/* The end of the drain would cut the stream. */
+	if (edg_is_drain_over(edge) ||
 	    (request->route->is_stream && edg_is_closing(edge))) {
 		edg_refuse_stopping(request);
 		return;
--- a/src/edge/hsv_server.h
+++ b/src/edge/hsv_server.h
@@ -74,8 +74,8 @@
  */
 void hsv_stop_accepting(struct hsv_server *server);
 
-/* Whether a request is being received, or a new connection may still send its
- * first one. */
+/* Whether a request is being received, a new connection may still send its
+ * first one, or an answer has not been sent whole. */
 bool hsv_is_reading(const struct hsv_server *server);
 
 /*
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -967,20 +967,31 @@
 #define BEFORE_LISTENER_CLOSE_MS 2400
 #define PAST_LISTENER_CLOSE_US 550000
 
-/* Guards against a stop that closes the connection of a request without an
- * answer: one that is running must not be called not run. */
+/*
+ * Guards against a stop that closes the connection of a request without an
+ * answer: one that is running must not be called not run, one that waits behind
+ * it on its connection must not be sent.
+ */
 START_TEST(drain_answers_requests_that_it_ends)
 {
 	struct platform_world world;
 	struct wire_client *client;
+	char *refusal;
 
 	world_open_plain(&world);
 	world_set_modes(&world, WORKER_SILENT);
 	edg_drain(world.edge);
 	world_run(&world, BEFORE_LISTENER_CLOSE_MS);
 	client = world_request(&world, "POST", "/once/", KEY, "");
+	wire_client_send(client, "POST /once/ HTTP/1.1\r\nHost: h\r\n"
+				 "X-Wagtailferry-Attempt-Id: next\r\n" KEY
+				 "Content-Length: 0\r\n\r\n");
 	wire_client_await(&world.wire, client, "HTTP/1.1 502 ");
 	wire_client_await(&world.wire, client, "\"stopping\"");
+	wire_client_await(&world.wire, client, "HTTP/1.1 503 ");
+	refusal = strstr(client->received->str, "HTTP/1.1 503 ");
+	ck_assert_ptr_nonnull(strstr(refusal, "Retry-After"));
+	refusal[0] = '\0';
 	ck_assert_ptr_null(strstr(client->received->str, "Retry-After"));
 	ck_assert_uint_eq(world_total_requests(&world), 1);
 	wire_run_until(&world.wire, is_drained, &world);
@@ -989,6 +1000,73 @@
 }
 END_TEST
 
+/* More than the sockets of a connection hold. */
+#define LARGE_BODY_BYTES (8 << 20)
+/* The time for open requests is over, that for unsent answers is not. */
+#define PAST_DRAIN_MS 3550
+
+static bool answer_large(struct worker *worker, struct wire_conn *conn,
+			 const char *request)
+{
+	char *id;
+	char *fields;
+	char *body;
+
+	if (!g_str_has_prefix(request, "GET /read/"))
+		return false;
+	(void)worker;
+	id = wire_header(request, "X-Wagtailferry-Attempt-Id");
+	fields = g_strdup_printf("X-Wagtailferry-Server-Stamp: sig\r\n"
+				 "X-Wagtailferry-Attempt-Id: %s\r\n",
+				 id);
+	body = g_strnfill(LARGE_BODY_BYTES, 'a');
+	wire_answer(conn, 200, fields, body);
+	g_free(body);
+	g_free(fields);
+	g_free(id);
+	return true;
+}
+
+static bool is_connected(void *user)
+{
+	return ((struct wire_client *)user)->connected;
+}
+
+static bool has_large_body(void *user)
+{
+	return ((struct wire_client *)user)->received->len > LARGE_BODY_BYTES;
+}
+
+/* Guards against a stop that cuts an answer which is complete, but not sent. */
+START_TEST(drain_sends_complete_answers)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	guint i;
+
+	world_open_plain(&world);
+	for (i = 0; i < world.workers->len; i++)
+		worker(&world, i)->script = answer_large;
+	world.settings->max_answer_bytes = 2 * LARGE_BODY_BYTES;
+	edg_apply_settings(world.edge, world.settings);
+	client = wire_client_new(&world.wire, world.address);
+	wire_run_until(&world.wire, is_connected, client);
+	wire_client_pause(client);
+	wire_client_send(client,
+			 "GET /read/ HTTP/1.1\r\nHost: h\r\n"
+			 "X-Wagtailferry-Attempt-Id: large\r\n" KEY "\r\n");
+	edg_drain(world.edge);
+	world_run(&world, PAST_DRAIN_MS);
+	ck_assert_uint_eq(world_total_requests(&world), 1);
+	ck_assert(!world.is_drained);
+	wire_client_resume(client);
+	wire_run_until(&world.wire, has_large_body, client);
+	wire_run_until(&world.wire, is_drained, &world);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 /*
  * Guards against callers who connect just before the listener closes and get
  * no answer: one waits to be accepted, the other has not sent its request yet.
@@ -1063,6 +1141,7 @@
 	tcase_add_test(tcase, drain_answers_waiting_streams);
 	tcase_add_test(tcase, drain_passes_on_no_stream_that_it_would_cut);
 	tcase_add_test(tcase, drain_answers_requests_that_it_ends);
+	tcase_add_test(tcase, drain_sends_complete_answers);
 	tcase_add_test(tcase, callers_at_listener_close_are_answered);
 	return sup_run_case("edge_wire", tcase);
 }
