daemon: a second SIGTERM at the end of a stop doesn't end the process

Found by reading; no test of the core's daemon sends a second signal. signals_wire (1 check) and system_drain_wire (3) pass.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -104,6 +104,7 @@
 		uv_run(config->loop, UV_RUN_DEFAULT);
 	log_change(config->log, drv_clock_now(&config->clock), "instance",
 		   "serving", "stopped", NULL);
+	net_block_signals();
 	uv_close((uv_handle_t *)&terminate, NULL);
 	uv_close((uv_handle_t *)&interrupt, NULL);
 	drv_drop(driver);
--- a/src/daemon/net.c
+++ b/src/daemon/net.c
@@ -1,5 +1,6 @@
 #include <linux/filter.h>
 #include <netinet/tcp.h>
+#include <signal.h>
 #include <sys/socket.h>
 
 #include <wagtailferry/schema.h>
@@ -54,6 +55,17 @@
 	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void net_block_signals(void)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	sigprocmask(SIG_BLOCK, &signals, NULL);
+}
+
 const char *net_reason_phrase(int status)
 {
 	switch (status) {
--- a/src/daemon/net.h
+++ b/src/daemon/net.h
@@ -29,6 +29,13 @@
  * yet: it runs timers before it reads. */
 bool net_has_unread_bytes(const uv_tcp_t *tcp);
 
+/*
+ * Blocks SIGTERM, SIGINT and SIGHUP for the rest of the process. For its exit:
+ * libuv restores the default action of a signal when its handle is closed, and
+ * one that comes later would end the process.
+ */
+void net_block_signals(void);
+
 /* The reason phrase of an HTTP status. */
 const char *net_reason_phrase(int status);
 
