edge: discard the fields of trailer sections

Cause: http_parser reports the fields behind a chunked body by the same callbacks as those of a head. The last one stayed in the connection's builder and became the first field of the next message; earlier ones joined the checked head of their own message. Requests have the same gap, and libcurl's header callback let ETag and Retry-After of a section replace those of the head in wagtailferryd.

Fix: the builder knows where the head ends and discards what follows, and a new message starts it anew, so that no field can cross from one message to another.

--- a/src/daemon/cli_request.c
+++ b/src/daemon/cli_request.c
@@ -122,8 +122,12 @@
 		request->etag = 0;
 		request->retry_after = 0;
 		request->framed = false;
+		request->head_ended = false;
 	}
-	read_header(request, line);
+	if (!request->head_ended)
+		read_header(request, line);
+	if (*line == '\r' || *line == '\n')
+		request->head_ended = true;
 	cli_request_data_received(request);
 	g_free(line);
 	return size * n;
--- a/src/daemon/cli_request.h
+++ b/src/daemon/cli_request.h
@@ -24,7 +24,8 @@
 	bool streams; /* the handler has a data callback */
 	bool may_resend;
 	bool sent;
-	bool framed; /* the response has a length or is chunked */
+	bool head_ended; /* header lines from here on are a trailer section */
+	bool framed;	 /* the response has a length or is chunked */
 	bool too_large;
 	bool queued; /* is in the client's queue of pending data */
 };
--- a/src/edge/hdr_fields.c
+++ b/src/edge/hdr_fields.c
@@ -134,7 +134,7 @@
 {
 	builder->name = g_string_new(NULL);
 	builder->value = g_string_new(NULL);
-	builder->in_value = false;
+	hdr_builder_begin(builder);
 }
 
 void hdr_builder_clear(struct hdr_builder *builder)
@@ -143,30 +143,48 @@
 	g_string_free(builder->value, TRUE);
 }
 
+void hdr_builder_begin(struct hdr_builder *builder)
+{
+	g_string_truncate(builder->name, 0);
+	g_string_truncate(builder->value, 0);
+	builder->in_value = false;
+	builder->is_ended = false;
+}
+
+static void add_field(struct hdr_builder *builder, struct hdr_list *list)
+{
+	if (builder->name->len) {
+		g_strchomp(builder->value->str);
+		hdr_add(list, builder->name->str, builder->value->str);
+	}
+	hdr_builder_begin(builder);
+}
+
 void hdr_builder_append_name(struct hdr_builder *builder, struct hdr_list *list,
 			     const char *text, size_t len)
 {
+	if (builder->is_ended)
+		return;
 	if (builder->in_value)
-		hdr_builder_flush(builder, list);
+		add_field(builder, list);
 	g_string_append_len(builder->name, text, (gssize)len);
 }
 
 void hdr_builder_append_value(struct hdr_builder *builder, const char *text,
 			      size_t len)
 {
+	if (builder->is_ended)
+		return;
 	builder->in_value = true;
 	g_string_append_len(builder->value, text, (gssize)len);
 }
 
-void hdr_builder_flush(struct hdr_builder *builder, struct hdr_list *list)
+void hdr_builder_end(struct hdr_builder *builder, struct hdr_list *list)
 {
-	if (builder->name->len) {
-		g_strchomp(builder->value->str);
-		hdr_add(list, builder->name->str, builder->value->str);
-	}
-	g_string_truncate(builder->name, 0);
-	g_string_truncate(builder->value, 0);
-	builder->in_value = false;
+	add_field(builder, list);
+#ifndef WF_GUARD_OFF_EDGE_TRAILER
+	builder->is_ended = true;
+#endif
 }
 
 clk_ms hdr_read_seconds(const char *text, clk_ms max)
--- a/src/edge/hdr_fields.h
+++ b/src/edge/hdr_fields.h
@@ -55,21 +55,29 @@
 /* Whether the text is a valid field name (a token of RFC 9110). */
 bool hdr_is_token(const char *text);
 
-/* Assembles fields from the fragments that http_parser reports. */
+/*
+ * Assembles the fields of a message's head from the fragments that http_parser
+ * reports. Fields of a trailer section are discarded: RFC 9110, section 6.5.1,
+ * lets a recipient ignore them, and they come after the head was acted upon.
+ */
 struct hdr_builder {
 	GString *name;
 	GString *value;
 	/* The last fragment belonged to a value. */
 	bool in_value;
+	/* The head is complete. */
+	bool is_ended;
 };
 
 void hdr_builder_init(struct hdr_builder *builder);
 void hdr_builder_clear(struct hdr_builder *builder);
+/* Starts the head of the next message. */
+void hdr_builder_begin(struct hdr_builder *builder);
 void hdr_builder_append_name(struct hdr_builder *builder, struct hdr_list *list,
 			     const char *text, size_t len);
 void hdr_builder_append_value(struct hdr_builder *builder, const char *text,
 			      size_t len);
-/* Adds the field assembled so far to the list. */
-void hdr_builder_flush(struct hdr_builder *builder, struct hdr_list *list);
+/* Adds the last field to the list and ends the head. */
+void hdr_builder_end(struct hdr_builder *builder, struct hdr_list *list);
 
 #endif
--- a/src/edge/hsv_parse.c
+++ b/src/edge/hsv_parse.c
@@ -10,6 +10,7 @@
 	struct hsv_conn *conn = parser->data;
 
 	hdr_reset(&conn->request.headers);
+	hdr_builder_begin(&conn->builder);
 	g_string_truncate(conn->request.body, 0);
 	g_string_truncate(conn->url, 0);
 	conn->header_bytes = 0;
@@ -92,7 +93,7 @@
 	const struct hdr_list *headers = &conn->request.headers;
 	const char *expect;
 
-	hdr_builder_flush(&conn->builder, &conn->request.headers);
+	hdr_builder_end(&conn->builder, &conn->request.headers);
 	if (parser->upgrade || parser->method == HTTP_CONNECT ||
 	    has_ambiguous_length(headers) || has_invalid_field(headers) ||
 	    hdr_count(headers, "Host") != 1 || conn->url->str[0] != '/')
--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -16,6 +16,7 @@
 	struct hup_conn *conn = parser->data;
 
 	hdr_reset(&conn->response.headers);
+	hdr_builder_begin(&conn->builder);
 	conn->is_skipping = false;
 	return active_exchange(conn) ? 0 : -1;
 }
@@ -84,7 +85,7 @@
 	struct hup_exchange *exchange = active_exchange(conn);
 	enum match match;
 
-	hdr_builder_flush(&conn->builder, &conn->response.headers);
+	hdr_builder_end(&conn->builder, &conn->response.headers);
 	if (!exchange)
 		return -1;
 	/* What follows a change of protocol can't be parsed. */
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -281,6 +281,32 @@
 }
 END_TEST
 
+static void answer_with_trailer(struct wire_conn *conn, const char *request,
+				void *user)
+{
+	(void)request;
+	(void)user;
+	wire_send(conn, "HTTP/1.1 200 OK\r\nETag: \"17\"\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+			"ETag: \"18\"\r\nRetry-After: 3\r\n\r\n");
+}
+
+/* Guards against fields behind a body that replace those of the head, such as
+ * the revision that a conditional write depends on. */
+START_TEST(trailer_fields_are_ignored)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, answer_with_trailer, NULL, &whole_ops);
+	run(&fixture);
+	ck_assert(fixture.probe.result.ok);
+	ck_assert_str_eq(fixture.probe.data->str, "hi");
+	ck_assert_uint_eq(fixture.probe.result.etag, 17);
+	ck_assert_int_eq(fixture.probe.result.retry_after, 0);
+	close_fixture(&fixture);
+}
+END_TEST
+
 static void answer_ok(struct wire_conn *conn, const char *request, void *user)
 {
 	(void)request;
@@ -493,6 +519,7 @@
 			    G_N_ELEMENTS(faults));
 	tcase_add_test(tcase, refused_connection_is_reported_as_not_sent);
 	tcase_add_test(tcase, headers_are_read);
+	tcase_add_test(tcase, trailer_fields_are_ignored);
 	tcase_add_test(tcase, fresh_connection_is_never_reused);
 	tcase_add_test(tcase, request_that_must_not_run_twice_is_sent_once);
 	tcase_add_test(tcase, connections_are_not_reused_after_a_timeout);
--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -25,6 +25,9 @@
 	struct hsv_request *request;
 	unsigned requests;
 	unsigned disconnects;
+	/* Header fields of the last request, counted when it was delivered. */
+	unsigned fields;
+	bool is_field_of_trailer;
 	/* Respond at once with the received body. */
 	bool echoes_body;
 };
@@ -35,6 +38,9 @@
 
 	probe->requests++;
 	probe->request = request;
+	probe->fields = request->headers.fields->len;
+	probe->is_field_of_trailer =
+		hdr_get(&request->headers, "X-Trailer") != NULL;
 	if (probe->echoes_body)
 		hsv_respond(request, 200, "X-Own: 1\r\n", request->body->str,
 			    request->body->len);
@@ -357,6 +363,51 @@
 }
 END_TEST
 
+/* Guards against fields behind a body that count as fields of that request,
+ * after its head was checked, or of the next one. */
+START_TEST(trailer_fields_are_of_no_request)
+{
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, HEAD "Transfer-Encoding: chunked\r\n\r\n"
+				      "3\r\none\r\n0\r\n"
+				      "X-Trailer: 1\r\nHost: other\r\n"
+				      "X-Trailer: 2\r\n\r\n");
+	wire_client_await(&probe.wire, client, "one");
+	ck_assert_uint_eq(probe.fields, 2);
+	ck_assert(!probe.is_field_of_trailer);
+	wire_client_send(client, HEAD "Content-Length: 3\r\n\r\ntwo");
+	wire_client_await(&probe.wire, client, "two");
+	ck_assert_uint_eq(probe.fields, 2);
+	ck_assert(!probe.is_field_of_trailer);
+	wire_client_drop(client);
+	teardown(&probe);
+}
+END_TEST
+
+/* Guards against a trailer section that fills the memory. */
+START_TEST(large_trailer_is_rejected)
+{
+	char *value = g_strnfill(limits.header_bytes, 'v');
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, HEAD "Transfer-Encoding: chunked\r\n\r\n"
+				      "3\r\none\r\n0\r\nX-Trailer: ");
+	wire_client_send(client, value);
+	wire_client_await(&probe.wire, client, "HTTP/1.1 431 ");
+	ck_assert_uint_eq(probe.requests, 0);
+	wire_client_drop(client);
+	teardown(&probe);
+	g_free(value);
+}
+END_TEST
+
 #define MANY_REQUESTS 40
 #define LARGE_BODY_BYTES 4000
 
@@ -527,6 +578,8 @@
 		       request_after_a_stream_that_a_stop_met_is_answered);
 	tcase_add_test(tcase, header_that_arrived_before_its_timeout_is_read);
 	tcase_add_test(tcase, pipelined_requests_are_answered_in_order);
+	tcase_add_test(tcase, trailer_fields_are_of_no_request);
+	tcase_add_test(tcase, large_trailer_is_rejected);
 	tcase_add_test(tcase,
 		       pipelined_requests_beyond_the_buffer_are_answered);
 	tcase_add_test(tcase, expect_100_continue_is_answered);
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -20,6 +20,8 @@
 	struct wire_server *server;
 	struct hup_exchange *exchange;
 	GString *data;
+	/* Fields of the head, "name: value" each. */
+	GString *head;
 	int status;
 	unsigned head_calls;
 	unsigned end_calls;
@@ -36,9 +38,16 @@
 static void on_head(void *user, const struct hup_response *response)
 {
 	struct probe *probe = user;
+	guint i;
 
 	probe->head_calls++;
 	probe->status = response->status;
+	for (i = 0; i < response->headers.fields->len; i++) {
+		const struct hdr_field *field = &g_array_index(
+			response->headers.fields, struct hdr_field, i);
+
+		hdr_write(probe->head, field->name, field->value);
+	}
 }
 
 static void on_data(void *user, const char *bytes, size_t len)
@@ -68,6 +77,7 @@
 	wire_open(&probe->wire);
 	probe->counters = ctr_new();
 	probe->data = g_string_new(NULL);
+	probe->head = g_string_new(NULL);
 	probe->client = hup_new(&probe->wire.loop, probe->counters);
 	hup_set_max_head_bytes(probe->client, MAX_HEAD_BYTES);
 	if (handler)
@@ -82,6 +92,7 @@
 	wire_close(&probe->wire);
 	ctr_drop(probe->counters);
 	g_string_free(probe->data, TRUE);
+	g_string_free(probe->head, TRUE);
 }
 
 static bool has_ended(void *user)
@@ -106,6 +117,7 @@
 	probe->end_calls = 0;
 	probe->head_calls = 0;
 	g_string_truncate(probe->data, 0);
+	g_string_truncate(probe->head, 0);
 	probe->exchange = hup_send(probe->client, &request, &ops, probe);
 	wire_run_until(&probe->wire, has_ended, probe);
 }
@@ -230,6 +242,56 @@
 }
 END_TEST
 
+#define CHUNKED                                   \
+	"HTTP/1.1 200 OK\r\nX-Id: 1\r\n"          \
+	"Transfer-Encoding: chunked\r\n\r\n2\r\n" \
+	"ok\r\n0\r\n"
+
+/* Trailer sections; the last field of one ends only with the section. */
+static const char *const trailers[] = {
+	"X-Refused: 1\r\n",
+	"X-Id: 1\r\n",
+	"X-Id: 1\r\nX-Refused: 1\r\nX-Last: 2\r\n",
+	"X-Folded: a\r\n b\r\n",
+	"X-Empty:\r\n",
+};
+
+static void send_trailer_first(struct wire_conn *conn, const char *text,
+			       void *user)
+{
+	struct probe *probe = user;
+
+	(void)text;
+	if (probe->last_serial) {
+		wire_answer(conn, 200, "X-Id: 2\r\n", "two");
+		return;
+	}
+	probe->last_serial = wire_serial(conn);
+	wire_send(conn, CHUNKED);
+	wire_send(conn, trailers[probe->step]);
+	wire_send(conn, "\r\n");
+}
+
+/* Guards against fields behind a body that count as fields of the next answer
+ * on the connection. */
+START_TEST(trailer_fields_are_not_of_the_next_answer)
+{
+	struct probe probe;
+
+	setup(&probe, send_trailer_first);
+	probe.step = _i;
+	request(&probe, "1");
+	ck_assert_int_eq(probe.result, HUP_COMPLETE);
+	ck_assert_str_eq(probe.data->str, "ok");
+	request(&probe, "2");
+	ck_assert_uint_eq(wire_server_connections(probe.server), 1);
+	ck_assert_int_eq(probe.result, HUP_COMPLETE);
+	ck_assert_str_eq(probe.data->str, "two");
+	ck_assert_str_eq(probe.head->str, "Content-Length: 3\r\nX-Id: 2\r\n");
+	teardown(&probe);
+}
+END_TEST
+
 /* What a target in trouble repeats without end. */
 struct flood_case {
 	const char *start;
@@ -462,6 +524,8 @@
 	tcase_add_loop_test(tcase, responses_end_with_the_expected_result, 0,
 			    G_N_ELEMENTS(response_cases));
 	tcase_add_test(tcase, connection_with_extra_bytes_is_not_reused);
+	tcase_add_loop_test(tcase, trailer_fields_are_not_of_the_next_answer, 0,
+			    G_N_ELEMENTS(trailers) - 1);
 	tcase_add_test(tcase, complete_response_leaves_its_connection_reusable);
 	tcase_add_test(tcase, connection_closed_by_target_is_not_reused);
 	tcase_add_test(tcase, refused_connection_reports_not_sent);
--- a/tests/srv_wire_test.c
+++ b/tests/srv_wire_test.c
@@ -404,6 +404,30 @@
 }
 END_TEST
 
+/* Guards against fields behind a body that count as fields of that request or
+ * of the next one: a key would make two bookings one. */
+START_TEST(trailer_fields_are_of_no_call)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, answer_service);
+	wire_client_send(fixture.client,
+			 "POST /v1/services/booking/book HTTP/1.1\r\n"
+			 "Host: x\r\n" AUTH_A
+			 "Transfer-Encoding: chunked\r\n\r\n"
+			 "2\r\n{}\r\n0\r\nIdempotency-Key: 17-x\r\n\r\n");
+	wire_client_await(&fixture.wire, fixture.client, "{\"booked\":1}");
+	g_string_truncate(fixture.client->received, 0);
+	send_request(fixture.client, "POST /v1/services/booking/book", AUTH_A,
+		     "{}");
+	wire_client_await(&fixture.wire, fixture.client, "{\"booked\":1}");
+	ck_assert_str_eq(fixture.calls->str,
+			 "1 a booking/book key=- 0+0 0: {}\n"
+			 "1 a booking/book key=- 0+0 0: {}\n");
+	close_fixture(&fixture);
+}
+END_TEST
+
 /* Guards against a refusal without error type, run state or Retry-After. */
 START_TEST(refusal_states_type_run_and_retry_time)
 {
@@ -966,6 +990,7 @@
 	tcase_add_test(tcase,
 		       whole_answer_and_the_next_request_on_one_connection);
 	tcase_add_test(tcase, service_call_is_passed_on_unchanged);
+	tcase_add_test(tcase, trailer_fields_are_of_no_call);
 	tcase_add_test(tcase, refusal_states_type_run_and_retry_time);
 	tcase_add_test(tcase, error_in_a_stream_is_an_event_and_closes);
 	tcase_add_test(tcase, hang_up_before_the_answer_is_reported);
