path: find a path where the cheapest one repeats an engine

Cause: the search keeps the cheapest partial path to each layer boundary and extended it by engines that the path has already. Only the reconstruction of the result noticed, and the search then had no result at all. Takeovers and restarts use the same search. A reroute could also take the head, whose stage an order may not change, for later layers.

Fix: an engine doesn't extend a partial path that has it. That hides no path while capacity is ignored, as the path on which its first stage goes on is considered too. If only such an engine has room for later layers, the search is repeated, at most twice, with the earlier layers left to others. Reroutes leave the head out. Guard PATH_ENGINE_ONCE.

--- a/src/forward/path.c
+++ b/src/forward/path.c
@@ -5,30 +5,10 @@
 	flt_target_drop(((struct pth_stage *)data)->target);
 }
 
-bool pth_prepend(struct pth_path *path, struct pth_stage stage)
+void pth_prepend(struct pth_path *path, struct pth_stage stage)
 {
-	struct flt_target *target = stage.target;
-	guint i;
-
-	if (path->stages->len) {
-		struct pth_stage *first =
-			&g_array_index(path->stages, struct pth_stage, 0);
-
-		if (first->target == target &&
-		    first->range.first == stage.range.end) {
-			first->range.first = stage.range.first;
-			first->prefill_ms += stage.prefill_ms;
-			return true;
-		}
-	}
-	for (i = 0; i < path->stages->len; i++) {
-		if (g_array_index(path->stages, struct pth_stage, i).target ==
-		    target)
-			return false;
-	}
-	flt_target_keep(target);
+	flt_target_keep(stage.target);
 	g_array_prepend_val(path->stages, stage);
-	return true;
 }
 
 struct pth_path *pth_new(void)
--- a/src/forward/path_private.h
+++ b/src/forward/path_private.h
@@ -7,11 +7,8 @@
 
 struct pth_path *pth_new(void);
 
-/*
- * Inserts a stage at the front, with a reference to its target. Merges it with
- * the first stage if they are adjacent and on the same engine. Returns false
- * if the path includes the engine otherwise.
- */
-bool pth_prepend(struct pth_path *path, struct pth_stage stage);
+/* Inserts a stage at the front, with a reference to its target, which the path
+ * doesn't include yet. */
+void pth_prepend(struct pth_path *path, struct pth_stage stage);
 
 #endif
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -37,6 +37,9 @@
 #define MAX_EXCESS_MS (2 * CROSS_CENTER_MS)
 #define MAX_BOUNDARIES 512
 #define MAX_DATA_CENTERS 64
+/* Repetitions of a search that finds no path because the cheapest partial paths
+ * have spent an engine that alone has room for later layers. */
+#define MAX_REPETITIONS 2
 
 /* The cheapest partial path that ends at a boundary, in one data centre. */
 struct cell {
@@ -60,6 +63,8 @@
 	double layer_prefill_ms;
 	/* Free KV cache, in tokens times layers. */
 	double free_token_layers;
+	/* Layers before this one are left to other engines. */
+	unsigned first_layer;
 	bool can_be_head;
 	/* Cost added if it is the head. */
 	double head_cost;
@@ -78,6 +83,10 @@
 	int n_boundaries;
 	struct cell *cells;
 	bool ignore_capacity;
+	/* Index of an engine that could have extended a partial path which has
+	 * it already, and the last boundary where; -1 if there is none. */
+	int spent_engine;
+	int spent_at;
 };
 
 static int compare_unsigned(const void *a, const void *b)
@@ -193,6 +202,7 @@
 	if (search->now < target->slow_until && target->slowdown > 1)
 		pace *= target->slowdown;
 	candidate.center = center_index(search, target->data_center);
+	candidate.first_layer = target->holds.first;
 	candidate.free_token_layers = all - used;
 	candidate.layer_ms =
 		jitter * token_ms(search, target, pace) / engine->layers;
@@ -247,6 +257,9 @@
 			continue;
 		if (data_center && strcmp(target->data_center, data_center))
 			continue;
+		/* An order to change a path keeps its first stage as it is. */
+		if (query->current && target == pth_head(query->current))
+			continue;
 		if (target == query->without ||
 		    ((query->current || query->without) &&
 		     search->now < target->down_until))
@@ -269,8 +282,22 @@
 	return &search->cells[(size_t)boundary * search->n_centers + center];
 }
 
-/* Extends a partial path by a stage at one engine, to each later boundary
- * within its layers. */
+static bool is_on_partial_path(const struct search *search, int boundary,
+			       unsigned center, int engine)
+{
+	const struct cell *cell = cell_at(search, boundary, center);
+
+	while (cell->engine >= 0 && cell->engine != engine)
+		cell = cell_at(search, cell->from, (unsigned)cell->prev_center);
+	return cell->engine >= 0;
+}
+
+/*
+ * Extends a partial path by a stage at one engine, to each later boundary
+ * within its layers. An engine that the path has already is left out: it holds
+ * all layers since its stage, so the path on which that stage goes on to here
+ * is considered as well.
+ */
 static void extend_with(struct search *search, int from, unsigned prev_center,
 			guint index)
 {
@@ -299,6 +326,13 @@
 		if (!search->ignore_capacity &&
 		    search->query->tokens * layers > engine->free_token_layers)
 			return;
+#ifndef WF_GUARD_OFF_PATH_ENGINE_ONCE
+		if (is_on_partial_path(search, from, prev_center, (int)index)) {
+			search->spent_engine = (int)index;
+			search->spent_at = from;
+			return;
+		}
+#endif
 		*end = (struct cell){cost, (int)index, from, (int)prev_center};
 	}
 }
@@ -314,7 +348,7 @@
 		const struct candidate *engine =
 			&g_array_index(search->engines, struct candidate, i);
 
-		if (engine->target->holds.first <= first &&
+		if (engine->first_layer <= first &&
 		    engine->target->holds.end > first)
 			extend_with(search, from, prev_center, i);
 	}
@@ -332,6 +366,7 @@
 
 static struct pth_path *trace_back(const struct search *search, unsigned center)
 {
+	const struct pth_path *current = search->query->current;
 	struct pth_path *path = pth_new();
 	int boundary = search->n_boundaries - 1;
 
@@ -347,23 +382,17 @@
 		unsigned layers = stage.range.end - stage.range.first;
 
 		stage.prefill_ms = engine->layer_prefill_ms * layers;
-		if (!pth_prepend(path, stage)) {
-			pth_free(path);
-			return NULL;
-		}
+		pth_prepend(path, stage);
 		path->token_ms += STAGE_OVERHEAD_MS + engine->layer_ms * layers;
 		boundary = cell->from;
 		center = (unsigned)cell->prev_center;
 	}
-	if (search->query->current) {
-		struct pth_stage head = g_array_index(
-			search->query->current->stages, struct pth_stage, 0);
+	if (current) {
+		struct pth_stage head =
+			g_array_index(current->stages, struct pth_stage, 0);
 
 		head.prefill_ms = 0;
-		if (!pth_prepend(path, head)) {
-			pth_free(path);
-			return NULL;
-		}
+		pth_prepend(path, head);
 	}
 	return path;
 }
@@ -384,36 +413,58 @@
 	return from;
 }
 
-static double run_search(struct search *search, struct pth_path **out)
+/* Fills the cells. Returns the data centre in which the cheapest path ends; its
+ * cost is infinite if there is no path. */
+static unsigned fill_cells(struct search *search)
 {
-	size_t n = (size_t)search->n_boundaries * MAX(search->n_centers, 1);
+	size_t n = (size_t)search->n_boundaries * search->n_centers;
+	int last = search->n_boundaries - 1;
 	unsigned best = 0;
-	double cost;
 	unsigned center;
 	size_t i;
 	int from;
 
-	*out = NULL;
-	if (!search->n_centers || search->n_boundaries < 2)
-		return INFINITY;
-	search->cells = g_new(struct cell, n);
 	for (i = 0; i < n; i++)
 		search->cells[i] = (struct cell){INFINITY, -1, 0, 0};
-	for (from = start_search(search); from + 1 < search->n_boundaries;
-	     from++) {
+	search->spent_engine = -1;
+	for (from = start_search(search); from < last; from++) {
 		for (center = 0; center < search->n_centers; center++)
 			extend_from(search, from, center);
 	}
 	for (center = 1; center < search->n_centers; center++) {
-		if (cell_at(search, search->n_boundaries - 1, center)->cost <
-		    cell_at(search, search->n_boundaries - 1, best)->cost)
+		if (cell_at(search, last, center)->cost <
+		    cell_at(search, last, best)->cost)
 			best = center;
 	}
-	cost = cell_at(search, search->n_boundaries - 1, best)->cost;
+	return best;
+}
+
+static double run_search(struct search *search, struct pth_path **out)
+{
+	int last = search->n_boundaries - 1;
+	unsigned repetitions = 0;
+	unsigned center;
+	double cost;
+
+	*out = NULL;
+	if (!search->n_centers || last < 1)
+		return INFINITY;
+	search->cells = g_new(struct cell,
+			      (size_t)search->n_boundaries * search->n_centers);
+	center = fill_cells(search);
+	while (isinf(cell_at(search, last, center)->cost) &&
+	       search->spent_engine >= 0 && !search->ignore_capacity &&
+	       repetitions++ < MAX_REPETITIONS) {
+		g_array_index(search->engines, struct candidate,
+			      search->spent_engine)
+			.first_layer = search->boundaries[search->spent_at];
+		center = fill_cells(search);
+	}
+	cost = cell_at(search, last, center)->cost;
 	if (!isinf(cost))
-		*out = trace_back(search, best);
+		*out = trace_back(search, center);
 	g_free(search->cells);
-	return *out ? cost : INFINITY;
+	return cost;
 }
 
 /* Searches in one data centre, or in all if it is NULL. */
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -9,6 +9,7 @@
 
 #define TOKENS 1000
 #define SEEDS 30
+#define LAYOUTS 400
 
 struct fixture {
 	struct cat_catalog *catalog;
@@ -343,6 +344,125 @@
 }
 END_TEST
 
+/* Accelerators with room for the whole model and some requests, and one with
+ * room for half of it that is much faster. */
+static void add_unequal_kinds(struct fixture *fixture)
+{
+	struct cat_accelerator whole = {g_strdup("whole"), 160000, 16, 16};
+	struct cat_accelerator slow = {g_strdup("slow"), 160000, 40, 40};
+	struct cat_accelerator fast = {g_strdup("fast"), 80000, 1, 1};
+	GArray *kinds = fixture->service->engine->accelerators;
+
+	g_array_append_val(kinds, whole);
+	g_array_append_val(kinds, slow);
+	g_array_append_val(kinds, fast);
+}
+
+/* Guards against streams that are all refused although an engine holds all
+ * layers, because another one is cheaper for some in the middle. */
+START_TEST(faster_engine_inside_its_range_does_not_hide_a_holder)
+{
+	struct fixture fixture;
+	struct pth_path *path;
+
+	setup(&fixture, (guint32)_i);
+	add_unequal_kinds(&fixture);
+	add_engine(&fixture, "e1", "a", "whole", 0, 80);
+	add_engine(&fixture, "e2", "a", "fast", 29, 58);
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path), PTH_FOUND);
+	check_path(path);
+	pth_free(path);
+	teardown(&fixture);
+}
+END_TEST
+
+/* The same where the holder of all layers has room for some of them only, and
+ * another engine for the rest. */
+START_TEST(holder_with_little_room_is_used_for_part_of_its_range)
+{
+	struct fixture fixture;
+	struct pth_path *path;
+	double room;
+
+	setup(&fixture, (guint32)_i);
+	add_unequal_kinds(&fixture);
+	add_engine(&fixture, "e1", "a", "whole", 0, 80);
+	add_engine(&fixture, "e2", "a", "fast", 29, 58);
+	add_engine(&fixture, "e3", "a", "slow", 0, 58);
+	room = 0.92 *
+	       cat_free_token_layers(
+		       fixture.service->engine,
+		       cat_find_accelerator(fixture.service->engine, "whole"),
+		       80);
+	flt_find(fixture.fleet, "e1")->others.token_layers =
+		room - 40.0 * TOKENS;
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path), PTH_FOUND);
+	check_path(path);
+	pth_free(path);
+	teardown(&fixture);
+}
+END_TEST
+
+/* Guards against a search that finds no path though engines with room hold all
+ * layers, or a reroute that uses the head a second time. */
+START_TEST(path_is_found_whenever_all_layers_are_held)
+{
+	static const char *const centers[] = {"a", "b"};
+	static const char *const kinds[] = {"whole", "fast"};
+	unsigned n = 2 + (unsigned)_i % 7;
+	bool held[FLT_TEST_LAYERS] = {false};
+	struct fixture fixture;
+	struct pth_path *path;
+	struct pth_path *next;
+	struct pth_query query;
+	unsigned missing = 0;
+	unsigned i;
+
+	setup(&fixture, (guint32)_i);
+	add_unequal_kinds(&fixture);
+	for (i = 0; i < n; i++) {
+		int kind = g_rand_int_range(fixture.rand, 0, 2);
+		unsigned max = kind ? 40 : FLT_TEST_LAYERS;
+		unsigned first = (unsigned)g_rand_int_range(fixture.rand, 0,
+							    FLT_TEST_LAYERS);
+		unsigned end = first + (unsigned)g_rand_int_range(
+					       fixture.rand, 1, (int)max + 1);
+		char *id = g_strdup_printf("e%u", 100 + i);
+
+		if (!kind && g_rand_boolean(fixture.rand))
+			first = 0;
+		end = MIN(end, FLT_TEST_LAYERS);
+		add_engine(&fixture, id,
+			   centers[g_rand_int_range(fixture.rand, 0, 2)],
+			   kinds[kind], first, end);
+		g_free(id);
+		memset(held + first, true, end - first);
+	}
+	for (i = 0; i < FLT_TEST_LAYERS; i++)
+		missing += !held[i];
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path),
+			 missing ? PTH_MISSING_LAYERS : PTH_FOUND);
+	if (path) {
+		check_path(path);
+		pth_reserve(path, 0, TOKENS);
+		flt_mark_down(stage_at(path, path->stages->len - 1)->target, 0);
+		query = query_for(&fixture, "a");
+		query.current = path;
+		if (path->stages->len > 1 &&
+		    pth_find(fixture.fleet, 1, &query, fixture.rand, &next) ==
+			    PTH_FOUND) {
+			check_path(next);
+			ck_assert_ptr_eq(pth_head(next), pth_head(path));
+			ck_assert_uint_eq(stage_at(next, 0)->range.end,
+					  stage_at(path, 0)->range.end);
+			pth_free(next);
+		}
+		pth_free(path);
+	}
+	teardown(&fixture);
+}
+END_TEST
+
 /* Guards against a reroute that changes the head, which would lose the
  * request, or that includes the failed engine again. */
 START_TEST(reroute_keeps_the_head_and_avoids_the_down_engine)
@@ -500,6 +620,14 @@
 	tcase_add_test(tcase, prompt_reading_spreads_over_data_centers);
 	tcase_add_test(tcase, load_spreads_over_equal_engines);
 	tcase_add_test(tcase, down_engine_is_the_last_choice);
+	tcase_add_loop_test(
+		tcase, faster_engine_inside_its_range_does_not_hide_a_holder, 0,
+		SEEDS);
+	tcase_add_loop_test(
+		tcase, holder_with_little_room_is_used_for_part_of_its_range, 0,
+		SEEDS);
+	tcase_add_loop_test(tcase, path_is_found_whenever_all_layers_are_held,
+			    0, LAYOUTS);
 	tcase_add_test(tcase,
 		       reroute_keeps_the_head_and_avoids_the_down_engine);
 	tcase_add_test(tcase, reroute_without_another_engine_is_refused);
