edge: a silent engine has not ended

Cause: an engine that leaves a report unanswered for 300 ms is marked as down for 5 s, and runs on engines that are down did not count against the limit. A sound engine may be silent for a second and goes on with the run. If the next one falls silent in these 5 s, the stream gets a third.

Fix: only what shows the end of a process counts as such: a refused connection, one that the target closes when asked for a report, a new start, or a missing entry.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -88,6 +88,8 @@
 	clk_ms closed_until;
 	/* Treated as down until this time: its layers do not count. */
 	clk_ms down_until;
+	/* Its process was found to be gone; holds until this time. */
+	clk_ms ended_until;
 	/* Failures since the last success. */
 	unsigned failures;
 	/* Layers that it was last ordered to hold, and the time until which
@@ -183,9 +185,13 @@
 /* Record that the target itself responded, or that it failed. */
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took);
 void flt_record_failure(struct flt_target *target, clk_ms now);
-/* The target is known to be down: it is avoided for a few seconds, and what
- * it holds does not count. */
+/* The target does not answer: it is avoided for a few seconds, and what it
+ * holds does not count. It may go on with what it runs. */
 void flt_mark_down(struct flt_target *target, clk_ms now);
+/* The same, and its process is gone with all that it ran. */
+void flt_mark_ended(struct flt_target *target, clk_ms now);
+/* Whether its process is gone, or it is not listed any more. */
+bool flt_has_ended(const struct flt_target *target, clk_ms now);
 /* Whether it is treated as down because it was found so at since or later. */
 bool flt_was_down_since(const struct flt_target *target, clk_ms now,
 			clk_ms since);
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -70,8 +70,17 @@
 	const GPtrArray *stalled;
 };
 
-/* Called once; report is NULL if the engine did not answer. */
-typedef void (*edg_report_fn)(void *user, const struct edg_report *report);
+enum edg_report_result {
+	EDG_REPORT_READ,
+	/* No answer in time, or none that could be read. */
+	EDG_REPORT_MISSING,
+	/* The engine refused or closed the connection. */
+	EDG_REPORT_UNREACHABLE,
+};
+
+/* Called once; report is NULL unless the result is EDG_REPORT_READ. */
+typedef void (*edg_report_fn)(void *user, enum edg_report_result result,
+			      const struct edg_report *report);
 
 enum edg_order_result {
 	/* Accepted, or the engine holds the layers already. */
--- a/src/edge/edg_forward.c
+++ b/src/edge/edg_forward.c
@@ -266,7 +266,7 @@
 enum edg_outcome edg_classify_end(const struct edg_request *request,
 				  enum hup_result how)
 {
-	if (how == HUP_NOT_SENT)
+	if (!hup_was_sent(how))
 		return EDG_OUTCOME_NOT_SENT;
 	if (how != HUP_COMPLETE)
 		return EDG_OUTCOME_UNKNOWN;
@@ -336,8 +336,7 @@
 		const struct edg_run *run =
 			&g_array_index(request->runs, struct edg_run, i);
 
-		live += run->target->state != FLT_REMOVED &&
-			now >= run->target->down_until &&
+		live += !flt_has_ended(run->target, now) &&
 			run->target->started_at == run->started_at;
 	}
 	return live;
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -282,8 +282,8 @@
 void edg_record_run(struct edg_request *request, struct flt_target *target);
 /* Whether any target may have run the request. */
 bool edg_may_have_run(const struct edg_request *request);
-/* Number of targets on which it may still be running: those not lost or
- * restarted since. */
+/* Number of targets on which it may still be running: those that have not ended
+ * or restarted since. A silent one may go on. */
 unsigned edg_count_live_runs(const struct edg_request *request);
 /* Answers with an error when no further send is possible. */
 void edg_fail(struct edg_request *request);
@@ -381,9 +381,13 @@
 void stl_watch_stream(struct edg_request *request);
 /* Time of the request's last event or, if that was later, of its send. */
 clk_ms stl_silent_since(const struct edg_request *request);
-/* Marks the target as lost and moves the streams that it stalls. */
+/*
+ * Marks the target as lost and moves the streams that it stalls. has_ended
+ * tells that its process is gone; otherwise it may only be silent, and what ran
+ * there may go on.
+ */
 void stl_mark_lost(struct edg_edge *edge, struct flt_target *target,
-		   const char *why);
+		   bool has_ended, const char *why);
 /* Updates the mean pause with the time between two events. */
 void stl_record_pause(struct edg_request *request, clk_ms pause);
 
--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -182,7 +182,8 @@
 	edg_apply_quarantine(edge);
 }
 
-static void on_report(void *user, const struct edg_report *report)
+static void on_report(void *user, enum edg_report_result result,
+		      const struct edg_report *report)
 {
 	struct cut_inquiry *inquiry = user;
 	struct edg_edge *edge = inquiry->edge;
@@ -192,7 +193,9 @@
 			report->started_at != inquiry->started_at))
 		record_crash(inquiry);
 	if (!report)
-		stl_mark_lost(edge, inquiry->target, "connections_lost");
+		stl_mark_lost(edge, inquiry->target,
+			      result == EDG_REPORT_UNREACHABLE,
+			      "connections_lost");
 	flt_target_drop(inquiry->target);
 	g_array_unref(inquiry->parts);
 	g_array_unref(inquiry->answered_parts);
@@ -246,7 +249,7 @@
 		how == HUP_CONN_LOST &&
 		request->splitter.progress == request->progress_before_send;
 
-	if (request->path && (how == HUP_CONN_LOST || how == HUP_NOT_SENT))
+	if (request->path && (how == HUP_CONN_LOST || !hup_was_sent(how)))
 		question(request, request->target, request->sent_to_start,
 			 is_cut, request->status == 200);
 }
@@ -254,7 +257,7 @@
 void edg_question_target(struct edg_request *request, struct flt_target *target,
 			 int64_t started_at, enum hup_result how)
 {
-	if (how == HUP_CONN_LOST || how == HUP_NOT_SENT)
+	if (how == HUP_CONN_LOST || !hup_was_sent(how))
 		question(request, target, started_at, how == HUP_CONN_LOST,
 			 false);
 }
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -241,13 +241,15 @@
 
 /* Retries a broken run on the same head if that is still alive; otherwise marks
  * the head as lost and tries another one. */
-static void on_head_report(void *user, const struct edg_report *report)
+static void on_head_report(void *user, enum edg_report_result result,
+			   const struct edg_report *report)
 {
 	struct edg_request *request = user;
 
 	if (!request->is_freed) {
 		if (!report)
 			stl_mark_lost(request->edge, request->target,
+				      result == EDG_REPORT_UNREACHABLE,
 				      "no_report");
 		if (report ? is_head_open(request) && take_retry_token(request)
 			   : may_resume(request, EDG_OUTCOME_UNKNOWN))
--- a/src/edge/engine_orders.c
+++ b/src/edge/engine_orders.c
@@ -145,13 +145,15 @@
 	free_order(order);
 }
 
-static void on_report(void *user, const struct edg_report *report)
+static void on_report(void *user, enum edg_report_result result,
+		      const struct edg_report *report)
 {
 	struct order *order = user;
 	struct ord_orders *orders = order->orders;
 	struct edg_edge *edge = orders->edge;
 	clk_ms now = edg_now(edge);
 
+	(void)result;
 	/* The report itself may have said that the engine is leaving or wants
 	 * no requests. */
 	if (orders->is_dropped || !orders->holds_duty || !report ||
--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -29,6 +29,11 @@
 	GString *bytes;
 };
 
+bool hup_was_sent(enum hup_result result)
+{
+	return result != HUP_NOT_SENT && result != HUP_REFUSED;
+}
+
 static void client_unref(struct hup_client *client)
 {
 	if (--client->refs)
@@ -222,7 +227,8 @@
 	if (conn->is_closing || !conn->exchange)
 		return;
 	if (status) {
-		hup_finish(conn, HUP_NOT_SENT);
+		hup_finish(conn, status == UV_ECONNREFUSED ? HUP_REFUSED
+							   : HUP_NOT_SENT);
 		return;
 	}
 	conn->is_connected = true;
--- a/src/edge/hup_client.h
+++ b/src/edge/hup_client.h
@@ -20,7 +20,7 @@
 enum hup_result {
 	/* The complete response was received. */
 	HUP_COMPLETE,
-	/* No byte of the request was sent. */
+	/* No byte of the request was sent; the peer may exist. */
 	HUP_NOT_SENT,
 	/* The connection was closed or reset before the response was
 	 * complete. */
@@ -31,8 +31,13 @@
 	HUP_TIMED_OUT,
 	/* The peer sent more than the limits allow. */
 	HUP_TOO_LARGE,
+	/* No byte was sent, as nothing listens at the address. */
+	HUP_REFUSED,
 };
 
+/* Whether the peer may have received a part of the request. */
+bool hup_was_sent(enum hup_result result);
+
 struct hup_response {
 	int status;
 	struct hdr_list headers;
--- a/src/edge/stall_detection.c
+++ b/src/edge/stall_detection.c
@@ -116,11 +116,17 @@
 }
 
 void stl_mark_lost(struct edg_edge *edge, struct flt_target *target,
-		   const char *why)
+		   bool has_ended, const char *why)
 {
 	log_avoided(edge, target, why);
 	flt_target_keep(target);
-	flt_mark_down(target, edg_now(edge));
+#ifdef WF_GUARD_OFF_EDGE_SILENCE_IS_NO_END
+	has_ended = true;
+#endif
+	if (has_ended)
+		flt_mark_ended(target, edg_now(edge));
+	else
+		flt_mark_down(target, edg_now(edge));
 	move_requests(edge, target, why);
 	flt_target_drop(target);
 }
@@ -156,11 +162,12 @@
 			edge->fleet, report->stalled->pdata[i]);
 
 		if (stalled)
-			stl_mark_lost(edge, stalled, "path_is_stalled");
+			stl_mark_lost(edge, stalled, false, "path_is_stalled");
 	}
 }
 
-static void on_report(void *user, const struct edg_report *report)
+static void on_report(void *user, enum edg_report_result result,
+		      const struct edg_report *report)
 {
 	struct inquiry *inquiry = user;
 
@@ -168,7 +175,8 @@
 	if (report)
 		read_report(inquiry->edge, inquiry->target, report);
 	else
-		stl_mark_lost(inquiry->edge, inquiry->target, "no_report");
+		stl_mark_lost(inquiry->edge, inquiry->target,
+			      result == EDG_REPORT_UNREACHABLE, "no_report");
 	uv_close((uv_handle_t *)&inquiry->timer, on_inquiry_closed);
 }
 
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -121,7 +121,7 @@
 	struct edg_request *request = takeover->request;
 	struct flt_target *target = flt_target_keep(takeover->target);
 	int64_t sent_to_start = takeover->sent_to_start;
-	bool is_not_sent = how == HUP_NOT_SENT;
+	bool is_not_sent = !hup_was_sent(how);
 
 	takeover->exchange = NULL;
 	edg_log_send(request, "takeover failed", "head=%s end=%d", target->id,
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -121,6 +121,7 @@
 	target->answer_ms = 0;
 	target->avoid_until = 0;
 	target->down_until = 0;
+	target->ended_until = 0;
 	target->failures = 0;
 	target->ordered_until = 0;
 	target->slowdown = 0;
@@ -444,6 +445,17 @@
 	target->down_until = now + DOWN_AVOID_MS;
 }
 
+void flt_mark_ended(struct flt_target *target, clk_ms now)
+{
+	flt_mark_down(target, now);
+	target->ended_until = target->down_until;
+}
+
+bool flt_has_ended(const struct flt_target *target, clk_ms now)
+{
+	return target->state == FLT_REMOVED || now < target->ended_until;
+}
+
 bool flt_was_down_since(const struct flt_target *target, clk_ms now,
 			clk_ms since)
 {
@@ -456,6 +468,7 @@
 	target->failures = 0;
 	target->avoid_until = 0;
 	target->down_until = 0;
+	target->ended_until = 0;
 }
 
 void flt_mark_full(struct flt_target *target, clk_ms now)
--- a/tests/fleet_test.c
+++ b/tests/fleet_test.c
@@ -283,6 +283,26 @@
 }
 END_TEST
 
+/* Guards against runs on a silent target that count as ended. */
+START_TEST(silent_target_has_not_ended)
+{
+	struct flt_fleet *fleet = plain_fleet();
+	struct flt_target *target = flt_find(fleet, "p1");
+
+	flt_mark_down(target, 1000);
+	ck_assert(!flt_has_ended(target, 1001));
+	flt_mark_ended(target, 1000);
+	ck_assert(flt_has_ended(target, 1001));
+	ck_assert_int_gt(target->down_until, 1001);
+	flt_mark_up(target);
+	ck_assert(!flt_has_ended(target, 1001));
+	flt_mark_ended(target, 2000);
+	flt_mark_down(target, 60000);
+	ck_assert(!flt_has_ended(target, 60001));
+	flt_drop(fleet);
+}
+END_TEST
+
 START_TEST(targets_are_found_by_address_and_hash)
 {
 	struct flt_fleet *fleet = plain_fleet();
@@ -314,6 +334,7 @@
 	tcase_add_test(tcase, complete_list_removes_missing_targets);
 	tcase_add_test(tcase, selection_weighs_load_failures_and_distance);
 	tcase_add_test(tcase, full_target_is_not_marked_down);
+	tcase_add_test(tcase, silent_target_has_not_ended);
 	tcase_add_test(tcase, targets_are_found_by_address_and_hash);
 	return sup_run_case("fleet", tcase);
 }
--- a/tests/platform/silence_wire_test.c
+++ b/tests/platform/silence_wire_test.c
@@ -11,6 +11,8 @@
 #define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
 /* Beyond all time limits of the edge's stall detection. */
 #define SILENCE_MS 1200
+/* Beyond the time for which it waits for a report. */
+#define REPORT_WAIT_MS 500
 
 static struct worker *worker(struct platform_world *world, guint i)
 {
@@ -304,6 +306,58 @@
 }
 END_TEST
 
+/* The head besides the one given that has the stream, or NULL. */
+static struct worker *find_next_head(struct platform_world *world,
+				     const struct worker *head)
+{
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++) {
+		if (worker(world, i) != head && worker(world, i)->requests)
+			return worker(world, i);
+	}
+	return NULL;
+}
+
+static bool has_next_head(void *user)
+{
+	struct platform_world *world = user;
+	guint i;
+
+	for (i = 0; i < world->workers->len; i++) {
+		if (worker(world, i)->is_late)
+			return find_next_head(world, worker(world, i)) != NULL;
+	}
+	return false;
+}
+
+/* Guards against runs on more living heads than the route allows, because one
+ * that is silent counts as ended. */
+START_TEST(silent_heads_count_against_the_limit)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *first;
+	struct worker *second;
+	guint heads = 0;
+	guint i;
+
+	open_engines(&world, 3);
+	client = open_silent_stream(&world, "/stream/", &first);
+	wire_run_until(&world.wire, has_next_head, &world);
+	second = find_next_head(&world, first);
+	world_run(&world, REPORT_WAIT_MS);
+	worker_release_late(first);
+	second->is_late = true;
+	world_run(&world, SILENCE_MS);
+	for (i = 0; i < world.workers->len; i++)
+		heads += worker(&world, i)->requests > 0;
+	ck_assert_uint_eq(heads, 2);
+	expect_rest(&world, client, second);
+	world_close(&world);
+}
+END_TEST
+
 /* Guards against ending an answer that a plain target delays. */
 START_TEST(silent_plain_target_keeps_its_request)
 {
@@ -426,6 +480,7 @@
 	tcase_add_test(tcase, answer_after_a_takeover_has_only_its_own_body);
 	tcase_add_test(tcase, silent_second_engine_keeps_its_stream);
 	tcase_add_test(tcase, silent_engine_keeps_a_request_without_an_event);
+	tcase_add_test(tcase, silent_heads_count_against_the_limit);
 	tcase_add_test(tcase, silent_plain_target_keeps_its_request);
 	tcase_add_test(
 		tcase,
