tests: run the last kind of trailer section

Cause: the end of a loop test is exclusive, so trailer_fields_are_not_of_the_ next_answer left out the last of its five kinds. Change: the bound.

--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -527,7 +527,7 @@
 			    G_N_ELEMENTS(response_cases));
 	tcase_add_test(tcase, connection_with_extra_bytes_is_not_reused);
 	tcase_add_loop_test(tcase, trailer_fields_are_not_of_the_next_answer, 0,
-			    G_N_ELEMENTS(trailers) - 1);
+			    G_N_ELEMENTS(trailers));
 	tcase_add_test(tcase, complete_response_leaves_its_connection_reusable);
 	tcase_add_test(tcase, connection_closed_by_target_is_not_reused);
 	tcase_add_test(tcase, refused_connection_reports_not_sent);
