edge: an empty list of tenants lets nobody in

Cause: whether keys are checked was derived from the number of organisations, so an empty list, or one without a readable entry, counted as a configuration without keys.

--- a/include/wagtailferry/catalog.h
+++ b/include/wagtailferry/catalog.h
@@ -137,7 +137,11 @@
 void cat_add_key(struct cat_catalog *catalog, const char *key,
 		 struct cat_org *org);
 
-/* Whether requests for routes that are not public need an API key. */
+/*
+ * Makes requests for routes that are not public need an API key. That doesn't
+ * follow from the organisations: with all of them removed no key is valid.
+ */
+void cat_require_keys(struct cat_catalog *catalog);
 bool cat_needs_keys(const struct cat_catalog *catalog);
 
 /* The limits, to be set before the catalog is shared. */
--- a/src/forward/catalog.c
+++ b/src/forward/catalog.c
@@ -20,6 +20,7 @@
 	GPtrArray *orgs;
 	/* Maps an API key to struct cat_org. */
 	GHashTable *keys;
+	bool needs_keys;
 	struct cat_limits limits;
 };
 
@@ -188,9 +189,17 @@
 	g_hash_table_insert(catalog->keys, g_strdup(key), org);
 }
 
+void cat_require_keys(struct cat_catalog *catalog)
+{
+	catalog->needs_keys = true;
+}
+
 bool cat_needs_keys(const struct cat_catalog *catalog)
 {
+#ifdef WF_GUARD_OFF_EDGE_EMPTY_TENANTS
 	return catalog->orgs->len > 0;
+#endif
+	return catalog->needs_keys;
 }
 
 struct cat_limits *cat_limits(struct cat_catalog *catalog)
--- a/tests/catalog_test.c
+++ b/tests/catalog_test.c
@@ -142,6 +142,8 @@
 	struct cat_org *org;
 
 	ck_assert(!cat_needs_keys(catalog));
+	cat_require_keys(catalog);
+	ck_assert(cat_needs_keys(catalog));
 	org = cat_add_org(catalog, "hotel", 2);
 	cat_add_key(catalog, "k1", org);
 	cat_add_key(catalog, "k2", org);
--- a/tests/platform/decode_test.c
+++ b/tests/platform/decode_test.c
@@ -94,6 +94,40 @@
 }
 END_TEST
 
+struct tenants_case {
+	const char *text;
+	bool needs_keys;
+	bool has_key;
+};
+
+static const struct tenants_case tenants_cases[] = {
+	{"{\"version\":1}", false, false},
+	{"{\"version\":1,\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k\"]}]}",
+	 true, true},
+	{"{\"version\":1,\"tenants\":[{\"name\":\"t\",\"api-keys\":[]}]}", true,
+	 false},
+	{"{\"version\":1,\"tenants\":[{\"name\":\"t\"}]}", true, false},
+	{"{\"version\":1,\"tenants\":[{\"api-keys\":[\"k\"]}]}", true, false},
+	{"{\"version\":1,\"tenants\":[]}", true, false},
+	{"{\"version\":1,\"tenants\":null}", true, false},
+	{"{\"version\":1,\"tenants\":{\"t\":[\"k\"]}}", true, false},
+};
+
+/* Guards against a list of tenants without a readable entry that lets all
+ * requests in. */
+START_TEST(present_list_of_tenants_requires_keys)
+{
+	const struct tenants_case *tenants = &tenants_cases[_i];
+	guint skipped;
+	struct cat_catalog *catalog =
+		decode_catalog(tenants->text, &skipped, NULL);
+
+	ck_assert_int_eq(cat_needs_keys(catalog), tenants->needs_keys);
+	ck_assert_int_eq(cat_find_org(catalog, "k") != NULL, tenants->has_key);
+	cat_drop(catalog);
+}
+END_TEST
+
 struct entry_case {
 	const char *text;
 	bool is_usable;
@@ -462,6 +496,8 @@
 
 	tcase_add_test(tcase, configuration_is_decoded);
 	tcase_add_test(tcase, configuration_without_a_version_is_refused);
+	tcase_add_loop_test(tcase, present_list_of_tenants_requires_keys, 0,
+			    G_N_ELEMENTS(tenants_cases));
 	tcase_add_loop_test(tcase, only_complete_entries_name_a_target, 0,
 			    G_N_ELEMENTS(entry_cases));
 	tcase_add_test(tcase, extreme_numbers_of_a_configuration_are_bounded);
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -327,6 +327,25 @@
 }
 END_TEST
 
+/* Guards against a key that goes on working, as does any other, once the last
+ * organisation has been removed. */
+START_TEST(removal_of_the_last_organisation_lets_nobody_in)
+{
+	struct platform_world world;
+	json_t *config = world_config(2);
+
+	world_open_plain(&world);
+	expect(&world, "GET", "/read/", KEY, "body");
+	json_object_set_new(config, "tenants", json_array());
+	world_put(&world, "config", "main", config);
+	wire_run_until(&world.wire, is_version_2, &world);
+	expect(&world, "GET", "/read/", KEY, "HTTP/1.1 401 ");
+	expect(&world, "GET", "/read/", "", "HTTP/1.1 401 ");
+	expect(&world, "GET", "/open/", "", "body");
+	world_close(&world);
+}
+END_TEST
+
 /* Guards against missing changes that the store's history no longer has. */
 START_TEST(lost_history_is_replaced_by_a_list)
 {
@@ -1116,6 +1135,7 @@
 	tcase_add_test(tcase,
 		       keys_are_refused_once_the_configuration_is_too_old);
 	tcase_add_test(tcase, older_configuration_never_replaces_a_newer_one);
+	tcase_add_test(tcase, removal_of_the_last_organisation_lets_nobody_in);
 	tcase_add_test(tcase, lost_history_is_replaced_by_a_list);
 	tcase_add_test(tcase, missing_entries_are_kept_only_after_an_outage);
 	tcase_add_test(tcase, lost_watch_is_given_up_within_three_seconds);
