daemon: a head that breaks off is no whole response

Callers could see: a 200 with an empty body after a worker had stopped inside the head of its answer and closed (a report of another operator).

Cause: libcurl reports success if the connection ends after a complete header line and no length or length 0 is known by then. The check of framing saw Content-Length, a stream or 204 and took the response as whole.

Fix: a response is complete only if the empty line that ends its head was received.

--- a/src/daemon/cli_request.c
+++ b/src/daemon/cli_request.c
@@ -244,10 +244,12 @@
 
 /*
  * A response that ends only with the connection can't be told from a
- * truncated one.
+ * truncated one. libcurl also accepts one whose head breaks off.
  */
 static bool is_complete_response(const struct cli_request *request, int status)
 {
+	if (!request->head_ended)
+		return false;
 	return request->framed || request->streams ||
 	       status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
 }
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -307,6 +307,44 @@
 }
 END_TEST
 
+#define INTERIM "HTTP/1.1 103 Early Hints\r\n\r\n"
+
+/* Heads that break off after a complete line. */
+static const char *const broken_heads[] = {
+	"HTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\nETag: \"17\"\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Field: a",
+	"HTTP/1.1 204 No Content\r\n",
+	"HTTP/1.1 304 Not Modified\r\n",
+	INTERIM "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+};
+
+static void break_head(struct wire_conn *conn, const char *request, void *user)
+{
+	(void)request;
+	wire_send(conn, *(const char **)user);
+	wire_hang_up(conn);
+}
+
+/* Guards against a head that breaks off and counts as a whole response without
+ * a body. */
+START_TEST(broken_head_is_no_response)
+{
+	const char *head = broken_heads[_i];
+	struct fixture fixture;
+
+	open_fixture(&fixture, break_head, &head,
+		     _i % 2 ? &whole_ops : &stream_ops);
+	run(&fixture);
+	ck_assert(!fixture.probe.result.ok);
+	ck_assert_int_eq(fixture.probe.result.error, ERR_TARGET_LOST);
+	close_fixture(&fixture);
+}
+END_TEST
+
 static void answer_ok(struct wire_conn *conn, const char *request, void *user)
 {
 	(void)request;
@@ -520,6 +558,8 @@
 	tcase_add_test(tcase, refused_connection_is_reported_as_not_sent);
 	tcase_add_test(tcase, headers_are_read);
 	tcase_add_test(tcase, trailer_fields_are_ignored);
+	tcase_add_loop_test(tcase, broken_head_is_no_response, 0,
+			    G_N_ELEMENTS(broken_heads));
 	tcase_add_test(tcase, fresh_connection_is_never_reused);
 	tcase_add_test(tcase, request_that_must_not_run_twice_is_sent_once);
 	tcase_add_test(tcase, connections_are_not_reused_after_a_timeout);
