daemon: bound the header lines of a response

Cause: wagtailferryd left the size of heads to libcurl, which bounds a line, interim responses and a head, but not the trailer section behind a body. A faulty server that sends one without end was read until the deadline (a report of another operator: bytes without end, memory exhausted).

Fix: 256 KiB for all header lines of a response, as at the edge.

--- a/src/daemon/cli_request.c
+++ b/src/daemon/cli_request.c
@@ -6,6 +6,8 @@
 #define CONNECT_TIMEOUT_MS 1000L
 /* Connections idle for longer are not reused. */
 #define MAX_IDLE_SECONDS 10L
+/* Header lines of one response, with interim responses and trailer section. */
+#define HEAD_LIMIT ((size_t)256 << 10)
 #define DEFAULT_BODY_LIMIT ((size_t)8 << 20)
 /* Received bytes not yet delivered to a streaming handler. */
 #define STREAM_BUFFER_LIMIT ((size_t)1 << 20)
@@ -115,8 +117,14 @@
 static size_t on_header(char *data, size_t size, size_t n, void *user)
 {
 	struct cli_request *request = user;
-	char *line = g_strndup(data, size * n);
+	char *line;
 
+	request->head_bytes += size * n;
+	if (request->head_bytes > HEAD_LIMIT) {
+		request->too_large = true;
+		return 0;
+	}
+	line = g_strndup(data, size * n);
 	/* Drops the headers of an interim response. */
 	if (g_str_has_prefix(line, "HTTP/")) {
 		request->etag = 0;
--- a/src/daemon/cli_request.h
+++ b/src/daemon/cli_request.h
@@ -24,8 +24,9 @@
 	bool streams; /* the handler has a data callback */
 	bool may_resend;
 	bool sent;
-	bool head_ended; /* header lines from here on are a trailer section */
-	bool framed;	 /* the response has a length or is chunked */
+	size_t head_bytes; /* of header lines, trailer section included */
+	bool head_ended;   /* header lines from here on are a trailer section */
+	bool framed;	   /* the response has a length or is chunked */
 	bool too_large;
 	bool queued; /* is in the client's queue of pending data */
 };
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -345,6 +345,52 @@
 }
 END_TEST
 
+/* What a server repeats without end. */
+static const struct {
+	const char *start;
+	const char *repeated;
+} floods[] = {
+	{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+	{"HTTP/1.1 200 OK\r\nX-Long: ", "value"},
+	{"", INTERIM},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	 "5\r\nbytes\r\n"},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	 "2\r\nhi\r\n0\r\n",
+	 "X-Field: value\r\n"},
+	{"HTTP/1.1 500 X\r\n\r\n", "without end"},
+	{"", "no HTTP at all "},
+};
+
+#define FLOOD_BYTES (2 << 20)
+
+static void send_flood(struct wire_conn *conn, const char *request, void *user)
+{
+	int kind = *(int *)user;
+	GString *out = g_string_new(floods[kind].start);
+
+	(void)request;
+	while (out->len < FLOOD_BYTES)
+		g_string_append(out, floods[kind].repeated);
+	wire_send(conn, out->str);
+	g_string_free(out, TRUE);
+}
+
+/* Guards against bytes without end that are kept, or read until the deadline.
+ */
+START_TEST(flood_ends_the_request)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, send_flood, &_i, &whole_ops);
+	fixture.spec.body_limit = FLOOD_BYTES / 4;
+	run(&fixture);
+	ck_assert(!fixture.probe.result.ok);
+	ck_assert_int_ne(fixture.probe.result.error, ERR_DEADLINE);
+	close_fixture(&fixture);
+}
+END_TEST
+
 static void answer_ok(struct wire_conn *conn, const char *request, void *user)
 {
 	(void)request;
@@ -560,6 +606,8 @@
 	tcase_add_test(tcase, trailer_fields_are_ignored);
 	tcase_add_loop_test(tcase, broken_head_is_no_response, 0,
 			    G_N_ELEMENTS(broken_heads));
+	tcase_add_loop_test(tcase, flood_ends_the_request, 0,
+			    G_N_ELEMENTS(floods));
 	tcase_add_test(tcase, fresh_connection_is_never_reused);
 	tcase_add_test(tcase, request_that_must_not_run_twice_is_sent_once);
 	tcase_add_test(tcase, connections_are_not_reused_after_a_timeout);
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -151,6 +151,13 @@
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", CLOSE,
 	 HUP_CONN_LOST, NULL},
 	{"HTTP/1.1 200 OK\r\nContent-Le", CLOSE, HUP_CONN_LOST, NULL},
+	{"HTTP/1.1 200 OK\r\n", CLOSE, HUP_CONN_LOST, NULL},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", CLOSE, HUP_CONN_LOST,
+	 NULL},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r", CLOSE, HUP_CONN_LOST,
+	 NULL},
+	{"HTTP/1.1 204 No Content\r\n", CLOSE, HUP_CONN_LOST, NULL},
+	{"HTTP/1.1 103 Early Hints\r\n\r\n", CLOSE, HUP_CONN_LOST, NULL},
 	{"", CLOSE, HUP_CONN_LOST, NULL},
 	{"", RESET, HUP_CONN_LOST, NULL},
 	{"no HTTP at all\r\n\r\n", KEEP_OPEN, HUP_MALFORMED, NULL},
@@ -313,6 +320,11 @@
 	{"HTTP/1.1 200 OK\r\nContent-Length: 90000000\r\n\r\n", "without end",
 	 HUP_TOO_LARGE},
 	{"", "no HTTP at all ", HUP_MALFORMED},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+	 "chunked\r\n\r\n2\r\nok\r\n0\r\n",
+	 "X-Field: value\r\n", HUP_MALFORMED},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=", "value",
+	 HUP_TOO_LARGE},
 };
 
 static void send_flood(struct wire_conn *conn, const char *text, void *user)
