daemon: answer the calls that are open at the end of a stop

Cause: the core ends with calls open and doesn't reply to them. The driver waited five seconds for those replies and then dropped the server, which answered 503 and shut the connections down before HTTP/2 frames were written.

Evidence: without the call in begin_exit() calls_open_at_the_exit_are_answered has no answer of the expected kind within 10 s.

Fix: when the core is done, its open calls are answered with outcome_unknown and cancelled; the wait for undelivered answers that follows covers them.

--- a/src/daemon/driver.c
+++ b/src/daemon/driver.c
@@ -126,6 +126,8 @@
 	if (driver->exiting)
 		return;
 	driver->exiting = true;
+	/* The core, at the end of its time for draining, will not reply. */
+	srv_end_calls(driver->server);
 	driver->exit_deadline = drv_clock_now(&driver->clock) + EXIT_TIMEOUT_MS;
 	driver->request_deadline =
 		drv_clock_now(&driver->clock) + NEW_REQUEST_TIMEOUT_MS;
--- a/src/daemon/srv_server.c
+++ b/src/daemon/srv_server.c
@@ -422,15 +422,14 @@
 	shutdown(h2o_socket_get_fd(key), SHUT_RDWR);
 }
 
-/* Answers all calls with an error, so that h2o disposes of the requests. */
-static void fail_calls(struct srv_server *server)
+void srv_end_calls(struct srv_server *server)
 {
 	GList *calls = g_hash_table_get_values(server->calls);
 	GList *item;
 
 	for (item = calls; item; item = item->next)
-		srv_call_cancel(item->data, ERR_DRAINING,
-				"the instance is shutting down");
+		srv_call_cancel(item->data, ERR_OUTCOME_UNKNOWN,
+				"the instance stopped before the answer came");
 	g_list_free(calls);
 }
 
@@ -440,7 +439,8 @@
 		return;
 	server->sink = NULL;
 	server->dropped = true;
-	fail_calls(server);
+	/* h2o disposes of the requests when they are answered. */
+	srv_end_calls(server);
 	close_listener(&server->callers);
 	close_listener(&server->operators);
 	g_hash_table_foreach(server->sockets, cut_connection, NULL);
--- a/src/daemon/srv_server.h
+++ b/src/daemon/srv_server.h
@@ -78,6 +78,12 @@
  */
 bool srv_stop_listening(struct srv_server *server);
 
+/*
+ * Answers the calls without a final reply that their outcome is unknown, and
+ * reports their callers as gone.
+ */
+void srv_end_calls(struct srv_server *server);
+
 /* The number of callers' connections without a complete request so far. */
 size_t srv_count_new_connections(const struct srv_server *server);
 
--- a/tests/drv_wire_test.c
+++ b/tests/drv_wire_test.c
@@ -423,6 +423,33 @@
 }
 END_TEST
 
+static void exit_on_drain(struct fake_core *core, const struct wf_event *event)
+{
+	struct wf_action exit = {.type = WF_ACT_EXIT};
+
+	if (event->type == WF_EV_DRAIN)
+		fake_core_emit(core, &exit);
+}
+
+/* Guards against calls that the end of a stop cuts off, or answers as not run
+ * although they may have run. */
+START_TEST(calls_open_at_the_exit_are_answered)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, exit_on_drain);
+	post(&fixture, "/v1/services/booking/book", "{}");
+	wire_run_until(&fixture.wire, has_call, fixture.a.core);
+	drv_drain(fixture.a.driver);
+	wire_client_await(&fixture.wire, fixture.client, "HTTP/1.1 504 ");
+	wire_client_await(&fixture.wire, fixture.client, "\"outcome_unknown\"");
+	wire_run_until(&fixture.wire, driver_is_done, fixture.a.driver);
+	ck_assert_uint_eq(fixture.a.core->events[WF_EV_CALLER_GONE], 1);
+	close_instance(&fixture.a);
+	close_fixture(&fixture);
+}
+END_TEST
+
 /* Guards against an instance that starts without its listeners. */
 START_TEST(taken_address_refuses_the_start)
 {
@@ -459,6 +486,7 @@
 	tcase_add_test(tcase, core_is_woken_at_its_time);
 	tcase_add_test(tcase, message_goes_from_core_to_core);
 	tcase_add_test(tcase, exit_waits_for_the_last_answer);
+	tcase_add_test(tcase, calls_open_at_the_exit_are_answered);
 	tcase_add_test(tcase, taken_address_refuses_the_start);
 	return sup_run_case("drv_wire", tcase);
 }
--- a/tests/srv_wire_test.c
+++ b/tests/srv_wire_test.c
@@ -818,6 +818,30 @@
 }
 END_TEST
 
+static void end_calls(struct fixture *fixture, const struct wf_call *call)
+{
+	(void)call;
+	srv_end_calls(fixture->server);
+}
+
+/* Guards against an HTTP/2 caller without an answer at the end of a stop. */
+START_TEST(http2_calls_open_at_the_exit_are_answered)
+{
+	struct fixture fixture;
+	struct curl_job job;
+
+	open_fixture(&fixture, end_calls);
+	start_job(&fixture, &job, "http", CHAT);
+	run_job(&fixture, &job);
+	ck_assert_int_eq(job.code, CURLE_OK);
+	ck_assert_int_eq(job.status, 504);
+	ck_assert_ptr_nonnull(strstr(job.received->str, "\"outcome_unknown\""));
+	ck_assert_uint_eq(fixture.n_gone, 1);
+	clear_job(&job);
+	close_fixture(&fixture);
+}
+END_TEST
+
 /* Guards against an HTTP/2 disconnect that goes unnoticed. */
 START_TEST(http2_disconnect_is_reported)
 {
@@ -1003,6 +1027,7 @@
 	tcase_add_test(tcase, address_in_use_is_an_io_error);
 	tcase_add_test(tcase, http2_streams_like_http1);
 	tcase_add_test(tcase, http2_refusals_are_typed);
+	tcase_add_test(tcase, http2_calls_open_at_the_exit_are_answered);
 	tcase_add_test(tcase, http2_disconnect_is_reported);
 	tcase_add_test(tcase, http2_caller_without_window_is_disconnected);
 	tcase_add_test(tcase,
