edge: idle connections give back the memory of large requests

Cause: the buffers of a connection for body, URL and fields kept the size of its largest request until it closed. The limit on all bodies counts only those on their way, so it didn't bound them.

Evidence: idle_connection_keeps_no_large_request failed without the guard EDGE_KEPT_BODY with 4096 bytes kept for a body of 4000.

Fix: an answered request and an idle upstream connection free their fields and give buffers above 1 KiB back.

--- a/src/edge/hdr_fields.c
+++ b/src/edge/hdr_fields.c
@@ -3,6 +3,9 @@
 
 #include "edge/hdr_fields.h"
 
+/* Connections keep a buffer up to this size for their next message. */
+#define MAX_KEPT_BYTES 1024
+
 static void field_clear(gpointer data)
 {
 	struct hdr_field *field = data;
@@ -29,6 +32,18 @@
 	g_array_set_size(list->fields, 0);
 }
 
+void hdr_reset_text(GString **text)
+{
+#ifndef WF_GUARD_OFF_EDGE_KEPT_BODY
+	if ((*text)->allocated_len > MAX_KEPT_BYTES) {
+		g_string_free(*text, TRUE);
+		*text = g_string_new(NULL);
+		return;
+	}
+#endif
+	g_string_truncate(*text, 0);
+}
+
 void hdr_add(struct hdr_list *list, const char *name, const char *value)
 {
 	struct hdr_field field = {g_strdup(name), g_strdup(value)};
@@ -145,8 +160,8 @@
 
 void hdr_builder_begin(struct hdr_builder *builder)
 {
-	g_string_truncate(builder->name, 0);
-	g_string_truncate(builder->value, 0);
+	hdr_reset_text(&builder->name);
+	hdr_reset_text(&builder->value);
 	builder->in_value = false;
 	builder->is_ended = false;
 }
--- a/src/edge/hdr_fields.h
+++ b/src/edge/hdr_fields.h
@@ -21,6 +21,10 @@
 /* Removes all fields so that the list can be reused. */
 void hdr_reset(struct hdr_list *list);
 
+/* Empties a string; replaces it if it holds more memory than most messages
+ * need. */
+void hdr_reset_text(GString **text);
+
 /* Adds a field; name and value are copied. */
 void hdr_add(struct hdr_list *list, const char *name, const char *value);
 
--- a/src/edge/hsv_conn.c
+++ b/src/edge/hsv_conn.c
@@ -225,12 +225,23 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+/* Frees what the last request needed: connections are idle most of the time,
+ * and a large body would be kept for each of them. */
+static void release_request(struct hsv_conn *conn)
+{
+	release_body_bytes(conn);
+	hdr_reset(&conn->request.headers);
+	hdr_reset_text(&conn->request.body);
+	hdr_reset_text(&conn->url);
+	g_clear_pointer(&conn->request.url, g_free);
+}
+
 /* Called after a response: prepares for the next request or closes. */
 static void next_request(struct hsv_conn *conn)
 {
 	GString *pipelined;
 
-	release_body_bytes(conn);
+	release_request(conn);
 	conn->is_chunked = false;
 	/* A caller that was not told may send its next request. */
 	if (conn->announced_close) {
--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -111,6 +111,8 @@
 		g_hash_table_insert(conn->client->idle, g_strdup(conn->address),
 				    queue);
 	}
+	hdr_reset(&conn->response.headers);
+	hdr_builder_begin(&conn->builder);
 	conn->idle_since = now_ms(conn->client);
 	g_queue_push_head(queue, conn);
 	if (queue->length > MAX_IDLE_PER_ADDRESS)
--- a/tests/edge_callers_wire_test.c
+++ b/tests/edge_callers_wire_test.c
@@ -408,6 +408,34 @@
 }
 END_TEST
 
+/* Guards against idle connections that each keep the memory of their largest
+ * request, until the process exceeds its memory. */
+START_TEST(idle_connection_keeps_no_large_request)
+{
+	const size_t body_len = 4000;
+	char *body = g_strnfill(body_len, 'b');
+	char *field = g_strnfill(1500, 'f');
+	char *text = g_strdup_printf(HEAD "X-Field: %s\r\nContent-Length: %zu"
+					  "\r\n\r\n%s",
+				     field, body_len, body);
+	struct probe probe;
+	struct wire_client *client;
+
+	setup(&probe);
+	client = wire_client_new(&probe.wire, probe.address);
+	wire_client_send(client, text);
+	wire_client_await(&probe.wire, client, body);
+	ck_assert_uint_lt(probe.request->body->allocated_len, body_len);
+	ck_assert_uint_eq(probe.request->headers.fields->len, 0);
+	ck_assert_ptr_null(probe.request->url);
+	wire_client_drop(client);
+	teardown(&probe);
+	g_free(text);
+	g_free(field);
+	g_free(body);
+}
+END_TEST
+
 #define MANY_REQUESTS 40
 #define LARGE_BODY_BYTES 4000
 
@@ -580,6 +608,7 @@
 	tcase_add_test(tcase, pipelined_requests_are_answered_in_order);
 	tcase_add_test(tcase, trailer_fields_are_of_no_request);
 	tcase_add_test(tcase, large_trailer_is_rejected);
+	tcase_add_test(tcase, idle_connection_keeps_no_large_request);
 	tcase_add_test(tcase,
 		       pipelined_requests_beyond_the_buffer_are_answered);
 	tcase_add_test(tcase, expect_100_continue_is_answered);
