edge: don't repeat the search for a crowd without room

Cause: a new stream that finds no room costs a search in each data centre, one across them and one without capacity, before it waits or is refused. In a crowd the same searches are made in vain for each caller while the loop serves nobody.

Without the guard EDGE_KNOWN_FULL crowd_without_room_costs_few_searches made more than a quarter of a search for each of 40 refused streams.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -397,6 +397,7 @@
 	g_free(edge->instance);
 	g_free(edge->data_center);
 	g_free(edge->peer_address);
+	g_free(edge->full.service);
 	g_free(edge);
 }
 
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -16,6 +16,13 @@
 struct ord_orders;
 struct tko_takeover;
 
+/* The last search for a new stream that found no capacity. */
+struct edg_full {
+	char *service;
+	double tokens;
+	clk_ms until;
+};
+
 struct edg_edge {
 	uv_loop_t *loop;
 	struct drv_clock clock;
@@ -66,6 +73,7 @@
 	/* Streams that wait for capacity, and when it becomes free. */
 	struct adm_queue *waiting;
 	struct adm_room room;
+	struct edg_full full;
 	uv_timer_t wait_timer;
 	bool is_draining;
 	clk_ms drain_limit;
@@ -327,6 +335,14 @@
 void edg_stop_waiting(struct edg_request *request);
 /* A stream has released its path. */
 void edg_room_freed(struct edg_edge *edge);
+/*
+ * Whether a search for a new stream of the service and of that many tokens has
+ * just found no capacity. In a crowd each refused stream would otherwise cost
+ * searches in all data centres.
+ */
+bool edg_is_known_full(const struct edg_edge *edge, const char *service,
+		       double tokens);
+void edg_note_full(struct edg_edge *edge, const char *service, double tokens);
 /* Sends waiting streams, in order, while there is capacity. */
 void edg_serve_waiting(struct edg_edge *edge);
 
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -392,8 +392,11 @@
 	if (!keeps_head)
 		edg_release_send(request);
 	query.current = request->path;
+	ctr_add(edge->counters, "wf_edge_path_searches_total", 1);
 	result =
 		pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	if (result == PTH_NO_CAPACITY && !query.current)
+		edg_note_full(edge, query.service, query.tokens);
 	edg_release_send(request);
 	if (result == PTH_FOUND)
 		use_path(request, path);
@@ -408,8 +411,15 @@
 /* Releases the current send and finds a path for the next one. */
 static bool find_path(struct edg_request *request, bool keeps_head)
 {
-	enum pth_result result = reserve_path(request, keeps_head);
+	struct pth_query query = edg_path_query(request);
+	enum pth_result result;
 
+	if (!request->sends &&
+	    edg_is_known_full(request->edge, query.service, query.tokens)) {
+		edg_wait_for_room(request, query.tokens);
+		return false;
+	}
+	result = reserve_path(request, keeps_head);
 	if (result == PTH_FOUND)
 		return true;
 	if (request->is_answer_started || edg_may_have_run(request))
@@ -418,7 +428,7 @@
 		edg_refuse_not_run(request, NO_PATH_RETRY_MS, "no_path",
 				   "no path of engines covers all layers");
 	else
-		edg_wait_for_room(request, edg_path_query(request).tokens);
+		edg_wait_for_room(request, query.tokens);
 	return false;
 }
 
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "edge/edg_private.h"
 
 /*
@@ -135,10 +137,35 @@
 void edg_room_freed(struct edg_edge *edge)
 {
 	adm_room_record_end(&edge->room, edg_now(edge));
+	edge->full.until = 0;
 	if (edge->waiting->length)
 		schedule_round(edge, 0);
 }
 
+bool edg_is_known_full(const struct edg_edge *edge, const char *service,
+		       double tokens)
+{
+	const struct edg_full *full = &edge->full;
+
+#ifdef WF_GUARD_OFF_EDGE_KNOWN_FULL
+	return false;
+#endif
+	return edg_now(edge) < full->until && tokens >= full->tokens &&
+	       !strcmp(service, full->service);
+}
+
+void edg_note_full(struct edg_edge *edge, const char *service, double tokens)
+{
+	struct edg_full *full = &edge->full;
+
+	if (g_strcmp0(full->service, service) != 0) {
+		g_free(full->service);
+		full->service = g_strdup(service);
+	}
+	full->tokens = tokens;
+	full->until = edg_now(edge) + RETRY_INTERVAL_MS;
+}
+
 void edg_serve_waiting(struct edg_edge *edge)
 {
 	unsigned searches;
--- a/tests/bench/fleet_bench.c
+++ b/tests/bench/fleet_bench.c
@@ -11,6 +11,7 @@
 #include "support/fleet.h"
 
 #define DATA_CENTERS 9
+#define FULL_PATHS 200
 #define PATHS 300
 #define TOKENS 1000
 
@@ -99,6 +100,41 @@
 	g_rand_free(rand);
 }
 
+/* Requests that find no room in the engines with the last layer: all searches
+ * are made in vain. */
+static void measure_full(const struct fig_output *output,
+			 struct flt_fleet *fleet, unsigned engines,
+			 const struct cat_service *service)
+{
+	struct pth_query query = {
+		.engine = service->engine,
+		.service = "model",
+		.data_center = "dc4",
+		.tokens = TOKENS,
+		.prefill_tokens = TOKENS,
+	};
+	GRand *rand = g_rand_new_with_seed((guint32)output->seed);
+	const GPtrArray *targets = flt_targets(fleet);
+	struct pth_path *path;
+	double start;
+	unsigned i;
+
+	for (i = 0; i < targets->len; i++) {
+		struct flt_target *target = targets->pdata[i];
+
+		if (target->holds.end == service->engine->layers)
+			target->others.token_layers = 1e12;
+	}
+	start = now_us();
+	for (i = 0; i < FULL_PATHS; i++) {
+		pth_find(fleet, 0, &query, rand, &path);
+		pth_free(path);
+	}
+	print(output, "path_full", engines, (now_us() - start) / FULL_PATHS,
+	      "us", "-");
+	g_rand_free(rand);
+}
+
 int main(int argc, char **argv)
 {
 	static const unsigned sizes[] = {93, 400, 1500};
@@ -113,6 +149,7 @@
 
 		measure_plans(&output, fleet, sizes[i], service);
 		measure_paths(&output, fleet, sizes[i], service);
+		measure_full(&output, fleet, sizes[i], service);
 		flt_drop(fleet);
 	}
 	cat_drop(catalog);
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -517,6 +517,42 @@
 	return client;
 }
 
+#define CROWD 40
+
+/* Guards against a crowd whose refusals each cost searches in all data centres,
+ * during which the loop serves nobody. */
+START_TEST(crowd_without_room_costs_few_searches)
+{
+	struct platform_world world;
+	struct wire_client *streams[HEAD_STREAMS];
+	struct wire_client *crowd[CROWD];
+	uint64_t before;
+	guint i;
+
+	world_open_engines(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
+	for (i = 0; i < HEAD_STREAMS; i++)
+		streams[i] = open_stream(&world);
+	before = ctr_get(world.counters, "wf_edge_path_searches_total");
+	for (i = 0; i < CROWD; i++)
+		crowd[i] = world_request(&world, "POST", "/stream/", KEY TOKENS,
+					 "");
+	for (i = 0; i < CROWD; i++) {
+		wire_client_await(&world.wire, crowd[i], "HTTP/1.1 503 ");
+		wire_client_drop(crowd[i]);
+	}
+	ck_assert_uint_le(
+		ctr_get(world.counters, "wf_edge_path_searches_total") - before,
+		CROWD / 4);
+	/* A stream that ends makes room at once. */
+	wire_client_drop(streams[0]);
+	streams[0] = open_stream(&world);
+	for (i = 0; i < HEAD_STREAMS; i++)
+		wire_client_drop(streams[i]);
+	world_close(&world);
+}
+END_TEST
+
 /*
  * Replays a crest on one instance: all slots are taken, streams end now and
  * then. Guards against refusing a stream for which there is room a moment
@@ -1142,6 +1178,7 @@
 	tcase_add_test(tcase, broken_stream_continues_after_its_last_event);
 	tcase_add_test(tcase, stream_with_an_endless_event_continues_elsewhere);
 	tcase_add_test(tcase, path_runs_every_layer_once);
+	tcase_add_test(tcase, crowd_without_room_costs_few_searches);
 	tcase_add_test(tcase,
 		       stream_waits_for_room_only_while_it_can_be_in_time);
 	tcase_add_test(tcase, stalled_stream_is_rerouted);
