tests: one literal a row in the table of broken heads

Cause: the linter takes two adjacent literals in an array of strings for a missing comma. Change: one literal.

--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -307,8 +307,6 @@
 }
 END_TEST
 
-#define INTERIM "HTTP/1.1 103 Early Hints\r\n\r\n"
-
 /* Heads that break off after a complete line. */
 static const char *const broken_heads[] = {
 	"HTTP/1.1 200 OK\r\n",
@@ -319,7 +317,7 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Field: a",
 	"HTTP/1.1 204 No Content\r\n",
 	"HTTP/1.1 304 Not Modified\r\n",
-	INTERIM "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
 };
 
 static void break_head(struct wire_conn *conn, const char *request, void *user)
@@ -352,7 +350,7 @@
 } floods[] = {
 	{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
 	{"HTTP/1.1 200 OK\r\nX-Long: ", "value"},
-	{"", INTERIM},
+	{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 	 "5\r\nbytes\r\n"},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
