--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -16,7 +16,8 @@
 struct ord_orders;
 struct tko_takeover;
 
-/* The last search for a new stream that found no capacity. */
+/* The last search for a new stream that found no capacity. Holds for streams of
+ * as many tokens or more until one ends, or for a moment. */
 struct edg_full {
 	char *service;
 	double tokens;
--- a/tests/bench/fleet_bench.c
+++ b/tests/bench/fleet_bench.c
@@ -72,9 +72,7 @@
 	g_array_unref(plan);
 }
 
-static void measure_paths(const struct fig_output *output,
-			  struct flt_fleet *fleet, unsigned engines,
-			  const struct cat_service *service)
+static struct pth_query make_query(const struct cat_service *service)
 {
 	struct pth_query query = {
 		.engine = service->engine,
@@ -83,6 +81,15 @@
 		.tokens = TOKENS,
 		.prefill_tokens = TOKENS,
 	};
+
+	return query;
+}
+
+static void measure_paths(const struct fig_output *output,
+			  struct flt_fleet *fleet, unsigned engines,
+			  const struct cat_service *service)
+{
+	struct pth_query query = make_query(service);
 	GRand *rand = g_rand_new_with_seed((guint32)output->seed);
 	struct pth_path *path;
 	double start = now_us();
@@ -106,13 +113,7 @@
 			 struct flt_fleet *fleet, unsigned engines,
 			 const struct cat_service *service)
 {
-	struct pth_query query = {
-		.engine = service->engine,
-		.service = "model",
-		.data_center = "dc4",
-		.tokens = TOKENS,
-		.prefill_tokens = TOKENS,
-	};
+	struct pth_query query = make_query(service);
 	GRand *rand = g_rand_new_with_seed((guint32)output->seed);
 	const GPtrArray *targets = flt_targets(fleet);
 	struct pth_path *path;
