--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -287,6 +287,9 @@
 {
 	const struct cell *cell = cell_at(search, boundary, center);
 
+#ifdef WF_GUARD_OFF_PATH_ENGINE_ONCE
+	return false;
+#endif
 	while (cell->engine >= 0 && cell->engine != engine)
 		cell = cell_at(search, cell->from, (unsigned)cell->prev_center);
 	return cell->engine >= 0;
@@ -326,13 +329,11 @@
 		if (!search->ignore_capacity &&
 		    search->query->tokens * layers > engine->free_token_layers)
 			return;
-#ifndef WF_GUARD_OFF_PATH_ENGINE_ONCE
 		if (is_on_partial_path(search, from, prev_center, (int)index)) {
 			search->spent_engine = (int)index;
 			search->spent_at = from;
 			return;
 		}
-#endif
 		*end = (struct cell){cost, (int)index, from, (int)prev_center};
 	}
 }
