edge: don't confirm a configuration that was not taken over

Callers saw: a key that the latest configuration removes went on working without end if that configuration has no readable version, or the number of the version in force (CONFIG).

Cause: following the store counted as a confirmation of the version in force, whether or not the latest object had been taken over. Instances confirmed versions to each other, and a version can be written twice.

Evidence: removed_key_is_refused_in_time, nine ways to remove a key.

Fix: an unreadable configuration stops confirmations until one can be read, so requests with keys are refused as not run once the version in force is too old. The same version is taken over again if its object has a later revision, and instances exchange the revision, which is unique.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -91,7 +91,8 @@
 	hsv_set_limits(edge->caller_server, &edge->limits);
 }
 
-void edg_set_catalog(struct edg_edge *edge, struct cat_catalog *catalog)
+void edg_set_catalog(struct edg_edge *edge, struct cat_catalog *catalog,
+		     int64_t revision)
 {
 	int64_t version = cat_version(catalog);
 	int64_t current = edge->catalog ? cat_version(edge->catalog) : -1;
@@ -99,16 +100,19 @@
 #ifdef WF_GUARD_OFF_EDGE_CONFIG_MONOTONIC
 	current = -1;
 #endif
-	if (version <= current) {
-		if (version < current)
-			edg_log(edge, "config", "offered", "dropped",
-				"version=%" G_GINT64_FORMAT
-				" present=%" G_GINT64_FORMAT,
-				version, current);
+	edge->is_catalog_rejected = false;
+	if (version < current) {
+		edg_log(edge, "config", "offered", "dropped",
+			"version=%" G_GINT64_FORMAT
+			" present=%" G_GINT64_FORMAT,
+			version, current);
 		return;
 	}
+	if (version == current && revision <= edge->catalog_revision)
+		return;
 	cat_drop(edge->catalog);
 	edge->catalog = cat_keep(catalog);
+	edge->catalog_revision = revision;
 	apply_limits(edge);
 	ctr_set_gauge(edge->counters, "wf_edge_config_version", version);
 	edg_log(edge, "config", "present", "in force",
@@ -117,6 +121,13 @@
 		version, current, cat_route_count(catalog));
 }
 
+void edg_reject_catalog(struct edg_edge *edge, const char *reason)
+{
+	edge->is_catalog_rejected = true;
+	ctr_add(edge->counters, "wf_edge_config_rejected_total", 1);
+	edg_log(edge, "config", "read", "refused", "%s", reason);
+}
+
 clk_ms edg_config_watch_time(const struct edg_edge *edge)
 {
 	clk_ms wait =
@@ -130,6 +141,10 @@
 
 void edg_confirm_catalog(struct edg_edge *edge, clk_ms at)
 {
+#ifndef WF_GUARD_OFF_EDGE_REJECTED_CONFIG
+	if (edge->is_catalog_rejected)
+		return;
+#endif
 	edge->catalog_confirmed_at = MAX(edge->catalog_confirmed_at, at);
 }
 
@@ -242,14 +257,14 @@
 	const struct edg_edge *edge = user;
 
 	*confirmed = edge->catalog_confirmed_at;
-	return edge->catalog ? cat_version(edge->catalog) : -1;
+	return edge->catalog ? edge->catalog_revision : -1;
 }
 
-static void peers_confirm(void *user, int64_t version, clk_ms at)
+static void peers_confirm(void *user, int64_t revision, clk_ms at)
 {
 	struct edg_edge *edge = user;
 
-	if (edge->catalog && cat_version(edge->catalog) == version)
+	if (edge->catalog && edge->catalog_revision == revision)
 		edg_confirm_catalog(edge, at);
 }
 
--- a/src/edge/edg.h
+++ b/src/edge/edg.h
@@ -236,14 +236,26 @@
  * and starts to list the others. */
 void edg_start(struct edg_edge *edge);
 
-/* Installs a version of the catalog. A version older than the current one is
- * ignored and logged. */
-void edg_set_catalog(struct edg_edge *edge, struct cat_catalog *catalog);
+/*
+ * Installs a version of the catalog. revision is that of the store's object, or
+ * 0 if unknown. A version older than the current one is ignored and logged; the
+ * same version is installed again if its object has changed.
+ */
+void edg_set_catalog(struct edg_edge *edge, struct cat_catalog *catalog,
+		     int64_t revision);
+
+/*
+ * The store's latest configuration can't be read. The catalog stays in force,
+ * but isn't confirmed before a configuration can be read: it may contain keys
+ * that the latest one has removed.
+ */
+void edg_reject_catalog(struct edg_edge *edge, const char *reason);
 
 /* Time in ms that the next watch of the configuration may stay open. */
 clk_ms edg_config_watch_time(const struct edg_edge *edge);
 
-/* Confirms that the catalog was the latest version at the given time. */
+/* Confirms that the store held nothing later than what was last passed to
+ * edg_set_catalog() or edg_reject_catalog() at the given time. */
 void edg_confirm_catalog(struct edg_edge *edge, clk_ms at);
 
 /* Applies the settings that may change while the process runs. */
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -43,6 +43,10 @@
 	GRand *rand;
 
 	struct cat_catalog *catalog;
+	/* Of the store's object from which it was read. */
+	int64_t catalog_revision;
+	/* The store has a later configuration that can't be read. */
+	bool is_catalog_rejected;
 	/* Last time at which the catalog was confirmed to be the latest. */
 	clk_ms catalog_confirmed_at;
 	/* Keys are checked against a catalog confirmed within this time. */
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -101,12 +101,12 @@
 static void apply_confirmation(struct prs_peers *peers,
 			       const Wf__LoadReport *report)
 {
-	if (!report->has_config_version || !report->has_config_age_ms ||
+	if (!report->has_config_revision || !report->has_config_age_ms ||
 	    !report->has_echo_ms ||
 	    report->echo_incarnation != peers->incarnation ||
 	    report->echo_ms > prs_now(peers))
 		return;
-	peers->config.confirm(peers->config.user, report->config_version,
+	peers->config.confirm(peers->config.user, report->config_revision,
 			      report->echo_ms - (clk_ms)report->config_age_ms);
 }
 
@@ -211,12 +211,12 @@
 static void add_config(struct prs_peers *peers, Wf__LoadReport *report)
 {
 	clk_ms confirmed;
-	int64_t version = peers->config.config(peers->config.user, &confirmed);
+	int64_t revision = peers->config.config(peers->config.user, &confirmed);
 
-	if (version < 0)
+	if (revision < 0)
 		return;
-	report->has_config_version = 1;
-	report->config_version = version;
+	report->has_config_revision = 1;
+	report->config_revision = revision;
 	report->has_config_age_ms = 1;
 	report->config_age_ms = (uint64_t)MAX(prs_now(peers) - confirmed, 0);
 }
--- a/src/edge/prs_reports.h
+++ b/src/edge/prs_reports.h
@@ -35,11 +35,13 @@
 	/* IP:port of the UDP socket. */
 	const char *address;
 	clk_ms (*now)(void *user);
-	/* Returns the configuration's version, or -1 for none, and sets the
-	 * time at which it was last confirmed to be the newest. */
+	/* Returns the revision of the configuration's object in the store, or
+	 * -1 for none, and sets the time at which it was last confirmed to be
+	 * the newest. A version can be written twice, a revision can't. */
 	int64_t (*config)(void *user, clk_ms *confirmed);
-	/* A peer has confirmed that the version was the newest at that time. */
-	void (*confirm)(void *user, int64_t version, clk_ms at);
+	/* A peer has confirmed that the revision was the newest at that
+	 * time. */
+	void (*confirm)(void *user, int64_t revision, clk_ms at);
 	/* Evidence on prompt parts to be sent, and that of peers is added to
 	 * it; may be NULL. */
 	struct qtn_quarantine *quarantine;
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -473,18 +473,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "config_version",
-    7,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_INT64,
-    offsetof(Wf__LoadReport, has_config_version),
-    offsetof(Wf__LoadReport, config_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "config_age_ms",
     8,
@@ -641,32 +629,44 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_revision",
+    21,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Wf__LoadReport, has_config_revision),
+    offsetof(Wf__LoadReport, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__load_report__field_indices_by_name[] = {
   2,   /* field[2] = address */
-  6,   /* field[6] = config_age_ms */
-  5,   /* field[5] = config_version */
+  5,   /* field[5] = config_age_ms */
+  18,   /* field[18] = config_revision */
   1,   /* field[1] = data_center */
-  8,   /* field[8] = echo_incarnation */
-  9,   /* field[9] = echo_ms */
-  12,   /* field[12] = in_flight */
+  7,   /* field[7] = echo_incarnation */
+  8,   /* field[8] = echo_ms */
+  11,   /* field[11] = in_flight */
   3,   /* field[3] = incarnation */
   0,   /* field[0] = instance */
-  15,   /* field[15] = instances */
-  10,   /* field[10] = interval_ms */
-  14,   /* field[14] = kilo_token_layers */
-  13,   /* field[13] = on_path */
-  7,   /* field[7] = sent_ms */
+  14,   /* field[14] = instances */
+  9,   /* field[9] = interval_ms */
+  13,   /* field[13] = kilo_token_layers */
+  12,   /* field[12] = on_path */
+  6,   /* field[6] = sent_ms */
   4,   /* field[4] = sequence */
-  18,   /* field[18] = suspect_age_ms */
-  17,   /* field[17] = suspect_crash */
-  16,   /* field[16] = suspect_part */
-  11,   /* field[11] = target */
+  17,   /* field[17] = suspect_age_ms */
+  16,   /* field[16] = suspect_crash */
+  15,   /* field[15] = suspect_part */
+  10,   /* field[10] = target */
 };
 static const ProtobufCIntRange wf__load_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 7, 5 },
+  { 8, 5 },
   { 0, 19 }
 };
 const ProtobufCMessageDescriptor wf__load_report__descriptor =
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -137,11 +137,11 @@
   uint64_t incarnation;
   uint64_t sequence;
   /*
-   * Version of the configuration that the sender knows, and how long ago it
-   * was known to be the newest. Absent before the first.
+   * The store's revision of the configuration that the sender knows, and how
+   * long ago it was known to be the newest. Absent before the first.
    */
-  protobuf_c_boolean has_config_version;
-  int64_t config_version;
+  protobuf_c_boolean has_config_revision;
+  int64_t config_revision;
   protobuf_c_boolean has_config_age_ms;
   uint64_t config_age_ms;
   /*
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -346,6 +346,106 @@
 }
 END_TEST
 
+static void put_config(struct platform_world *world, json_t *config)
+{
+	world_put(world, "config", "main", config);
+}
+
+static void put_without_key(struct platform_world *world)
+{
+	put_config(world, world_config_with_keys(2, json_pack("[s]", "other")));
+}
+
+static void put_without_keys(struct platform_world *world)
+{
+	put_config(world, world_config_with_keys(2, json_array()));
+}
+
+static void put_two_versions(struct platform_world *world)
+{
+	put_without_key(world);
+	put_config(world, world_config_with_keys(3, json_pack("[s]", "other")));
+}
+
+static void put_same_version(struct platform_world *world)
+{
+	put_config(world, world_config_with_keys(1, json_pack("[s]", "other")));
+}
+
+static void put_version_without_number(struct platform_world *world)
+{
+	json_t *config = world_config_with_keys(2, json_array());
+
+	json_object_del(config, "version");
+	put_config(world, config);
+}
+
+static void put_version_as_text(struct platform_world *world)
+{
+	json_t *config = world_config_with_keys(2, json_array());
+
+	json_object_set_new(config, "version", json_string("2"));
+	put_config(world, config);
+}
+
+static void put_null(struct platform_world *world)
+{
+	put_config(world, json_null());
+}
+
+static void put_without_history(struct platform_world *world)
+{
+	world->store_mode = STORE_GONE;
+	json_array_clear(world->events);
+	put_without_key(world);
+	json_array_clear(world->events);
+}
+
+static void put_in_an_outage(struct platform_world *world)
+{
+	world->store_mode = STORE_SILENT;
+	put_without_key(world);
+}
+
+/* Ways in which a key is taken away. If the instance can't know the latest
+ * configuration, it refuses as not run. */
+static const struct removal {
+	void (*remove_key)(struct platform_world *world);
+	/* key_removal_ms is 3000. */
+	clk_ms wait;
+	const char *answer;
+} removals[] = {
+	{put_without_key, 600, "HTTP/1.1 401 "},
+	{put_without_keys, 600, "HTTP/1.1 401 "},
+	{put_two_versions, 600, "HTTP/1.1 401 "},
+	{put_same_version, 600, "HTTP/1.1 401 "},
+	{put_without_history, 1500, "HTTP/1.1 401 "},
+	{put_in_an_outage, 3000, "HTTP/1.1 503 "},
+	{put_version_without_number, 3000, "HTTP/1.1 503 "},
+	{put_version_as_text, 3000, "HTTP/1.1 503 "},
+	{put_null, 3000, "HTTP/1.1 503 "},
+};
+
+/* Guards against a removed key that goes on working because the configuration
+ * that removes it is not taken over, but counts as seen. */
+START_TEST(removed_key_is_refused_in_time)
+{
+	const struct removal *removal = &removals[_i];
+	struct platform_world world;
+
+	world_open_plain(&world);
+	expect(&world, "GET", "/read/", KEY, "body");
+	removal->remove_key(&world);
+	world_run(&world, removal->wait);
+	expect(&world, "GET", "/read/", KEY, removal->answer);
+	world.store_mode = STORE_ANSWERS;
+	put_config(&world, world_config(4));
+	world_run(&world, 1500);
+	expect(&world, "GET", "/read/", KEY, "body");
+	world_close(&world);
+}
+END_TEST
+
 /* Guards against missing changes that the store's history no longer has. */
 START_TEST(lost_history_is_replaced_by_a_list)
 {
@@ -1172,6 +1272,8 @@
 		       keys_are_refused_once_the_configuration_is_too_old);
 	tcase_add_test(tcase, older_configuration_never_replaces_a_newer_one);
 	tcase_add_test(tcase, removal_of_the_last_organisation_lets_nobody_in);
+	tcase_add_loop_test(tcase, removed_key_is_refused_in_time, 0,
+			    G_N_ELEMENTS(removals));
 	tcase_add_test(tcase, lost_history_is_replaced_by_a_list);
 	tcase_add_test(tcase, missing_entries_are_kept_only_after_an_outage);
 	tcase_add_test(tcase, lost_watch_is_given_up_within_three_seconds);
