forward: count shared links and unseen load in path searches

Callers saw: with four times the usual traffic, 619 of 833 streams with a path through two data centres were late, and 1,521 sends were refused by engines for lack of memory, eight engines of 99 causing most of them.

Cause: a path that crosses was priced at 4 ms, whatever else used the link; one prompt occupies it for 27 ms. Memory that peers had reserved since their last reports was given away a second time, and an engine that had just refused was still taken to have room.

Change: a new path may cross data centres only within this instance's share of the link and in its turn. The usable memory shrinks by what the others are likely to have reserved, and a refusal for lack of memory means no room for 400 ms and more.

--- a/include/wagtailferry/catalog.h
+++ b/include/wagtailferry/catalog.h
@@ -76,6 +76,16 @@
 	double step_ms_per_request;
 	double step_ms_per_1k_context;
 	double prefill_tokens_per_ms;
+	/* Activations that an engine sends to the next one, per token, and the
+	 * rate of the link that all transfers to another data centre share;
+	 * 0 if unknown. */
+	double activation_bytes;
+	double link_bytes_per_ms;
+	/* Prompt tokens read at most between two decode steps. */
+	double prefill_chunk_tokens;
+	/* Added prefill time for each million pairs of a token and an earlier
+	 * one. */
+	double prefill_ms_per_1m_pairs;
 	/* Time to load all layers from an idle weight store. */
 	clk_ms load_time;
 	double usual_prompt_tokens;
--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -82,6 +82,11 @@
 	double answer_ms;
 	/* Selected before this time only if there is no other target. */
 	clk_ms avoid_until;
+	/* It refused for lack of memory: it has no room for new requests until
+	 * full_until. The time span is doubled with each refusal after
+	 * that. */
+	clk_ms full_until;
+	clk_ms full_span;
 	/* It refused a request and wants none until closed_until: it is not
 	 * selected at all. closed_since is when that began. */
 	clk_ms closed_since;
@@ -197,8 +202,18 @@
 			clk_ms since);
 /* The target, thought to be down, has continued to work. */
 void flt_mark_up(struct flt_target *target);
-/* The target refused a request for lack of capacity: it is avoided briefly. */
+/* The target may lack capacity: it is avoided briefly. */
 void flt_mark_full(struct flt_target *target, clk_ms now);
+/* The engine refused a request for lack of memory: it is also taken to have no
+ * room for new requests, longer with each refusal that follows. */
+void flt_mark_no_room(struct flt_target *target, clk_ms now);
+
+/* What is known of the other instances: how many share the fleet, this one
+ * included, and the age of their load reports in ms. */
+void flt_set_peers(struct flt_fleet *fleet, unsigned instances,
+		   clk_ms report_age);
+/* Place of this instance among those that take turns, from 0 to 1. */
+void flt_set_phase(struct flt_fleet *fleet, double phase);
 
 /*
  * Selects a target of a plain service by load and response time, with a
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -268,6 +268,14 @@
 		edg_confirm_catalog(edge, at);
 }
 
+/* Instances take turns in the order of their hashes. */
+static double instance_phase(const char *instance)
+{
+	uint64_t hash = wf_hash(instance, strlen(instance), 0);
+
+	return (double)(hash >> 32) / ((double)UINT32_MAX + 1);
+}
+
 static bool open_peers(struct edg_edge *edge, GError **error)
 {
 	struct prs_config config = {
@@ -362,6 +370,7 @@
 			     ? g_rand_new_with_seed((guint32)settings->seed)
 			     : g_rand_new();
 	edge->fleet = flt_new();
+	flt_set_phase(edge->fleet, instance_phase(edge->instance));
 	edge->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	edge->requests = g_hash_table_new(NULL, NULL);
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -47,7 +47,7 @@
 		at ? flt_find_by_address(edge->fleet, at) : NULL;
 
 	if (full)
-		flt_mark_full(full, edg_now(edge));
+		flt_mark_no_room(full, edg_now(edge));
 	if (!full || !reroute(request))
 		edg_resume(request, "reroute_failed");
 }
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -190,7 +190,7 @@
 		return;
 	if (outcome == EDG_OUTCOME_NOT_RUN &&
 	    now - request->sent_at < edge->engine_stall / FULL_REFUSAL_DIVISOR)
-		flt_mark_full(failed, now);
+		flt_mark_no_room(failed, now);
 	else if (request->failed_address)
 		flt_mark_down(failed, now);
 	else if (outcome != EDG_OUTCOME_FAILED)
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -6,6 +6,7 @@
 #include "edge/prs_private.h"
 
 #define REPORT_INTERVAL_MS 100
+#define DEFAULT_REPORT_AGE_MS 300
 /* One report in REMOTE_REPORT_RATIO goes to another data centre. */
 #define REPORTS_PER_INTERVAL 5
 #define REMOTE_REPORT_RATIO 5
@@ -333,12 +334,31 @@
 	}
 }
 
+/* Mean age of the local peers' reports just before the next ones. */
+static clk_ms report_age(const struct prs_peers *peers)
+{
+	clk_ms sum = 0;
+	guint i;
+
+	if (!peers->local->len)
+		return DEFAULT_REPORT_AGE_MS;
+	for (i = 0; i < peers->local->len; i++) {
+		const struct prs_peer *peer = peers->local->pdata[i];
+
+		sum += peer->report_interval ? peer->report_interval
+					     : DEFAULT_REPORT_AGE_MS;
+	}
+	return sum / peers->local->len;
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct prs_peers *peers = timer->data;
 
 	prs_send_round(peers);
 	prs_expire(peers);
+	flt_set_peers(peers->config.fleet, prs_count_instances(peers),
+		      report_age(peers));
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -3,6 +3,8 @@
 #include <wagtailferry/core.h>
 #include <wagtailferry/fleet.h>
 
+#include "forward/path_private.h"
+
 /* Weight of the newest sample in the moving average of the response time. */
 #define ANSWER_MS_WEIGHT 0.2
 /* How long a target is avoided after a failure; doubled with each further
@@ -22,6 +24,7 @@
 /* How long a target that refused a request for lack of capacity is avoided;
  * some of its requests end in this time. */
 #define FULL_AVOID_MS 400
+#define MAX_FULL_MS 1600
 /* Extra cost of a target in another data centre, in ms. */
 #define OTHER_DATA_CENTER_MS 3.0
 /* Response time assumed for a target that has not responded yet, in ms. */
@@ -37,6 +40,11 @@
 	GHashTable *departed;
 	uint64_t revision;
 	unsigned sync_generation;
+	struct lnk_budget links;
+	/* Service name to struct uns_load. */
+	GHashTable *unseen_loads;
+	unsigned instances;
+	clk_ms report_age;
 };
 
 struct flt_target *flt_target_new(void)
@@ -80,6 +88,9 @@
 	fleet->by_hash = g_hash_table_new(NULL, NULL);
 	fleet->departed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						destroy_target);
+	fleet->unseen_loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	lnk_init(&fleet->links, 1, 0);
 	return fleet;
 }
 
@@ -90,6 +101,7 @@
 	g_hash_table_unref(fleet->by_id);
 	g_hash_table_unref(fleet->by_hash);
 	g_hash_table_unref(fleet->departed);
+	g_hash_table_unref(fleet->unseen_loads);
 	g_ptr_array_unref(fleet->targets);
 	g_free(fleet);
 }
@@ -476,6 +488,58 @@
 	target->avoid_until = MAX(target->avoid_until, now + FULL_AVOID_MS);
 }
 
+void flt_mark_no_room(struct flt_target *target, clk_ms now)
+{
+	flt_mark_full(target, now);
+	/* Refusals of sends that were under way together count once. */
+	if (now < target->full_until)
+		return;
+	if (now - target->full_until >= target->full_span)
+		target->full_span = FULL_AVOID_MS;
+	else
+		target->full_span = MIN(2 * target->full_span, MAX_FULL_MS);
+	target->full_until = now + target->full_span;
+}
+
+void flt_set_peers(struct flt_fleet *fleet, unsigned instances,
+		   clk_ms report_age)
+{
+	GHashTableIter iter;
+	gpointer load;
+
+	fleet->instances = instances;
+	fleet->report_age = report_age;
+	lnk_set_instances(&fleet->links, instances);
+	g_hash_table_iter_init(&iter, fleet->unseen_loads);
+	while (g_hash_table_iter_next(&iter, NULL, &load))
+		uns_set_peers(load, instances, report_age);
+}
+
+void flt_set_phase(struct flt_fleet *fleet, double phase)
+{
+	fleet->links.phase = phase;
+}
+
+struct lnk_budget *flt_links(struct flt_fleet *fleet)
+{
+	return &fleet->links;
+}
+
+struct uns_load *flt_unseen_load(struct flt_fleet *fleet, const char *service)
+{
+	struct uns_load *load =
+		g_hash_table_lookup(fleet->unseen_loads, service);
+
+	if (!load) {
+		load = g_new(struct uns_load, 1);
+		uns_init(load);
+		uns_set_peers(load, fleet->instances, fleet->report_age);
+		g_hash_table_insert(fleet->unseen_loads, g_strdup(service),
+				    load);
+	}
+	return load;
+}
+
 static bool contains_target(const GPtrArray *targets,
 			    const struct flt_target *target)
 {
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -8,8 +8,10 @@
 /* Cost of a change of data centre within a path: the latency, and the price of
  * transferring activations for every token. */
 #define CROSS_CENTER_MS 4.0
-/* The rest is a reserve for requests that are longer than expected. */
+/* The rest is a reserve for requests that are longer than expected. It grows
+ * with the load of other instances that is not known yet, up to a limit. */
 #define USABLE_MEMORY_FRACTION 0.92
+#define MIN_USABLE_MEMORY_FRACTION 0.6
 /* Cost of a stage at an engine whose KV cache is full. It rises with the fourth
  * power of the used fraction, so that paths avoid nearly full engines. */
 #define FULL_MEMORY_MS 2.5
@@ -83,6 +85,9 @@
 	int n_boundaries;
 	struct cell *cells;
 	bool ignore_capacity;
+	bool ignore_other_centers;
+	/* Fraction of the engines' memory that may be reserved. */
+	double usable_memory;
 	/* Index of an engine that could have extended a partial path which has
 	 * it already, and the last boundary where; -1 if there is none. */
 	int spent_engine;
@@ -187,7 +192,7 @@
 		cat_find_accelerator(engine, target->accelerator);
 	unsigned held = target->holds.end - target->holds.first;
 	double used = target->used_token_layers + target->others.token_layers;
-	double all = accelerator ? USABLE_MEMORY_FRACTION *
+	double all = accelerator ? search->usable_memory *
 					   cat_free_token_layers(
 						   engine, accelerator, held)
 				 : INFINITY;
@@ -203,7 +208,8 @@
 		pace *= target->slowdown;
 	candidate.center = center_index(search, target->data_center);
 	candidate.first_layer = target->holds.first;
-	candidate.free_token_layers = all - used;
+	candidate.free_token_layers =
+		search->now < target->full_until ? 0 : all - used;
 	candidate.layer_ms =
 		jitter * token_ms(search, target, pace) / engine->layers;
 	candidate.fixed_cost =
@@ -315,8 +321,11 @@
 		return;
 	if (!from)
 		base += engine->head_cost;
-	if (from && engine->center != prev_center)
+	if (from && engine->center != prev_center) {
+		if (search->ignore_other_centers)
+			return;
 		base += CROSS_CENTER_MS;
+	}
 	for (to = from + 1; to < search->n_boundaries &&
 			    search->boundaries[to] <= engine->target->holds.end;
 	     to++) {
@@ -521,38 +530,168 @@
 	return path && cost - path->token_ms < MAX_EXCESS_MS;
 }
 
+/* Time in ms for which a request of that many tokens occupies the link for each
+ * change of data centre on its path. */
+static double link_ms(const struct pth_query *query)
+{
+	const struct cat_engine *engine = query->engine;
+
+	if (engine->link_bytes_per_ms <= 0)
+		return 0;
+	return query->tokens * engine->activation_bytes /
+	       engine->link_bytes_per_ms;
+}
+
+static unsigned count_crossings(const struct pth_path *path)
+{
+	unsigned crossings = 0;
+	guint i;
+
+	for (i = 1; i < path->stages->len; i++) {
+		const struct pth_stage *stage =
+			&g_array_index(path->stages, struct pth_stage, i);
+
+		crossings += strcmp(stage[-1].target->data_center,
+				    stage->target->data_center) != 0;
+	}
+	return crossings;
+}
+
+/* Whether the engines of one data centre hold all layers, free or not. */
+static bool is_complete(const struct search *base, const char *data_center)
+{
+	const GPtrArray *targets = flt_targets(base->fleet);
+	unsigned layers = base->query->engine->layers;
+	int *changes = g_new0(int, (size_t)layers + 1);
+	int holders = 0;
+	unsigned layer;
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+
+		if (!is_engine_of(base->query->engine, target) ||
+		    strcmp(target->service, base->query->service) != 0 ||
+		    strcmp(target->data_center, data_center) != 0 ||
+		    !flt_is_routable(target, base->now) ||
+		    target->holds.end > layers)
+			continue;
+		changes[target->holds.first]++;
+		changes[target->holds.end]--;
+	}
+	for (layer = 0; layer < layers; layer++) {
+		holders += changes[layer];
+		if (!holders)
+			break;
+	}
+	g_free(changes);
+	return layer == layers;
+}
+
+static bool is_any_complete(const struct search *base, const GPtrArray *centers)
+{
+	guint i;
+
+	for (i = 0; i < centers->len; i++) {
+		if (is_complete(base, centers->pdata[i]))
+			return true;
+	}
+	return false;
+}
+
+/* Whether a new request may use a path that crosses: it must if no data centre
+ * has all layers, and otherwise needs budget. */
+static bool may_cross(const struct search *base, bool has_path,
+		      const GPtrArray *centers)
+{
+	return lnk_may_send(flt_links(base->fleet), base->now,
+			    link_ms(base->query)) ||
+	       (!has_path && !is_any_complete(base, centers));
+}
+
 /*
  * Searches the local data centre, then the other ones until a path is
  * acceptable. The search across data centres costs much more and is made only
  * if none of them has an acceptable path.
  */
-static struct pth_path *find_best(const struct search *base)
+static struct pth_path *find_new(const struct search *base)
 {
 	struct pth_path *best = NULL;
 	struct pth_path *path;
 	double best_cost = INFINITY;
 	double cost;
-	GPtrArray *centers;
+	GPtrArray *centers = list_centers(base);
 	guint i;
 
-	if (!base->query->current) {
-		centers = list_centers(base);
-		for (i = 0; i < centers->len; i++) {
-			cost = search_in(*base, centers->pdata[i], &path);
-			replace_if_better(&best, &best_cost, path,
-					  i ? cost + CROSS_CENTER_MS : cost);
-			if (is_acceptable(best, best_cost))
-				break;
-		}
-		g_ptr_array_unref(centers);
+	for (i = 0; i < centers->len; i++) {
+		cost = search_in(*base, centers->pdata[i], &path);
+		replace_if_better(&best, &best_cost, path,
+				  i ? cost + CROSS_CENTER_MS : cost);
+		if (is_acceptable(best, best_cost))
+			break;
+	}
+	if (!is_acceptable(best, best_cost) &&
+	    may_cross(base, best != NULL, centers)) {
+		cost = search_in(*base, NULL, &path);
+		replace_if_better(&best, &best_cost, path, cost);
 	}
-	if (is_acceptable(best, best_cost))
-		return best;
-	cost = search_in(*base, NULL, &path);
-	replace_if_better(&best, &best_cost, path, cost);
+	g_ptr_array_unref(centers);
 	return best;
 }
 
+/* Searches a path that keeps the head of the present one. */
+static struct pth_path *find_change(struct search base)
+{
+	struct pth_path *path;
+
+	base.ignore_other_centers =
+		link_ms(base.query) > 0 &&
+		!lnk_may_move(flt_links(base.fleet), base.now);
+	search_in(base, NULL, &path);
+	return path;
+}
+
+static void charge_links(const struct search *base, const struct pth_path *path)
+{
+	unsigned crossings = count_crossings(path);
+
+	if (crossings)
+		lnk_charge(flt_links(base->fleet), base->now,
+			   crossings * link_ms(base->query));
+}
+
+/* Fraction of the engines' memory that may be reserved in view of what other
+ * instances may have reserved since their reports. */
+static double usable_memory(const struct search *base)
+{
+	const struct cat_engine *engine = base->query->engine;
+	const GPtrArray *targets = flt_targets(base->fleet);
+	double used = 0;
+	double all = 0;
+	double unseen;
+	guint i;
+
+	for (i = 0; i < targets->len; i++) {
+		const struct flt_target *target = targets->pdata[i];
+		const struct cat_accelerator *accelerator =
+			cat_find_accelerator(engine, target->accelerator);
+
+		if (!accelerator || target->holds.first >= target->holds.end ||
+		    strcmp(target->service, base->query->service) != 0)
+			continue;
+		used += target->used_token_layers;
+		all += cat_free_token_layers(engine, accelerator,
+					     target->holds.end -
+						     target->holds.first);
+	}
+	unseen = uns_update(flt_unseen_load(base->fleet, base->query->service),
+			    base->now, used);
+	if (all <= 0)
+		return USABLE_MEMORY_FRACTION;
+	return MAX(USABLE_MEMORY_FRACTION - unseen / all,
+		   MIN_USABLE_MEMORY_FRACTION);
+}
+
 enum pth_result pth_find(struct flt_fleet *fleet, clk_ms now,
 			 const struct pth_query *query, GRand *rand,
 			 struct pth_path **out)
@@ -560,9 +699,12 @@
 	struct search base = {
 		.fleet = fleet, .now = now, .query = query, .rand = rand};
 
-	*out = find_best(&base);
-	if (*out)
+	base.usable_memory = usable_memory(&base);
+	*out = query->current ? find_change(base) : find_new(&base);
+	if (*out) {
+		charge_links(&base, *out);
 		return PTH_FOUND;
+	}
 	base.ignore_capacity = true;
 	search_in(base, NULL, out);
 	if (!*out)
