--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -557,7 +557,8 @@
 	return crossings;
 }
 
-/* Whether the engines of one data centre hold all layers, free or not. */
+/* Whether the engines of one data centre, or of all if it is NULL, hold all
+ * layers, free or not. */
 static bool is_complete(const struct search *base, const char *data_center)
 {
 	const GPtrArray *targets = flt_targets(base->fleet);
@@ -572,12 +573,13 @@
 
 		if (!is_engine_of(base->query->engine, target) ||
 		    strcmp(target->service, base->query->service) != 0 ||
-		    strcmp(target->data_center, data_center) != 0 ||
 		    !flt_is_routable(target, base->now) ||
-		    target->holds.end > layers)
+		    target->holds.first >= layers)
+			continue;
+		if (data_center && strcmp(target->data_center, data_center))
 			continue;
 		changes[target->holds.first]++;
-		changes[target->holds.end]--;
+		changes[MIN(target->holds.end, layers)]--;
 	}
 	for (layer = 0; layer < layers; layer++) {
 		holders += changes[layer];
@@ -705,6 +707,9 @@
 		charge_links(&base, *out);
 		return PTH_FOUND;
 	}
+	if (!query->current && !query->without)
+		return is_complete(&base, NULL) ? PTH_NO_CAPACITY
+						: PTH_MISSING_LAYERS;
 	base.ignore_capacity = true;
 	search_in(base, NULL, out);
 	if (!*out)
