--- a/include/wagtailferry/catalog.h
+++ b/include/wagtailferry/catalog.h
@@ -177,6 +177,15 @@
 
 size_t cat_route_count(const struct cat_catalog *catalog);
 
+/* All routes, as struct cat_route pointers sorted by host and prefix, and all
+ * API keys, sorted. The caller unrefs the array; the catalog owns the
+ * elements. */
+GPtrArray *cat_list_routes(const struct cat_catalog *catalog);
+GPtrArray *cat_list_keys(const struct cat_catalog *catalog);
+
+/* All organisations, as struct cat_org pointers. The catalog owns the array. */
+const GPtrArray *cat_orgs(const struct cat_catalog *catalog);
+
 /* Selects a service of the route by weight. draw is a random number; the
  * route owns the result. */
 const char *cat_choose_service(const struct cat_route *route, uint32_t draw);
--- a/src/forward/catalog.c
+++ b/src/forward/catalog.c
@@ -272,6 +272,51 @@
 	return g_hash_table_size(catalog->routes);
 }
 
+static gint compare_routes(gconstpointer a, gconstpointer b)
+{
+	const struct cat_route *left = *(struct cat_route *const *)a;
+	const struct cat_route *right = *(struct cat_route *const *)b;
+	int order = strcmp(left->host, right->host);
+
+	return order ? order : strcmp(left->prefix, right->prefix);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+GPtrArray *cat_list_routes(const struct cat_catalog *catalog)
+{
+	GPtrArray *routes = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer route;
+
+	g_hash_table_iter_init(&iter, catalog->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &route))
+		g_ptr_array_add(routes, route);
+	g_ptr_array_sort(routes, compare_routes);
+	return routes;
+}
+
+GPtrArray *cat_list_keys(const struct cat_catalog *catalog)
+{
+	GPtrArray *keys = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, catalog->keys);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_ptr_array_add(keys, key);
+	g_ptr_array_sort(keys, compare_keys);
+	return keys;
+}
+
+const GPtrArray *cat_orgs(const struct cat_catalog *catalog)
+{
+	return catalog->orgs;
+}
+
 const char *cat_choose_service(const struct cat_route *route, uint32_t draw)
 {
 	const struct cat_share *shares = (void *)route->shares->data;
