tool: add config check

The decoder replaces fields of the wrong type by their defaults and drops routes and keys that are listed twice, so a fault of the file isn't visible after it.

--- a/src/tool/cmd.h
+++ b/src/tool/cmd.h
@@ -32,6 +32,7 @@
 	CMD_OPT_PLAIN,
 	CMD_OPT_LIMIT,
 	CMD_OPT_COUNT,
+	CMD_OPT_IN_FORCE,
 	CMD_N_OPTIONS,
 };
 
@@ -57,6 +58,7 @@
 	int plain;
 	int limit;
 	int count;
+	char *in_force;
 	const char **args; /* NULL-terminated */
 	size_t n_args;
 };
@@ -81,6 +83,7 @@
 enum cmd_exit cmd_audit(struct cmd_env *env);
 enum cmd_exit cmd_settings_check(struct cmd_env *env);
 enum cmd_exit cmd_settings_check_edge(struct cmd_env *env);
+enum cmd_exit cmd_config_check(struct cmd_env *env);
 enum cmd_exit cmd_explain(struct cmd_env *env);
 enum cmd_exit cmd_version(struct cmd_env *env);
 
@@ -118,8 +121,8 @@
 /* Files */
 
 /*
- * Reads a whole rules file ("-": standard input) of at most RUL_MAX_TEXT
- * bytes plus a base line. Fails with ERR_NOT_FOUND, ERR_IO or ERR_TOO_LARGE.
+ * Reads a whole file ("-": standard input) of at most RUL_MAX_TEXT bytes
+ * plus a base line. Fails with ERR_NOT_FOUND, ERR_IO or ERR_TOO_LARGE.
  */
 GBytes *cmd_read_file(const char *path, GError **error);
 
--- a/src/tool/main.c
+++ b/src/tool/main.c
@@ -45,6 +45,10 @@
 	{"settings check-edge", "FILE",
 	 "checks the settings file of an edge instance", CMD_COMMON_OPTIONS, 1,
 	 1, cmd_settings_check_edge},
+	{"config check", "FILE",
+	 "checks a configuration before it is written to the store",
+	 CMD_COMMON_OPTIONS | CMD_OPT_BIT(CMD_OPT_IN_FORCE), 1, 1,
+	 cmd_config_check},
 	{"explain", "ID LOG...",
 	 "shows what edge instances logged about a request", CMD_COMMON_OPTIONS,
 	 2, MAX_LOGS, cmd_explain},
@@ -99,6 +103,11 @@
 				   "number of entries, 0: all", "N"},
 		[CMD_OPT_COUNT] = {"count", 0, POPT_ARG_INT, &env->count, 0,
 				   "exit after N revisions", "N"},
+		[CMD_OPT_IN_FORCE] = {"in-force", 'f', POPT_ARG_STRING,
+				      &env->in_force, 0,
+				      "the configuration in force, to compare "
+				      "with",
+				      "FILE"},
 	};
 
 	return all[id];
@@ -176,6 +185,7 @@
 	free(env->author);
 	free(env->requested_by);
 	free(env->note);
+	free(env->in_force);
 }
 
 static enum cmd_exit run_command(const struct cmd_command *command, int argc,
