forward: compare the weights of a route in lowest terms

Weights 1:1 and 50:50 were reported as a difference although they share the requests alike. The test fails without the change (1 of 13 checks).

--- a/src/forward/catalog_changes.c
+++ b/src/forward/catalog_changes.c
@@ -108,14 +108,41 @@
 
 static gint compare_shares(gconstpointer a, gconstpointer b)
 {
-	return strcmp(((const struct cat_share *)a)->service,
-		      ((const struct cat_share *)b)->service);
+	const struct cat_share *left = a;
+	const struct cat_share *right = b;
+	int order = strcmp(left->service, right->service);
+
+	return order ? order
+		     : (left->weight > right->weight) -
+			       (left->weight < right->weight);
+}
+
+/* Greatest common divisor of the weights, 1 if all are 0. */
+static unsigned common_divisor(const GArray *shares)
+{
+	unsigned divisor = 0;
+	guint i;
+
+	for (i = 0; i < shares->len; i++) {
+		unsigned rest =
+			g_array_index(shares, struct cat_share, i).weight;
+
+		while (rest) {
+			unsigned next = divisor % rest;
+
+			divisor = rest;
+			rest = next;
+		}
+	}
+	return divisor ? divisor : 1;
 }
 
-/* Services with weights, sorted: their order has no meaning. */
+/* Services with weights, sorted and in lowest terms: neither their order nor
+ * the sum of the weights has a meaning. */
 static char *describe_shares(const struct cat_route *route)
 {
 	GArray *shares = g_array_copy(route->shares);
+	unsigned divisor = common_divisor(shares);
 	GString *text = g_string_new(NULL);
 	guint i;
 
@@ -127,7 +154,7 @@
 			&g_array_index(shares, struct cat_share, i);
 
 		g_string_append_printf(text, "%s%s:%u", i ? "+" : "",
-				       share->service, share->weight);
+				       share->service, share->weight / divisor);
 	}
 	g_array_unref(shares);
 	return g_string_free(text, FALSE);
--- a/tests/catalog_check_test.c
+++ b/tests/catalog_check_test.c
@@ -160,15 +160,17 @@
 	cat_drop(to);
 }
 
-/* Guards against differences that only the order of the entries makes. */
-START_TEST(order_makes_no_difference)
+/* Guards against differences that only the order of the entries, or the sum of
+ * the weights, makes. */
+START_TEST(order_and_scale_make_no_difference)
 {
 	struct cat_route *routes[2];
-	struct cat_share last = {g_strdup("t"), 2};
-	struct cat_share first = {g_strdup("t"), 2};
+	struct cat_share last = {g_strdup("t"), 3};
+	struct cat_share first = {g_strdup("t"), 9};
 
 	routes[0] = make_route("/", "s");
 	routes[1] = make_route("/", "s");
+	g_array_index(routes[1]->shares, struct cat_share, 0).weight = 3;
 	g_array_append_val(routes[0]->shares, last);
 	g_array_prepend_val(routes[1]->shares, first);
 	expect_change(make_catalog(1, routes[0]), make_catalog(2, routes[1]),
@@ -279,7 +281,7 @@
 	tcase_add_test(tcase, entries_without_effect_are_found);
 	tcase_add_test(tcase, limits_are_compared);
 	tcase_add_loop_test(tcase, keys_are_cut, 0, 5);
-	tcase_add_test(tcase, order_makes_no_difference);
+	tcase_add_test(tcase, order_and_scale_make_no_difference);
 	tcase_add_test(tcase, removed_routes_tell_where_their_requests_go);
 	tcase_add_test(tcase, lost_keys_name_their_holder);
 	tcase_add_test(tcase, figures_of_engines_and_limits_are_compared);
