edge: order of waiting streams under overload

Cause: a new stream took free capacity ahead of waiting ones, callers that had returned late went first of all, and one large request that found no path held up all others. The most urgent route was refused most often.

Change: src/sched/adm_turn.c decides who waits, who is tried next, who is refused when the queue is full and for how long one may wait. A new stream waits behind those of its service that are as urgent or more; more urgent ones go first, those in time before late ones, organisations by deficit round-robin, one dequeue in eight to the longest waiting. A round tries up to 8 different requests; a large one that was passed over twice holds back smaller ones for 100 ms. The expected wait assumes equal sharing, because a backlog of one organisation otherwise caused those of others to be refused on arrival. Metrics and the refusal's log line state the urgency.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -190,6 +190,7 @@
 			      edg_now(edge) - edge->catalog_confirmed_at);
 		ctr_set_gauge(edge->counters, "wf_edge_quarantined_parts",
 			      qtn_count(edge->quarantine, edg_now(edge)));
+		edg_report_waiting(edge);
 		ctr_write_text(edge->counters, text);
 	} else if (!strcmp(http->url, "/targets")) {
 		write_targets(edge, text);
@@ -386,8 +387,7 @@
 	uv_timer_init(edge->loop, &edge->drain_timer);
 	uv_timer_init(edge->loop, &edge->peer_timer);
 	uv_timer_init(edge->loop, &edge->wait_timer);
-	edge->waiting = adm_queue_new((size_t)settings->max_waiting_streams,
-				      true, false);
+	edge->waiting = adm_turns_new((size_t)settings->max_waiting_streams);
 	edge->wait_timer.data = edge;
 	edge->drain_timer.data = edge;
 	edge->peer_timer.data = edge;
@@ -409,7 +409,7 @@
 	if (--edge->open_timers)
 		return;
 
-	adm_queue_drop(edge->waiting);
+	adm_turns_drop(edge->waiting);
 	edg_close_quarantine(edge);
 	g_hash_table_unref(edge->budgets);
 	g_hash_table_unref(edge->requests);
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -10,8 +10,8 @@
 #include "edge/hsv_server.h"
 #include "edge/log_budget.h"
 #include "edge/prs_reports.h"
-#include "sched/adm.h"
 #include "sched/adm_room.h"
+#include "sched/adm_turn.h"
 
 struct ord_orders;
 struct tko_takeover;
@@ -76,7 +76,7 @@
 	/* Set of open struct edg_request. */
 	GHashTable *requests;
 	/* Streams that wait for capacity, and when it becomes free. */
-	struct adm_queue *waiting;
+	struct adm_turns *waiting;
 	struct adm_room room;
 	struct edg_full full;
 	uv_timer_t wait_timer;
@@ -147,7 +147,7 @@
 
 	/* Streams. */
 	/* Its place among the waiting streams. */
-	struct adm_item item;
+	struct adm_waiter waiter;
 	double prompt_tokens;
 	double answer_tokens;
 	struct evs_splitter splitter;
@@ -275,7 +275,8 @@
 			  const struct hup_response *response);
 /* Cancels the current send and releases its target and path. */
 void edg_release_send(struct edg_request *request);
-/* Scheduling priority at engines, 0 to 9; 0 is the most urgent. */
+/* Urgency among waiting streams and scheduling priority at engines, 0 to 9; 0
+ * is the most urgent. */
 int edg_priority(const struct edg_request *request);
 /* Updates the number of buffered bytes of the answer. Returns false if the
  * answer must end because there are too many. */
@@ -348,8 +349,13 @@
 bool edg_is_known_full(const struct edg_edge *edge, const char *service,
 		       double tokens);
 void edg_note_full(struct edg_edge *edge, const char *service, double tokens);
-/* Sends waiting streams, in order, while there is capacity. */
+/* Tries waiting streams, in order, and sends those for which there is
+ * capacity. */
 void edg_serve_waiting(struct edg_edge *edge);
+/* Whether a new stream may be tried although others wait. */
+bool edg_may_go_at_once(const struct edg_request *request);
+/* Sets the gauges of waiting streams. */
+void edg_report_waiting(struct edg_edge *edge);
 
 /* edg_quarantine.c */
 void edg_open_quarantine(struct edg_edge *edge);
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -415,7 +415,8 @@
 	enum pth_result result;
 
 	if (!request->sends &&
-	    edg_is_known_full(request->edge, query.service, query.tokens)) {
+	    (!edg_may_go_at_once(request) ||
+	     edg_is_known_full(request->edge, query.service, query.tokens))) {
 		edg_wait_for_room(request, query.tokens);
 		return false;
 	}
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -8,34 +8,52 @@
  * Otherwise they are refused at once, with the time at which to return.
  */
 
-/* Fraction of the objective that a stream may wait; its prefill needs the
- * rest. */
-#define WAIT_FRACTION 0.5
 /* Capacity that other instances release becomes visible with their reports. */
 #define RETRY_INTERVAL_MS 25
 /* Searches for a path in one round, each of which may fail. */
 #define MAX_SEARCHES 8
+/* A regular round may run this much before its interval has passed. */
+#define ROUND_TOLERANCE_MS 5
 /* A caller follows a Retry-After up to this fraction of its remaining time. */
 #define RETURN_LIMIT_DIVISOR 3
 /* A caller with less than this fraction of its route's time limit left has
- * waited before; it goes first. */
+ * waited before. */
 #define RETURNED_FRACTION 0.97
 
-static bool has_returned(const struct edg_request *request)
+/* Time that the caller has lost in earlier attempts; 0 if this seems to be the
+ * first. */
+static clk_ms lost_time(const struct edg_request *request)
 {
 	clk_ms limit = request->route->timeout;
+	clk_ms stated = request->deadline - request->started;
 
-	return limit && edg_remaining_time(request) <
-				(clk_ms)(RETURNED_FRACTION * (double)limit);
+	if (!limit || stated >= (clk_ms)(RETURNED_FRACTION * (double)limit))
+		return 0;
+	return limit - stated;
 }
 
-/* Time until which the stream may wait for capacity. */
-static clk_ms latest_start(const struct edg_request *request)
+/* Counts a refusal of that urgency, 0 to 9. */
+static void count_refusal(struct edg_edge *edge, unsigned urgency)
 {
-	clk_ms wait =
-		(clk_ms)(WAIT_FRACTION * (double)request->route->objective);
+	char name[64];
 
-	return MIN(request->started + wait, request->deadline);
+	g_snprintf(name, sizeof(name),
+		   "wf_edge_refused_overloaded_total{urgency=\"%u\"}", urgency);
+	ctr_add(edge->counters, g_intern_string(name), 1);
+}
+
+void edg_report_waiting(struct edg_edge *edge)
+{
+	char name[64];
+	unsigned i;
+
+	for (i = 0; i < ADM_TURN_N_URGENCIES; i++) {
+		g_snprintf(name, sizeof(name),
+			   "wf_edge_waiting{urgency=\"%u\"}", i);
+		ctr_set_gauge(
+			edge->counters, g_intern_string(name),
+			(int64_t)adm_turn_count_urgency(edge->waiting, i));
+	}
 }
 
 static void refuse_overloaded(struct edg_request *request)
@@ -43,16 +61,17 @@
 	struct edg_edge *edge = request->edge;
 	clk_ms now = edg_now(edge);
 	clk_ms limit = edg_remaining_time(request) / RETURN_LIMIT_DIVISOR;
-	clk_ms after =
-		adm_room_return_after(&edge->room, now, edge->waiting->length,
-				      MAX(limit, 0), g_rand_double(edge->rand));
+	clk_ms after = adm_room_return_after(
+		&edge->room, now, adm_turn_count(edge->waiting), MAX(limit, 0),
+		g_rand_double(edge->rand));
 
 	after = edg_return_time(request, after);
-	ctr_add(edge->counters, "wf_edge_refused_overloaded_total", 1);
+	count_refusal(edge, (unsigned)edg_priority(request));
 	edg_log_send(request, "refused",
-		     "reason=overloaded waiting=%zu ends_per_s=%.1f "
+		     "reason=overloaded urgency=%d waiting=%zu "
+		     "ends_per_s=%.1f "
 		     "retry_after_ms=%" G_GINT64_FORMAT,
-		     edge->waiting->length,
+		     edg_priority(request), adm_turn_count(edge->waiting),
 		     adm_room_rate(&edge->room, now) * CLK_SECOND, after);
 	edg_refuse_not_run(request, after, "overloaded",
 			   "no path of engines has free capacity");
@@ -62,7 +81,7 @@
 {
 	struct edg_request *request = timer->data;
 
-	if (request->is_freed || !request->item.org_queue)
+	if (request->is_freed || !adm_turn_is_waiting(&request->waiter))
 		return;
 	edg_stop_waiting(request);
 	refuse_overloaded(request);
@@ -77,59 +96,87 @@
  * timer. */
 static void schedule_round(struct edg_edge *edge, clk_ms delay)
 {
-	if (edge->waiting->length)
+	if (adm_turn_count(edge->waiting))
 		uv_timer_start(&edge->wait_timer, on_retry, (uint64_t)delay,
 			       RETRY_INTERVAL_MS);
 	else
 		uv_timer_stop(&edge->wait_timer);
 }
 
-static bool may_wait(const struct edg_request *request)
+static void set_times(struct edg_request *request)
 {
-	const struct edg_edge *edge = request->edge;
-	clk_ms now = edg_now(edge);
-	clk_ms left = latest_start(request) - now;
+	struct edg_edge *edge = request->edge;
+	struct adm_turn_times times = {
+		.started = request->started,
+		.lost = lost_time(request),
+		.objective = request->route->objective,
+		.deadline = request->deadline,
+	};
 
-	return edge->waiting->length < edge->waiting->limit && left > 0 &&
-	       edg_closed_time(request) <= left &&
-	       adm_room_wait(&edge->room, now, edge->waiting->length) <= left;
+	adm_turn_set_times(edge->waiting, &edge->room, edg_now(edge), &times,
+			   &request->waiter);
 }
 
-void edg_wait_for_room(struct edg_request *request, double tokens)
+bool edg_may_go_at_once(const struct edg_request *request)
+{
+	return adm_turn_may_go(request->edge->waiting, request->service->name,
+			       (unsigned)edg_priority(request));
+}
+
+/* A stream that finds only larger ones before it is tried at once. */
+static void schedule_after_put(struct edg_edge *edge, bool is_behind_larger)
+{
+	if (is_behind_larger)
+		schedule_round(edge, 0);
+	else if (!uv_is_active((uv_handle_t *)&edge->wait_timer))
+		schedule_round(edge, RETRY_INTERVAL_MS);
+}
+
+static void start_waiting(struct edg_request *request)
 {
 	struct edg_edge *edge = request->edge;
-	struct adm_item *item = &request->item;
-	clk_ms now = edg_now(edge);
+	struct adm_waiter *waiter = &request->waiter;
+	struct adm_waiter *victim =
+		adm_turn_victim(edge->waiting, waiter->urgency);
+	bool is_behind_larger =
+		adm_turn_is_behind_larger(edge->waiting, waiter);
 
-	if (!may_wait(request)) {
-		refuse_overloaded(request);
-		return;
+	adm_turn_put(edge->waiting, waiter);
+	ctr_add(edge->counters, "wf_edge_waited_total", 1);
+	uv_timer_start(&request->pause_timer, on_wait_over,
+		       (uint64_t)MAX(waiter->wait_until - edg_now(edge), 0), 0);
+	schedule_after_put(edge, is_behind_larger);
+	if (victim) {
+		edg_stop_waiting(victim->owner);
+		refuse_overloaded(victim->owner);
 	}
-	*item = (struct adm_item){
+}
+
+void edg_wait_for_room(struct edg_request *request, double tokens)
+{
+	struct edg_edge *edge = request->edge;
+	struct adm_waiter *waiter = &request->waiter;
+
+	*waiter = (struct adm_waiter){
 		.owner = request,
+		.service = request->service->name,
 		.org = request->org ? request->org->name : "",
-		.weight = 1,
-		.priority = (unsigned)edg_priority(request),
-		.cost = tokens,
-		.arrival = now,
-		.deadline = latest_start(request),
+		.urgency = (unsigned)edg_priority(request),
+		.tokens = tokens,
 	};
-	if (has_returned(request))
-		adm_put_first(edge->waiting, item);
+	set_times(request);
+	if (adm_turn_may_wait(edge->waiting, &edge->room, edg_now(edge),
+			      edg_closed_time(request), waiter))
+		start_waiting(request);
 	else
-		adm_put(edge->waiting, item);
-	ctr_add(edge->counters, "wf_edge_waited_total", 1);
-	uv_timer_start(&request->pause_timer, on_wait_over,
-		       (uint64_t)(item->deadline - now), 0);
-	if (!uv_is_active((uv_handle_t *)&edge->wait_timer))
-		schedule_round(edge, RETRY_INTERVAL_MS);
+		refuse_overloaded(request);
 }
 
 void edg_stop_waiting(struct edg_request *request)
 {
-	if (!request->item.org_queue)
+	if (!adm_turn_is_waiting(&request->waiter))
 		return;
-	adm_remove(request->edge->waiting, &request->item);
+	adm_turn_remove(request->edge->waiting, &request->waiter);
 	uv_timer_stop(&request->pause_timer);
 	schedule_round(request->edge, RETRY_INTERVAL_MS);
 }
@@ -138,7 +185,7 @@
 {
 	adm_room_record_end(&edge->room, edg_now(edge));
 	edge->full.until = 0;
-	if (edge->waiting->length)
+	if (adm_turn_count(edge->waiting))
 		schedule_round(edge, 0);
 }
 
@@ -166,22 +213,38 @@
 	full->until = edg_now(edge) + RETRY_INTERVAL_MS;
 }
 
+/* Sizes for which a search has just failed are not searched for again, also if
+ * the round was brought forward by a new stream. */
+static void begin_round(struct edg_edge *edge)
+{
+	const struct edg_full *full = &edge->full;
+	clk_ms now = edg_now(edge);
+
+	adm_turn_begin(edge->waiting, now);
+	if (full->service && now + ROUND_TOLERANCE_MS < full->until)
+		adm_turn_rule_out(edge->waiting, full->service, full->tokens);
+}
+
 void edg_serve_waiting(struct edg_edge *edge)
 {
 	unsigned searches;
 
+	begin_round(edge);
 	for (searches = 0; searches < MAX_SEARCHES; searches++) {
-		struct adm_item *item = adm_peek(edge->waiting);
+		struct adm_waiter *waiter = adm_turn_next(edge->waiting);
 		struct edg_request *request;
 
-		if (!item)
+		if (!waiter)
 			break;
-		request = item->owner;
+		request = waiter->owner;
 		if (!edg_check_parts(request))
 			continue;
-		if (!edg_reserve_path(request))
-			break;
-		adm_serve(edge->waiting, item);
+		if (!edg_reserve_path(request)) {
+			adm_turn_rule_out(edge->waiting, waiter->service,
+					  waiter->tokens);
+			continue;
+		}
+		adm_turn_serve(edge->waiting, waiter);
 		uv_timer_stop(&request->pause_timer);
 		edg_send_stream(request);
 	}
