edge: hold late streams back and order equal organisations by route

Change: late streams are held back for 300 ms after one that can be in time had to wait, and don't keep new ones from going at once. Among equal organisations the route's priority decides. A head that refuses without naming an engine is avoided as before; only a named engine lacks memory.

--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -275,8 +275,7 @@
 			  const struct hup_response *response);
 /* Cancels the current send and releases its target and path. */
 void edg_release_send(struct edg_request *request);
-/* Urgency among waiting streams and scheduling priority at engines, 0 to 9; 0
- * is the most urgent. */
+/* Scheduling priority at engines, 0 to 9; 0 is the most urgent. */
 int edg_priority(const struct edg_request *request);
 /* Updates the number of buffered bytes of the answer. Returns false if the
  * answer must end because there are too many. */
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -171,6 +171,19 @@
 		edg_fail(request);
 }
 
+/* An engine that is named lacks memory; a head that names none may have no free
+ * slot, which lasts for a moment only. */
+static void mark_full(const struct edg_request *request,
+		      struct flt_target *failed)
+{
+	clk_ms now = edg_now(request->edge);
+
+	if (request->failed_address)
+		flt_mark_no_room(failed, now);
+	else
+		flt_mark_full(failed, now);
+}
+
 /*
  * Records the failure at the target that caused it. The head refuses at once if
  * an engine of the path is full or shutting down, but only after the stall
@@ -190,7 +203,7 @@
 		return;
 	if (outcome == EDG_OUTCOME_NOT_RUN &&
 	    now - request->sent_at < edge->engine_stall / FULL_REFUSAL_DIVISOR)
-		flt_mark_no_room(failed, now);
+		mark_full(request, failed);
 	else if (request->failed_address)
 		flt_mark_down(failed, now);
 	else if (outcome != EDG_OUTCOME_FAILED)
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -19,6 +19,8 @@
 /* A caller with less than this fraction of its route's time limit left has
  * waited before. */
 #define RETURNED_FRACTION 0.97
+/* Levels of route priority within one priority of organisations. */
+#define ROUTE_LEVELS 3
 
 /* Time that the caller has lost in earlier attempts; 0 if this seems to be the
  * first. */
@@ -32,6 +34,18 @@
 	return limit - stated;
 }
 
+/*
+ * Urgency among waiting streams: the organisation's priority if it has one
+ * decides, then the route's, since all organisations may have the same.
+ */
+static int urgency_of(const struct edg_request *request)
+{
+	int route = CLAMP(request->route->priority, 0, ROUTE_LEVELS - 1);
+
+	return MIN(ROUTE_LEVELS * edg_priority(request) + route,
+		   ADM_TURN_N_URGENCIES - 1);
+}
+
 /* Counts a refusal of that urgency, 0 to 9. */
 static void count_refusal(struct edg_edge *edge, unsigned urgency)
 {
@@ -66,12 +80,12 @@
 		g_rand_double(edge->rand));
 
 	after = edg_return_time(request, after);
-	count_refusal(edge, (unsigned)edg_priority(request));
+	count_refusal(edge, (unsigned)urgency_of(request));
 	edg_log_send(request, "refused",
 		     "reason=overloaded urgency=%d waiting=%zu "
 		     "ends_per_s=%.1f "
 		     "retry_after_ms=%" G_GINT64_FORMAT,
-		     edg_priority(request), adm_turn_count(edge->waiting),
+		     urgency_of(request), adm_turn_count(edge->waiting),
 		     adm_room_rate(&edge->room, now) * CLK_SECOND, after);
 	edg_refuse_not_run(request, after, "overloaded",
 			   "no path of engines has free capacity");
@@ -126,7 +140,7 @@
 bool edg_may_go_at_once(const struct edg_request *request)
 {
 	return adm_turn_may_go(request->edge->waiting, request->service->name,
-			       (unsigned)edg_priority(request));
+			       (unsigned)urgency_of(request));
 }
 
 static void start_waiting(struct edg_request *request)
@@ -159,7 +173,7 @@
 		.owner = request,
 		.service = request->service->name,
 		.org = request->org ? request->org->name : "",
-		.urgency = (unsigned)edg_priority(request),
+		.urgency = (unsigned)urgency_of(request),
 		.tokens = tokens,
 	};
 	set_times(request);
--- a/src/sched/adm_turn.c
+++ b/src/sched/adm_turn.c
@@ -14,13 +14,17 @@
 /* Time for which smaller requests are then held back. Other instances may take
  * the capacity that becomes free, so that holding back may be in vain. */
 #define HOLD_MS 100
+/* Late requests are held back for this long after a request that could still be
+ * in time had to wait: an answer in time is worth more than a late one, and
+ * each takes as much capacity. */
+#define LATE_HOLD_MS 300
 
 enum { IN_TIME, LATE, N_GROUPS };
 
 /* The waiting requests of one service; dropped with the last one. */
 struct adm_turn_service {
 	char *name;
-	size_t count[ADM_TURN_N_URGENCIES];
+	size_t count[ADM_TURN_N_URGENCIES][N_GROUPS];
 	/* There is no capacity for as many tokens in this round. */
 	double full_tokens;
 	/* The first request passed over in the current walk, or NULL. */
@@ -37,6 +41,7 @@
 	GHashTable *services; /* name to struct adm_turn_service, owned */
 	unsigned n_served;
 	clk_ms now; /* of the round */
+	clk_ms hold_late_until;
 };
 
 static void service_free(gpointer data)
@@ -144,7 +149,8 @@
 	return true;
 #endif
 	for (i = 0; others && i <= urgency; i++) {
-		if (others->count[i])
+		if (others->count[i][IN_TIME] ||
+		    (i < urgency && others->count[i][LATE]))
 			return false;
 	}
 	return true;
@@ -270,13 +276,18 @@
 	return service;
 }
 
-static struct adm_queue *queue_of(const struct adm_turns *turns,
-				  const struct adm_waiter *waiter)
+static unsigned group_of(const struct adm_waiter *waiter)
 {
 #ifdef WF_GUARD_OFF_TURN_LATE
-	return turns->groups[waiter->urgency][IN_TIME];
+	return IN_TIME;
 #endif
-	return turns->groups[waiter->urgency][waiter->is_late ? LATE : IN_TIME];
+	return waiter->is_late ? LATE : IN_TIME;
+}
+
+static struct adm_queue *queue_of(const struct adm_turns *turns,
+				  const struct adm_waiter *waiter)
+{
+	return turns->groups[waiter->urgency][group_of(waiter)];
 }
 
 void adm_turn_put(struct adm_turns *turns, struct adm_waiter *waiter)
@@ -290,7 +301,7 @@
 	adm_put(queue_of(turns, waiter), &waiter->item);
 	waiter->passed = 0;
 	waiter->queued_for = get_service(turns, waiter->service);
-	waiter->queued_for->count[waiter->urgency]++;
+	waiter->queued_for->count[waiter->urgency][group_of(waiter)]++;
 	waiter->by_arrival.data = waiter;
 	g_queue_push_tail_link(&turns->by_arrival, &waiter->by_arrival);
 }
@@ -302,11 +313,13 @@
 
 	g_queue_unlink(&turns->by_arrival, &waiter->by_arrival);
 	waiter->queued_for = NULL;
-	service->count[waiter->urgency]--;
+	service->count[waiter->urgency][group_of(waiter)]--;
+	if (!waiter->is_late)
+		turns->hold_late_until = turns->now + LATE_HOLD_MS;
 	if (service->passed_over == waiter)
 		service->passed_over = NULL;
 	for (i = 0; i < ADM_TURN_N_URGENCIES; i++) {
-		if (service->count[i])
+		if (service->count[i][IN_TIME] || service->count[i][LATE])
 			return;
 	}
 	g_hash_table_remove(turns->services, service->name);
@@ -329,7 +342,9 @@
 		if (waiter->is_late || turns->now <= waiter->in_time_until)
 			continue;
 		adm_remove(queue_of(turns, waiter), &waiter->item);
+		waiter->queued_for->count[waiter->urgency][group_of(waiter)]--;
 		waiter->is_late = true;
+		waiter->queued_for->count[waiter->urgency][group_of(waiter)]++;
 		adm_put(queue_of(turns, waiter), &waiter->item);
 	}
 }
@@ -416,6 +431,14 @@
 	return NULL;
 }
 
+static bool is_held_back(const struct adm_turns *turns, unsigned group)
+{
+#ifdef WF_GUARD_OFF_TURN_LATE_HOLD
+	return false;
+#endif
+	return group == LATE && turns->now < turns->hold_late_until;
+}
+
 static bool is_turn_of_oldest(const struct adm_turns *turns)
 {
 #ifdef WF_GUARD_OFF_TURN_OLDEST
@@ -441,9 +464,11 @@
 	if (is_turn_of_oldest(turns))
 		return next_by_arrival(turns);
 	for (i = 0; i < ADM_TURN_N_URGENCIES * N_GROUPS; i++) {
-		struct adm_waiter *waiter =
-			next_of_group(turns, (&turns->groups[0][0])[i]);
+		struct adm_waiter *waiter = NULL;
 
+		if (!is_held_back(turns, i % N_GROUPS))
+			waiter =
+				next_of_group(turns, (&turns->groups[0][0])[i]);
 		if (waiter)
 			return waiter;
 	}
--- a/tests/adm_turn_test.c
+++ b/tests/adm_turn_test.c
@@ -91,6 +91,7 @@
 	aging->in_time_until = 50;
 	adm_turn_begin(turns, 100);
 	ck_assert_ptr_eq(serve_next(turns), fresh);
+	adm_turn_begin(turns, 400);
 	ck_assert_ptr_eq(serve_next(turns), &late);
 	ck_assert_ptr_eq(serve_next(turns), aging);
 	ck_assert_ptr_eq(serve_next(turns), other);
@@ -98,6 +99,30 @@
 }
 END_TEST
 
+/* Guards against late requests that take what becomes free while those that can
+ * be in time have to wait for it, and against late ones that never get it. */
+START_TEST(late_requests_are_held_back_while_others_wait)
+{
+	struct adm_turns *turns = adm_turns_new(8);
+	struct adm_waiter late = waiter_of("a", 0, 100);
+	struct adm_waiter *fresh = add(turns, "b", 1, 100);
+
+	late.is_late = true;
+	adm_turn_put(turns, &late);
+	adm_turn_begin(turns, 100);
+	ck_assert(adm_turn_may_go(turns, SERVICE, 0));
+	ck_assert(!adm_turn_may_go(turns, SERVICE, 1));
+	fresh->in_time_until = 250;
+	adm_turn_remove(turns, fresh);
+	ck_assert_ptr_null(adm_turn_next(turns));
+	adm_turn_begin(turns, 399);
+	ck_assert_ptr_null(adm_turn_next(turns));
+	adm_turn_begin(turns, 400);
+	ck_assert_ptr_eq(serve_next(turns), &late);
+	close_turns(turns);
+}
+END_TEST
+
 /* Guards against a full queue that refuses urgent requests, and against urgent
  * ones that are refused for others. */
 START_TEST(least_urgent_is_refused_when_full)
@@ -418,6 +443,7 @@
 
 	tcase_add_test(tcase, new_request_does_not_overtake);
 	tcase_add_test(tcase, late_requests_follow_those_in_time);
+	tcase_add_test(tcase, late_requests_are_held_back_while_others_wait);
 	tcase_add_test(tcase, least_urgent_is_refused_when_full);
 	tcase_add_test(tcase, wait_is_limited_by_the_objective_unless_late);
 	tcase_add_test(tcase,
