edge: don't forward requests whose callers have left

After a pause of the loop a request and its caller's close are read together, or the timers serve a waiting stream before the close is read. The request was then forwarded and its send cancelled, but on a kept connection it had already reached the engine.

Before each send (first sends, repeats, waiting streams, takeovers and restarts) the caller's socket is checked for a close that has arrived. poll() with POLLRDHUP is used instead of recv() with MSG_PEEK: it also sees a FIN behind a pipelined request that has not been read, and leaves the error of a reset to the next read. A caller that shuts down sending counts as gone, as it did once its EOF was read; errors that need no send are still answered.

--- a/src/daemon/net.c
+++ b/src/daemon/net.c
@@ -1,5 +1,8 @@
+#define _GNU_SOURCE
+
 #include <linux/filter.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 
@@ -55,6 +58,16 @@
 	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool net_is_closed_by_peer(const uv_tcp_t *tcp)
+{
+	/* Unlike recv() with MSG_PEEK, it sees a FIN behind unread bytes and
+	 * leaves the error of a reset to the next read. */
+	struct pollfd socket = {.events = POLLRDHUP};
+
+	return !uv_fileno((const uv_handle_t *)tcp, &socket.fd) &&
+	       poll(&socket, 1, 0) > 0;
+}
+
 void net_block_signals(void)
 {
 	sigset_t signals;
--- a/src/daemon/net.h
+++ b/src/daemon/net.h
@@ -29,6 +29,12 @@
  * yet: it runs timers before it reads. */
 bool net_has_unread_bytes(const uv_tcp_t *tcp);
 
+/*
+ * Whether the peer has closed or reset an open connection, or shut down sending
+ * on it, even if there are bytes before that which have not been read.
+ */
+bool net_is_closed_by_peer(const uv_tcp_t *tcp);
+
 /*
  * Blocks SIGTERM, SIGINT and SIGHUP for the rest of the process. For its exit:
  * libuv restores the default action of a signal when its handle is closed, and
--- a/src/edge/edg_plain.c
+++ b/src/edge/edg_plain.c
@@ -74,6 +74,8 @@
 
 static void send_next(struct edg_request *request)
 {
+	if (!hsv_check_caller(request->http))
+		return;
 	if (edg_choose_target(request))
 		edg_send(request, &ops);
 	else if (edg_may_have_run(request))
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -193,7 +193,8 @@
 	return;
 #endif
 	if (request->takeover || request->next_path ||
-	    now < request->next_restart_at || edg_has_suspected_part(request))
+	    now < request->next_restart_at || edg_has_suspected_part(request) ||
+	    hsv_has_caller_left(request->http))
 		return;
 	lost = find_lost(request, now);
 	if (!lost)
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -458,6 +458,8 @@
 {
 	bool found;
 
+	if (!hsv_check_caller(request->http))
+		return;
 	evs_discard_partial(&request->splitter);
 	if (!edg_check_parts(request))
 		return;
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -177,7 +177,8 @@
 		if (!item)
 			break;
 		request = item->owner;
-		if (!edg_check_parts(request))
+		if (!hsv_check_caller(request->http) ||
+		    !edg_check_parts(request))
 			continue;
 		if (!edg_reserve_path(request))
 			break;
--- a/src/edge/hsv_conn.c
+++ b/src/edge/hsv_conn.c
@@ -159,6 +159,22 @@
 		server->ops->disconnected(server->user, &conn->request);
 }
 
+bool hsv_has_caller_left(const struct hsv_request *request)
+{
+#ifdef WF_GUARD_OFF_EDGE_LEFT_CALLER
+	return false;
+#endif
+	return net_is_closed_by_peer(&request->conn->tcp);
+}
+
+bool hsv_check_caller(struct hsv_request *request)
+{
+	if (!hsv_has_caller_left(request))
+		return true;
+	on_disconnect(request->conn);
+	return false;
+}
+
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
 	struct hsv_conn *conn = handle->data;
--- a/src/edge/hsv_server.h
+++ b/src/edge/hsv_server.h
@@ -91,6 +91,15 @@
 void hsv_respond(struct hsv_request *request, int status, const char *headers,
 		 const char *body, size_t len);
 
+/* Whether the caller's close has arrived, but has not been read yet. */
+bool hsv_has_caller_left(const struct hsv_request *request);
+
+/*
+ * Disconnects a caller whose close has arrived, as if it had been read: calls
+ * disconnected and returns false, with the request invalid.
+ */
+bool hsv_check_caller(struct hsv_request *request);
+
 /* Starts a response with chunked transfer coding. */
 void hsv_begin_chunked(struct hsv_request *request, int status,
 		       const char *headers);
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -159,6 +159,8 @@
 	struct tko_takeover *takeover;
 	struct pth_path *path;
 
+	if (hsv_has_caller_left(request->http))
+		return false;
 	/* One head at a time is enough for a prompt that may crash it. */
 	if (edg_has_suspected_part(request))
 		return false;
