edge: measure the turns of the event loop

Each turn is now measured from the end of one wait for input to the start of the next, and divided into classes: requests that are started, path searches, peers' reports, timers, and the rest.

libuv runs the callbacks of input inside its poll phase, before check handles, so the start of the turn can't be seen by a handle. The wait is subtracted instead, which UV_METRICS_IDLE_TIME makes libuv measure; that costs one more epoll_wait() without a time-out per turn. Timers run between the check and the prepare callbacks and need no hooks.

wf_edge_longest_turn_ms is the longest turn since /metrics was last read. A turn over 250 ms has a line "loop turn slow" with the longest class and the CPU time of the turn, which is much lower than the turn if the process did not get the CPU.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -190,6 +190,8 @@
 			      edg_now(edge) - edge->catalog_confirmed_at);
 		ctr_set_gauge(edge->counters, "wf_edge_quarantined_parts",
 			      qtn_count(edge->quarantine, edg_now(edge)));
+		ctr_set_gauge(edge->counters, "wf_edge_longest_turn_ms",
+			      edg_take_longest_turn(edge));
 		ctr_write_text(edge->counters, text);
 	} else if (!strcmp(http->url, "/targets")) {
 		write_targets(edge, text);
@@ -288,6 +290,7 @@
 		.config = peers_config,
 		.confirm = peers_confirm,
 		.quarantine = edge->quarantine,
+		.turns = &edge->turns,
 		.user = edge,
 		.counters = edge->counters,
 	};
@@ -391,7 +394,8 @@
 	edge->wait_timer.data = edge;
 	edge->drain_timer.data = edge;
 	edge->peer_timer.data = edge;
-	edge->open_timers = 4;
+	edg_watch_turns(edge);
+	edge->open_handles = 6;
 	edg_open_quarantine(edge);
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->caller_server, settings->caller_address, error) &&
@@ -402,11 +406,11 @@
 	return NULL;
 }
 
-static void on_timer_closed(uv_handle_t *handle)
+static void on_handle_closed(uv_handle_t *handle)
 {
 	struct edg_edge *edge = handle->data;
 
-	if (--edge->open_timers)
+	if (--edge->open_handles)
 		return;
 
 	adm_queue_drop(edge->waiting);
@@ -459,10 +463,12 @@
 	hsv_drop(edge->operator_server);
 	hup_drop(edge->client);
 	prs_drop(edge->peers);
-	uv_close((uv_handle_t *)&edge->drain_timer, on_timer_closed);
-	uv_close((uv_handle_t *)&edge->peer_timer, on_timer_closed);
-	uv_close((uv_handle_t *)&edge->wait_timer, on_timer_closed);
-	uv_close((uv_handle_t *)&edge->quarantine_timer, on_timer_closed);
+	uv_close((uv_handle_t *)&edge->drain_timer, on_handle_closed);
+	uv_close((uv_handle_t *)&edge->peer_timer, on_handle_closed);
+	uv_close((uv_handle_t *)&edge->wait_timer, on_handle_closed);
+	uv_close((uv_handle_t *)&edge->quarantine_timer, on_handle_closed);
+	uv_close((uv_handle_t *)&edge->turn_end, on_handle_closed);
+	uv_close((uv_handle_t *)&edge->turn_timers, on_handle_closed);
 }
 
 static clk_ms time_since_drain(const struct edg_edge *edge)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -10,6 +10,7 @@
 #include "edge/hsv_server.h"
 #include "edge/log_budget.h"
 #include "edge/prs_reports.h"
+#include "edge/trn_turns.h"
 #include "sched/adm.h"
 #include "sched/adm_room.h"
 
@@ -71,7 +72,7 @@
 	char *peer_address;
 	uv_timer_t peer_timer;
 	unsigned peer_list_count;
-	int open_timers;
+	int open_handles;
 
 	/* Set of open struct edg_request. */
 	GHashTable *requests;
@@ -80,6 +81,10 @@
 	struct adm_room room;
 	struct edg_full full;
 	uv_timer_t wait_timer;
+	/* Measure the turns of the loop. */
+	struct trn_turns turns;
+	uv_prepare_t turn_end;
+	uv_check_t turn_timers;
 	bool is_draining;
 	clk_ms drain_limit;
 	uv_timer_t drain_timer;
@@ -250,6 +255,19 @@
  * and not before the end of the closed time. */
 clk_ms edg_return_time(const struct edg_request *request, clk_ms least);
 
+/* edg_turns.c */
+/* Starts the measurement of the loop's turns. */
+void edg_watch_turns(struct edg_edge *edge);
+/* From now on the time of this turn counts for the class. Returns the class
+ * until now, which the caller restores. */
+enum trn_class edg_count_time_as(struct edg_edge *edge, enum trn_class class);
+/* Longest turn in ms since the last call. */
+clk_ms edg_take_longest_turn(struct edg_edge *edge);
+/* pth_find() for the edge's fleet; its time counts as that of a search. */
+enum pth_result edg_find_path(struct edg_edge *edge,
+			      const struct pth_query *query,
+			      struct pth_path **out);
+
 /* edg_metrics.c */
 /* Adds the time to the answer, or to the first event of a stream, to the
  * latency histogram. */
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -122,8 +122,7 @@
 	query.prefill_tokens = tokens_so_far(request);
 	if (request->reroutes >= MAX_REROUTES ||
 	    edg_now(edge) < request->target->down_until ||
-	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
-		     &request->next_path) != PTH_FOUND)
+	    edg_find_path(edge, &query, &request->next_path) != PTH_FOUND)
 		return false;
 	/* Reserved before the answer, so that other requests of the lost engine
 	 * see the load. */
@@ -172,8 +171,7 @@
 
 	query.without = lost;
 	query.prefill_tokens = tokens_so_far(request);
-	if (pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path) !=
-	    PTH_FOUND)
+	if (edg_find_path(edge, &query, &path) != PTH_FOUND)
 		return NULL;
 	/* A late order would move the new run of the same id too. */
 	if (pth_head(path) == request->target && request->has_unknown_order) {
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -393,8 +393,7 @@
 		edg_release_send(request);
 	query.current = request->path;
 	ctr_add(edge->counters, "wf_edge_path_searches_total", 1);
-	result =
-		pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	result = edg_find_path(edge, &query, &path);
 	if (result == PTH_NO_CAPACITY && !query.current)
 		edg_note_full(edge, query.service, query.tokens);
 	edg_release_send(request);
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -373,9 +373,14 @@
 			const struct sockaddr *from, unsigned flags)
 {
 	struct prs_peers *peers = socket->data;
+	struct trn_turns *turns = peers->config.turns;
+	enum trn_class before;
 
-	if (n > 0 && from && !(flags & UV_UDP_PARTIAL))
-		prs_receive(peers, (const uint8_t *)buffer->base, (size_t)n);
+	if (n <= 0 || !from || (flags & UV_UDP_PARTIAL))
+		return;
+	before = trn_switch(turns, TRN_REPORTS, uv_hrtime());
+	prs_receive(peers, (const uint8_t *)buffer->base, (size_t)n);
+	trn_switch(turns, before, uv_hrtime());
 }
 
 static void on_handle_closed(uv_handle_t *handle)
--- a/src/edge/prs_reports.h
+++ b/src/edge/prs_reports.h
@@ -25,6 +25,8 @@
 #include <wagtailferry/fleet.h>
 #include <wagtailferry/quarantine.h>
 
+#include "edge/trn_turns.h"
+
 struct prs_peers;
 
 struct prs_config {
@@ -45,6 +47,8 @@
 	/* Evidence on prompt parts to be sent, and that of peers is added to
 	 * it; may be NULL. */
 	struct qtn_quarantine *quarantine;
+	/* To which the time for received reports is added; may be NULL. */
+	struct trn_turns *turns;
 	void *user;
 	struct ctr_set *counters;
 };
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -149,7 +149,7 @@
 	struct pth_path *path = NULL;
 
 	query.without = request->target;
-	pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	edg_find_path(edge, &query, &path);
 	return path;
 }
 
