edge: start at most 8 new requests per turn of the loop

After a pause the loop read all requests that had arrived and searched a path for each before it read anything else, such as closes of callers and answers of engines. Now a turn starts 8 new requests at most, as many as a round of waiting streams searches for. The rest are held, in order of arrival, and started by an idle handle in the next turns; the loop reads in between and doesn't wait. A held request is one of the open requests: it ends as caller_left, or as stopping when the instance stops, and its catalog and route are taken when it is started. The deadline still counts from its arrival.

Only new requests are held. Repeats after refusals and moves from a lost engine still search in the turn in which they are found necessary.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -395,7 +395,7 @@
 	edge->drain_timer.data = edge;
 	edge->peer_timer.data = edge;
 	edg_watch_turns(edge);
-	edge->open_handles = 6;
+	edge->open_handles = 7;
 	edg_open_quarantine(edge);
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->caller_server, settings->caller_address, error) &&
@@ -469,6 +469,7 @@
 	uv_close((uv_handle_t *)&edge->quarantine_timer, on_handle_closed);
 	uv_close((uv_handle_t *)&edge->turn_end, on_handle_closed);
 	uv_close((uv_handle_t *)&edge->turn_timers, on_handle_closed);
+	uv_close((uv_handle_t *)&edge->held_starter, on_handle_closed);
 }
 
 static clk_ms time_since_drain(const struct edg_edge *edge)
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -85,6 +85,11 @@
 	struct trn_turns turns;
 	uv_prepare_t turn_end;
 	uv_check_t turn_timers;
+	/* New requests that were started in this turn, those left for the next
+	 * ones in order of arrival, and the handle that starts them. */
+	unsigned started_in_turn;
+	GQueue held;
+	uv_idle_t held_starter;
 	bool is_draining;
 	clk_ms drain_limit;
 	uv_timer_t drain_timer;
@@ -122,6 +127,10 @@
 	clk_ms deadline;
 	uv_timer_t timer;
 
+	/* In the edge's queue of held requests. */
+	GList held_link;
+	bool is_held;
+
 	/* The current send. */
 	struct hup_exchange *exchange;
 	struct flt_target *target;
@@ -214,6 +223,8 @@
 
 /* edg_request.c */
 void edg_accept_request(void *user, struct hsv_request *http);
+/* Checks a new request, and sends it or refuses it. */
+void edg_start_request(struct edg_request *request);
 void edg_caller_gone(void *user, struct hsv_request *http);
 /* Takes a reference. The request may end meanwhile: check is_freed. */
 struct edg_request *edg_request_keep(struct edg_request *request);
@@ -261,6 +272,12 @@
 /* From now on the time of this turn counts for the class. Returns the class
  * until now, which the caller restores. */
 enum trn_class edg_count_time_as(struct edg_edge *edge, enum trn_class class);
+/* Starts a new request, or holds it until a later turn if this one has started
+ * enough. In between the loop reads what has arrived, such as callers' closes.
+ */
+void edg_start_in_turn(struct edg_request *request);
+/* Removes the request from the held ones if it is one of them. */
+void edg_stop_holding(struct edg_request *request);
 /* Longest turn in ms since the last call. */
 clk_ms edg_take_longest_turn(struct edg_edge *edge);
 /* pth_find() for the edge's fleet; its time counts as that of a search. */
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -42,6 +42,7 @@
 	request->is_freed = true;
 	if (request->http)
 		request->http->user = NULL;
+	edg_stop_holding(request);
 	edg_stop_waiting(request);
 	tko_drop(request, "request_ended");
 	edg_release_send(request);
@@ -168,8 +169,8 @@
 	if (text)
 		limit = MIN(limit, (clk_ms)stated);
 	request->deadline = request->started + limit;
-	uv_timer_start(&request->timer, on_deadline, (uint64_t)MAX(limit, 1),
-		       0);
+	uv_timer_start(&request->timer, on_deadline,
+		       (uint64_t)MAX(edg_remaining_time(request), 1), 0);
 	return true;
 }
 
@@ -250,7 +251,6 @@
 	request->edge = edge;
 	request->http = http;
 	request->started = edg_now(edge);
-	request->catalog = cat_keep(edge->catalog);
 	request->id = g_strdup(id ? id : "");
 	request->runs = g_array_new(FALSE, FALSE, sizeof(struct edg_run));
 	g_array_set_clear_func(request->runs, clear_run);
@@ -282,11 +282,11 @@
 	return false;
 }
 
-void edg_accept_request(void *user, struct hsv_request *http)
+void edg_start_request(struct edg_request *request)
 {
-	struct edg_edge *edge = user;
-	struct edg_request *request = request_new(edge, http);
+	struct edg_edge *edge = request->edge;
 
+	request->catalog = cat_keep(edge->catalog);
 	if (!has_valid_id(request)) {
 		edg_refuse(request, 400, "bad_request",
 			   "exactly one valid attempt id is required");
@@ -320,6 +320,11 @@
 		edg_start_plain(request);
 }
 
+void edg_accept_request(void *user, struct hsv_request *http)
+{
+	edg_start_in_turn(request_new(user, http));
+}
+
 void edg_caller_gone(void *user, struct hsv_request *http)
 {
 	struct edg_request *request = http->user;
