tests: a waiting stream whose caller left during a pause

Timers run before the loop reads, so after a pause a waiting stream could be sent although its caller's close had arrived. Without the check of the caller (GUARD_OFF=EDGE_LEFT_CALLER) the new test fails, with it it passes, also under sanitizers.

--- a/tests/platform/caller_left_wire_test.c
+++ b/tests/platform/caller_left_wire_test.c
@@ -14,7 +14,15 @@
 	"POST /read/ HTTP/1.1\r\nHost: h\r\n" \
 	"Authorization: Token key1\r\n"       \
 	"X-Wagtailferry-Attempt-Id: left\r\nContent-Length: 0\r\n\r\n"
+#define STREAM                                   \
+	"POST /stream/ HTTP/1.1\r\nHost: h\r\n"  \
+	"Authorization: Token key1\r\n"          \
+	"X-Wagtailferry-Token-Counts: 50,50\r\n" \
+	"X-Wagtailferry-Attempt-Id: left\r\nContent-Length: 0\r\n\r\n"
 #define SPAN_MS 300
+/* Streams that the two heads of world_open_engines() may run together. */
+#define HEAD_STREAMS 12
+#define ENDED_STREAMS 4
 
 /* One worker, to which a connection is open, so that a request that is
  * forwarded reaches it at once. */
@@ -116,6 +124,65 @@
 }
 END_TEST
 
+static struct wire_client *open_stream(struct platform_world *world)
+{
+	struct wire_client *client =
+		world_request(world, "POST", "/stream/",
+			      "Authorization: Token key1\r\n"
+			      "X-Wagtailferry-Token-Counts: 50,50\r\n",
+			      "");
+
+	wire_client_await(&world->wire, client, "data: one");
+	return client;
+}
+
+/* Takes all slots; some streams end, so that others are let wait. */
+static void fill(struct platform_world *world, struct wire_client **streams)
+{
+	guint i;
+
+	world_open_engines(world);
+	world_set_modes(world, WORKER_STALLS_STREAM);
+	for (i = 0; i < HEAD_STREAMS; i++)
+		streams[i] = open_stream(world);
+	for (i = 0; i < ENDED_STREAMS; i++) {
+		wire_client_drop(streams[i]);
+		streams[i] = open_stream(world);
+	}
+}
+
+/* Guards against sending a waiting stream whose caller left during a pause of
+ * the process: timers run before the close is read. */
+START_TEST(waiting_stream_of_a_caller_that_left_is_not_forwarded)
+{
+	struct platform_world world;
+	struct wire_client *streams[HEAD_STREAMS];
+	const char *logged;
+	char *line;
+	guint i;
+	int fd;
+
+	fill(&world, streams);
+	fd = connect_now(&world);
+	send_now(fd, STREAM);
+	world_run(&world, 40);
+	for (i = 0; i < 2; i++)
+		flt_find(edg_fleet(world.edge), i ? "e2" : "e1")->slots *= 2;
+	close(fd);
+	g_usleep(40000);
+	world_run(&world, SPAN_MS);
+	logged = strstr(world.log_text->str, "\"request left\"");
+	ck_assert_ptr_nonnull(logged);
+	line = g_strndup(logged, strcspn(logged, "\n"));
+	ck_assert_ptr_nonnull(strstr(line, "caller_left"));
+	ck_assert_ptr_nonnull(strstr(line, "sends=0"));
+	g_free(line);
+	for (i = 0; i < HEAD_STREAMS; i++)
+		wire_client_drop(streams[i]);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("caller_left_wire");
@@ -125,5 +192,7 @@
 			    request_of_a_caller_that_left_is_not_forwarded, 0,
 			    G_N_ELEMENTS(ways));
 	tcase_add_test(tcase, pipelined_requests_are_forwarded);
+	tcase_add_test(tcase,
+		       waiting_stream_of_a_caller_that_left_is_not_forwarded);
 	return sup_run_case("caller_left_wire", tcase);
 }
