--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -10,6 +10,7 @@
 #include "edge/hsv_server.h"
 #include "edge/log_budget.h"
 #include "edge/prs_reports.h"
+#include "edge/trn_turns.h"
 #include "sched/adm_room.h"
 #include "sched/adm_turn.h"
 
@@ -71,7 +72,7 @@
 	char *peer_address;
 	uv_timer_t peer_timer;
 	unsigned peer_list_count;
-	int open_timers;
+	int open_handles;
 
 	/* Set of open struct edg_request. */
 	GHashTable *requests;
@@ -80,6 +81,15 @@
 	struct adm_room room;
 	struct edg_full full;
 	uv_timer_t wait_timer;
+	/* Measure the turns of the loop. */
+	struct trn_turns turns;
+	uv_prepare_t turn_end;
+	uv_check_t turn_timers;
+	/* New requests that were started in this turn, those left for the next
+	 * ones in order of arrival, and the handle that starts them. */
+	unsigned started_in_turn;
+	GQueue held;
+	uv_idle_t held_starter;
 	bool is_draining;
 	clk_ms drain_limit;
 	uv_timer_t drain_timer;
@@ -117,6 +127,10 @@
 	clk_ms deadline;
 	uv_timer_t timer;
 
+	/* In the edge's queue of held requests. */
+	GList held_link;
+	bool is_held;
+
 	/* The current send. */
 	struct hup_exchange *exchange;
 	struct flt_target *target;
@@ -209,6 +223,8 @@
 
 /* edg_request.c */
 void edg_accept_request(void *user, struct hsv_request *http);
+/* Checks a new request, and sends it or refuses it. */
+void edg_start_request(struct edg_request *request);
 void edg_caller_gone(void *user, struct hsv_request *http);
 /* Takes a reference. The request may end meanwhile: check is_freed. */
 struct edg_request *edg_request_keep(struct edg_request *request);
@@ -250,6 +266,25 @@
  * and not before the end of the closed time. */
 clk_ms edg_return_time(const struct edg_request *request, clk_ms least);
 
+/* edg_turns.c */
+/* Starts the measurement of the loop's turns. */
+void edg_watch_turns(struct edg_edge *edge);
+/* From now on the time of this turn counts for the class. Returns the class
+ * until now, which the caller restores. */
+enum trn_class edg_count_time_as(struct edg_edge *edge, enum trn_class class);
+/* Starts a new request, or holds it until a later turn if this one has started
+ * enough. In between the loop reads what has arrived, such as callers' closes.
+ */
+void edg_start_in_turn(struct edg_request *request);
+/* Removes the request from the held ones if it is one of them. */
+void edg_stop_holding(struct edg_request *request);
+/* Longest turn in ms since the last call. */
+clk_ms edg_take_longest_turn(struct edg_edge *edge);
+/* pth_find() for the edge's fleet; its time counts as that of a search. */
+enum pth_result edg_find_path(struct edg_edge *edge,
+			      const struct pth_query *query,
+			      struct pth_path **out);
+
 /* edg_metrics.c */
 /* Adds the time to the answer, or to the first event of a stream, to the
  * latency histogram. */
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -406,8 +406,7 @@
 		edg_release_send(request);
 	query.current = request->path;
 	ctr_add(edge->counters, "wf_edge_path_searches_total", 1);
-	result =
-		pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	result = edg_find_path(edge, &query, &path);
 	if (result == PTH_NO_CAPACITY && !query.current)
 		edg_note_full(edge, query.service, query.tokens);
 	edg_release_send(request);
@@ -472,6 +471,8 @@
 {
 	bool found;
 
+	if (!hsv_check_caller(request->http))
+		return;
 	evs_discard_partial(&request->splitter);
 	if (!edg_check_parts(request))
 		return;
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -249,7 +249,8 @@
 		if (!waiter)
 			break;
 		request = waiter->owner;
-		if (!edg_check_parts(request))
+		if (!hsv_check_caller(request->http) ||
+		    !edg_check_parts(request))
 			continue;
 		if (!edg_reserve_path(request)) {
 			adm_turn_rule_out(edge->waiting, waiter->service,
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -149,7 +149,7 @@
 	struct pth_path *path = NULL;
 
 	query.without = request->target;
-	pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
+	edg_find_path(edge, &query, &path);
 	return path;
 }
 
@@ -159,6 +159,8 @@
 	struct tko_takeover *takeover;
 	struct pth_path *path;
 
+	if (hsv_has_caller_left(request->http))
+		return false;
 	/* One head at a time is enough for a prompt that may crash it. */
 	if (edg_has_suspected_part(request))
 		return false;
