edge: move streams off a lost engine in order and within a budget

Cause: a refused change of path was searched for and ordered again at once, up to four times, then a takeover was sent and, if refused, the next one. Each report that named the lost engine started both again for every silent stream.

Change: streams that lose an engine wait for a move (edg_moves.c). Moves begin at once while the budget of rcv permits, otherwise when a move ends or a stream frees its path. After a refusal for lack of room a stream is tried again after 100 ms, doubled with each refusal, by a change of path or else a takeover; a takeover beside an unanswered order is only sent when the head itself is lost. A head that refuses without naming a full engine is left at once, as before. The restart after 1,250 ms of silence is unchanged. Metrics: wf_edge_moves_total{result}, wf_edge_moves_waiting, wf_edge_move_searches_total.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -186,6 +186,8 @@
 	if (!strcmp(http->url, "/metrics")) {
 		ctr_set_gauge(edge->counters, "wf_edge_open_requests",
 			      g_hash_table_size(edge->requests));
+		ctr_set_gauge(edge->counters, "wf_edge_moves_waiting",
+			      edge->moves.waiting);
 		ctr_set_gauge(edge->counters, "wf_edge_config_age_ms",
 			      edg_now(edge) - edge->catalog_confirmed_at);
 		ctr_set_gauge(edge->counters, "wf_edge_quarantined_parts",
@@ -391,7 +393,8 @@
 	edge->wait_timer.data = edge;
 	edge->drain_timer.data = edge;
 	edge->peer_timer.data = edge;
-	edge->open_timers = 4;
+	edg_open_moves(edge);
+	edge->open_timers = 5;
 	edg_open_quarantine(edge);
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->caller_server, settings->caller_address, error) &&
@@ -462,6 +465,7 @@
 	uv_close((uv_handle_t *)&edge->drain_timer, on_timer_closed);
 	uv_close((uv_handle_t *)&edge->peer_timer, on_timer_closed);
 	uv_close((uv_handle_t *)&edge->wait_timer, on_timer_closed);
+	uv_close((uv_handle_t *)&edge->move_timer, on_timer_closed);
 	uv_close((uv_handle_t *)&edge->quarantine_timer, on_timer_closed);
 }
 
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -10,9 +10,13 @@
 #include "edge/hsv_server.h"
 #include "edge/log_budget.h"
 #include "edge/prs_reports.h"
+#include "forward/recovery.h"
 #include "sched/adm.h"
 #include "sched/adm_room.h"
 
+/* Estimated tokens per event, for the context length of a stream. */
+#define EDG_TOKENS_PER_EVENT 4
+
 struct ord_orders;
 struct tko_takeover;
 
@@ -80,6 +84,9 @@
 	struct adm_room room;
 	struct edg_full full;
 	uv_timer_t wait_timer;
+	/* Moves of streams off lost engines, and the next round of them. */
+	struct rcv_moves moves;
+	uv_timer_t move_timer;
 	bool is_draining;
 	clk_ms drain_limit;
 	uv_timer_t drain_timer;
@@ -176,6 +183,12 @@
 	 * accepted. */
 	struct pth_path *next_path;
 	unsigned reroutes;
+	/* Its move off lost engines: their layers, whether the head is one of
+	 * them, and the reason for the log. */
+	struct rcv_stream move;
+	double lost_layers;
+	bool is_head_lost;
+	const char *move_reason;
 	/* An order had no answer; its head may carry it out late. */
 	bool has_unknown_order;
 	/* When edg_restart_without_lost() may next look for a path. */
@@ -318,8 +331,9 @@
  * over. */
 void edg_resend_on(struct edg_request *request, struct pth_path *path);
 /* Sends the request to another head too if a retry is allowed and a path is
- * found. Its present run goes on until the other head answers. */
-void edg_resume(struct edg_request *request, const char *why);
+ * found. Its present run goes on until the other head answers. Returns false if
+ * it isn't sent. */
+bool edg_resume(struct edg_request *request, const char *why);
 /* Whether the response begins the stream, or continues it. */
 bool edg_is_stream_head(const struct edg_request *request,
 			const struct hup_response *response);
@@ -376,13 +390,40 @@
 
 /* edg_reroute.c */
 /* Moves a request whose path has lost an engine to another path: its head
- * changes the path, or another head continues after the last event. */
-void edg_change_path(struct edg_request *request, const char *why);
+ * changes the path, or another head continues after the last event. Returns
+ * false if neither can be started. */
+bool edg_change_path(struct edg_request *request, const char *why);
+/* Estimated tokens of the prompt and of the output so far. */
+double edg_tokens_so_far(const struct edg_request *request);
 /* Ends a silent run that waits for an engine which was found to be lost more
  * than once, and sends the request again on a path without lost engines, if
  * there is one and a retry is allowed. The head may be the same. */
 void edg_restart_without_lost(struct edg_request *request);
 
+/* edg_moves.c */
+void edg_open_moves(struct edg_edge *edge);
+/*
+ * An engine of the request's path, or of its takeover's, is lost. The request
+ * waits for a move, which edg_start_moves() begins when there is budget; false
+ * if a change of its path is in progress. why must outlive the request.
+ */
+bool edg_need_move(struct edg_request *request, const struct flt_target *lost,
+		   const char *why);
+/* Begins moves of waiting streams within the budget. */
+void edg_start_moves(struct edg_edge *edge);
+/* The same in the next turn of the loop: a move has ended or capacity has
+ * become free. */
+void edg_schedule_moves(struct edg_edge *edge);
+/* A move is being ordered that prefills so many layers. */
+void edg_move_started(struct edg_request *request, double layers);
+/* The move was not possible: it is tried again later. The result is for the
+ * metric. */
+void edg_move_refused(struct edg_request *request, const char *result);
+/* The stream needs no move any more; result is of one in progress. */
+void edg_move_ended(struct edg_request *request, const char *result);
+/* The stream goes on. To be called before a takeover is dropped. */
+void edg_move_had_event(struct edg_request *request);
+
 /* stream_takeover.c */
 /* Sends the request to another head, in place of a present takeover. Returns
  * false if it can't be sent; a present takeover then goes on. */
--- a/src/edge/edg_request.c
+++ b/src/edge/edg_request.c
@@ -43,6 +43,7 @@
 	if (request->http)
 		request->http->user = NULL;
 	edg_stop_waiting(request);
+	edg_move_ended(request, "ended");
 	tko_drop(request, "request_ended");
 	edg_release_send(request);
 	edg_end_probe(request);
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -10,8 +10,6 @@
 /* Minimum time between two searches for a path of a silent stream: many streams
  * are silent at once when an engine is lost. */
 #define RESTART_INTERVAL_MS 500
-/* Estimated tokens per event, for the context length of a stream. */
-#define TOKENS_PER_EVENT 4
 
 /* A pending order to a head to change the path of a running request. */
 struct reroute_call {
@@ -37,7 +35,6 @@
 	request->last_event_at = edg_now(request->edge);
 }
 
-static bool reroute(struct edg_request *request);
 static void order_reroute(struct edg_request *request);
 
 static void handle_reroute_refusal(struct edg_request *request, const char *at)
@@ -48,8 +45,12 @@
 
 	if (full)
 		flt_mark_no_room(full, edg_now(edge));
-	if (!full || !reroute(request))
-		edg_resume(request, "reroute_failed");
+	/* A takeover that began because the head was silent goes on. */
+	if (request->takeover)
+		return;
+	/* For lack of room: other engines are likely to refuse too. */
+	if (full || !edg_resume(request, "reroute_failed"))
+		edg_move_refused(request, "refused");
 }
 
 static void handle_result(struct edg_request *request,
@@ -76,8 +77,8 @@
 	request->next_path = NULL;
 	if (result == EDG_ORDER_REFUSED)
 		handle_reroute_refusal(request, at);
-	else
-		edg_resume(request, "reroute_failed");
+	else if (!edg_resume(request, "reroute_failed"))
+		edg_move_refused(request, "failed");
 }
 
 static void on_rerouted(void *user, enum edg_order_result result,
@@ -105,10 +106,26 @@
 				     on_rerouted, call);
 }
 
-static double tokens_so_far(const struct edg_request *request)
+double edg_tokens_so_far(const struct edg_request *request)
 {
 	return request->prompt_tokens +
-	       request->splitter.events * TOKENS_PER_EVENT;
+	       request->splitter.events * EDG_TOKENS_PER_EVENT;
+}
+
+/* Layers of the path that prefill the tokens so far. */
+static double count_moved_layers(const struct pth_path *path)
+{
+	double layers = 0;
+	guint i;
+
+	for (i = 0; i < path->stages->len; i++) {
+		const struct pth_stage *stage =
+			&g_array_index(path->stages, struct pth_stage, i);
+
+		if (stage->prefill_ms > 0)
+			layers += stage->range.end - stage->range.first;
+	}
+	return layers;
 }
 
 /* Changes the path of the running request: the other engines keep their state
@@ -119,7 +136,8 @@
 	struct pth_query query = edg_path_query(request);
 
 	query.current = request->path;
-	query.prefill_tokens = tokens_so_far(request);
+	query.prefill_tokens = edg_tokens_so_far(request);
+	ctr_add(edge->counters, "wf_edge_move_searches_total", 1);
 	if (request->reroutes >= MAX_REROUTES ||
 	    edg_now(edge) < request->target->down_until ||
 	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
@@ -130,16 +148,14 @@
 	pth_reserve(request->next_path, edg_now(edge), query.tokens);
 	request->reroutes++;
 	request->reroute_orders = 0;
+	edg_move_started(request, count_moved_layers(request->next_path));
 	order_reroute(request);
 	return true;
 }
 
-void edg_change_path(struct edg_request *request, const char *why)
+bool edg_change_path(struct edg_request *request, const char *why)
 {
-	if (request->next_path || request->takeover)
-		return;
-	if (!reroute(request))
-		edg_resume(request, why);
+	return reroute(request) || edg_resume(request, why);
 }
 
 /* An engine of the path that was still down after a second of silence. A mark
@@ -171,7 +187,8 @@
 	struct pth_path *path = NULL;
 
 	query.without = lost;
-	query.prefill_tokens = tokens_so_far(request);
+	query.prefill_tokens = edg_tokens_so_far(request);
+	ctr_add(edge->counters, "wf_edge_move_searches_total", 1);
 	if (pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path) !=
 	    PTH_FOUND)
 		return NULL;
@@ -210,5 +227,6 @@
 		     "head=%s from=%s without=%s after_event=%s",
 		     pth_head(path)->id, request->target->id, lost->id,
 		     request->splitter.last_id->str);
+	edg_move_started(request, request->service->engine->layers);
 	edg_resend_on(request, path);
 }
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -117,6 +117,7 @@
 		return;
 	}
 	if (request->splitter.progress > progress) {
+		edg_move_had_event(request);
 		if (request->takeover)
 			keep_run(request);
 		edg_parts_had_event(request);
@@ -287,18 +288,21 @@
 	return may_resume(request, EDG_OUTCOME_UNKNOWN);
 }
 
-void edg_resume(struct edg_request *request, const char *why)
+bool edg_resume(struct edg_request *request, const char *why)
 {
 #ifdef WF_GUARD_OFF_EDGE_SILENT_RUN
 	fail_or_abort(request);
-	return;
+	return true;
 #endif
-	if (request->takeover || !tko_start(request))
-		return;
+	if (request->takeover)
+		return true;
+	if (!tko_start(request))
+		return false;
 	edg_log_send(request, "resumed",
 		     "reason=%s head=%s after_event=%s send=%u", why,
 		     request->target->id, request->splitter.last_id->str,
 		     request->sends);
+	return true;
 }
 
 static void log_failed_send(struct edg_request *request,
@@ -346,10 +350,12 @@
 	record_failure(request, outcome);
 	log_failed_send(request, outcome, how);
 	edg_question_head(request, how);
-	if (tko_promote(request))
+	if (tko_promote(request)) {
 		watch_silence(request);
-	else
-		handle_failed_send(request, outcome);
+		return;
+	}
+	edg_move_ended(request, "failed");
+	handle_failed_send(request, outcome);
 }
 
 static const struct hup_ops ops = {on_head, on_data, on_end};
--- a/src/edge/edg_wait.c
+++ b/src/edge/edg_wait.c
@@ -138,6 +138,7 @@
 {
 	adm_room_record_end(&edge->room, edg_now(edge));
 	edge->full.until = 0;
+	edg_schedule_moves(edge);
 	if (edge->waiting->length)
 		schedule_round(edge, 0);
 }
--- a/src/edge/stall_detection.c
+++ b/src/edge/stall_detection.c
@@ -73,36 +73,27 @@
 			PAUSE_WEIGHT * ((double)pause - request->mean_pause);
 }
 
-/* Moving may end requests, so this iterates over a copy of the set. */
 static void move_requests(struct edg_edge *edge, const struct flt_target *lost,
 			  const char *why)
 {
-	GList *requests = g_hash_table_get_keys(edge->requests);
-	GList *item;
+	GHashTableIter iter;
+	gpointer key;
 	clk_ms now = edg_now(edge);
+	bool is_any_waiting = false;
 
-	for (item = requests; item; item = item->next) {
-		struct edg_request *request = item->data;
-
-		const struct pth_path *taking_over = tko_path(request);
+	g_hash_table_iter_init(&iter, edge->requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct edg_request *request = key;
+		const struct pth_path *next = tko_path(request);
 
 		if (request->is_freed || !request->path || !request->exchange ||
 		    !is_silent(request, now))
 			continue;
-		if (taking_over) {
-			if (pth_contains(taking_over, lost))
-				tko_start(request);
-			continue;
-		}
-		if (!pth_contains(request->path, lost))
-			continue;
-		/* Only the head can change the path, and it is lost. */
-		if (request->target == lost)
-			edg_resume(request, why);
-		else
-			edg_change_path(request, why);
+		if (pth_contains(next ? next : request->path, lost))
+			is_any_waiting |= edg_need_move(request, lost, why);
 	}
-	g_list_free(requests);
+	if (is_any_waiting)
+		edg_start_moves(edge);
 }
 
 static void log_avoided(struct edg_edge *edge, const struct flt_target *target,
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -104,7 +104,7 @@
 		     response->status, is_not_run);
 	record_refusal(takeover, is_not_run);
 	takeover_free(takeover);
-	edg_resume(request, "takeover_refused");
+	edg_move_refused(request, "refused");
 }
 
 static void on_data(void *user, const char *bytes, size_t len)
@@ -134,9 +134,12 @@
 	flt_record_failure(target, edg_now(request->edge));
 	edg_question_target(request, target, sent_to_start, how);
 	flt_target_drop(target);
-	if (!request->is_freed && !request->takeover &&
-	    !(is_not_sent && ++request->connect_failures > MAX_UNREACHABLE))
-		edg_resume(request, "takeover_failed");
+	if (request->is_freed || request->takeover)
+		return;
+	if (is_not_sent && ++request->connect_failures > MAX_UNREACHABLE)
+		edg_move_ended(request, "failed");
+	else if (!edg_resume(request, "takeover_failed"))
+		edg_move_refused(request, "failed");
 }
 
 static const struct hup_ops ops = {on_head, on_data, on_end};
@@ -149,6 +152,7 @@
 	struct pth_path *path = NULL;
 
 	query.without = request->target;
+	ctr_add(edge->counters, "wf_edge_move_searches_total", 1);
 	pth_find(edge->fleet, edg_now(edge), &query, edge->rand, &path);
 	return path;
 }
@@ -180,6 +184,7 @@
 	takeover->sent_to_start = takeover->target->latest_start;
 	pth_reserve(path, takeover->sent_at, edg_path_query(request).tokens);
 	request->takeover = takeover;
+	edg_move_started(request, request->service->engine->layers);
 	takeover->exchange =
 		edg_open_send(request, takeover->target, path, &ops, takeover);
 	return true;
