edge: count the work of a path change by the engines new to it

Cause: the work of an ordered path change was counted by its prefill times, which are 0 where the engine entry states no prefill rate, so the budget did not bind there.

Change: count the layers of the engines that the present path doesn't include.

Result: with room for one stream more, two streams of a lost engine were both moved at once; now the second one is moved when the first one has its next event. The new test failed before the change, and fails with EDGE_MOVE_BUDGET off.

--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -112,8 +112,9 @@
 	       request->splitter.events * EDG_TOKENS_PER_EVENT;
 }
 
-/* Layers of the path that prefill the tokens so far. */
-static double count_moved_layers(const struct pth_path *path)
+/* Layers that engines which are new to the path prefill. */
+static double count_moved_layers(const struct pth_path *path,
+				 const struct pth_path *current)
 {
 	double layers = 0;
 	guint i;
@@ -122,7 +123,7 @@
 		const struct pth_stage *stage =
 			&g_array_index(path->stages, struct pth_stage, i);
 
-		if (stage->prefill_ms > 0)
+		if (!pth_contains(current, stage->target))
 			layers += stage->range.end - stage->range.first;
 	}
 	return layers;
@@ -148,7 +149,8 @@
 	pth_reserve(request->next_path, edg_now(edge), query.tokens);
 	request->reroutes++;
 	request->reroute_orders = 0;
-	edg_move_started(request, count_moved_layers(request->next_path));
+	edg_move_started(request,
+			 count_moved_layers(request->next_path, request->path));
 	order_reroute(request);
 	return true;
 }
--- a/tests/platform/moves_wire_test.c
+++ b/tests/platform/moves_wire_test.c
@@ -66,18 +66,18 @@
 	return true;
 }
 
-static void open_engines(struct platform_world *world, guint tails)
+static void open_engines(struct platform_world *world, guint heads, guint tails)
 {
 	guint i;
 
 	memset(&attempts, 0, sizeof(attempts));
 	world_open(world);
 	world_put(world, "config", "main", world_config(1));
-	for (i = 0; i < HEADS + tails; i++) {
+	for (i = 0; i < heads + tails; i++) {
 		char *id = g_strdup_printf("e%u", i);
 
-		world_worker(world, id, "model", i < HEADS ? 0 : 4,
-			     i < HEADS ? 4 : 8);
+		world_worker(world, id, "model", i < heads ? 0 : 4,
+			     i < heads ? 4 : 8);
 		g_free(id);
 	}
 	world_start_ready_edge(world);
@@ -113,7 +113,7 @@
 	clk_ms backoff = MIN_BACKOFF_MS;
 	guint i;
 
-	open_engines(&world, TAILS);
+	open_engines(&world, HEADS, TAILS);
 	client = world_request(&world, "POST", "/stream/", KEY TOKENS, "");
 	wire_client_await(&world.wire, client, "data: one");
 	lose_second_engine(&world);
@@ -155,7 +155,7 @@
 	struct wire_client *clients[STREAMS];
 	guint i;
 
-	open_engines(&world, 1);
+	open_engines(&world, HEADS, 1);
 	for (i = 0; i < STREAMS; i++) {
 		clients[i] = world_request(&world, "POST", "/stream/",
 					   KEY TOKENS, "");
@@ -181,6 +181,56 @@
 }
 END_TEST
 
+/* Records and accepts changes of path, without an event. */
+static bool accept_silently(struct worker *worker, struct wire_conn *conn,
+			    const char *request)
+{
+	if (!g_str_has_prefix(request, "POST /order"))
+		return accept_moves(worker, conn, request);
+	record_attempt(worker->world, true);
+	wire_answer(conn, 202, "", "{}");
+	return true;
+}
+
+/* Guards against prefills of all streams at once when little memory is free. */
+START_TEST(streams_are_moved_one_after_another_when_little_is_free)
+{
+	/* Two of them take most of an engine's memory. The second one has less
+	 * output left. */
+	static const char *const counts[] = {
+		"X-Wagtailferry-Token-Counts: 22500,50\r\n" KEY,
+		"X-Wagtailferry-Token-Counts: 22500,40\r\n" KEY};
+	struct platform_world world;
+	struct wire_client *clients[G_N_ELEMENTS(counts)];
+	struct worker *head;
+	guint i;
+
+	open_engines(&world, 1, 1);
+	head = worker(&world, 0);
+	for (i = 0; i < G_N_ELEMENTS(counts); i++) {
+		clients[i] = world_request(&world, "POST", "/stream/",
+					   counts[i], "");
+		wire_client_await(&world.wire, clients[i], "data: one");
+	}
+	world_worker(&world, "tail1", "model", 4, 8);
+	head->script = accept_silently;
+	head->stalled = wire_server_address(worker(&world, 1)->server);
+	world_run(&world, 500);
+	ck_assert_uint_eq(attempts.count, 1);
+	/* The second stream goes on, and ends. */
+	worker_resume_stream(head);
+	wire_client_await(&world.wire, clients[1], "data: two");
+	world_run(&world, TURN_MS);
+	ck_assert_uint_eq(attempts.count, 2);
+	ck_assert_int_eq(ctr_get(world.counters,
+				 "wf_edge_moves_total{result=\"moved\"}"),
+			 1);
+	for (i = 0; i < G_N_ELEMENTS(counts); i++)
+		wire_client_drop(clients[i]);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("moves");
@@ -189,5 +239,7 @@
 	tcase_add_test(tcase,
 		       refused_stream_is_moved_again_after_a_growing_time);
 	tcase_add_test(tcase, streams_are_moved_at_once_when_there_is_room);
+	tcase_add_test(tcase,
+		       streams_are_moved_one_after_another_when_little_is_free);
 	return sup_run_case("moves_wire", tcase);
 }
