--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -186,6 +186,8 @@
 	if (!strcmp(http->url, "/metrics")) {
 		ctr_set_gauge(edge->counters, "wf_edge_open_requests",
 			      g_hash_table_size(edge->requests));
+		ctr_set_gauge(edge->counters, "wf_edge_moves_waiting",
+			      edge->moves.waiting);
 		ctr_set_gauge(edge->counters, "wf_edge_config_age_ms",
 			      edg_now(edge) - edge->catalog_confirmed_at);
 		ctr_set_gauge(edge->counters, "wf_edge_quarantined_parts",
@@ -395,7 +397,8 @@
 	edge->drain_timer.data = edge;
 	edge->peer_timer.data = edge;
 	edg_watch_turns(edge);
-	edge->open_handles = 7;
+	edg_open_moves(edge);
+	edge->open_handles = 8;
 	edg_open_quarantine(edge);
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->caller_server, settings->caller_address, error) &&
@@ -466,6 +469,7 @@
 	uv_close((uv_handle_t *)&edge->drain_timer, on_handle_closed);
 	uv_close((uv_handle_t *)&edge->peer_timer, on_handle_closed);
 	uv_close((uv_handle_t *)&edge->wait_timer, on_handle_closed);
+	uv_close((uv_handle_t *)&edge->move_timer, on_handle_closed);
 	uv_close((uv_handle_t *)&edge->quarantine_timer, on_handle_closed);
 	uv_close((uv_handle_t *)&edge->turn_end, on_handle_closed);
 	uv_close((uv_handle_t *)&edge->turn_timers, on_handle_closed);
