edge: count only searches for a move that are made

Cause: wf_edge_move_searches_total also counted attempts that ended before the search, after the maximum number of path changes or with a head that is down.

Result: moves_wire_test, edge_wire_test, silence_wire_test and recovery_test pass (87 checks).

--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -138,10 +138,11 @@
 
 	query.current = request->path;
 	query.prefill_tokens = edg_tokens_so_far(request);
-	ctr_add(edge->counters, "wf_edge_move_searches_total", 1);
 	if (request->reroutes >= MAX_REROUTES ||
-	    edg_now(edge) < request->target->down_until ||
-	    pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
+	    edg_now(edge) < request->target->down_until)
+		return false;
+	ctr_add(edge->counters, "wf_edge_move_searches_total", 1);
+	if (pth_find(edge->fleet, edg_now(edge), &query, edge->rand,
 		     &request->next_path) != PTH_FOUND)
 		return false;
 	/* Reserved before the answer, so that other requests of the lost engine
