forward: count what long prompts cost in path searches

The chunks of a long prompt delay all streams on an engine, and short prompts behind it wait. The cost of a path knew only the read time of the backlog, so long prompts spread over all engines and the short ones met them everywhere.

A stage now also costs the delay that the chunks beyond the usual length mean for the running streams, and an engine that isn't prefilling a long prompt yet costs a long one more, so that long prompts collect. A backlog of more than two usual prompts costs the others 1 ms per ms instead of 0.15; to a long prompt the wait matters less. The backlog includes the decode steps between chunks, the pairs of tokens, and the stages before. What the prefill costs others doesn't make a path unacceptable, so a long prompt stays in its data centre. All of this is computed per candidate and holds where the entry states the chunk size.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -232,8 +232,8 @@
 struct pth_stage {
 	struct flt_target *target;
 	struct flt_range range;
-	/* Prefill time of the request's tokens, in ms; 0 for a stage that a
-	 * reroute keeps. */
+	/* Prefill time of the request's tokens, with the decode steps between
+	 * their chunks, in ms; 0 for a stage that a reroute keeps. */
 	double prefill_ms;
 };
 
@@ -243,9 +243,13 @@
 	GArray *stages;
 	/* Whether its load is counted at its targets. */
 	bool is_reserved;
+	/* Whether the prompt is several times as long as the usual one. */
+	bool is_long;
 	double tokens;
 	/* Expected time per token at the present load. */
 	double token_ms;
+	/* What its prefill costs other requests, in ms; see pfc. */
+	double delay_cost;
 };
 
 enum pth_result {
--- a/src/forward/path.c
+++ b/src/forward/path.c
@@ -45,17 +45,25 @@
 	pth_head(path)->in_flight += (unsigned)sign;
 }
 
+/* The last chunk of a long prompt reaches a stage only after the stages before
+ * it have prefilled it. */
 static void add_read_backlog(struct pth_path *path, clk_ms now)
 {
+	double ends = 0;
 	guint i;
 
 	for (i = 0; i < path->stages->len; i++) {
 		struct pth_stage *stage =
 			&g_array_index(path->stages, struct pth_stage, i);
+		struct flt_target *target = stage->target;
 
-		stage->target->prefill_until =
-			MAX(stage->target->prefill_until, (double)now) +
+		target->prefill_until =
+			MAX(target->prefill_until, (double)now) +
 			stage->prefill_ms;
+		if (path->is_long)
+			target->prefill_until =
+				MAX(target->prefill_until, ends);
+		ends = target->prefill_until;
 	}
 }
 
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "forward/path_private.h"
+#include "forward/prefill_cost.h"
 
 /* Time to transfer and queue activations at each stage, in ms. */
 #define STAGE_OVERHEAD_MS 0.3
@@ -30,12 +31,9 @@
 #define AVOIDED_COST_MS 1000.0
 /* A stage of the current path is cheaper, as it has its KV cache already. */
 #define KEPT_STAGE_FACTOR 0.3
-/* Cost per ms of the backlog of an engine: it reads the tokens of earlier
- * requests first, and a request waits for its slowest stage. */
-#define BACKLOG_FACTOR 0.15
-/* If the cost of a path within a data centre exceeds its time per token by
- * this, its engines are full, busy or degraded, and a path across data centres
- * may be better. */
+/* If the cost of a path within a data centre exceeds its time per token and
+ * what its prefill costs other requests by this, its engines are full, busy or
+ * degraded, and a path across data centres may be better. */
 #define MAX_EXCESS_MS (2 * CROSS_CENTER_MS)
 #define MAX_BOUNDARIES 512
 #define MAX_DATA_CENTERS 64
@@ -61,8 +59,11 @@
 	/* Cost per layer, and per stage. */
 	double layer_ms;
 	double fixed_cost;
-	/* Time to read the request's tokens (prefill) in one layer. */
+	/* Time that the prefill of the request's tokens takes in one layer. */
 	double layer_prefill_ms;
+	/* What that costs other requests, per layer and per stage. */
+	double layer_delay_cost;
+	double spread_cost;
 	/* Free KV cache, in tokens times layers. */
 	double free_token_layers;
 	/* Layers before this one are left to other engines. */
@@ -184,6 +185,34 @@
 		cat_find_accelerator(engine, target->accelerator));
 }
 
+/* Adds what the prefill of the request's tokens means for it and others. */
+static void add_prefill(const struct search *search,
+			struct candidate *candidate, double factor,
+			double token_ms)
+{
+	const struct cat_engine *engine = search->query->engine;
+	const struct flt_target *target = candidate->target;
+	double layers = engine->layers;
+	double tokens = search->query->prefill_tokens;
+	double share = (target->holds.end - target->holds.first) / layers;
+	double usual_ms = share * pfc_read_ms(engine, factor,
+					      engine->usual_prompt_tokens);
+	double backlog = MAX(target->prefill_until - (double)search->now, 0);
+
+	candidate->layer_prefill_ms =
+		pfc_occupied_ms(engine, factor, tokens, token_ms) / layers;
+	candidate->layer_delay_cost =
+		pfc_delay_cost(engine, factor, tokens,
+			       target->on_path + target->others.on_path) /
+		layers;
+	candidate->spread_cost =
+		pfc_spread_cost(engine, tokens, backlog,
+				share * layers * candidate->layer_prefill_ms);
+	candidate->fixed_cost +=
+		pfc_wait_cost(engine, tokens, backlog, usual_ms) +
+		candidate->spread_cost;
+}
+
 static struct candidate make_candidate(struct search *search,
 				       struct flt_target *target)
 {
@@ -202,6 +231,7 @@
 		1 +
 		(search->rand ? COST_JITTER * g_rand_double(search->rand) : 0);
 	struct candidate candidate = {.target = target};
+	double step_ms;
 	double slot_use;
 
 	if (search->now < target->slow_until && target->slowdown > 1)
@@ -210,24 +240,19 @@
 	candidate.first_layer = target->holds.first;
 	candidate.free_token_layers =
 		search->now < target->full_until ? 0 : all - used;
-	candidate.layer_ms =
-		jitter * token_ms(search, target, pace) / engine->layers;
+	step_ms = token_ms(search, target, pace);
+	candidate.layer_ms = jitter * step_ms / engine->layers;
 	candidate.fixed_cost =
 		jitter *
 		(STAGE_OVERHEAD_MS + FULL_MEMORY_MS * memory_use * memory_use *
 					     memory_use * memory_use);
-	if (engine->prefill_tokens_per_ms > 0)
-		candidate.layer_prefill_ms =
-			search->query->prefill_tokens /
-			engine->prefill_tokens_per_ms *
-			(accelerator ? accelerator->prefill_factor : 1) /
-			engine->layers;
-	candidate.fixed_cost +=
-		BACKLOG_FACTOR *
-		MAX(target->prefill_until - (double)search->now, 0);
+	add_prefill(search, &candidate,
+		    accelerator ? accelerator->prefill_factor : 1, step_ms);
 	if (is_kept(search, target)) {
 		candidate.fixed_cost = STAGE_OVERHEAD_MS * KEPT_STAGE_FACTOR;
 		candidate.layer_prefill_ms = 0;
+		candidate.layer_delay_cost = 0;
+		candidate.spread_cost = 0;
 		candidate.layer_ms *= KEPT_STAGE_FACTOR;
 		candidate.free_token_layers = INFINITY;
 	}
@@ -331,7 +356,9 @@
 	     to++) {
 		unsigned layers = search->boundaries[to] - first;
 		struct cell *end = cell_at(search, to, engine->center);
-		double cost = base + engine->layer_ms * layers;
+		double cost =
+			base +
+			(engine->layer_ms + engine->layer_delay_cost) * layers;
 
 		if (cost >= end->cost)
 			continue;
@@ -380,6 +407,9 @@
 	struct pth_path *path = pth_new();
 	int boundary = search->n_boundaries - 1;
 
+	path->is_long = pfc_is_known(search->query->engine) &&
+			pfc_is_long(search->query->engine,
+				    search->query->prefill_tokens);
 	while (!is_start(search, boundary)) {
 		const struct cell *cell = cell_at(search, boundary, center);
 		const struct candidate *engine = &g_array_index(
@@ -394,6 +424,8 @@
 		stage.prefill_ms = engine->layer_prefill_ms * layers;
 		pth_prepend(path, stage);
 		path->token_ms += STAGE_OVERHEAD_MS + engine->layer_ms * layers;
+		path->delay_cost +=
+			engine->layer_delay_cost * layers + engine->spread_cost;
 		boundary = cell->from;
 		center = (unsigned)cell->prev_center;
 	}
@@ -527,7 +559,7 @@
 
 static bool is_acceptable(const struct pth_path *path, double cost)
 {
-	return path && cost - path->token_ms < MAX_EXCESS_MS;
+	return path && cost - path->token_ms - path->delay_cost < MAX_EXCESS_MS;
 }
 
 /* Time in ms for which a request of that many tokens occupies the link for each
