peers: report the prefill backlog

An instance knew the prompts that it had sent to an engine itself. With 25 instances it saw a small part of the backlog: it sent short prompts behind the long ones of others, and spread its own long ones over engines that others kept free of them.

Load reports name for each target the time until its prompts are prefilled. The search adds it, less half the reports' interval for what has been prefilled since. It is limited to 10 s on receipt and is dropped with the rest of a peer's load. Reports of earlier versions, without the field, are still taken. The receive buffer covers the longest report with it.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -32,6 +32,8 @@
 	unsigned on_path;
 	/* KV cache in use, in tokens times layers. */
 	double token_layers;
+	/* Time until the prompts sent to it are prefilled, in ms. */
+	double prefill_ms;
 };
 
 /*
@@ -73,7 +75,8 @@
 	unsigned on_path;
 	/* KV cache that local requests use, in tokens times layers. */
 	double used_token_layers;
-	/* Load of the other instances, as last reported. */
+	/* Load of the other instances, as last reported. The sum of their
+	 * prefill times is that of the reports: it has shrunk since. */
 	struct flt_load others;
 	/* When it is expected to have finished the prefill of the local
 	 * requests, in ms. */
--- a/src/edge/prs_loads.c
+++ b/src/edge/prs_loads.c
@@ -15,6 +15,8 @@
 /* Above the requests of any target; the sum over all peers does not overflow.
  */
 #define MAX_REPORTED_REQUESTS 1000000
+/* A reported backlog above this is not distinguished. */
+#define MAX_PREFILL_MS (10 * CLK_SECOND)
 
 clk_ms prs_now(const struct prs_peers *peers)
 {
@@ -32,6 +34,7 @@
 	sum->in_flight += load->in_flight;
 	sum->on_path += load->on_path;
 	sum->token_layers += load->token_layers;
+	sum->prefill_ms += load->prefill_ms;
 }
 
 static void take_from(struct flt_load *sum, const struct flt_load *load)
@@ -39,6 +42,7 @@
 	sum->in_flight -= MIN(sum->in_flight, load->in_flight);
 	sum->on_path -= MIN(sum->on_path, load->on_path);
 	sum->token_layers -= MIN(sum->token_layers, load->token_layers);
+	sum->prefill_ms -= MIN(sum->prefill_ms, load->prefill_ms);
 }
 
 /* Adds (sign 1) or subtracts (sign -1) load of others at its targets. */
@@ -94,6 +98,12 @@
 	return center;
 }
 
+static double reported_prefill_ms(const Wf__LoadReport *report, size_t i)
+{
+	return report->n_prefill_ms ? MIN(report->prefill_ms[i], MAX_PREFILL_MS)
+				    : 0;
+}
+
 static void replace_loads(struct prs_peers *peers, GArray *loads,
 			  const Wf__LoadReport *report)
 {
@@ -104,7 +114,8 @@
 		struct prs_load entry = {report->target[i],
 					 {report->in_flight[i],
 					  report->on_path[i],
-					  report->kilo_token_layers[i] * KILO}};
+					  report->kilo_token_layers[i] * KILO,
+					  reported_prefill_ms(report, i)}};
 
 		g_array_append_val(loads, entry);
 	}
@@ -164,12 +175,14 @@
 static void add_own_loads(const struct prs_peers *peers, GHashTable *sums)
 {
 	const GPtrArray *targets = flt_targets(peers->config.fleet);
+	double now = (double)prs_now(peers);
 	guint i;
 
 	for (i = 0; i < targets->len; i++) {
 		const struct flt_target *target = targets->pdata[i];
 		struct flt_load load = {target->in_flight, target->on_path,
-					MAX(target->used_token_layers, 0)};
+					MAX(target->used_token_layers, 0),
+					MAX(target->prefill_until - now, 0)};
 
 		if (load.in_flight || load.on_path)
 			add_load(sums, target->id_hash, &load);
@@ -247,9 +260,13 @@
 		out->on_path[i] = entry->load.on_path;
 		out->kilo_token_layers[i] =
 			(uint32_t)lround(entry->load.token_layers / KILO);
+		out->prefill_ms[i] = (uint32_t)lround(
+			MIN(entry->load.prefill_ms, MAX_PREFILL_MS));
 	}
 	report->n_target = report->n_in_flight = loads->len;
 	report->n_on_path = report->n_kilo_token_layers = loads->len;
+	report->n_prefill_ms = loads->len;
+	report->prefill_ms = out->prefill_ms;
 	report->target = out->target;
 	report->in_flight = out->in_flight;
 	report->on_path = out->on_path;
--- a/src/edge/prs_private.h
+++ b/src/edge/prs_private.h
@@ -68,7 +68,8 @@
 	/* Token bucket of bytes, and when it was last refilled. */
 	double send_budget;
 	clk_ms budget_updated_at;
-	char buffer[2048];
+	/* Above the longest report. */
+	char buffer[2560];
 };
 
 /* The parallel arrays of a report. */
@@ -77,6 +78,7 @@
 	uint32_t in_flight[PRS_MAX_TARGETS];
 	uint32_t on_path[PRS_MAX_TARGETS];
 	uint32_t kilo_token_layers[PRS_MAX_TARGETS];
+	uint32_t prefill_ms[PRS_MAX_TARGETS];
 	uint64_t suspect_part[QTN_MAX_RECORDS];
 	uint32_t suspect_crash[QTN_MAX_RECORDS];
 	uint32_t suspect_age_ms[QTN_MAX_RECORDS];
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -525,6 +525,11 @@
 	return &fleet->links;
 }
 
+clk_ms flt_report_age(const struct flt_fleet *fleet)
+{
+	return fleet->report_age;
+}
+
 struct uns_load *flt_unseen_load(struct flt_fleet *fleet, const char *service)
 {
 	struct uns_load *load =
--- a/src/forward/path_private.h
+++ b/src/forward/path_private.h
@@ -13,6 +13,9 @@
 /* This instance's share of the links between data centres. */
 struct lnk_budget *flt_links(struct flt_fleet *fleet);
 
+/* Age in ms that the load reports of peers have just before the next ones. */
+clk_ms flt_report_age(const struct flt_fleet *fleet);
+
 /* What others may have reserved at the engines of a service. */
 struct uns_load *flt_unseen_load(struct flt_fleet *fleet, const char *service);
 
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -185,6 +185,20 @@
 		cat_find_accelerator(engine, target->accelerator));
 }
 
+/* Time in ms until the target has prefilled the prompts of all instances. What
+ * others reported has shrunk since, on average in half the reports' interval.
+ */
+static double prefill_backlog(const struct search *search,
+			      const struct flt_target *target)
+{
+	double own = target->prefill_until - (double)search->now;
+	double shrunk = (double)flt_report_age(search->fleet) / 2;
+
+	if (!pfc_is_known(search->query->engine))
+		return MAX(own, 0);
+	return MAX(own, 0) + MAX(target->others.prefill_ms - shrunk, 0);
+}
+
 /* Adds what the prefill of the request's tokens means for it and others. */
 static void add_prefill(const struct search *search,
 			struct candidate *candidate, double factor,
@@ -197,7 +211,7 @@
 	double share = (target->holds.end - target->holds.first) / layers;
 	double usual_ms = share * pfc_read_ms(engine, factor,
 					      engine->usual_prompt_tokens);
-	double backlog = MAX(target->prefill_until - (double)search->now, 0);
+	double backlog = prefill_backlog(search, target);
 
 	candidate->layer_prefill_ms =
 		pfc_occupied_ms(engine, factor, tokens, token_ms) / layers;
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -411,7 +411,7 @@
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[19] =
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[20] =
 {
   {
     "instance",
@@ -641,6 +641,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefill_ms",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wf__LoadReport, n_prefill_ms),
+    offsetof(Wf__LoadReport, prefill_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__load_report__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -656,6 +668,7 @@
   9,   /* field[9] = interval_ms */
   13,   /* field[13] = kilo_token_layers */
   12,   /* field[12] = on_path */
+  19,   /* field[19] = prefill_ms */
   6,   /* field[6] = sent_ms */
   4,   /* field[4] = sequence */
   17,   /* field[17] = suspect_age_ms */
@@ -667,7 +680,7 @@
 {
   { 1, 0 },
   { 8, 5 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor wf__load_report__descriptor =
 {
@@ -677,7 +690,7 @@
   "Wf__LoadReport",
   "wf",
   sizeof(Wf__LoadReport),
-  19,
+  20,
   wf__load_report__field_descriptors,
   wf__load_report__field_indices_by_name,
   2,  wf__load_report__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -193,10 +193,16 @@
   uint32_t *suspect_crash;
   size_t n_suspect_age_ms;
   uint32_t *suspect_age_ms;
+  /*
+   * For each target, the time in ms until it is expected to have prefilled the
+   * prompts of its requests. Absent in the reports of earlier versions.
+   */
+  size_t n_prefill_ms;
+  uint32_t *prefill_ms;
 };
 #define WF__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Wf__EdgeSettings methods */
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -551,11 +551,43 @@
 	deliver(&pair, pack(&report));
 	ck_assert_int_eq(ctr_get(pair.counters, "wf_peer_bad_reports_total"),
 			 1);
+	report.n_in_flight = report.n_on_path = report.n_kilo_token_layers = 3;
+	report.in_flight = report.on_path = targets;
+	report.kilo_token_layers = targets;
+	report.n_prefill_ms = 1;
+	report.prefill_ms = targets;
+	deliver(&pair, pack(&report));
+	ck_assert_int_eq(ctr_get(pair.counters, "wf_peer_bad_reports_total"),
+			 2);
 	ck_assert_uint_eq(prs_count_instances(pair.peers[1]), 1);
 	pair_close(&pair);
 }
 END_TEST
 
+/* Guards against a short prompt that is sent to an engine at which another
+ * instance's long prompts wait, also after that instance has stopped. */
+START_TEST(prefill_of_peers_is_known_until_their_reports_stop)
+{
+	struct pair pair;
+	struct flt_target *target;
+
+	pair_open(&pair);
+	target = engine(&pair, 0);
+	target->on_path = 1;
+	target->prefill_until = (double)pair.now + 700;
+	deliver(&pair, prs_make_report(pair.peers[0], "two"));
+	target = flt_find_by_hash(pair.fleets[1], target->id_hash);
+	ck_assert_double_eq(target->others.prefill_ms, 700);
+	pair.now += 600;
+	deliver(&pair, prs_make_report(pair.peers[0], "two"));
+	ck_assert_double_eq(target->others.prefill_ms, 100);
+	pair.now += 3000;
+	prs_expire(pair.peers[1]);
+	ck_assert_double_eq(target->others.prefill_ms, 0);
+	pair_close(&pair);
+}
+END_TEST
+
 /* Guards against load that alternates between dropped and counted, if a peer
  * has so many others to report to that its reports are far apart. */
 START_TEST(infrequent_report_counts_until_the_next)
@@ -671,6 +703,8 @@
 	tcase_add_test(tcase, load_of_a_data_center_counts_once);
 	tcase_add_test(tcase, report_to_another_data_center_sums_the_own_one);
 	tcase_add_test(tcase, report_with_unequal_arrays_is_dropped);
+	tcase_add_test(tcase,
+		       prefill_of_peers_is_known_until_their_reports_stop);
 	tcase_add_test(tcase, reports_stay_within_byte_budget_at_planned_size);
 	tcase_add_test(tcase, infrequent_report_counts_until_the_next);
 	tcase_add_test(tcase, confirmation_is_dated_by_the_echoed_report);
--- a/tests/fuzz/report_fuzz.c
+++ b/tests/fuzz/report_fuzz.c
@@ -86,7 +86,8 @@
 		const struct flt_target *target = flt_targets(fleet)->pdata[i];
 
 		if (target->others.on_path || target->others.in_flight ||
-		    target->others.token_layers > 0)
+		    target->others.token_layers > 0 ||
+		    target->others.prefill_ms > 0)
 			abort();
 	}
 	prs_drop(peers);
--- a/tests/prefill_cost_test.c
+++ b/tests/prefill_cost_test.c
@@ -307,6 +307,25 @@
 }
 END_TEST
 
+/* Guards against short prompts behind the long ones of other instances. */
+START_TEST(backlog_of_other_instances_is_avoided)
+{
+	struct model model;
+	unsigned i;
+
+	setup(&model, 1);
+	for (i = 0; i < ENGINES; i++) {
+		if (i % REPLICAS)
+			model.engines[i]->others.prefill_ms = 300;
+	}
+	add_run(&model, 1, 300);
+	end_runs(&model, 1);
+	for (i = 0; i < ENGINES; i++)
+		ck_assert_uint_eq(model.engines[i]->on_path, !(i % REPLICAS));
+	teardown(&model);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("prefill_cost");
@@ -316,5 +335,6 @@
 			    SEEDS);
 	tcase_add_loop_test(tcase, usual_prompts_are_served_as_before, 0,
 			    SEEDS);
+	tcase_add_test(tcase, backlog_of_other_instances_is_avoided);
 	return sup_run_case("prefill_cost", tcase);
 }
