edge: count stream times by the length of the prompt

The latency histogram had all streams in one, so that it didn't show whether short prompts wait for long ones. wf_edge_first_event_seconds and wf_edge_pause_seconds tell short and long prompts apart; long is above twice the engine entry's usual prompt.

--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -393,6 +393,7 @@
 	edge->peer_timer.data = edge;
 	edge->open_timers = 4;
 	edg_open_quarantine(edge);
+	edg_init_histograms(edge);
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->caller_server, settings->caller_address, error) &&
 	    hsv_listen(edge->operator_server, settings->ready_address, error) &&
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -24,6 +24,18 @@
 	clk_ms until;
 };
 
+/* Upper bounds in the latency histograms, the last one infinite. */
+#define EDG_LATENCY_BUCKETS 10
+
+/* A histogram in seconds: the names of its counters, and the time in ms that is
+ * not in the sum yet, which counts whole seconds. */
+struct edg_histogram {
+	const char *buckets[EDG_LATENCY_BUCKETS];
+	const char *sum;
+	const char *count;
+	clk_ms rest;
+};
+
 struct edg_edge {
 	uv_loop_t *loop;
 	struct drv_clock clock;
@@ -93,6 +105,9 @@
 	uv_timer_t quarantine_timer;
 
 	struct lgb_budget log_budget;
+	/* Of streams of model services, with short and with long prompts. */
+	struct edg_histogram first_events[2];
+	struct edg_histogram pauses[2];
 };
 
 /* A target on which a request ran, or may have run. */
@@ -254,6 +269,11 @@
 /* Adds the time to the answer, or to the first event of a stream, to the
  * latency histogram. */
 void edg_record_latency(struct edg_edge *edge, bool is_stream, clk_ms took);
+void edg_init_histograms(struct edg_edge *edge);
+/* Add the time to the first event, or between two events, to the histograms by
+ * the length of the prompt. */
+void edg_record_first_event(struct edg_request *request, clk_ms took);
+void edg_record_pause(struct edg_request *request, clk_ms pause);
 
 /* edg_forward.c */
 /* Sends the request to request->target along request->path. */
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -75,9 +75,11 @@
 	if (request->first_event_at) {
 		request->longest_pause = MAX(request->longest_pause, pause);
 		stl_record_pause(request, pause);
+		edg_record_pause(request, pause);
 	} else {
 		request->first_event_at = now;
 		edg_record_latency(request->edge, true, now - request->started);
+		edg_record_first_event(request, now - request->started);
 	}
 	request->last_event_at = now;
 }
--- a/tests/platform/edge_wire_test.c
+++ b/tests/platform/edge_wire_test.c
@@ -9,6 +9,7 @@
 
 #define KEY "Authorization: Token key1\r\n"
 #define TOKENS "X-Wagtailferry-Token-Counts: 50,50\r\n"
+#define LONG_TOKENS "X-Wagtailferry-Token-Counts: 400,50\r\n"
 
 static struct worker *worker(struct platform_world *world, guint i)
 {
@@ -605,6 +606,36 @@
 }
 END_TEST
 
+static uint64_t count_of(const struct platform_world *world, const char *name)
+{
+	return (uint64_t)ctr_get(world->counters, name);
+}
+
+/* Guards against short prompts that wait for long ones unseen in the times of
+ * all streams. */
+START_TEST(stream_times_are_counted_by_prompt_length)
+{
+	struct platform_world world;
+
+	world_open_engines(&world);
+	expect(&world, "POST", "/stream/", KEY TOKENS, "data: two");
+	expect(&world, "POST", "/stream/", KEY LONG_TOKENS, "data: two");
+	ck_assert_uint_eq(
+		count_of(&world,
+			 "wf_edge_first_event_seconds_count{size=\"short\"}"),
+		1);
+	ck_assert_uint_eq(
+		count_of(
+			&world,
+			"wf_edge_pause_seconds_bucket{size=\"long\",le=\"5\"}"),
+		1);
+	ck_assert_uint_eq(count_of(&world, "wf_edge_first_event_seconds_bucket{"
+					   "size=\"long\",le=\"+Inf\"}"),
+			  1);
+	world_close(&world);
+}
+END_TEST
+
 /* Streams that the two heads of world_open_engines() may run together. */
 #define HEAD_STREAMS 12
 
@@ -1280,6 +1311,7 @@
 	tcase_add_test(tcase, broken_stream_continues_after_its_last_event);
 	tcase_add_test(tcase, stream_with_an_endless_event_continues_elsewhere);
 	tcase_add_test(tcase, path_runs_every_layer_once);
+	tcase_add_test(tcase, stream_times_are_counted_by_prompt_length);
 	tcase_add_test(tcase, crowd_without_room_costs_few_searches);
 	tcase_add_test(tcase,
 		       stream_waits_for_room_only_while_it_can_be_in_time);
