edge: correct the expected output by organisation and route

The load that a stream reserves at its engines came from the caller's hint, which is often far off: classes with longer outputs than their hints fill the memory of engines that were taken to have room.

When a stream has run to its end, its events per token of the hint move the mean of its class, relative to the median over all classes, because the tokens of an event aren't known exactly and hints are right at the median. The expected output is 0.25 to 4 times the hint, and at most the caller's limit. Requests without a hint count with their limit as before. The state is 64 KB. answer_limit= in the log is the caller's limit now, not the smaller one of it and the hint.

output_length_test fails with the guard off. edge_wire_test (67 checks), edge_callers_wire_test, silence_wire_test and edge_parts_wire_test passed.

--- a/src/edge/edg_log.c
+++ b/src/edge/edg_log.c
@@ -72,14 +72,14 @@
 			       ? request->first_event_at - request->started
 			       : -1;
 
-	g_string_append_printf(out,
-			       " prompt=%.0f answer_limit=%.0f"
-			       " events=%u first_event_ms=%" G_GINT64_FORMAT
-			       " longest_pause_ms=%" G_GINT64_FORMAT
-			       " reroutes=%u",
-			       request->prompt_tokens, request->answer_tokens,
-			       request->splitter.events, first,
-			       request->longest_pause, request->reroutes);
+	g_string_append_printf(
+		out,
+		" prompt=%.0f answer_limit=%.0f"
+		" events=%u first_event_ms=%" G_GINT64_FORMAT
+		" longest_pause_ms=%" G_GINT64_FORMAT " reroutes=%u",
+		request->prompt_tokens, request->max_answer_tokens,
+		request->splitter.events, first, request->longest_pause,
+		request->reroutes);
 	if (request->path) {
 		char *path =
 			request->edge->platform->ops->write_path(request->path);
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -10,6 +10,7 @@
 #include "edge/hsv_server.h"
 #include "edge/log_budget.h"
 #include "edge/prs_reports.h"
+#include "forward/output_length.h"
 #include "sched/adm.h"
 #include "sched/adm_room.h"
 
@@ -91,6 +92,7 @@
 	struct adm_queue *waiting;
 	struct adm_room room;
 	struct edg_full full;
+	struct oln_lengths output_lengths;
 	uv_timer_t wait_timer;
 	bool is_draining;
 	clk_ms drain_limit;
@@ -164,7 +166,11 @@
 	/* Its place among the waiting streams. */
 	struct adm_item item;
 	double prompt_tokens;
+	/* Expected output, the most that the caller allows, and its hint; 0 if
+	 * there is none. */
 	double answer_tokens;
+	double max_answer_tokens;
+	double hint_tokens;
 	struct evs_splitter splitter;
 	/* Events, and those that are progress, before the current send. */
 	unsigned events_before_send;
@@ -394,6 +400,9 @@
 /* Ends the requests with parts that were quarantined since the last call. */
 void edg_apply_quarantine(struct edg_edge *edge);
 
+/* Estimated tokens per event, for the context length of a stream. */
+#define EDG_TOKENS_PER_EVENT 4
+
 /* edg_reroute.c */
 /* Moves a request whose path has lost an engine to another path: its head
  * changes the path, or another head continues after the last event. */
--- a/src/edge/edg_reroute.c
+++ b/src/edge/edg_reroute.c
@@ -10,8 +10,6 @@
 /* Minimum time between two searches for a path of a silent stream: many streams
  * are silent at once when an engine is lost. */
 #define RESTART_INTERVAL_MS 500
-/* Estimated tokens per event, for the context length of a stream. */
-#define TOKENS_PER_EVENT 4
 
 /* A pending order to a head to change the path of a running request. */
 struct reroute_call {
@@ -108,7 +106,7 @@
 static double tokens_so_far(const struct edg_request *request)
 {
 	return request->prompt_tokens +
-	       request->splitter.events * TOKENS_PER_EVENT;
+	       request->splitter.events * EDG_TOKENS_PER_EVENT;
 }
 
 /* Changes the path of the running request: the other engines keep their state
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -154,12 +154,29 @@
 		end_send(request, HUP_TOO_LARGE);
 }
 
+static uint64_t length_class(const struct edg_request *request)
+{
+	return oln_class(request->org ? request->org->name : "",
+			 request->route->name);
+}
+
+/* A caller that resumes a stream gets a part of the output only. */
+static void record_output(struct edg_request *request)
+{
+	if (!hdr_get(&request->http->headers,
+		     request->edge->fields->last_event_id))
+		oln_record(&request->edge->output_lengths,
+			   length_class(request), request->hint_tokens,
+			   request->splitter.events * EDG_TOKENS_PER_EVENT);
+}
+
 static void complete(struct edg_request *request)
 {
 	struct hsv_request *http = request->http;
 	clk_ms now = edg_now(request->edge);
 
 	flt_record_response(request->target, now, now - request->sent_at);
+	record_output(request);
 	edg_log_request_end(request, "streamed", request->status);
 	edg_request_free(request);
 	hsv_end_chunked(http);
@@ -469,7 +486,8 @@
 		edg_send_stream(request);
 }
 
-/* Reads the token counts "PROMPT,MAX" and the hint for the answer length. */
+/* Reads the token counts "PROMPT,MAX" and the hint for the answer length, which
+ * is corrected by the outputs of its class. */
 static void parse_token_counts(struct edg_request *request)
 {
 	const struct edg_header_names *fields = request->edge->fields;
@@ -480,11 +498,15 @@
 
 	request->prompt_tokens =
 		counts ? strtoul(counts, NULL, 10) : DEFAULT_PROMPT_TOKENS;
-	request->answer_tokens =
+	request->max_answer_tokens =
 		comma ? strtoul(comma + 1, NULL, 10) : DEFAULT_ANSWER_TOKENS;
-	if (hint && g_ascii_isdigit(*hint))
-		request->answer_tokens =
-			MIN(request->answer_tokens, strtoul(hint, NULL, 10));
+	request->answer_tokens = request->max_answer_tokens;
+	if (!hint || !g_ascii_isdigit(*hint))
+		return;
+	request->hint_tokens = strtoul(hint, NULL, 10);
+	request->answer_tokens = oln_expect(
+		&request->edge->output_lengths, length_class(request),
+		request->hint_tokens, request->max_answer_tokens);
 }
 
 void edg_start_stream(struct edg_request *request)
