forward: let long prompts wait at an engine up to half the objective

Long prompts collect on engines, and nothing limited how many: those short ones that have no other engine would have waited for all of them. A backlog beyond half of the route's objective now costs a long prompt as much as a short one, so that it takes another path. It isn't refused: it would hold up the streams that wait behind it. prefill_cost_test checks both sides and fails with the guard off.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -274,6 +274,8 @@
 	 * that precedes the next event. */
 	double tokens;
 	double prefill_tokens;
+	/* For the time to the next event, in ms; 0 for none. */
+	clk_ms objective;
 	/* Path to be replaced, whose first stage is kept; NULL for a new
 	 * request. */
 	const struct pth_path *current;
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -386,6 +386,7 @@
 		.data_center = request->edge->data_center,
 		.tokens = request->prompt_tokens + request->answer_tokens,
 		.prefill_tokens = request->prompt_tokens,
+		.objective = request->route->objective,
 	};
 
 	return query;
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -223,7 +223,8 @@
 		pfc_spread_cost(engine, tokens, backlog,
 				share * layers * candidate->layer_prefill_ms);
 	candidate->fixed_cost +=
-		pfc_wait_cost(engine, tokens, backlog, usual_ms) +
+		pfc_wait_cost(engine, tokens, backlog, usual_ms,
+			      (double)search->query->objective) +
 		candidate->spread_cost;
 }
 
--- a/src/forward/prefill_cost.c
+++ b/src/forward/prefill_cost.c
@@ -1,5 +1,7 @@
 #include "forward/prefill_cost.h"
 
+#include <math.h>
+
 /* Prompts above this multiple of the usual length are long. */
 #define LONG_FACTOR 2.0
 /* Cost per ms of an engine's backlog: it prefills earlier prompts first, and a
@@ -10,6 +12,9 @@
  * an engine with more streams than wait for a long one. */
 #define USUAL_BACKLOG_PROMPTS 2.0
 #define LONG_BACKLOG_FACTOR 0.85
+/* The same beyond this fraction of the objective for a long prompt: the short
+ * ones that have no other engine must still meet theirs. */
+#define OBJECTIVE_FRACTION 0.5
 /* Cost per ms for which a long prompt makes another engine one that short
  * prompts avoid. */
 #define SPREAD_FACTOR 0.15
@@ -67,19 +72,29 @@
 		pfc_read_ms(engine, factor, usual));
 }
 
+/* Backlog that costs 0.15 ms per ms only. */
+static double cheap_backlog_ms(bool is_long, double usual_ms,
+			       double objective_ms)
+{
+	if (!is_long)
+		return USUAL_BACKLOG_PROMPTS * usual_ms;
+	return objective_ms > 0 ? OBJECTIVE_FRACTION * objective_ms : INFINITY;
+}
+
 double pfc_wait_cost(const struct cat_engine *engine, double tokens,
-		     double backlog_ms, double usual_ms)
+		     double backlog_ms, double usual_ms, double objective_ms)
 {
 	double cost = BACKLOG_FACTOR * backlog_ms;
-	double excess = backlog_ms - USUAL_BACKLOG_PROMPTS * usual_ms;
+	bool is_long = pfc_is_long(engine, tokens);
+	double excess;
 
 	if (!pfc_is_known(engine))
 		return cost;
 	/* A long prompt takes its time anyway: to wait matters less to it than
 	 * to the short ones that it would make wait elsewhere. */
-	if (pfc_is_long(engine, tokens))
-		return cost * LONG_FACTOR * engine->usual_prompt_tokens /
-		       tokens;
+	if (is_long)
+		cost *= LONG_FACTOR * engine->usual_prompt_tokens / tokens;
+	excess = backlog_ms - cheap_backlog_ms(is_long, usual_ms, objective_ms);
 	return cost + LONG_BACKLOG_FACTOR * MAX(excess, 0);
 }
 
--- a/src/forward/prefill_cost.h
+++ b/src/forward/prefill_cost.h
@@ -40,9 +40,10 @@
 		      double tokens, double streams);
 
 /* Cost for a prompt of waiting until a backlog of backlog_ms at a stage is
- * prefilled. usual_ms is the prefill time of a usual prompt there. */
+ * prefilled. usual_ms is the prefill time of a usual prompt there; objective_ms
+ * is that for the time to the first event, 0 if there is none. */
 double pfc_wait_cost(const struct cat_engine *engine, double tokens,
-		     double backlog_ms, double usual_ms);
+		     double backlog_ms, double usual_ms, double objective_ms);
 
 /* Cost of a long prompt on an engine that isn't prefilling long ones yet. Those
  * with a backlog as long as the prompt's own time are avoided by short prompts
--- a/tests/prefill_cost_test.c
+++ b/tests/prefill_cost_test.c
@@ -22,6 +22,7 @@
 #define USUAL_PER_S 60
 #define ANSWER_TOKENS 200
 #define SEEDS 4
+#define OBJECTIVE_MS 500
 #define MAX_WAIT_MS 250
 #define RETRY_MS 25
 
@@ -114,6 +115,7 @@
 		.data_center = "a",
 		.tokens = run->tokens + ANSWER_TOKENS,
 		.prefill_tokens = run->tokens,
+		.objective = OBJECTIVE_MS,
 	};
 
 	if (model->is_bare)
@@ -326,6 +328,35 @@
 }
 END_TEST
 
+/* Returns whether a prompt goes to the engines with a backlog of peers, which
+ * one engine of each stage has. */
+static bool goes_to_backlog(double tokens, double backlog_ms)
+{
+	struct model model;
+	bool result;
+	unsigned i;
+
+	setup(&model, 1);
+	for (i = 0; i < ENGINES; i += REPLICAS)
+		model.engines[i]->others.prefill_ms = backlog_ms;
+	add_run(&model, 1, tokens);
+	end_runs(&model, 1);
+	result = model.engines[0]->on_path > 0;
+	teardown(&model);
+	return result;
+}
+
+/* Guards against long prompts on all engines at once, and against so many on
+ * one that those which have no other engine miss their objective. */
+START_TEST(long_prompts_collect_up_to_the_objective)
+{
+	ck_assert(goes_to_backlog(7000, 100));
+	ck_assert(goes_to_backlog(7000, 200));
+	ck_assert(!goes_to_backlog(7000, 400));
+	ck_assert(!goes_to_backlog(300, 100));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("prefill_cost");
@@ -336,5 +367,6 @@
 	tcase_add_loop_test(tcase, usual_prompts_are_served_as_before, 0,
 			    SEEDS);
 	tcase_add_test(tcase, backlog_of_other_instances_is_avoided);
+	tcase_add_test(tcase, long_prompts_collect_up_to_the_objective);
 	return sup_run_case("prefill_cost", tcase);
 }
