forward: steer by the recent share of long prompts at an engine

In a model with one instance the costs of long prompts kept p99 of the short ones. With ten instances that report to each other every 200 ms it was as bad as without them: a prefill is over before the others know of it.

An engine's share of time spent on long prompts, averaged over 5 s, is now reported as well (long_percent) and costs short prompts the wait that they may expect there. The long prompts of all instances prefer engines in one order, that of the hash of their ids, and use further ones when an engine spends more than half of its time on them. So the engines that serve long prompts follow the load, and none is assigned.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -34,6 +34,9 @@
 	double token_layers;
 	/* Time until the prompts sent to it are prefilled, in ms. */
 	double prefill_ms;
+	/* Recent fraction of the time that it spends on the prefill of long
+	 * prompts. */
+	double long_share;
 };
 
 /*
@@ -81,6 +84,10 @@
 	/* When it is expected to have finished the prefill of the local
 	 * requests, in ms. */
 	double prefill_until;
+	/* Prefill time of the local requests' long prompts in ms, decaying, and
+	 * when it was last updated. See flt_long_share(). */
+	double long_work;
+	clk_ms long_work_at;
 	/* Moving average of the response time, in ms; 0 before the first. */
 	double answer_ms;
 	/* Selected before this time only if there is no other target. */
@@ -190,6 +197,11 @@
 clk_ms flt_closed_time(const struct flt_fleet *fleet, clk_ms now,
 		       const char *service, unsigned layers);
 
+/* Adds the prefill of a long prompt, and returns the recent fraction of the
+ * time that the target spends on those of local requests. */
+void flt_add_long_prefill(struct flt_target *target, clk_ms now, double ms);
+double flt_long_share(const struct flt_target *target, clk_ms now);
+
 /* Record that the target itself responded, or that it failed. */
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took);
 void flt_record_failure(struct flt_target *target, clk_ms now);
--- a/src/edge/prs_loads.c
+++ b/src/edge/prs_loads.c
@@ -17,6 +17,12 @@
 #define MAX_REPORTED_REQUESTS 1000000
 /* A reported backlog above this is not distinguished. */
 #define MAX_PREFILL_MS (10 * CLK_SECOND)
+#define PERCENT 100.0
+#define MIN_SHARE 0.001
+/* Targets without requests are reported from this share on. */
+#define MIN_REPORTED_SHARE 0.005
+/* Above the share of any target. */
+#define MAX_LONG_PERCENT 1000
 
 clk_ms prs_now(const struct prs_peers *peers)
 {
@@ -29,12 +35,19 @@
 	       MAX(LOAD_TIMEOUT_MS, LOAD_TIMEOUT_INTERVALS * report_interval);
 }
 
+/* Shares are sums of fractions, of which the rounding would remain. */
+static double clear_rounding(double share)
+{
+	return share > MIN_SHARE ? share : 0;
+}
+
 static void add_to(struct flt_load *sum, const struct flt_load *load)
 {
 	sum->in_flight += load->in_flight;
 	sum->on_path += load->on_path;
 	sum->token_layers += load->token_layers;
 	sum->prefill_ms += load->prefill_ms;
+	sum->long_share += load->long_share;
 }
 
 static void take_from(struct flt_load *sum, const struct flt_load *load)
@@ -43,6 +56,7 @@
 	sum->on_path -= MIN(sum->on_path, load->on_path);
 	sum->token_layers -= MIN(sum->token_layers, load->token_layers);
 	sum->prefill_ms -= MIN(sum->prefill_ms, load->prefill_ms);
+	sum->long_share = clear_rounding(sum->long_share - load->long_share);
 }
 
 /* Adds (sign 1) or subtracts (sign -1) load of others at its targets. */
@@ -104,6 +118,14 @@
 				    : 0;
 }
 
+static double reported_long_share(const Wf__LoadReport *report, size_t i)
+{
+	return report->n_long_percent
+		       ? MIN(report->long_percent[i], MAX_LONG_PERCENT) /
+				 PERCENT
+		       : 0;
+}
+
 static void replace_loads(struct prs_peers *peers, GArray *loads,
 			  const Wf__LoadReport *report)
 {
@@ -115,7 +137,8 @@
 					 {report->in_flight[i],
 					  report->on_path[i],
 					  report->kilo_token_layers[i] * KILO,
-					  reported_prefill_ms(report, i)}};
+					  reported_prefill_ms(report, i),
+					  reported_long_share(report, i)}};
 
 		g_array_append_val(loads, entry);
 	}
@@ -182,9 +205,11 @@
 		const struct flt_target *target = targets->pdata[i];
 		struct flt_load load = {target->in_flight, target->on_path,
 					MAX(target->used_token_layers, 0),
-					MAX(target->prefill_until - now, 0)};
+					MAX(target->prefill_until - now, 0),
+					flt_long_share(target, prs_now(peers))};
 
-		if (load.in_flight || load.on_path)
+		if (load.in_flight || load.on_path ||
+		    load.long_share > MIN_REPORTED_SHARE)
 			add_load(sums, target->id_hash, &load);
 	}
 }
@@ -262,11 +287,16 @@
 			(uint32_t)lround(entry->load.token_layers / KILO);
 		out->prefill_ms[i] = (uint32_t)lround(
 			MIN(entry->load.prefill_ms, MAX_PREFILL_MS));
+		out->long_percent[i] = (uint32_t)lround(
+			PERCENT * MIN(entry->load.long_share,
+				      MAX_LONG_PERCENT / PERCENT));
 	}
 	report->n_target = report->n_in_flight = loads->len;
 	report->n_on_path = report->n_kilo_token_layers = loads->len;
 	report->n_prefill_ms = loads->len;
 	report->prefill_ms = out->prefill_ms;
+	report->n_long_percent = loads->len;
+	report->long_percent = out->long_percent;
 	report->target = out->target;
 	report->in_flight = out->in_flight;
 	report->on_path = out->on_path;
--- a/src/edge/prs_private.h
+++ b/src/edge/prs_private.h
@@ -69,7 +69,7 @@
 	double send_budget;
 	clk_ms budget_updated_at;
 	/* Above the longest report. */
-	char buffer[2560];
+	char buffer[3072];
 };
 
 /* The parallel arrays of a report. */
@@ -79,6 +79,7 @@
 	uint32_t on_path[PRS_MAX_TARGETS];
 	uint32_t kilo_token_layers[PRS_MAX_TARGETS];
 	uint32_t prefill_ms[PRS_MAX_TARGETS];
+	uint32_t long_percent[PRS_MAX_TARGETS];
 	uint64_t suspect_part[QTN_MAX_RECORDS];
 	uint32_t suspect_crash[QTN_MAX_RECORDS];
 	uint32_t suspect_age_ms[QTN_MAX_RECORDS];
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -95,6 +95,8 @@
 	       report->n_target == report->n_kilo_token_layers &&
 	       (report->n_target == report->n_prefill_ms ||
 		!report->n_prefill_ms) &&
+	       (report->n_target == report->n_long_percent ||
+		!report->n_long_percent) &&
 	       report->n_suspect_part == report->n_suspect_crash &&
 	       report->n_suspect_part == report->n_suspect_age_ms;
 }
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include <wagtailferry/core.h>
@@ -32,6 +33,10 @@
 #define AVOIDED_COST_MS 1e6
 #define DRAINING_COST_MS 1e5
 
+/* Time constant of the share of long prompts: much longer than the reports need
+ * to reach all instances. */
+#define LONG_SHARE_MS 5000.0
+
 struct flt_fleet {
 	GPtrArray *targets;
 	GHashTable *by_id;
@@ -428,6 +433,24 @@
 	return longest == CLK_NEVER ? 0 : longest - now;
 }
 
+static double long_work(const struct flt_target *target, clk_ms now)
+{
+	double age = (double)MAX(now - target->long_work_at, 0);
+
+	return target->long_work * exp(-age / LONG_SHARE_MS);
+}
+
+void flt_add_long_prefill(struct flt_target *target, clk_ms now, double ms)
+{
+	target->long_work = long_work(target, now) + ms;
+	target->long_work_at = now;
+}
+
+double flt_long_share(const struct flt_target *target, clk_ms now)
+{
+	return long_work(target, now) / LONG_SHARE_MS;
+}
+
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took)
 {
 	double sample = (double)took;
--- a/src/forward/path.c
+++ b/src/forward/path.c
@@ -60,9 +60,11 @@
 		target->prefill_until =
 			MAX(target->prefill_until, (double)now) +
 			stage->prefill_ms;
-		if (path->is_long)
+		if (path->is_long) {
 			target->prefill_until =
 				MAX(target->prefill_until, ends);
+			flt_add_long_prefill(target, now, stage->prefill_ms);
+		}
 		ends = target->prefill_until;
 	}
 }
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -26,6 +26,8 @@
 /* Costs are raised by a random fraction up to this: otherwise instances that
  * search at the same time would all select the same path. */
 #define COST_JITTER 0.15
+/* Usual prompts that a long one is taken to be as long as, at least. */
+#define LONG_PROMPT_FACTOR 8.0
 /* Added cost of engines that failed recently or are draining: they are used
  * only if no other engine holds the layers. */
 #define AVOIDED_COST_MS 1000.0
@@ -212,6 +214,7 @@
 	double usual_ms = share * pfc_read_ms(engine, factor,
 					      engine->usual_prompt_tokens);
 	double backlog = prefill_backlog(search, target);
+	double share_cost;
 
 	candidate->layer_prefill_ms =
 		pfc_occupied_ms(engine, factor, tokens, token_ms) / layers;
@@ -219,9 +222,20 @@
 		pfc_delay_cost(engine, factor, tokens,
 			       target->on_path + target->others.on_path) /
 		layers;
+	share_cost = pfc_share_cost(
+		engine, tokens,
+		flt_long_share(target, search->now) + target->others.long_share,
+		target->id_hash / (double)UINT32_MAX,
+		share * pfc_occupied_ms(
+				engine, factor,
+				MAX(tokens,
+				    LONG_PROMPT_FACTOR *
+					    engine->usual_prompt_tokens),
+				token_ms));
 	candidate->spread_cost =
 		pfc_spread_cost(engine, tokens, backlog,
-				share * layers * candidate->layer_prefill_ms);
+				share * layers * candidate->layer_prefill_ms) +
+		share_cost;
 	candidate->fixed_cost +=
 		pfc_wait_cost(engine, tokens, backlog, usual_ms,
 			      (double)search->query->objective) +
--- a/src/forward/prefill_cost.c
+++ b/src/forward/prefill_cost.c
@@ -18,6 +18,13 @@
 /* Cost per ms for which a long prompt makes another engine one that short
  * prompts avoid. */
 #define SPREAD_FACTOR 0.15
+/* A short prompt meets a long one with the probability of its share of the
+ * time, and then waits up to the time that it occupies the engine. */
+#define SHORT_SHARE_FACTOR 1.0
+/* Long prompts use further engines when those they prefer spend more than this
+ * share of their time on them: they would wait for each other. */
+#define MAX_LONG_SHARE 0.5
+#define CROWD_FACTOR 1.0
 #define PAIRS_PER_UNIT 1e6
 
 bool pfc_is_known(const struct cat_engine *engine)
@@ -62,14 +69,14 @@
 double pfc_delay_cost(const struct cat_engine *engine, double factor,
 		      double tokens, double streams)
 {
-	double usual = engine->usual_prompt_tokens;
+	double exempt = LONG_FACTOR * engine->usual_prompt_tokens;
 
-	if (!pfc_is_known(engine) || tokens <= usual)
+	if (!pfc_is_known(engine) || tokens <= exempt)
 		return 0;
 	/* The path's cost is per output token, and so is this. */
 	return streams / MAX(engine->usual_answer_tokens, 1) *
 	       (pfc_read_ms(engine, factor, tokens) -
-		pfc_read_ms(engine, factor, usual));
+		pfc_read_ms(engine, factor, exempt));
 }
 
 /* Backlog that costs 0.15 ms per ms only. */
@@ -98,6 +105,21 @@
 	return cost + LONG_BACKLOG_FACTOR * MAX(excess, 0);
 }
 
+double pfc_share_cost(const struct cat_engine *engine, double tokens,
+		      double long_share, double rank, double occupied_ms)
+{
+#ifdef WF_GUARD_OFF_LONG_SHARE
+	return 0;
+#endif
+	if (!pfc_is_known(engine))
+		return 0;
+	if (!pfc_is_long(engine, tokens))
+		return SHORT_SHARE_FACTOR * long_share * occupied_ms;
+	return occupied_ms *
+	       (SPREAD_FACTOR * rank +
+		CROWD_FACTOR * MAX(long_share - MAX_LONG_SHARE, 0));
+}
+
 double pfc_spread_cost(const struct cat_engine *engine, double tokens,
 		       double backlog_ms, double occupied_ms)
 {
--- a/src/forward/prefill_cost.h
+++ b/src/forward/prefill_cost.h
@@ -34,8 +34,10 @@
 double pfc_occupied_ms(const struct cat_engine *engine, double factor,
 		       double tokens, double token_ms);
 
-/* Cost of delaying a number of streams by the chunks of a prompt. 0 up to the
- * usual length: the cost of a running request includes those. */
+/* Cost of delaying a number of streams by the chunks of a prompt beyond the
+ * length from which it is long. The cost of a running request includes shorter
+ * ones, and instances that weigh the streams of late reports would all choose
+ * the same engine. */
 double pfc_delay_cost(const struct cat_engine *engine, double factor,
 		      double tokens, double streams);
 
@@ -51,4 +53,15 @@
 double pfc_spread_cost(const struct cat_engine *engine, double tokens,
 		       double backlog_ms, double occupied_ms);
 
+/*
+ * Cost of an engine that has spent long_share of its recent time on the prefill
+ * of long prompts. Instances learn of each other's prompts later than the
+ * prefill takes, so short prompts avoid where long ones usually are, and the
+ * long ones of all instances prefer the same engines: rank, from 0 to 1, is the
+ * engine's place in an order that all agree on. occupied_ms is the time that a
+ * long prompt occupies the engine.
+ */
+double pfc_share_cost(const struct cat_engine *engine, double tokens,
+		      double long_share, double rank, double occupied_ms);
+
 #endif
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -411,7 +411,7 @@
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[20] =
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[21] =
 {
   {
     "instance",
@@ -653,6 +653,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "long_percent",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wf__LoadReport, n_long_percent),
+    offsetof(Wf__LoadReport, long_percent),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__load_report__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -667,6 +679,7 @@
   14,   /* field[14] = instances */
   9,   /* field[9] = interval_ms */
   13,   /* field[13] = kilo_token_layers */
+  20,   /* field[20] = long_percent */
   12,   /* field[12] = on_path */
   19,   /* field[19] = prefill_ms */
   6,   /* field[6] = sent_ms */
@@ -680,7 +693,7 @@
 {
   { 1, 0 },
   { 8, 5 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor wf__load_report__descriptor =
 {
@@ -690,7 +703,7 @@
   "Wf__LoadReport",
   "wf",
   sizeof(Wf__LoadReport),
-  20,
+  21,
   wf__load_report__field_descriptors,
   wf__load_report__field_indices_by_name,
   2,  wf__load_report__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -199,10 +199,17 @@
    */
   size_t n_prefill_ms;
   uint32_t *prefill_ms;
+  /*
+   * For each target, the recent share of its time that the prefill of the long
+   * prompts of its requests takes, in percent. Absent in the reports of earlier
+   * versions.
+   */
+  size_t n_long_percent;
+  uint32_t *long_percent;
 };
 #define WF__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Wf__EdgeSettings methods */
--- a/tests/edge_parts_wire_test.c
+++ b/tests/edge_parts_wire_test.c
@@ -575,15 +575,18 @@
 	target = engine(&pair, 0);
 	target->on_path = 1;
 	target->prefill_until = (double)pair.now + 700;
+	flt_add_long_prefill(target, pair.now, 1000);
 	deliver(&pair, prs_make_report(pair.peers[0], "two"));
 	target = flt_find_by_hash(pair.fleets[1], target->id_hash);
 	ck_assert_double_eq(target->others.prefill_ms, 700);
+	ck_assert_double_eq(target->others.long_share, 0.2);
 	pair.now += 600;
 	deliver(&pair, prs_make_report(pair.peers[0], "two"));
 	ck_assert_double_eq(target->others.prefill_ms, 100);
 	pair.now += 3000;
 	prs_expire(pair.peers[1]);
 	ck_assert_double_eq(target->others.prefill_ms, 0);
+	ck_assert_double_eq(target->others.long_share, 0);
 	pair_close(&pair);
 }
 END_TEST
