forward: weigh a long prompt's place by its own length

A prompt just above the long ones' threshold was steered as if it were eight times the usual one. The time that it occupies an engine is now its own; eight usual prompts stand only for the long ones that a short prompt may meet.

--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -26,7 +26,8 @@
 /* Costs are raised by a random fraction up to this: otherwise instances that
  * search at the same time would all select the same path. */
 #define COST_JITTER 0.15
-/* Usual prompts that a long one is taken to be as long as, at least. */
+/* Usual prompts that the long ones which a short one meets are taken to be as
+ * long as. */
 #define LONG_PROMPT_FACTOR 8.0
 /* Added cost of engines that failed recently or are draining: they are used
  * only if no other engine holds the layers. */
@@ -214,6 +215,10 @@
 	double usual_ms = share * pfc_read_ms(engine, factor,
 					      engine->usual_prompt_tokens);
 	double backlog = prefill_backlog(search, target);
+	double long_tokens =
+		pfc_is_long(engine, tokens)
+			? tokens
+			: LONG_PROMPT_FACTOR * engine->usual_prompt_tokens;
 	double share_cost;
 
 	candidate->layer_prefill_ms =
@@ -226,12 +231,7 @@
 		engine, tokens,
 		flt_long_share(target, search->now) + target->others.long_share,
 		target->id_hash / (double)UINT32_MAX,
-		share * pfc_occupied_ms(
-				engine, factor,
-				MAX(tokens,
-				    LONG_PROMPT_FACTOR *
-					    engine->usual_prompt_tokens),
-				token_ms));
+		share * pfc_occupied_ms(engine, factor, long_tokens, token_ms));
 	candidate->spread_cost =
 		pfc_spread_cost(engine, tokens, backlog,
 				share * layers * candidate->layer_prefill_ms) +
