--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -32,6 +32,11 @@
 	unsigned on_path;
 	/* KV cache in use, in tokens times layers. */
 	double token_layers;
+	/* Time until the prompts sent to it are prefilled, in ms. */
+	double prefill_ms;
+	/* Recent fraction of the time that it spends on the prefill of long
+	 * prompts. */
+	double long_share;
 };
 
 /*
@@ -73,11 +78,16 @@
 	unsigned on_path;
 	/* KV cache that local requests use, in tokens times layers. */
 	double used_token_layers;
-	/* Load of the other instances, as last reported. */
+	/* Load of the other instances, as last reported. The sum of their
+	 * prefill times is that of the reports: it has shrunk since. */
 	struct flt_load others;
 	/* When it is expected to have finished the prefill of the local
 	 * requests, in ms. */
 	double prefill_until;
+	/* Prefill time of the local requests' long prompts in ms, decaying, and
+	 * when it was last updated. See flt_long_share(). */
+	double long_work;
+	clk_ms long_work_at;
 	/* Moving average of the response time, in ms; 0 before the first. */
 	double answer_ms;
 	/* Selected before this time only if there is no other target. */
@@ -187,6 +197,11 @@
 clk_ms flt_closed_time(const struct flt_fleet *fleet, clk_ms now,
 		       const char *service, unsigned layers);
 
+/* Adds the prefill of a long prompt, and returns the recent fraction of the
+ * time that the target spends on those of local requests. */
+void flt_add_long_prefill(struct flt_target *target, clk_ms now, double ms);
+double flt_long_share(const struct flt_target *target, clk_ms now);
+
 /* Record that the target itself responded, or that it failed. */
 void flt_record_response(struct flt_target *target, clk_ms now, clk_ms took);
 void flt_record_failure(struct flt_target *target, clk_ms now);
@@ -232,8 +247,8 @@
 struct pth_stage {
 	struct flt_target *target;
 	struct flt_range range;
-	/* Prefill time of the request's tokens, in ms; 0 for a stage that a
-	 * reroute keeps. */
+	/* Prefill time of the request's tokens, with the decode steps between
+	 * their chunks, in ms; 0 for a stage that a reroute keeps. */
 	double prefill_ms;
 };
 
@@ -243,9 +258,13 @@
 	GArray *stages;
 	/* Whether its load is counted at its targets. */
 	bool is_reserved;
+	/* Whether the prompt is several times as long as the usual one. */
+	bool is_long;
 	double tokens;
 	/* Expected time per token at the present load. */
 	double token_ms;
+	/* What its prefill costs other requests, in ms; see pfc. */
+	double delay_cost;
 };
 
 enum pth_result {
@@ -267,6 +286,8 @@
 	 * that precedes the next event. */
 	double tokens;
 	double prefill_tokens;
+	/* For the time to the next event, in ms; 0 for none. */
+	clk_ms objective;
 	/* Path to be replaced, whose first stage is kept; NULL for a new
 	 * request. */
 	const struct pth_path *current;
--- a/src/edge/edg.c
+++ b/src/edge/edg.c
@@ -400,6 +400,7 @@
 	edg_open_moves(edge);
 	edge->open_handles = 8;
 	edg_open_quarantine(edge);
+	edg_init_histograms(edge);
 	edge->orders = ord_new(edge, settings->fences_orders);
 	if (hsv_listen(edge->caller_server, settings->caller_address, error) &&
 	    hsv_listen(edge->operator_server, settings->ready_address, error) &&
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -11,6 +11,7 @@
 #include "edge/log_budget.h"
 #include "edge/prs_reports.h"
 #include "edge/trn_turns.h"
+#include "forward/output_length.h"
 #include "forward/recovery.h"
 #include "sched/adm_room.h"
 #include "sched/adm_turn.h"
@@ -29,6 +30,18 @@
 	clk_ms until;
 };
 
+/* Upper bounds in the latency histograms, the last one infinite. */
+#define EDG_LATENCY_BUCKETS 10
+
+/* A histogram in seconds: the names of its counters, and the time in ms that is
+ * not in the sum yet, which counts whole seconds. */
+struct edg_histogram {
+	const char *buckets[EDG_LATENCY_BUCKETS];
+	const char *sum;
+	const char *count;
+	clk_ms rest;
+};
+
 struct edg_edge {
 	uv_loop_t *loop;
 	struct drv_clock clock;
@@ -84,6 +97,7 @@
 	struct adm_turns *waiting;
 	struct adm_room room;
 	struct edg_full full;
+	struct oln_lengths output_lengths;
 	uv_timer_t wait_timer;
 	/* Measure the turns of the loop. */
 	struct trn_turns turns;
@@ -110,6 +124,9 @@
 	uv_timer_t quarantine_timer;
 
 	struct lgb_budget log_budget;
+	/* Of streams of model services, with short and with long prompts. */
+	struct edg_histogram first_events[2];
+	struct edg_histogram pauses[2];
 };
 
 /* A target on which a request ran, or may have run. */
@@ -170,7 +187,11 @@
 	/* Its place among the waiting streams. */
 	struct adm_waiter waiter;
 	double prompt_tokens;
+	/* Expected output, the most that the caller allows, and its hint; 0 if
+	 * there is none. */
 	double answer_tokens;
+	double max_answer_tokens;
+	double hint_tokens;
 	struct evs_splitter splitter;
 	/* Events, and those that are progress, before the current send. */
 	unsigned events_before_send;
@@ -302,6 +323,11 @@
 /* Adds the time to the answer, or to the first event of a stream, to the
  * latency histogram. */
 void edg_record_latency(struct edg_edge *edge, bool is_stream, clk_ms took);
+void edg_init_histograms(struct edg_edge *edge);
+/* Add the time to the first event, or between two events, to the histograms by
+ * the length of the prompt. */
+void edg_record_first_event(struct edg_request *request, clk_ms took);
+void edg_record_pause(struct edg_request *request, clk_ms pause);
 
 /* edg_forward.c */
 /* Sends the request to request->target along request->path. */
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -75,9 +75,11 @@
 	if (request->first_event_at) {
 		request->longest_pause = MAX(request->longest_pause, pause);
 		stl_record_pause(request, pause);
+		edg_record_pause(request, pause);
 	} else {
 		request->first_event_at = now;
 		edg_record_latency(request->edge, true, now - request->started);
+		edg_record_first_event(request, now - request->started);
 	}
 	request->last_event_at = now;
 }
@@ -153,12 +155,29 @@
 		end_send(request, HUP_TOO_LARGE);
 }
 
+static uint64_t length_class(const struct edg_request *request)
+{
+	return oln_class(request->org ? request->org->name : "",
+			 request->route->name);
+}
+
+/* A caller that resumes a stream gets a part of the output only. */
+static void record_output(struct edg_request *request)
+{
+	if (!hdr_get(&request->http->headers,
+		     request->edge->fields->last_event_id))
+		oln_record(&request->edge->output_lengths,
+			   length_class(request), request->hint_tokens,
+			   request->splitter.events * EDG_TOKENS_PER_EVENT);
+}
+
 static void complete(struct edg_request *request)
 {
 	struct hsv_request *http = request->http;
 	clk_ms now = edg_now(request->edge);
 
 	flt_record_response(request->target, now, now - request->sent_at);
+	record_output(request);
 	edg_log_request_end(request, "streamed", request->status);
 	edg_request_free(request);
 	hsv_end_chunked(http);
@@ -386,6 +405,7 @@
 		.data_center = request->edge->data_center,
 		.tokens = request->prompt_tokens + request->answer_tokens,
 		.prefill_tokens = request->prompt_tokens,
+		.objective = request->route->objective,
 	};
 
 	return query;
@@ -488,7 +508,8 @@
 		edg_send_stream(request);
 }
 
-/* Reads the token counts "PROMPT,MAX" and the hint for the answer length. */
+/* Reads the token counts "PROMPT,MAX" and the hint for the answer length, which
+ * is corrected by the outputs of its class. */
 static void parse_token_counts(struct edg_request *request)
 {
 	const struct edg_header_names *fields = request->edge->fields;
@@ -499,11 +520,15 @@
 
 	request->prompt_tokens =
 		counts ? strtoul(counts, NULL, 10) : DEFAULT_PROMPT_TOKENS;
-	request->answer_tokens =
+	request->max_answer_tokens =
 		comma ? strtoul(comma + 1, NULL, 10) : DEFAULT_ANSWER_TOKENS;
-	if (hint && g_ascii_isdigit(*hint))
-		request->answer_tokens =
-			MIN(request->answer_tokens, strtoul(hint, NULL, 10));
+	request->answer_tokens = request->max_answer_tokens;
+	if (!hint || !g_ascii_isdigit(*hint))
+		return;
+	request->hint_tokens = strtoul(hint, NULL, 10);
+	request->answer_tokens = oln_expect(
+		&request->edge->output_lengths, length_class(request),
+		request->hint_tokens, request->max_answer_tokens);
 }
 
 void edg_start_stream(struct edg_request *request)
