forward: count only the prefill time of a prompt as backlog

The decode steps between a prompt's chunks are shared by all prompts that an engine prefills, so their time must not add up in its backlog: under load the sum kept streams from engines that had room.

--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -222,7 +222,7 @@
 	double share_cost;
 
 	candidate->layer_prefill_ms =
-		pfc_occupied_ms(engine, factor, tokens, token_ms) / layers;
+		pfc_read_ms(engine, factor, tokens) / layers;
 	candidate->layer_delay_cost =
 		pfc_delay_cost(engine, factor, tokens,
 			       target->on_path + target->others.on_path) /
@@ -234,7 +234,8 @@
 		share * pfc_occupied_ms(engine, factor, long_tokens, token_ms));
 	candidate->spread_cost =
 		pfc_spread_cost(engine, tokens, backlog,
-				share * layers * candidate->layer_prefill_ms) +
+				share * pfc_occupied_ms(engine, factor, tokens,
+							token_ms)) +
 		share_cost;
 	candidate->fixed_cost +=
 		pfc_wait_cost(engine, tokens, backlog, usual_ms,
