--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -74,7 +74,7 @@
 	struct edg_edge *edge = takeover->request->edge;
 
 	if (is_not_run) {
-		flt_mark_no_room(takeover->target, edg_now(edge));
+		flt_mark_full(takeover->target, edg_now(edge));
 		return;
 	}
 	edg_record_run(takeover->request, takeover->target);
