forward: cross data centres where engines are unreliable

Cause: engines that may be lost counted as holders of their layers, so crossing to another data centre needed budget; and instances waited for their turn also where all of them together occupy a fast link for 34 ms only.

Fix: the budget binds only if a data centre has all layers on reliable engines, full or not, and turns only if the instances together would occupy the link for more than 100 ms.

Evidence: few_instances_may_begin_together and the last part of crossing_needs_budget_unless_there_is_no_other_path fail before.

--- a/src/forward/link_budget.c
+++ b/src/forward/link_budget.c
@@ -6,8 +6,9 @@
  * waits about as long as one prompt takes, well below a stream's longest
  * pause. */
 #define USABLE_LINK_FRACTION 0.5
-/* Fraction of the time in which an instance with spare budget may begin. */
-#define TURN_FRACTION 0.1
+/* Time for which the links may be occupied by instances that begin together;
+ * they take turns if one request of each would occupy them for longer. */
+#define MAX_BURST_MS 100.0
 /* Debt of an instance, in ms of its share, up to which it moves running
  * requests across data centres. */
 #define MAX_MOVE_DEBT_MS 2000.0
@@ -32,6 +33,7 @@
 bool lnk_may_send(const struct lnk_budget *budget, clk_ms now, double busy_ms)
 {
 	double cycle = share_ms(budget, busy_ms);
+	double burst = busy_ms * budget->instances;
 	double turn;
 
 #ifdef WF_GUARD_OFF_LINK_BUDGET
@@ -42,7 +44,7 @@
 	if ((double)now < budget->paid_at)
 		return false;
 	turn = (double)now / cycle + budget->phase;
-	return turn - floor(turn) < TURN_FRACTION;
+	return (turn - floor(turn)) * burst < MAX_BURST_MS;
 }
 
 bool lnk_may_move(const struct lnk_budget *budget, clk_ms now)
--- a/src/forward/path_search.c
+++ b/src/forward/path_search.c
@@ -619,9 +619,20 @@
 	return crossings;
 }
 
+/* Whether the engine may be lost or is about to leave. One that is only full
+ * isn't. */
+static bool is_unreliable(const struct search *search,
+			  const struct flt_target *target)
+{
+	return search->now < target->down_until ||
+	       (is_degraded(search, target) &&
+		search->now >= target->full_until);
+}
+
 /* Whether the engines of one data centre, or of all if it is NULL, hold all
  * layers, free or not. */
-static bool is_complete(const struct search *base, const char *data_center)
+static bool is_complete(const struct search *base, const char *data_center,
+			bool only_reliable)
 {
 	const GPtrArray *targets = flt_targets(base->fleet);
 	unsigned layers = base->query->engine->layers;
@@ -640,6 +651,8 @@
 			continue;
 		if (data_center && strcmp(target->data_center, data_center))
 			continue;
+		if (only_reliable && is_unreliable(base, target))
+			continue;
 		changes[target->holds.first]++;
 		changes[MIN(target->holds.end, layers)]--;
 	}
@@ -657,20 +670,24 @@
 	guint i;
 
 	for (i = 0; i < centers->len; i++) {
-		if (is_complete(base, centers->pdata[i]))
+		if (is_complete(base, centers->pdata[i], true))
 			return true;
 	}
 	return false;
 }
 
 /* Whether a new request may use a path that crosses: it must if no data centre
- * has all layers, and otherwise needs budget. */
-static bool may_cross(const struct search *base, bool has_path,
-		      const GPtrArray *centers)
+ * has all layers on reliable engines, and otherwise needs budget. path, which
+ * may be NULL, is the best one inside a data centre. */
+static bool may_cross(const struct search *base, const struct pth_path *path,
+		      double cost, const GPtrArray *centers)
 {
-	return lnk_may_send(flt_links(base->fleet), base->now,
-			    link_ms(base->query)) ||
-	       (!has_path && !is_any_complete(base, centers));
+	if (lnk_may_send(flt_links(base->fleet), base->now,
+			 link_ms(base->query)))
+		return true;
+	if (path)
+		return cost - path->token_ms >= AVOIDED_COST_MS;
+	return !is_any_complete(base, centers);
 }
 
 /*
@@ -695,7 +712,7 @@
 			break;
 	}
 	if (!is_acceptable(best, best_cost) &&
-	    may_cross(base, best != NULL, centers)) {
+	    may_cross(base, best, best_cost, centers)) {
 		cost = search_in(*base, NULL, &path);
 		replace_if_better(&best, &best_cost, path, cost);
 	}
@@ -770,8 +787,8 @@
 		return PTH_FOUND;
 	}
 	if (!query->current && !query->without)
-		return is_complete(&base, NULL) ? PTH_NO_CAPACITY
-						: PTH_MISSING_LAYERS;
+		return is_complete(&base, NULL, false) ? PTH_NO_CAPACITY
+						       : PTH_MISSING_LAYERS;
 	base.ignore_capacity = true;
 	search_in(base, NULL, out);
 	if (!*out)
--- a/tests/overload_test.c
+++ b/tests/overload_test.c
@@ -62,6 +62,23 @@
 }
 END_TEST
 
+/* Guards against few instances that wait for their turn, and so leave most of
+ * their share of a fast link unused. */
+START_TEST(few_instances_may_begin_together)
+{
+	struct lnk_budget budget;
+	clk_ms now;
+
+	for (now = 0; now < 1000; now += STEP_MS) {
+		lnk_init(&budget, 4, 0.5);
+		ck_assert(lnk_may_send(&budget, now, 9));
+		lnk_charge(&budget, now, 9);
+		ck_assert(!lnk_may_send(&budget, now + 71, 9));
+		ck_assert(lnk_may_send(&budget, now + 72, 9));
+	}
+}
+END_TEST
+
 static void add_engine(struct flt_fleet *fleet, const char *id,
 		       const char *data_center, unsigned first, unsigned end)
 {
@@ -116,6 +133,14 @@
 		pth_free(path);
 	}
 	ck_assert_uint_eq(found, 0);
+	/* Not by engines that are only full, but by lost ones. */
+	flt_mark_down(flt_find(fleet, "e3"), 400);
+	flt_mark_down(flt_find(fleet, "e4"), 400);
+	for (now = 400; now < 500; now++) {
+		ck_assert_int_eq(search(fleet, now, &query, &path), PTH_FOUND);
+		ck_assert(pth_contains(path, flt_find(fleet, "e2")));
+		pth_free(path);
+	}
 	flt_drop(fleet);
 	cat_drop(catalog);
 }
@@ -236,6 +261,7 @@
 	TCase *tcase = tcase_create("overload");
 
 	tcase_add_test(tcase, crowd_of_instances_does_not_fill_a_link);
+	tcase_add_test(tcase, few_instances_may_begin_together);
 	tcase_add_test(tcase,
 		       crossing_needs_budget_unless_there_is_no_other_path);
 	tcase_add_test(tcase,
