--- a/tests/overload_test.c
+++ b/tests/overload_test.c
@@ -189,6 +189,8 @@
 {
 	struct flt_fleet *fleets[INSTANCES];
 	unsigned placed[INSTANCES][100] = {{0}};
+	GPtrArray *paths =
+		g_ptr_array_new_with_free_func((GDestroyNotify)pth_free);
 	unsigned total = 0;
 	unsigned step;
 	unsigned i;
@@ -227,10 +229,12 @@
 			    search(fleets[i], now, query, &path) != PTH_FOUND)
 				continue;
 			pth_reserve(path, now, TOKENS);
+			g_ptr_array_add(paths, path);
 			placed[i][step]++;
 			total++;
 		}
 	}
+	g_ptr_array_unref(paths);
 	for (i = 0; i < INSTANCES; i++)
 		flt_drop(fleets[i]);
 	return total;
