review: stand-ins take ports below those of outgoing connections

Cause: with five scripts at once, one of five runs of a case found a port taken and ended with exit code 2. A case needs two model services and a server on a port that was used before. Change: ports are drawn from 10000 to 29999; servers take a port, services a kind of cards, workers a call before an order to hold layers.

--- a/review/stand-ins-2/World.pm
+++ b/review/stand-ins-2/World.pm
@@ -221,16 +221,16 @@
 	return \%message;
 }
 
-# A server on a free port of the address. on_request gets the connection and
+# A server on the port, or a free one. on_request gets the connection and
 # the message.
 sub serve {
-	my ($on_request, $on_close, $ip) = @_;
+	my ($on_request, $on_close, $port) = @_;
 	my $listener = IO::Socket::INET->new(
-		LocalAddr => $ip || '127.0.0.1', Listen => 256, Proto => 'tcp',
-		ReuseAddr => 1) or finish(2, "can't listen");
+		LocalAddr => '127.0.0.1', LocalPort => $port || 0, Listen => 256,
+		Proto => 'tcp', ReuseAddr => 1) or finish(2, "can't listen");
 	my $server = {
 		listener => $listener, conns => {},
-		address => ($ip || '127.0.0.1') . ':' . $listener->sockport,
+		address => '127.0.0.1:' . $listener->sockport,
 	};
 
 	$listener->blocking(0);
@@ -265,14 +265,19 @@
 	conn_reset($_) for open_conns($server);
 }
 
+# A port on which nothing listens, below those that the system takes for outgoing
+# connections.
 sub free_port {
-	my $socket = IO::Socket::INET->new(
-		LocalAddr => '127.0.0.1', Listen => 1, Proto => 'tcp')
-		or finish(2, 'no free port');
-	my $port = $socket->sockport;
-
-	close $socket;
-	return $port;
+	for (1 .. 100) {
+		my $port = 10000 + int rand 20000;
+		my $socket = IO::Socket::INET->new(LocalAddr => '127.0.0.1',
+			LocalPort => $port, Listen => 1, Proto => 'tcp');
+
+		next if !$socket;
+		close $socket;
+		return $port;
+	}
+	finish(2, 'no free port');
 }
 
 sub answer {
@@ -605,7 +610,7 @@
 
 	$worker->{server} = serve(
 		sub { on_worker_request($worker, @_) },
-		sub { on_worker_close($worker, @_) });
+		sub { on_worker_close($worker, @_) }, $worker->{port});
 	$worker->{address} = $worker->{server}{address};
 }
 
@@ -680,6 +685,7 @@
 		return;
 	}
 	$worker->{sequence}++;
+	return if $worker->{on_place} && !$worker->{on_place}->($order);
 	($worker->{from}, $worker->{to}) = ($order->{from}, $order->{to});
 	worker_publish($worker);
 	answer_json($conn, 202, {});
@@ -805,9 +811,9 @@
 	};
 }
 
-# A model of 80 layers, and cards that hold all of them.
+# A model of 80 layers of 1,750 MB, and one kind of cards.
 sub engine_service {
-	my ($name) = @_;
+	my ($name, $kind, $size_mb) = @_;
 
 	return {name => $name, 'health-path' => '/healthz', 'max-conns' => 978,
 		protocol => 'h1', tls => JSON::PP::false, engine => {
@@ -821,8 +827,8 @@
 			report_lag_ms => 200.0, loads_at_once => 6, delays => [],
 			usual => {prompt => 774, answer => 210}, layers => 80,
 			'layer-mb' => 1750.0, 'activation-bytes' => 29500,
-			'pipe-mbps' => 19000.0, kinds => [{name => 'big',
-				'size-mb' => 600000.0, pace => 2.4,
+			'pipe-mbps' => 19000.0, kinds => [{name => $kind || 'big',
+				'size-mb' => $size_mb || 600000.0, pace => 2.4,
 				'read-factor' => 3.2}]}};
 }
 
