--- a/review/10/case.pl
+++ b/review/10/case.pl
@@ -1,94 +1,125 @@
 #!/usr/bin/perl
-# A key is taken away while the store is silent to one machine. Its caller goes
-# on with requests on a public route at that machine.
+# Two of a stream's runs are broken off, the second one by a head that has been
+# leaving for longer than drain-ms.
 use strict;
 use warnings;
 use World;
 
-my $REVOKE_MS = 5000;
+my $DRAIN_MS = 2000;
+my $EVENTS = 60;
 
 World::open_record("review/$ENV{CASE}/record.txt");
 
-my (%sent, @foreign, $removed_at, $kept);
+my (%runs, %streams, @late, $left_at, $special, $leaver);
+my ($answers, $broken) = (0, 0);
 
-sub work {
+sub run_stream {
 	my ($worker, $conn, $message) = @_;
 	my $id = $message->{fields}{'x-wagtailferry-attempt-id'};
-	my $tenant = $message->{fields}{'x-wagtailferry-tenant'};
+	my $run = ++$runs{$id};
+	my %how = (first_ms => 30, pause => 15, events => 20);
 
-	World::record("$id runs at $worker->{id} for tenant "
-		. (defined $tenant ? $tenant : '(none)'));
-	push @foreign, $id if defined $tenant && $removed_at
-		&& $sent{$id}{has_removed_key}
-		&& $sent{$id}{sent_at} > $removed_at + $REVOKE_MS;
-	World::after(60, sub {
-		World::answer($conn, 200, World::head($worker, $message), 'swans');
-	});
+	$answers++;
+	if (defined $special && $id eq $special) {
+		World::record("$id, run $run, begins at $worker->{id} after event "
+			. ($message->{fields}{'last-event-id'} || 0));
+		%how = (first_ms => 30, pause => 100, events => $EVENTS);
+		$how{on_event} = sub { break_off($worker, $run, @_) };
+		leave($worker) if $run == (World::trouble() ? 2 : 1);
+	}
+	if ($worker->{is_leaving} && World::now() > $left_at + $DRAIN_MS) {
+		World::record(sprintf '%s reaches %s %.0f ms after its leaving was '
+			. 'acknowledged', $id, $worker->{id},
+			World::now() - $left_at);
+		push @late, $id;
+	}
+	World::stream($worker, $conn, $message, %how);
 }
 
-World::worker_new('orderdisk', $_, \&work) for qw(a b c);
+# The first run ends within its second event, the second one 2.5 s after its
+# worker's leaving was acknowledged. Returns whether the stream goes on.
+sub break_off {
+	my ($worker, $run, $stream) = @_;
+	my $is_due = $run == 1 ? $stream->{next} == 2
+		: $run == 2 && $left_at && World::now() > $left_at + $DRAIN_MS + 500;
 
-sub put_config {
-	my ($version, @keys) = @_;
+	return 1 if !World::trouble() || !$is_due;
+	$broken++;
+	World::record("$stream->{id}, run $run, is broken off by $worker->{id} "
+		. "at event $stream->{next}");
+	delete $worker->{streams}{$stream->{id}};
+	World::conn_reset($stream->{conn});
+	return 0;
+}
+
+# The worker reports that it leaves, and ends 5 s later.
+sub leave {
+	my ($worker) = @_;
 
-	World::config($version, [
-		World::route('/look/', 'idempotent', 'orderdisk'),
-		World::route('/open/', 'idempotent', 'orderdisk',
-			public => JSON::PP::true)],
-		[World::plain_service('orderdisk')],
-		[{name => 'hotel', 'api-keys' => \@keys, priority => 1}]);
+	$leaver = $worker;
+	World::after(100, sub {
+		$left_at = World::now();
+		$worker->{is_leaving} = 1;
+		$worker->{state} = 'draining';
+		World::worker_publish($worker);
+		World::record("$worker->{id} is draining");
+	});
+	World::after(5100, sub {
+		World::record("$worker->{id} ends");
+		World::remove('servers', $worker->{id});
+		World::worker_end($worker);
+	});
 }
 
-put_config(7, 'key1', 'key2');
+my @workers = map {
+	World::worker_new('textverk', $_, \&run_stream, type => 'big', slots => 192,
+		from => 0, to => 80)
+} qw(a a a b c);
+
+World::config(7, [World::route('/draft/', 'streaming', 'textverk')],
+	[World::engine_service('textverk')],
+	[{name => 'hotel', 'api-keys' => ['key1'], priority => 1}]);
 
 my @zones = qw(a a b b c);
 my @edges = map { World::edge_new("edge-$_", $zones[$_]) } 0 .. $#zones;
 World::edge_start($_) for @edges;
 World::run(1500);
 World::wait_ready(@edges);
-World::run(4000);
+World::run(3500);
 
-sub look {
-	my ($edge, $path, $key) = @_;
+sub draft {
+	my ($edge) = @_;
 	my $request;
 
-	$request = World::request($edge->{front}, 'GET', $path,
-		"Authorization: Token $key\r\nX-Wagtailferry-Deadline-Ms: 3000\r\n",
-		'', sub {
+	$request = World::request($edge->{front}, 'POST', '/draft/2f',
+		"Authorization: Token key1\r\nX-Wagtailferry-Deadline-Ms: 20000\r\n"
+		. "X-Wagtailferry-Model: m0\r\n"
+		. "X-Wagtailferry-Token-Counts: 760,240\r\n"
+		. sprintf("X-Wagtailferry-Prompt-Prefix: 5c1e07a2:40,%08x:720\r\n",
+			int rand 2**31),
+		'a swan', sub {
 			my ($r) = @_;
-			World::record("$r->{id} is answered " . ($r->{status} || 0));
+			World::record("$r->{id} from $edge->{name} ends: "
+				. ($r->{status} || 0) . " $r->{end}");
 		});
-	$request->{has_removed_key} = $key eq 'key2';
-	$sent{$request->{id}} = $request;
-	World::record("$request->{id} for $path is sent to $edge->{name} with $key");
+	$streams{$request->{id}} = $request;
 	return $request;
 }
 
-look($_, '/open/2f', 'key2') for @edges;
-World::run(500);
-
-# The store is silent to one machine for 9 s, on open connections and new ones.
-if (World::trouble()) {
-	World::record('the store is silent to edge-0');
-	$edges[0]{store}{is_silent} = 1;
-	World::conn_silence($_) for World::open_conns($edges[0]{store});
-	World::after(9000, sub {
-		World::record('the store answers edge-0 again');
-		$edges[0]{store}{is_silent} = 0;
-	});
+# Drafts for 4 s, then the one that is broken off, and drafts beside it.
+for my $round (1 .. 16) {
+	draft($_) for @edges;
+	World::run(250);
 }
-World::run(300);
-put_config(8, 'key1');
-$removed_at = World::now();
-World::run($REVOKE_MS + 100);
-for my $round (1 .. 8) {
-	for my $edge (@edges) {
-		look($edge, '/open/2f', 'key2');
-		look($edge, '/look/2f', 'key2');
-	}
-	World::run(300);
+my $request = draft($edges[0]);
+$special = $request->{id};
+for my $round (1 .. 16) {
+	World::run(500);
+	draft($_) for @edges;
 }
-World::run(4000);
-World::finish(1, 'UNASKED broken: ' . scalar(@foreign) . ' requests ran for a '
-	. "tenant that had not held their key for over $REVOKE_MS ms") if @foreign;
-World::finish(0, 'UNASKED held');
+World::run(15000, sub { !grep { !defined $_->{end} } values %streams });
+World::record("$broken of $answers answers were broken off");
+World::finish(2, 'the worker did not leave') if !$leaver;
+World::finish(1, 'DRAIN broken: ' . scalar(@late) . ' requests reached a worker'
+	. " over $DRAIN_MS ms after its leaving was acknowledged") if @late;
+World::finish(0, 'DRAIN held');
--- a/review/8/case.pl
+++ b/review/8/case.pl
@@ -1,18 +1,19 @@
 #!/usr/bin/perl
-# A part of prompts crashes workers. All processes of the system are killed at the
-# same moment and start again. Requests with the part come on.
+# A part of prompts crashes workers. Requests with it come in groups: one at
+# each machine at the same moment, and the next group some seconds later.
 use strict;
 use warnings;
 use World;
 
 my $STABLE_MS = 3000;
 my $PART = 'dead0001';
-my $GROUP_PAUSE_MS = 4500;
+my $GROUPS = 5;
+my $GROUP_PAUSE_MS = 5000;
 # An entry lapses after three heartbeats of silence.
 my $LAPSE_MS = 3600;
 # A worker is back after some seconds.
 my $CRASH_MS = 2000;
-my $PER_ZONE = 5;
+my $PER_ZONE = 8;
 
 World::open_record("review/$ENV{CASE}/record.txt");
 
@@ -41,13 +42,12 @@
 	if ($request->{has_part}) {
 		World::record("$id from $request->{edge}{name} reaches "
 			. $worker->{id});
-		push @late, $id if @crashes >= 5
-			&& $now > $crashes[4] + $STABLE_MS
-			&& $now > $request->{edge}{started_at} + $STABLE_MS;
+		push @late, $id
+			if @crashes >= 5 && $now > $crashes[4] + $STABLE_MS;
 	}
 	World::stream($worker, $conn, $message, first_ms => 60, pause => 20,
 		events => 30, on_head => sub {
-			return 1 if !$request->{has_part};
+			return 1 if !$request->{has_part} || !World::trouble();
 			crash($worker, $id);
 			return 0;
 		});
@@ -111,33 +111,12 @@
 	}
 }
 
-# Three requests with the part, at three machines, 120 ms apart.
-sub group {
-	my ($first) = @_;
-
-	for my $i (0 .. 2) {
-		draft($edges[($first + $i) % @edges], 1);
-		World::run(120);
-	}
-	sound($GROUP_PAUSE_MS);
-}
-
 sound(1500);
-group($_) for 0 .. 3;
-World::finish(2, 'no five crashes') if @crashes < 5;
-World::finish(2, 'the part is not yet kept out') if @late > 3;
-World::record(scalar(@crashes) . ' crashes so far');
-
-if (World::trouble()) {
-	World::edge_signal($_, 'KILL') for @edges;
-	World::run(500);
-	World::edge_start($_) for @edges;
+for my $group (1 .. $GROUPS) {
+	draft($_, 1) for @edges;
+	sound($GROUP_PAUSE_MS);
 }
-World::run(1000);
-World::wait_ready(@edges);
-sound(3000);
-group($_) for 0 .. 3;
-World::run(2000);
+World::run(3000);
 World::record(scalar(@crashes) . ' crashes; sound requests ended: '
 	. join ', ', map { "$_: $ends{$_}" } sort keys %ends);
 World::finish(1, 'BUDGET broken: ' . scalar(@late) . ' requests with the part '
