review: case 6, a part that crashes workers after an event is never found

Cause: a run that had an event clears the parts of its prompt, and a connection that is lost after an event is no evidence. Change: a script with one such request each 2 s beside sound ones.

--- a/review/6/case.pl
+++ b/review/6/case.pl
@@ -1,14 +1,14 @@
 #!/usr/bin/perl
-# A part of prompts crashes workers. Requests with it come in groups: one at
-# each machine at the same moment, and the next group some seconds later.
+# A part of prompts crashes workers, each after the first event of its answer.
+# Requests with it come one at a time, at any machine.
 use strict;
 use warnings;
 use World;
 
 my $STABLE_MS = 3000;
 my $PART = 'dead0001';
-my $GROUPS = 5;
-my $GROUP_PAUSE_MS = 5000;
+my $REQUESTS = 12;
+my $PAUSE_MS = 2000;
 # An entry lapses after three heartbeats of silence.
 my $LAPSE_MS = 3600;
 # A worker is back after some seconds.
@@ -45,9 +45,12 @@
 		push @late, $id
 			if @crashes >= 5 && $now > $crashes[4] + $STABLE_MS;
 	}
+	my $first = $message->{fields}{'last-event-id'} || 0;
+
 	World::stream($worker, $conn, $message, first_ms => 60, pause => 20,
-		events => 30, on_head => sub {
-			return 1 if !$request->{has_part} || !World::trouble();
+		events => 30, on_event => sub {
+			return 1 if !$request->{has_part} || !World::trouble()
+				|| $_[0]{next} <= $first + 1;
 			crash($worker, $id);
 			return 0;
 		});
@@ -112,9 +115,9 @@
 }
 
 sound(1500);
-for my $group (1 .. $GROUPS) {
-	draft($_, 1) for @edges;
-	sound($GROUP_PAUSE_MS);
+for my $i (1 .. $REQUESTS) {
+	draft($edges[$i % @edges], 1);
+	sound($PAUSE_MS);
 }
 World::run(3000);
 World::record(scalar(@crashes) . ' crashes; sound requests ended: '
