--- a/review/stand-ins-2/World.pm
+++ b/review/stand-ins-2/World.pm
@@ -54,10 +54,17 @@
 	for my $edge (values %edges) {
 		kill 'KILL', $edge->{pid} if $edge->{pid};
 		waitpid $edge->{pid}, 0 if $edge->{pid};
+		$edge->{pid} = undef;
 	}
 	exit $code;
 }
 
+# An error of the script leaves no process behind, and is no result.
+END {
+	kill 'KILL', map { $_->{pid} || () } values %edges;
+	$? = 2 if $? > 2;
+}
+
 # Event loop
 
 sub after {
