review: case 10 within the dose of the site, ports of scripts side by side

Cause: case 10 broke off more answers in its spell than the site's x allows, and two scripts at once could take the same port or meet each other's workers. Change: 6 workers and 20 drafts a second at each machine; ranges of ports and ids by process; the store answers 400 to bytes that it can't read.

--- a/review/10/case.pl
+++ b/review/10/case.pl
@@ -11,7 +11,9 @@
 World::open_record("review/$ENV{CASE}/record.txt");
 
 my (%runs, %streams, @late, $left_at, $special, $leaver);
-my ($answers, $broken) = (0, 0);
+# Answers, and those that were broken off, by worker, in the spell of the faults.
+my (%answers, %broken);
+my $is_spell = 0;
 
 sub run_stream {
 	my ($worker, $conn, $message) = @_;
@@ -19,7 +21,7 @@
 	my $run = ++$runs{$id};
 	my %how = (first_ms => 30, pause => 15, events => 20);
 
-	$answers++;
+	$answers{$worker->{id}}++ if $is_spell;
 	if (defined $special && $id eq $special) {
 		World::record("$id, run $run, begins at $worker->{id} after event "
 			. ($message->{fields}{'last-event-id'} || 0));
@@ -44,7 +46,7 @@
 		: $run == 2 && $left_at && World::now() > $left_at + $DRAIN_MS + 500;
 
 	return 1 if !World::trouble() || !$is_due;
-	$broken++;
+	$broken{$worker->{id}}++;
 	World::record("$stream->{id}, run $run, is broken off by $worker->{id} "
 		. "at event $stream->{next}");
 	delete $worker->{streams}{$stream->{id}};
@@ -74,7 +76,7 @@
 my @workers = map {
 	World::worker_new('textverk', $_, \&run_stream, type => 'big', slots => 192,
 		from => 0, to => 80)
-} qw(a a a b c);
+} qw(a a a b b c);
 
 World::config(7, [World::route('/draft/', 'streaming', 'textverk')],
 	[World::engine_service('textverk')],
@@ -106,19 +108,31 @@
 	return $request;
 }
 
-# Drafts for 4 s, then the one that is broken off, and drafts beside it.
-for my $round (1 .. 16) {
-	draft($_) for @edges;
-	World::run(250);
+# Sends so many drafts to each machine, 20 a second.
+sub drafts {
+	my ($rounds) = @_;
+
+	for my $round (1 .. $rounds) {
+		draft($_) for @edges;
+		World::run(50);
+	}
 }
+
+# A spell of some 5 s, with the draft that is broken off after 2.2 s.
+drafts(10);
+$is_spell = 1;
+drafts(42);
 my $request = draft($edges[0]);
 $special = $request->{id};
-for my $round (1 .. 16) {
-	World::run(500);
+drafts(56);
+$is_spell = 0;
+for my $round (1 .. 6) {
 	draft($_) for @edges;
+	World::run(500);
 }
 World::run(15000, sub { !grep { !defined $_->{end} } values %streams });
-World::record("$broken of $answers answers were broken off");
+World::record("$_: $broken{$_} of $answers{$_} answers were broken off")
+	for sort keys %broken;
 World::finish(2, 'the worker did not leave') if !$leaver;
 World::finish(1, 'DRAIN broken: ' . scalar(@late) . ' requests reached a worker'
 	. " over $DRAIN_MS ms after its leaving was acknowledged") if @late;
--- a/review/stand-ins-2/World.pm
+++ b/review/stand-ins-2/World.pm
@@ -273,10 +273,12 @@
 }
 
 # A port on which nothing listens, below those that the system takes for outgoing
-# connections.
+# connections; scripts that run at the same time have other ranges.
+my $next_port = 10000 + 100 * ($$ % 200);
+
 sub free_port {
 	for (1 .. 100) {
-		my $port = 10000 + int rand 20000;
+		my $port = $next_port++;
 		my $socket = IO::Socket::INET->new(LocalAddr => '127.0.0.1',
 			LocalPort => $port, Listen => 1, Proto => 'tcp');
 
@@ -353,9 +355,14 @@
 
 sub write_object {
 	my ($conn, $kind, $name, $body, $is_new) = @_;
-	my $sent = $JSON->decode($body);
+	my $sent = eval { $JSON->decode($body) };
 	my $known;
 
+	if (ref $sent ne 'HASH') {
+		answer_json($conn, 400, {});
+		return;
+	}
+
 	$name = $sent->{metadata}{name} if !defined $name;
 	$known = $objects{$kind}{$name};
 	if ($is_new ? $known : !$known) {
@@ -601,7 +608,7 @@
 sub worker_new {
 	my ($service, $zone, $script, %more) = @_;
 	my $worker = {
-		id => sprintf('i-%04d', ++$next_worker), service => $service,
+		id => sprintf('i-%x-%04d', $$, ++$next_worker), service => $service,
 		zone => $zone, script => $script, state => 'ready', sequence => 0,
 		slots => 6, born => int(1000 * time()), arrivals => [], streams => {},
 		fence => 0, %more,
