edge: an answer without a length is incomplete after a failed write

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection. The caller got that part as the whole answer.

Cause: the kernel reports a reset once, to whichever of read, write and getsockopt(SO_ERROR) comes first. If it arrives between a read and the next write of the upload, the write takes it; the connection then reads as EOF with SO_ERROR 0, and EOF ends an answer without a length. The result of the write was ignored, as a target may answer and close before it has read the request.

Change: a failed write is remembered, and an answer that only the end of the connection completes does not count after it. One with a length or chunks does, as before, and so does one that ends with FIN while the target reads on.

--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -148,7 +148,9 @@
 
 /*
  * A response without a length ends with its connection. After a reset it is
- * incomplete, even if EOF was read before the reset arrived.
+ * incomplete, even if EOF was read before the reset arrived. The kernel reports
+ * a reset once, to whichever of read, write and getsockopt comes first; after
+ * that the connection reads as EOF.
  */
 static bool was_reset(const struct hup_conn *conn)
 {
@@ -158,6 +160,10 @@
 
 #ifdef WF_GUARD_OFF_EDGE_RESET_CHECK
 	return false;
+#endif
+#ifndef WF_GUARD_OFF_EDGE_FAILED_WRITE
+	if (conn->is_write_failed)
+		return true;
 #endif
 	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd))
 		return true;
@@ -195,7 +201,8 @@
 	g_free(write);
 	/* A target may respond and close before it has read the request, so a
 	 * failed write does not end the exchange. */
-	(void)status;
+	if (status)
+		conn->is_write_failed = true;
 }
 
 static void write_request(struct hup_conn *conn)
--- a/src/edge/hup_private.h
+++ b/src/edge/hup_private.h
@@ -29,6 +29,8 @@
 	/* Carried a request without an id. */
 	bool had_unmarked;
 	unsigned pending_writes;
+	/* The connection can't be written to, as after a reset. */
+	bool is_write_failed;
 	/* Exchanges that ended on this connection. */
 	unsigned served;
 	clk_ms idle_since;
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -100,12 +100,12 @@
 	return ((struct probe *)user)->end_calls > 0;
 }
 
-static void send_to(struct probe *probe, const char *address, const char *id,
-		    clk_ms max_idle)
+static void send_bytes(struct probe *probe, const char *address, const char *id,
+		       clk_ms max_idle, GString *bytes)
 {
 	struct hup_request request = {
 		.address = address,
-		.bytes = g_string_new("GET / HTTP/1.1\r\nHost: t\r\n\r\n"),
+		.bytes = bytes,
 		.max_idle = max_idle,
 		.timeout = TIMEOUT_MS,
 		.max_body_bytes = MAX_BODY_BYTES,
@@ -122,6 +122,13 @@
 	wire_run_until(&probe->wire, has_ended, probe);
 }
 
+static void send_to(struct probe *probe, const char *address, const char *id,
+		    clk_ms max_idle)
+{
+	send_bytes(probe, address, id, max_idle,
+		   g_string_new("GET / HTTP/1.1\r\nHost: t\r\n\r\n"));
+}
+
 static void request(struct probe *probe, const char *id)
 {
 	send_to(probe, wire_server_address(probe->server), id, 60000);
@@ -222,6 +229,100 @@
 }
 END_TEST
 
+#define UPLOAD_BYTES (8 << 20)
+/* The target answers after its first read of the upload, the fifth, and so on.
+ * About 20 reads make room for the next write. */
+#define READ_STEP 4
+#define MOMENTS 24
+#define UNFRAMED "HTTP/1.1 200 OK\r\n\r\nok"
+#define FRAMED "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+#define CHUNKED_OK                                              \
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" \
+	"2\r\nok\r\n0\r\n\r\n"
+
+/* Answers of a target that has read only a part of the upload. */
+static const struct response_case early_cases[] = {
+	{UNFRAMED, RESET, HUP_CONN_LOST, NULL},
+	{UNFRAMED, CLOSE_AND_RESET, HUP_CONN_LOST, NULL},
+	{"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\nbad", RESET, HUP_CONN_LOST,
+	 NULL},
+	/* A target that reads on after the end of its answer. */
+	{UNFRAMED, CLOSE, HUP_COMPLETE, "ok"},
+	/* A reset does not matter where the length shows the end. */
+	{FRAMED, RESET, HUP_COMPLETE, "ok"},
+	{FRAMED, CLOSE_AND_RESET, HUP_COMPLETE, "ok"},
+	{CHUNKED_OK, RESET, HUP_COMPLETE, "ok"},
+	{FRAMED, KEEP_OPEN, HUP_COMPLETE, "ok"},
+};
+
+struct upload {
+	struct probe probe;
+	const struct response_case *response_case;
+	unsigned reads_left;
+};
+
+static void answer_early(struct wire_conn *conn, const char *text, void *user)
+{
+	struct upload *upload = user;
+	const struct response_case *response_case = upload->response_case;
+
+	(void)text;
+	if (!upload->reads_left || --upload->reads_left)
+		return;
+	if (response_case->action == CLOSE_AND_RESET) {
+		wire_end_and_reset(conn, response_case->bytes);
+		return;
+	}
+	wire_send(conn, response_case->bytes);
+	if (response_case->action == CLOSE)
+		wire_end_output(conn);
+	else if (response_case->action == RESET)
+		wire_reset(conn);
+}
+
+static void ignore_request(struct wire_conn *conn, const char *text, void *user)
+{
+	(void)conn;
+	(void)text;
+	(void)user;
+}
+
+static GString *make_upload(void)
+{
+	GString *bytes = g_string_new(NULL);
+	char *body = g_strnfill(UPLOAD_BYTES, 'x');
+
+	g_string_printf(bytes,
+			"POST / HTTP/1.1\r\nHost: t\r\n"
+			"Content-Length: %d\r\n\r\n%s",
+			UPLOAD_BYTES, body);
+	g_free(body);
+	return bytes;
+}
+
+/* Guards against part of an answer without a length that counts as complete
+ * because the reset was reported to a write of the request. */
+START_TEST(early_response_ends_with_the_expected_result)
+{
+	struct upload upload = {
+		.response_case = &early_cases[_i / MOMENTS],
+		.reads_left = 1 + READ_STEP * ((unsigned)_i % MOMENTS),
+	};
+	struct probe *probe = &upload.probe;
+
+	setup(probe, NULL);
+	probe->server = wire_server_new(&probe->wire, ignore_request, &upload);
+	wire_server_on_part(probe->server, answer_early);
+	send_bytes(probe, wire_server_address(probe->server), "1", 0,
+		   make_upload());
+	ck_assert_int_eq(probe->result, upload.response_case->result);
+	if (upload.response_case->body)
+		ck_assert_str_eq(probe->data->str, upload.response_case->body);
+	ck_assert_str_ne(probe->data->str, "bad");
+	teardown(probe);
+}
+END_TEST
+
 static void send_extra_response_once(struct wire_conn *conn, const char *text,
 				     void *user)
 {
@@ -537,6 +638,8 @@
 	tcase_set_timeout(tcase, 30);
 	tcase_add_loop_test(tcase, responses_end_with_the_expected_result, 0,
 			    G_N_ELEMENTS(response_cases));
+	tcase_add_loop_test(tcase, early_response_ends_with_the_expected_result,
+			    0, G_N_ELEMENTS(early_cases) * MOMENTS);
 	tcase_add_test(tcase, connection_with_extra_bytes_is_not_reused);
 	tcase_add_loop_test(tcase, trailer_fields_are_not_of_the_next_answer, 0,
 			    G_N_ELEMENTS(trailers));
--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -381,6 +381,73 @@
 }
 END_TEST
 
+#define UPLOAD_BYTES (8 << 20)
+/* Reads of the upload before the answer. */
+#define FIRST_READS 13
+#define READ_STEP 4
+#define MOMENTS 12
+
+/* Answers inside the upload, and resets the connection. */
+static void answer_early(struct wire_conn *conn, const char *request,
+			 void *user)
+{
+	struct worker *worker = user;
+
+	if (!worker->step || --worker->step)
+		return;
+	n_sends++;
+	send_answer(conn, request, answers->status, answers->rest);
+	wire_reset(conn);
+}
+
+static void open_with_large_bodies(struct platform_world *world)
+{
+	json_t *config = world_config(1);
+	guint i;
+
+	json_object_set_new(
+		config, "limits",
+		json_pack("{s:i}", "max-body-bytes", 2 * UPLOAD_BYTES));
+	world_open(world);
+	world_put(world, "config", "main", config);
+	world_worker(world, "p1", "plain", 0, 0);
+	world_worker(world, "p2", "plain", 0, 0);
+	world_start_ready_edge(world);
+	for (i = 0; i < world->workers->len; i++)
+		wire_server_on_part(worker(world, i)->server, answer_early);
+}
+
+/* Guards against part of an answer without a length that reaches the caller of
+ * a long upload as complete. */
+START_TEST(early_answer_that_is_reset_is_not_complete)
+{
+	static const struct answer plain = {200, SIGNED "\r\nbo", RESET};
+	static const struct answer stream = {200, UNFRAMED EVENT_1, RESET};
+	bool is_stream = _i >= MOMENTS;
+	char *body = g_strnfill(UPLOAD_BYTES, 'x');
+	struct platform_world world;
+	struct wire_client *client;
+	guint i;
+
+	answers = is_stream ? &stream : &plain;
+	open_with_large_bodies(&world);
+	for (i = 0; i < world.workers->len; i++)
+		worker(&world, i)->step =
+			FIRST_READS + READ_STEP * (guint)(_i % MOMENTS);
+	client = world_request(&world, "POST", is_stream ? "/last/" : "/once/",
+			       KEY, body);
+	if (is_stream)
+		wire_client_await_close(&world.wire, client);
+	else
+		wire_client_await(&world.wire, client, "HTTP/1.1 502 ");
+	ck_assert_uint_eq(n_sends, 1);
+	ck_assert(!has_complete_end(client));
+	wire_client_drop(client);
+	world_close(&world);
+	g_free(body);
+}
+END_TEST
+
 /* Guards against bytes of a body after the answer to HEAD, which the caller
  * takes for the next answer. */
 START_TEST(answer_to_head_has_no_body)
@@ -419,6 +486,8 @@
 	tcase_add_loop_test(tcase,
 			    answer_without_length_is_complete_only_at_its_end,
 			    0, G_N_ELEMENTS(endings));
+	tcase_add_loop_test(tcase, early_answer_that_is_reset_is_not_complete,
+			    0, 2 * MOMENTS);
 	tcase_add_test(tcase, answer_to_head_has_no_body);
 	return sup_run_case("answers_wire", tcase);
 }
--- a/tests/support/wire/wire.h
+++ b/tests/support/wire/wire.h
@@ -55,6 +55,9 @@
 
 struct wire_server *wire_server_new(struct wire_loop *wire,
 				    wire_handler handler, void *user);
+/* Sets a handler for parts of a request: called with what has been received of
+ * an incomplete one, after each read. */
+void wire_server_on_part(struct wire_server *server, wire_handler handler);
 const char *wire_server_address(const struct wire_server *server);
 unsigned wire_server_requests(const struct wire_server *server);
 unsigned wire_server_connections(const struct wire_server *server);
@@ -76,6 +79,9 @@
 /* Closes the connection after the pending output. */
 void wire_hang_up(struct wire_conn *conn);
 
+/* Sends FIN, but goes on reading. */
+void wire_end_output(struct wire_conn *conn);
+
 /* Resets the connection (RST). */
 void wire_reset(struct wire_conn *conn);
 /* Sends last bytes, FIN and RST before the peer can read on. */
--- a/tests/support/wire/wire_server.c
+++ b/tests/support/wire/wire_server.c
@@ -11,6 +11,7 @@
 	struct wire_loop *wire;
 	uv_tcp_t tcp;
 	wire_handler handler;
+	wire_handler part_handler;
 	void *user;
 	char *address;
 	GHashTable *conns;
@@ -107,6 +108,10 @@
 		conn->server->handler(conn, request, conn->server->user);
 		g_free(request);
 	}
+	if (conn->server->part_handler && conn->input->len &&
+	    !uv_is_closing((uv_handle_t *)stream))
+		conn->server->part_handler(conn, conn->input->str,
+					   conn->server->user);
 }
 
 static void on_connection(uv_stream_t *stream, int status)
@@ -155,6 +160,11 @@
 	return server;
 }
 
+void wire_server_on_part(struct wire_server *server, wire_handler handler)
+{
+	server->part_handler = handler;
+}
+
 const char *wire_server_address(const struct wire_server *server)
 {
 	return server->address;
@@ -249,6 +259,20 @@
 	}
 }
 
+static void on_output_ended(uv_shutdown_t *req, int status)
+{
+	(void)status;
+	g_free(req);
+}
+
+void wire_end_output(struct wire_conn *conn)
+{
+	uv_shutdown_t *req = g_new0(uv_shutdown_t, 1);
+
+	if (uv_shutdown(req, (uv_stream_t *)&conn->tcp, on_output_ended))
+		g_free(req);
+}
+
 void wire_reset(struct wire_conn *conn)
 {
 	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
