edge: parse answers strictly; no blank or control byte in the name of a field

What callers saw: a target put a blank into the name of a field, and the line was passed on to the caller. A line that began with CR ended the head, and the caller got the rest of that line as the start of the body.

Cause: http_parser as Debian builds it (HTTP_PARSER_STRICT=0) takes a blank as part of a name, "Content-Length :" as the length, any byte behind a CR as the end of a line, a head, a chunk size or a trailer section, and any two bytes as the end of a chunk. It joins a folded value without a blank, reads a body in a transfer coding that nobody decodes, "0200" as 200, version 0.9 and 2.0, and control bytes in a reason phrase. It also waits for a body after a 304 that states a length, and refuses a tab behind a length.

A line that violates RFC 9112, a length or chunks in doubt, and a transfer coding other than chunked make an answer malformed, where possible before the line ends. Lines are checked in base/http_line, which wagtailferryd shares. A folded value is malformed in a head, as RFC 9112, section 5.2, allows, and is discarded with its trailer section. Requests are still parsed by http_parser and checked by hsv_.

--- a/src/base/http_line.c
+++ b/src/base/http_line.c
@@ -10,8 +10,7 @@
 #define MIN_STATUS 100
 #define MAX_STATUS 599
 
-/* Whether the bytes hold no control character but tabs. */
-static bool is_text(const char *bytes, size_t len)
+bool hln_is_text(const char *bytes, size_t len)
 {
 	size_t i;
 
@@ -21,6 +20,18 @@
 	return true;
 }
 
+bool hln_is_token(const char *bytes, size_t len)
+{
+	static const char symbols[] = "!#$%&'*+-.^_`|~";
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		if (!g_ascii_isalnum(bytes[i]) &&
+		    !memchr(symbols, bytes[i], sizeof(symbols) - 1))
+			return false;
+	return len > 0;
+}
+
 int hln_parse_status(const char *line, size_t len)
 {
 	const size_t start = strlen(VERSION_PREFIX "1 ");
@@ -30,7 +41,7 @@
 
 	if (len < end || memcmp(line, VERSION_PREFIX, strlen(VERSION_PREFIX)) ||
 	    !g_ascii_isdigit(line[start - 2]) || line[start - 1] != ' ' ||
-	    (len > end && line[end] != ' ') || !is_text(line, len))
+	    (len > end && line[end] != ' ') || !hln_is_text(line, len))
 		return 0;
 	for (i = start; i < end; i++) {
 		if (!g_ascii_isdigit(line[i]))
@@ -39,3 +50,23 @@
 	}
 	return status >= MIN_STATUS && status <= MAX_STATUS ? status : 0;
 }
+
+size_t hln_name_length(const char *line, size_t len)
+{
+	const char *colon = memchr(line, ':', len);
+	size_t name = colon ? (size_t)(colon - line) : 0;
+
+	return hln_is_token(line, name) && hln_is_text(line, len) ? name : 0;
+}
+
+bool hln_parse_length(const char *value, uint64_t *length)
+{
+	guint64 number;
+
+	if (!g_ascii_isdigit(*value) ||
+	    !g_ascii_string_to_unsigned(value, 10, 0, G_MAXUINT64, &number,
+					NULL))
+		return false;
+	*length = number;
+	return true;
+}
--- a/src/edge/hdr_fields.c
+++ b/src/edge/hdr_fields.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/http_line.h"
 #include "edge/hdr_fields.h"
 
 /* Connections keep a buffer up to this size for their next message. */
@@ -51,6 +52,14 @@
 	g_array_append_val(list->fields, field);
 }
 
+void hdr_add_line(struct hdr_list *list, const char *line, size_t name_len)
+{
+	struct hdr_field field = {g_strndup(line, name_len),
+				  g_strstrip(g_strdup(line + name_len + 1))};
+
+	g_array_append_val(list->fields, field);
+}
+
 const char *hdr_get(const struct hdr_list *list, const char *name)
 {
 	guint i;
@@ -135,14 +144,7 @@
 
 bool hdr_is_token(const char *text)
 {
-	if (!*text)
-		return false;
-	for (; *text; text++) {
-		if (!g_ascii_isalnum(*text) &&
-		    !strchr("!#$%&'*+-.^_`|~", *text))
-			return false;
-	}
-	return true;
+	return hln_is_token(text, strlen(text));
 }
 
 void hdr_builder_init(struct hdr_builder *builder)
--- a/src/edge/hdr_fields.h
+++ b/src/edge/hdr_fields.h
@@ -28,6 +28,10 @@
 /* Adds a field; name and value are copied. */
 void hdr_add(struct hdr_list *list, const char *name, const char *value);
 
+/* Adds the field of a valid line "name: value"; name_len is the length of its
+ * name. Blanks around the value are dropped. */
+void hdr_add_line(struct hdr_list *list, const char *line, size_t name_len);
+
 /*
  * Returns the value of the first field with the name, compared without case,
  * or NULL. The list keeps ownership.
--- a/src/edge/hup_client.c
+++ b/src/edge/hup_client.c
@@ -52,8 +52,7 @@
 {
 	struct hup_conn *conn = handle->data;
 
-	hdr_builder_clear(&conn->builder);
-	hdr_clear(&conn->response.headers);
+	rsp_clear(&conn->parser);
 	g_free(conn->address);
 	client_unref(conn->client);
 	g_free(conn);
@@ -111,8 +110,7 @@
 		g_hash_table_insert(conn->client->idle, g_strdup(conn->address),
 				    queue);
 	}
-	hdr_reset(&conn->response.headers);
-	hdr_builder_begin(&conn->builder);
+	rsp_begin(&conn->parser);
 	conn->idle_since = now_ms(conn->client);
 	g_queue_push_head(queue, conn);
 	if (queue->length > MAX_IDLE_PER_ADDRESS)
@@ -186,8 +184,8 @@
 		return;
 	}
 	if (n == UV_EOF && !was_reset(conn))
-		hup_parse(conn, "", 0);
-	if (!conn->is_closing && conn->exchange)
+		hup_parse_end(conn);
+	else
 		hup_finish(conn, HUP_CONN_LOST);
 }
 
@@ -283,8 +281,7 @@
 	client->refs++;
 	uv_tcp_init(client->loop, &conn->tcp);
 	conn->tcp.data = conn;
-	hdr_builder_init(&conn->builder);
-	hdr_init(&conn->response.headers);
+	rsp_init(&conn->parser);
 	conn->next = client->conns;
 	if (client->conns)
 		client->conns->prev = conn;
@@ -376,13 +373,11 @@
 			    struct hup_exchange *exchange)
 {
 	conn->exchange = exchange;
-	conn->is_complete = false;
 	conn->is_reusable = false;
 	conn->is_skipping = false;
 	conn->had_unmarked |= !exchange->id;
 	exchange->conn = conn;
-	http_parser_init(&conn->parser, HTTP_RESPONSE);
-	conn->parser.data = conn;
+	rsp_begin(&conn->parser);
 }
 
 struct hup_exchange *hup_send(struct hup_client *client,
--- a/src/edge/hup_parse.c
+++ b/src/edge/hup_parse.c
@@ -5,41 +5,7 @@
 
 /* Assumed if a response has no Keep-Alive timeout. */
 #define DEFAULT_KEEP_ALIVE_MS 4000
-/* RFC 9110, section 15: a status outside of this range is invalid. */
-#define MIN_STATUS 100
-#define MAX_STATUS 599
-
-static struct hup_exchange *active_exchange(const struct hup_conn *conn)
-{
-	return conn->is_closing ? NULL : conn->exchange;
-}
-
-static int on_message_begin(http_parser *parser)
-{
-	struct hup_conn *conn = parser->data;
-
-	hdr_reset(&conn->response.headers);
-	hdr_builder_begin(&conn->builder);
-	conn->is_skipping = false;
-	return active_exchange(conn) ? 0 : -1;
-}
-
-static int on_header_field(http_parser *parser, const char *at, size_t len)
-{
-	struct hup_conn *conn = parser->data;
-
-	hdr_builder_append_name(&conn->builder, &conn->response.headers, at,
-				len);
-	return 0;
-}
-
-static int on_header_value(http_parser *parser, const char *at, size_t len)
-{
-	struct hup_conn *conn = parser->data;
-
-	hdr_builder_append_value(&conn->builder, at, len);
-	return 0;
-}
+#define FIRST_FINAL_STATUS 200
 
 static clk_ms parse_keep_alive(const struct hdr_list *headers)
 {
@@ -70,7 +36,7 @@
 #endif
 	if (!exchange->id_header)
 		return MATCHES;
-	id = hdr_get(&conn->response.headers, exchange->id_header);
+	id = hdr_get(&conn->parser.headers, exchange->id_header);
 	if (!exchange->id)
 		return id ? IS_STALE : MATCHES;
 	if (!id) {
@@ -82,120 +48,121 @@
 	return strcmp(id, exchange->id) ? IS_STALE : MATCHES;
 }
 
-static int on_headers_complete(http_parser *parser)
+static void note_skipped(const struct hup_conn *conn)
 {
-	struct hup_conn *conn = parser->data;
-	struct hup_exchange *exchange = active_exchange(conn);
-	enum match match;
-
-	hdr_builder_end(&conn->builder, &conn->response.headers);
-	if (!exchange)
-		return -1;
-	/* What follows a change of protocol can't be parsed. */
-	if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
-		return -1;
-	if (parser->status_code < MIN_STATUS ||
-	    parser->status_code > MAX_STATUS)
-		return -1;
-	conn->response.status = (int)parser->status_code;
-	match = match_id(conn, exchange);
-	conn->is_skipping = parser->status_code < 200 || match == IS_STALE;
-	if (!conn->is_skipping && match == IS_UNKNOWN) {
+	if (conn->parser.status >= FIRST_FINAL_STATUS)
 		ctr_add(conn->client->counters,
-			"wf_upstream_unknown_answers_total", 1);
-		return -1;
-	}
+			"wf_upstream_stale_answers_total", 1);
+}
+
+/* Passes the head on unless the response is skipped. False if it is no answer
+ * to any request. */
+static bool read_head(struct hup_conn *conn)
+{
+	struct hup_exchange *exchange = conn->exchange;
+	int status = conn->parser.status;
+	struct hup_response response = {status, conn->parser.headers};
+	enum match match = match_id(conn, exchange);
+
+	conn->is_skipping = status < FIRST_FINAL_STATUS || match == IS_STALE;
 	if (conn->is_skipping) {
-		if (parser->status_code >= 200)
-			ctr_add(conn->client->counters,
-				"wf_upstream_stale_answers_total", 1);
-		return 0;
+		note_skipped(conn);
+		return true;
 	}
-	conn->keep_alive = parse_keep_alive(&conn->response.headers);
-	exchange->ops->head(exchange->user, &conn->response);
-	if (!active_exchange(conn))
-		return -1;
-	return exchange->is_head ? 1 : 0;
+	if (match == IS_UNKNOWN) {
+		ctr_add(conn->client->counters,
+			"wf_upstream_unknown_answers_total", 1);
+		return false;
+	}
+	conn->keep_alive = parse_keep_alive(&conn->parser.headers);
+	if (exchange->is_head)
+		rsp_skip_body(&conn->parser);
+	exchange->ops->head(exchange->user, &response);
+	return true;
 }
 
-static int on_body(http_parser *parser, const char *at, size_t len)
+/* False if the body is larger than its limit. */
+static bool read_body(struct hup_conn *conn, const struct rsp_input *piece)
 {
-	struct hup_conn *conn = parser->data;
-	struct hup_exchange *exchange = active_exchange(conn);
+	struct hup_exchange *exchange = conn->exchange;
 
-	if (!exchange)
-		return -1;
 	if (conn->is_skipping)
-		return 0;
-	exchange->body_bytes += len;
+		return true;
+	exchange->body_bytes += piece->len;
 	if (exchange->max_body_bytes &&
-	    exchange->body_bytes > exchange->max_body_bytes) {
-		exchange->is_too_large = true;
-		return -1;
-	}
-	exchange->ops->data(exchange->user, at, len);
-	return active_exchange(conn) ? 0 : -1;
+	    exchange->body_bytes > exchange->max_body_bytes)
+		return false;
+	exchange->ops->data(exchange->user, piece->bytes, piece->len);
+	return true;
 }
 
-static int on_message_complete(http_parser *parser)
+static void finish_too_large(struct hup_conn *conn)
 {
-	struct hup_conn *conn = parser->data;
-
-	if (!active_exchange(conn))
-		return -1;
-	if (conn->is_skipping)
-		return 0;
-	conn->is_complete = true;
-	conn->is_reusable = http_should_keep_alive(parser) != 0;
-	http_parser_pause(parser, 1);
-	return 0;
+	ctr_add(conn->client->counters, "wf_upstream_too_large_total", 1);
+	hup_finish(conn, HUP_TOO_LARGE);
 }
 
-static const http_parser_settings parser_settings = {
-	.on_message_begin = on_message_begin,
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers_complete,
-	.on_body = on_body,
-	.on_message_complete = on_message_complete,
-};
+/* Handles an item of the response; the exchange may end with it. */
+static void read_item(struct hup_conn *conn, enum rsp_item item,
+		      const struct rsp_input *piece, bool is_last)
+{
+	switch (item) {
+	case RSP_HEAD:
+		if (!read_head(conn))
+			hup_finish(conn, HUP_MALFORMED);
+		break;
+	case RSP_BODY:
+		if (!read_body(conn, piece))
+			finish_too_large(conn);
+		break;
+	case RSP_END:
+		if (conn->is_skipping)
+			break;
+		conn->is_reusable = is_last && rsp_keeps_alive(&conn->parser);
+		hup_finish(conn, HUP_COMPLETE);
+		break;
+	default:
+		hup_finish(conn, HUP_MALFORMED);
+	}
+}
 
-/* Counts received bytes that are not of the body of the response. */
-static void count_head_bytes(struct hup_conn *conn, size_t len, size_t body)
+/* Counts received bytes that are not of the body of the response. False if
+ * there are too many before its body. */
+static bool count_head_bytes(struct hup_conn *conn, size_t len, size_t body)
 {
 	struct hup_exchange *exchange = conn->exchange;
 
 	exchange->head_bytes += len - MIN(exchange->body_bytes - body, len);
-	if (exchange->head_bytes > conn->client->max_head_bytes &&
-	    !exchange->body_bytes)
-		exchange->is_too_large = true;
+	return exchange->body_bytes ||
+	       exchange->head_bytes <= conn->client->max_head_bytes;
 }
 
 void hup_parse(struct hup_conn *conn, const char *bytes, size_t len)
 {
-	size_t body = conn->exchange->body_bytes;
-	size_t parsed = http_parser_execute(&conn->parser, &parser_settings,
-					    bytes, len);
-
-	if (conn->is_closing || !conn->exchange)
-		return;
-	if (conn->is_complete) {
-		if (parsed < len)
-			conn->is_reusable = false;
-		if (!len)
-			ctr_add(conn->client->counters,
-				"wf_upstream_unframed_answers_total", 1);
-		http_parser_pause(&conn->parser, 0);
-		hup_finish(conn, HUP_COMPLETE);
-		return;
+	const struct hup_exchange *exchange = conn->exchange;
+	size_t body = exchange->body_bytes;
+	struct rsp_input input = {bytes, len};
+	struct rsp_input piece;
+	enum rsp_item item;
+
+	while ((item = rsp_read(&conn->parser, &input, &piece)) !=
+	       RSP_NEEDS_MORE) {
+		read_item(conn, item, &piece, !input.len);
+		if (conn->is_closing || conn->exchange != exchange)
+			return;
 	}
-	count_head_bytes(conn, len, body);
-	if (conn->exchange->is_too_large) {
-		ctr_add(conn->client->counters, "wf_upstream_too_large_total",
-			1);
-		hup_finish(conn, HUP_TOO_LARGE);
+	if (!count_head_bytes(conn, len, body))
+		finish_too_large(conn);
+}
+
+void hup_parse_end(struct hup_conn *conn)
+{
+	if (!rsp_ends_with_connection(&conn->parser) || conn->is_skipping) {
+		hup_finish(conn, HUP_CONN_LOST);
 		return;
 	}
-	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
-		hup_finish(conn, len ? HUP_MALFORMED : HUP_CONN_LOST);
+	ctr_add(conn->client->counters, "wf_upstream_unframed_answers_total",
+		1);
+	conn->is_reusable = false;
+	hup_finish(conn, HUP_COMPLETE);
 }
--- a/src/edge/hup_private.h
+++ b/src/edge/hup_private.h
@@ -3,9 +3,8 @@
 
 /* Internals of the HTTP upstream client. */
 
-#include <http_parser.h>
-
 #include "edge/hup_client.h"
+#include "edge/rsp_parser.h"
 
 #define HUP_READ_BYTES 16384
 
@@ -13,9 +12,7 @@
 	uv_tcp_t tcp;
 	struct hup_client *client;
 	char *address;
-	http_parser parser;
-	struct hdr_builder builder;
-	struct hup_response response;
+	struct rsp_parser parser;
 	/* NULL while idle. */
 	struct hup_exchange *exchange;
 	bool is_connected;
@@ -23,8 +20,6 @@
 	/* The message being parsed is an interim response or belongs to
 	 * another request. */
 	bool is_skipping;
-	/* The response is complete. */
-	bool is_complete;
 	bool is_reusable;
 	/* Carried a request without an id. */
 	bool had_unmarked;
@@ -58,8 +53,6 @@
 	size_t head_bytes;
 	/* Its timeout was extended to read what has arrived. */
 	bool is_extended;
-	/* The limits are exceeded. */
-	bool is_too_large;
 };
 
 struct hup_client {
@@ -81,7 +74,9 @@
 void hup_finish(struct hup_conn *conn, enum hup_result result);
 
 /* hup_parse.c */
-/* Parses received bytes; len 0 marks the end of the connection. */
+/* Parses received bytes. */
 void hup_parse(struct hup_conn *conn, const char *bytes, size_t len);
+/* Ends the exchange: the peer has closed the connection, without a reset. */
+void hup_parse_end(struct hup_conn *conn);
 
 #endif
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -193,6 +193,16 @@
 	{"HTTP/1.1 103 Early Hints\r\n\r\n"
 	 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	 KEEP_OPEN, HUP_COMPLETE, "ok"},
+	/* Lines that are invalid before they end. */
+	{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rok", KEEP_OPEN,
+	 HUP_MALFORMED, NULL},
+	{"HTTP/1.1 200 OK\r\nX\001", KEEP_OPEN, HUP_MALFORMED, NULL},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2x\r\nok",
+	 KEEP_OPEN, HUP_MALFORMED, NULL},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx", KEEP_OPEN,
+	 HUP_MALFORMED, NULL},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokx",
+	 KEEP_OPEN, HUP_MALFORMED, NULL},
 };
 
 static void send_scripted_response(struct wire_conn *conn, const char *text,
@@ -354,6 +364,22 @@
 }
 END_TEST
 
+/* Guards against the name of a field with a blank or a control byte that is
+ * passed on, or that ends the head early and becomes a body. */
+START_TEST(bad_field_is_malformed)
+{
+	expect_malformed(&sup_bad_fields.list[_i]);
+}
+END_TEST
+
+/* Guards against a body that is not the target's because its end or its coding
+ * was misread. */
+START_TEST(bad_framing_is_malformed)
+{
+	expect_malformed(&sup_bad_framing.list[_i]);
+}
+END_TEST
+
 START_TEST(rare_answer_is_complete)
 {
 	const struct sup_message *message = &sup_rare_answers.list[_i];
@@ -688,6 +714,10 @@
 			    0, G_N_ELEMENTS(early_cases) * MOMENTS);
 	tcase_add_loop_test(tcase, bad_status_is_malformed, 0,
 			    (int)sup_bad_status.n);
+	tcase_add_loop_test(tcase, bad_field_is_malformed, 0,
+			    (int)sup_bad_fields.n);
+	tcase_add_loop_test(tcase, bad_framing_is_malformed, 0,
+			    (int)sup_bad_framing.n);
 	tcase_add_loop_test(tcase, rare_answer_is_complete, 0,
 			    (int)sup_rare_answers.n);
 	tcase_add_test(tcase, connection_with_extra_bytes_is_not_reused);
--- a/tests/fuzz/upstream_fuzz.c
+++ b/tests/fuzz/upstream_fuzz.c
@@ -69,7 +69,7 @@
 	for (at = 0; at < size && !result.ends; at += step)
 		hup_parse(conn, data + at, MIN(step, size - at));
 	if (!result.ends)
-		hup_parse(conn, "", 0);
+		hup_parse_end(conn);
 	hup_drop(client);
 	while (uv_run(&loop, UV_RUN_DEFAULT))
 		;
--- a/tests/platform/answers_wire_test.c
+++ b/tests/platform/answers_wire_test.c
@@ -307,10 +307,20 @@
 #define EVENT_2 "id: 2\ndata: two\n\n"
 #define UNFRAMED SIGNED EVENTS "\r\n"
 #define LAST_CHUNK "\r\n0\r\n\r\n"
-/* A signed answer with a body and an event in one. */
+/* Signed answers whose body is an event, each with one fault. */
 #define NO_STATUS                                             \
 	"HTTP/1.1 000 X\r\n" SIGNED EVENTS "Content-Length: " \
-					   "16\r\n\r\n" EVENT_1
+	"17\r\n\r\n" EVENT_1
+#define BLANK_IN_NAME                                   \
+	"HTTP/1.1 200 X\r\nX Note: 1\r\n" SIGNED EVENTS \
+	"Content-Length: 17\r\n\r\n" EVENT_1
+#define CR_IN_NAME                                                     \
+	"HTTP/1.1 200 X\r\n" SIGNED EVENTS "Content-Length: 17\r\n\rX" \
+	"-Note: 1\r\n\r\n" EVENT_1
+/* Valid, but rarely seen. */
+#define RARE_HEAD                                                          \
+	"HTTP/1.1 103 X\r\nLink: </a>\r\n\r\nHTTP/1.1 200\n" SIGNED EVENTS \
+	"X_'Note|:\r\nX-Note: a\t(b) \"c\": \366\r\n"
 #define OTHER_ID "HTTP/1.1 200 X\r\nX-Wagtailferry-Attempt-Id: other\r\n\r\n"
 
 static const struct ending endings[] = {
@@ -357,6 +367,21 @@
 	{"/once/", {0, NO_STATUS, KEEP_OPEN}, 1, "HTTP/1.1 502 "},
 	{"/lines/", {0, NO_STATUS, KEEP_OPEN}, 2, LAST_CHUNK},
 	{"/last/", {0, NO_STATUS, KEEP_OPEN}, 1, "HTTP/1.1 502 "},
+	{"/read/", {0, BLANK_IN_NAME, KEEP_OPEN}, 2, "body"},
+	{"/once/", {0, BLANK_IN_NAME, KEEP_OPEN}, 1, "HTTP/1.1 502 "},
+	{"/lines/", {0, BLANK_IN_NAME, KEEP_OPEN}, 2, LAST_CHUNK},
+	{"/last/", {0, BLANK_IN_NAME, KEEP_OPEN}, 1, "HTTP/1.1 502 "},
+	{"/read/", {0, CR_IN_NAME, KEEP_OPEN}, 2, "body"},
+	{"/once/", {0, CR_IN_NAME, KEEP_OPEN}, 1, "HTTP/1.1 502 "},
+	{"/lines/", {0, CR_IN_NAME, KEEP_OPEN}, 2, LAST_CHUNK},
+	{"/last/", {0, CR_IN_NAME, KEEP_OPEN}, 1, "HTTP/1.1 502 "},
+	{"/read/", {0, RARE_HEAD "\r\nbody", CLOSE}, 1, "body"},
+	{"/once/", {0, RARE_HEAD "\r\nbody", CLOSE}, 1, "body"},
+	{"/lines/",
+	 {0, RARE_HEAD "\r\n" EVENT_1 EVENT_2, CLOSE},
+	 1,
+	 LAST_CHUNK},
+	{"/last/", {0, RARE_HEAD "\r\n" EVENT_1 EVENT_2, CLOSE}, 1, LAST_CHUNK},
 };
 
 /* Guards against an answer without a length that counts as complete although
--- a/tests/support/answers.c
+++ b/tests/support/answers.c
@@ -30,6 +30,7 @@
 	BAD("HTTP/1.1 999 OK\r\n" BODY),
 	BAD("HTTP/1.1 2 OK\r\n" BODY),
 	BAD("HTTP/1.1 20 OK\r\n" BODY),
+	BAD("HTTP/1.1 0200 OK\r\n" BODY),
 	BAD("HTTP/1.1 2000 OK\r\n" BODY),
 	BAD("HTTP/1.1 20x OK\r\n" BODY),
 	BAD("HTTP/1.1 2 0 OK\r\n" BODY),
@@ -39,10 +40,17 @@
 	BAD("HTTP/1.1\r\n" BODY),
 	BAD("HTTP/1.1 \r\n" BODY),
 	BAD("HTTP/1.1 200OK\r\n" BODY),
+	BAD("HTTP/1.1  200 OK\r\n" BODY),
 	BAD("HTTP/1.1\t200 OK\r\n" BODY),
 	BAD("HTTP/1.1 200\tOK\r\n" BODY),
 	BAD("HTTP/1.1 200\001OK\r\n" BODY),
+	BAD("HTTP/1.1 200 O\001K\r\n" BODY),
+	BAD("HTTP/1.1 200 O\000K\r\n" BODY),
+	BAD("HTTP/1.1 200 OK\177\r\n" BODY),
+	BAD("HTTP/1.1 200 OK\rX-Note: 1\r\n" BODY),
 	BAD("HTTP/1.1 200\rOK\r\n" BODY),
+	BAD("HTTP/0.9 200 OK\r\n" BODY),
+	BAD("HTTP/2.0 200 OK\r\n" BODY),
 	BAD("HTTP/1 200 OK\r\n" BODY),
 	BAD("HTTP/1. 200 OK\r\n" BODY),
 	BAD("HTTP/1.10 200 OK\r\n" BODY),
@@ -59,6 +67,95 @@
 	BAD("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" BODY),
 };
 
+static const struct sup_message bad_fields[] = {
+	BAD(STATUS_LINE "X Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X-Note : 1\r\n" BODY),
+	BAD(STATUS_LINE "X-Note\t: 1\r\n" BODY),
+	BAD(STATUS_LINE " X-Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "\tX-Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "Content-Length: 2\r\nX Note: 1\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: 2\r\n X-Note: 1\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length : 2\r\n\r\nok"),
+	BAD(STATUS_LINE "Content Length: 2\r\n" BODY),
+	BAD(STATUS_LINE "Transfer-Encoding : chunked\r\n\r\n"
+			"2\r\nok\r\n0\r\n\r\n"),
+	BAD(STATUS_LINE " : 1\r\n" BODY),
+	BAD(STATUS_LINE ": 1\r\n" BODY),
+	BAD(STATUS_LINE "X-Note\r\n" BODY),
+	BAD(STATUS_LINE "X-Note 1\r\n" BODY),
+	BAD(STATUS_LINE "X\001Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "\001X-Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X-Note\001: 1\r\n" BODY),
+	BAD(STATUS_LINE "X\000Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "\000X-Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X\013Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X\014Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X\033Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X\177Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X\200Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X(Note): 1\r\n" BODY),
+	BAD(STATUS_LINE "X/Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "\"X-Note\": 1\r\n" BODY),
+	BAD(STATUS_LINE "Content-Length\001: 2\r\n\r\nok"),
+	BAD(STATUS_LINE "\001Content-Length: 3\r\n" BODY),
+	/* A CR that ends no line. */
+	BAD(STATUS_LINE "\rX-Note: 1\r\n" BODY),
+	BAD(STATUS_LINE "X\rNote: 1\r\n" BODY),
+	BAD(STATUS_LINE "X-Note\r: 1\r\n" BODY),
+	BAD(STATUS_LINE "X-Note: 1\r2\r\n" BODY),
+	BAD(STATUS_LINE "X-Note: 1\r\r\n" BODY),
+	BAD(STATUS_LINE "Content-Length: 2\r\n\rX-Note: 1\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: 2\r\n\r\r\nok"),
+	/* Values. */
+	BAD(STATUS_LINE "X-Note: a\001b\r\n" BODY),
+	BAD(STATUS_LINE "X-Note: a\000b\r\n" BODY),
+	BAD(STATUS_LINE "X-Note: a\177b\r\n" BODY),
+	BAD(STATUS_LINE "X-Note: a\r\n b\r\n" BODY),
+	BAD(STATUS_LINE "X-Note: a\r\n\tb\r\n" BODY),
+	/* In an interim response. */
+	BAD("HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" STATUS_LINE BODY),
+	/* Of a status without a body. */
+	BAD("HTTP/1.1 204 No Content\r\nX Note: 1\r\n\r\n"),
+	BAD("HTTP/1.1 304 Not Modified\r\nX\001Note: 1\r\n\r\n"),
+};
+
+static const struct sup_message bad_framing[] = {
+	BAD(STATUS_LINE "Content-Length: 3\r\n" BODY),
+	BAD(STATUS_LINE "Content-Length: \r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: +2\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: -2\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: 0x2\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: 2 2\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: 2, 3\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: 2;x\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: two\r\n\r\nok"),
+	BAD(STATUS_LINE "Content-Length: 99999999999999999999\r\n\r\nok"),
+	BAD(CHUNKED BODY),
+	BAD(CHUNKED "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+	BAD(STATUS_LINE "Transfer-Encoding: gzip\r\n\r\nok"),
+	BAD(STATUS_LINE "Transfer-Encoding: gzip, chunked\r\n\r\n"
+			"2\r\nok\r\n0\r\n\r\n"),
+	BAD(STATUS_LINE "Transfer-Encoding: chunked, gzip\r\n\r\n"
+			"2\r\nok\r\n0\r\n\r\n"),
+	BAD(STATUS_LINE "Transfer-Encoding: chunked, chunked\r\n\r\n"
+			"2\r\nok\r\n0\r\n\r\n"),
+	BAD(STATUS_LINE "Transfer-Encoding: xchunked\r\n\r\n"
+			"2\r\nok\r\n0\r\n\r\n"),
+	BAD(STATUS_LINE "Transfer-Encoding:\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+	BAD(CHUNKED "\r\n2\r\nokXX0\r\n\r\n"),
+	BAD(CHUNKED "\r\n2\r\nok\rX0\r\n\r\n"),
+	BAD(CHUNKED "\r\n2\r\nok0\r\n\r\n"),
+	BAD(CHUNKED "\r\n2\rXok\r\n0\r\n\r\n"),
+	BAD(CHUNKED "\r\n2\r\nok\r\n0\rX\r\n"),
+	BAD(CHUNKED "\r\n2\r\nok\r\n0\r\n\rX"),
+	BAD(CHUNKED "\r\n\r\nok\r\n0\r\n\r\n"),
+	BAD(CHUNKED "\r\n-2\r\nok\r\n0\r\n\r\n"),
+	BAD(CHUNKED "\r\n0x2\r\nok\r\n0\r\n\r\n"),
+	BAD(CHUNKED "\r\n10000000000000002\r\nok\r\n0\r\n\r\n"),
+	BAD(CHUNKED "\r\n2\r\nok\r\n0\r\nX\001Note: 1\r\n\r\n"),
+	BAD(CHUNKED "\r\n2\r\nok\r\n0\r\nX Note: 1\r\n\r\n"),
+};
+
 static const struct sup_message rare_answers[] = {
 	RARE("HTTP/1.1 200\r\n" BODY, 200, "ok"),
 	RARE("HTTP/1.1 200 \r\n" BODY, 200, "ok"),
@@ -77,7 +174,10 @@
 	RARE("HTTP/1.1 199 X\r\n\r\n" STATUS_LINE BODY, 200, "ok"),
 	RARE("HTTP/1.1 204 No Content\r\n\r\n", 204, ""),
 	RARE("HTTP/1.1 304 Not Modified\r\n\r\n", 304, ""),
+	/* The length of the body that a 200 would have. */
+	RARE("HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n", 304, ""),
 	RARE(STATUS_LINE "Content-Length:2\r\n\r\nok", 200, "ok"),
+	RARE(STATUS_LINE "content-length: \t2 \t\r\n\r\nok", 200, "ok"),
 	RARE(STATUS_LINE "Content-Length: 0002\r\n\r\nok", 200, "ok"),
 	RARE(STATUS_LINE "Content-Length: 0\r\n\r\n", 200, ""),
 	RARE(STATUS_LINE "X-Empty:\r\nX-Blank: \t \r\n" BODY, 200, "ok"),
@@ -103,4 +203,6 @@
 };
 
 const struct sup_messages sup_bad_status = MESSAGES(bad_status);
+const struct sup_messages sup_bad_fields = MESSAGES(bad_fields);
+const struct sup_messages sup_bad_framing = MESSAGES(bad_framing);
 const struct sup_messages sup_rare_answers = MESSAGES(rare_answers);
--- a/tests/support/answers.h
+++ b/tests/support/answers.h
@@ -23,6 +23,11 @@
 
 /* A status that does not exist, or a status line of another form. */
 extern const struct sup_messages sup_bad_status;
+/* Field lines that are invalid, or bytes that are none in a head. */
+extern const struct sup_messages sup_bad_fields;
+/* A length or chunks that leave open where the body ends, or a transfer coding
+ * that was not asked for. */
+extern const struct sup_messages sup_bad_framing;
 /* Valid answers of rare forms, each with a length or chunks, or of a status
  * without a body. */
 extern const struct sup_messages sup_rare_answers;
