daemon: a blank or a control byte in the name of a field is malformed

What callers saw: wagtailferryd took an answer with such a line as whole, for requests, streams, the store, reports and orders alike. After "Content-Length : 2" it waited for the deadline.

Cause: libcurl ignores lines that it doesn't know, whatever they hold, ends a head at any line that begins with CR, takes "2 2", "0x2" and the last of two lengths as a length, and decodes a body that is chunked twice.

Change: cli_head checks each line by base/http_line, as the edge does: names, values, a line that continues another, one length or "chunked", and the trailer section. What is invalid ends the request with ERR_PROTOCOL.

Not fixed: a field line that begins with NUL. libcurl drops what it has read from there on before any callback, so the request waits for its deadline (line_that_begins_with_nul_is_a_protocol_error, in KNOWN-RED.txt).

--- a/src/daemon/cli_head.c
+++ b/src/daemon/cli_head.c
@@ -31,29 +31,56 @@
 	return (clk_ms)seconds * CLK_SECOND;
 }
 
-static bool is_header(const char *line, const char *name, char **value)
+/* Reads Content-Length or Transfer-Encoding. False if the end of the body is in
+ * doubt, or its coding was not asked for. */
+static bool read_framing(struct cli_head *head, bool is_valid)
 {
-	size_t len = strlen(name);
+	bool is_first = !head->framed;
 
-	if (g_ascii_strncasecmp(line, name, len) || line[len] != ':')
-		return false;
-	*value = g_strstrip(g_strdup(line + len + 1));
-	return true;
+	head->framed = true;
+	return is_first && is_valid;
 }
 
-static void read_field(struct cli_head *head, const char *line)
+static bool read_named_field(struct cli_head *head, const char *name,
+			     const char *value)
 {
-	char *value = NULL;
+	uint64_t length;
 
-	if (is_header(line, "ETag", &value))
+	if (!g_ascii_strcasecmp(name, "Content-Length"))
+		return read_framing(head, hln_parse_length(value, &length));
+	if (!g_ascii_strcasecmp(name, "Transfer-Encoding"))
+		return read_framing(head,
+				    !g_ascii_strcasecmp(value, "chunked"));
+	if (!g_ascii_strcasecmp(name, "ETag"))
 		head->etag = parse_etag(value);
-	else if (is_header(line, "Retry-After", &value))
+	else if (!g_ascii_strcasecmp(name, "Retry-After"))
 		head->retry_after = parse_retry_after(value);
-	else if (is_header(line, "Content-Length", &value))
-		head->framed = true;
-	else if (is_header(line, "Transfer-Encoding", &value))
-		head->framed = true;
+	return true;
+}
+
+static bool read_field(struct cli_head *head, const char *line, size_t len)
+{
+	size_t name_len = hln_name_length(line, len);
+	char *name;
+	char *value;
+	bool is_valid;
+
+	if (!name_len)
+		return false;
+	name = g_strndup(line, name_len);
+	value = g_strstrip(g_strndup(line + name_len + 1, len - name_len - 1));
+	is_valid = read_named_field(head, name, value);
+	g_free(name);
 	g_free(value);
+	return is_valid;
+}
+
+/* The section is discarded, so a folded value in it is harmless. */
+static bool is_trailer_line(const char *line, size_t len)
+{
+	return !len ||
+	       ((*line == ' ' || *line == '\t') && hln_is_text(line, len)) ||
+	       hln_name_length(line, len);
 }
 
 static bool read_status_line(struct cli_head *head, const char *line,
@@ -75,8 +102,6 @@
 
 bool cli_head_read_line(struct cli_head *head, const char *line, size_t len)
 {
-	char *copy;
-
 	head->bytes += len;
 	if (len && line[len - 1] == '\n')
 		len--;
@@ -85,14 +110,10 @@
 	if (head->next == CLI_HEAD_STATUS_LINE)
 		return read_status_line(head, line, len);
 	if (head->next == CLI_HEAD_TRAILER)
-		return true;
-	if (!len) {
-		end_head(head);
-		return true;
-	}
-	copy = g_strndup(line, len);
-	read_field(head, copy);
-	g_free(copy);
+		return is_trailer_line(line, len);
+	if (len)
+		return read_field(head, line, len);
+	end_head(head);
 	return true;
 }
 
--- a/src/daemon/cli_request.c
+++ b/src/daemon/cli_request.c
@@ -181,6 +181,8 @@
 	case CURLE_PARTIAL_FILE:
 	case CURLE_ABORTED_BY_CALLBACK:
 		return ERR_TARGET_LOST;
+	/* Of a header line that libcurl refuses by itself. */
+	case CURLE_BAD_FUNCTION_ARGUMENT:
 	case CURLE_UNSUPPORTED_PROTOCOL:
 	case CURLE_WEIRD_SERVER_REPLY:
 	case CURLE_BAD_CONTENT_ENCODING:
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -378,6 +378,39 @@
 }
 END_TEST
 
+/* Guards against the name of a field with a blank or a control byte that counts
+ * as an answer, or that ends the head early and becomes a body. */
+START_TEST(bad_field_is_a_protocol_error)
+{
+	expect_protocol_error(&sup_bad_fields.list[_i], &whole_ops);
+	expect_protocol_error(&sup_bad_fields.list[_i], &stream_ops);
+}
+END_TEST
+
+/* Guards against libcurl, which drops what it has read after such a line
+ * starts, and takes what follows for the rest of the head. */
+START_TEST(line_that_begins_with_nul_is_a_protocol_error)
+{
+	expect_protocol_error(&sup_nul_lines.list[_i], &whole_ops);
+}
+END_TEST
+
+/* Guards against a body that is not the server's because its end or its coding
+ * was misread. */
+START_TEST(bad_framing_ends_the_request)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, send_message, (void *)&sup_bad_framing.list[_i],
+		     &whole_ops);
+	fixture.spec.timeout = TIMEOUT_MS;
+	run(&fixture);
+	ck_assert(!fixture.probe.result.ok);
+	ck_assert_int_ne(fixture.probe.result.error, ERR_DEADLINE);
+	close_fixture(&fixture);
+}
+END_TEST
+
 START_TEST(rare_answer_is_complete)
 {
 	const struct sup_message *message = &sup_rare_answers.list[_i];
@@ -656,6 +689,13 @@
 			    G_N_ELEMENTS(broken_heads));
 	tcase_add_loop_test(tcase, bad_status_is_a_protocol_error, 0,
 			    (int)sup_bad_status.n);
+	tcase_add_loop_test(tcase, bad_field_is_a_protocol_error, 0,
+			    (int)sup_bad_fields.n);
+	tcase_add_loop_test(tcase,
+			    line_that_begins_with_nul_is_a_protocol_error, 0,
+			    (int)sup_nul_lines.n);
+	tcase_add_loop_test(tcase, bad_framing_ends_the_request, 0,
+			    (int)sup_bad_framing.n);
 	tcase_add_loop_test(tcase, rare_answer_is_complete, 0,
 			    (int)sup_rare_answers.n);
 	tcase_add_loop_test(tcase, flood_ends_the_request, 0,
--- a/tests/edge_upstream_wire_test.c
+++ b/tests/edge_upstream_wire_test.c
@@ -197,6 +197,8 @@
 	{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rok", KEEP_OPEN,
 	 HUP_MALFORMED, NULL},
 	{"HTTP/1.1 200 OK\r\nX\001", KEEP_OPEN, HUP_MALFORMED, NULL},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\rX\r\n",
+	 KEEP_OPEN, HUP_MALFORMED, NULL},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2x\r\nok",
 	 KEEP_OPEN, HUP_MALFORMED, NULL},
 	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx", KEEP_OPEN,
@@ -372,6 +374,12 @@
 }
 END_TEST
 
+START_TEST(line_that_begins_with_nul_is_malformed)
+{
+	expect_malformed(&sup_nul_lines.list[_i]);
+}
+END_TEST
+
 /* Guards against a body that is not the target's because its end or its coding
  * was misread. */
 START_TEST(bad_framing_is_malformed)
@@ -716,6 +724,8 @@
 			    (int)sup_bad_status.n);
 	tcase_add_loop_test(tcase, bad_field_is_malformed, 0,
 			    (int)sup_bad_fields.n);
+	tcase_add_loop_test(tcase, line_that_begins_with_nul_is_malformed, 0,
+			    (int)sup_nul_lines.n);
 	tcase_add_loop_test(tcase, bad_framing_is_malformed, 0,
 			    (int)sup_bad_framing.n);
 	tcase_add_loop_test(tcase, rare_answer_is_complete, 0,
--- a/tests/rsp_test.c
+++ b/tests/rsp_test.c
@@ -96,6 +96,7 @@
 {
 	expect_for_all(&sup_bad_status);
 	expect_for_all(&sup_bad_fields);
+	expect_for_all(&sup_nul_lines);
 	expect_for_all(&sup_bad_framing);
 }
 END_TEST
--- a/tests/support/answers.h
+++ b/tests/support/answers.h
@@ -25,6 +25,8 @@
 extern const struct sup_messages sup_bad_status;
 /* Field lines that are invalid, or bytes that are none in a head. */
 extern const struct sup_messages sup_bad_fields;
+/* Field lines that begin with NUL, the last one incomplete. */
+extern const struct sup_messages sup_nul_lines;
 /* A length or chunks that leave open where the body ends, or a transfer coding
  * that was not asked for. */
 extern const struct sup_messages sup_bad_framing;
