daemon: a refusal without a length is incomplete

What callers saw: a part of an engine's refusal that broke off counted as the whole refusal. Its reason was lost, so the engine counted neither as full nor as leaving nor as lost.

Cause: an answer that ends only with its connection counted as complete if its handler takes a stream, since a stream has an end of its own. A refusal has none, but goes to the same handler.

Change: only a 200 to a stream needs no length.

Answers to long uploads that are reset (96 checks in early_answer_that_is_reset_is_incomplete) were handled before: libcurl reports a failed write, and an answer without a length never counted as whole.

--- a/src/daemon/cli_request.c
+++ b/src/daemon/cli_request.c
@@ -193,14 +193,15 @@
 }
 
 /*
- * A response that ends only with the connection can't be told from a
- * truncated one. libcurl also accepts one whose head breaks off.
+ * A response that ends only with the connection can't be told from a truncated
+ * one, but a stream has an end of its own. libcurl also accepts a head that
+ * breaks off.
  */
 static bool is_complete_response(const struct cli_request *request, int status)
 {
 	if (!cli_head_is_complete(&request->head))
 		return false;
-	return request->head.framed || request->streams ||
+	return request->head.framed || wants_stream(request) ||
 	       status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
 }
 
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -344,6 +344,98 @@
 }
 END_TEST
 
+/* Answers to a stream that have no length. */
+static const struct {
+	struct script script;
+	bool ok;
+} unframed[] = {
+	/* A stream has an end of its own. */
+	{{"HTTP/1.1 200 OK\r\n\r\nevent", true}, true},
+	{{"HTTP/1.1 204 X\r\n\r\n", false}, true},
+	{{"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}", false}, true},
+	/* Refusals that may have lost their end. */
+	{{"HTTP/1.1 503 X\r\n\r\n{\"error\":{\"type\":\"over", true}, false},
+	{{"HTTP/1.1 409 X\r\n\r\n", true}, false},
+	{{"HTTP/1.1 206 X\r\n\r\nevent", true}, false},
+};
+
+/* Guards against part of a refusal that counts as a whole one. */
+START_TEST(refusal_without_length_is_incomplete)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, run_script, (void *)&unframed[_i].script,
+		     &stream_ops);
+	run(&fixture);
+	ck_assert_int_eq(fixture.probe.result.ok, unframed[_i].ok);
+	if (!unframed[_i].ok)
+		ck_assert_int_eq(fixture.probe.result.error, ERR_TARGET_LOST);
+	close_fixture(&fixture);
+}
+END_TEST
+
+#define UPLOAD_BYTES (8 << 20)
+/* The server answers after its first read of the upload, the fifth, and so on.
+ */
+#define READ_STEP 4
+#define MOMENTS 24
+
+static const char *const early_answers[] = {
+	"HTTP/1.1 200 OK\r\n\r\nok",
+	"HTTP/1.1 503 X\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+};
+
+struct upload {
+	const char *answer;
+	unsigned reads_left;
+};
+
+static void answer_early(struct wire_conn *conn, const char *request,
+			 void *user)
+{
+	struct upload *upload = user;
+
+	(void)request;
+	if (!upload->reads_left || --upload->reads_left)
+		return;
+	wire_send(conn, upload->answer);
+	wire_reset(conn);
+}
+
+static void ignore_request(struct wire_conn *conn, const char *request,
+			   void *user)
+{
+	(void)conn;
+	(void)request;
+	(void)user;
+}
+
+/* Guards against part of an answer that counts as a whole one because the
+ * reset was reported to a write of the request. */
+START_TEST(early_answer_that_is_reset_is_incomplete)
+{
+	struct upload upload = {
+		.answer = early_answers[_i / MOMENTS],
+		.reads_left = 1 + READ_STEP * ((unsigned)_i % MOMENTS),
+	};
+	struct fixture fixture;
+	char *body = g_strnfill(UPLOAD_BYTES, 'x');
+
+	open_fixture(&fixture, ignore_request, &upload, &whole_ops);
+	wire_server_on_part(fixture.server, answer_early);
+	fixture.spec.method = "POST";
+	fixture.spec.body = g_bytes_new_take(body, UPLOAD_BYTES);
+	run(&fixture);
+	ck_assert(!fixture.probe.result.ok);
+	ck_assert(fixture.probe.result.sent);
+	ck_assert_int_ne(fixture.probe.result.error, ERR_DEADLINE);
+	g_bytes_unref(fixture.spec.body);
+	close_fixture(&fixture);
+}
+END_TEST
+
 static void send_message(struct wire_conn *conn, const char *request,
 			 void *user)
 {
@@ -687,6 +779,10 @@
 	tcase_add_test(tcase, trailer_fields_are_ignored);
 	tcase_add_loop_test(tcase, broken_head_is_no_response, 0,
 			    G_N_ELEMENTS(broken_heads));
+	tcase_add_loop_test(tcase, refusal_without_length_is_incomplete, 0,
+			    G_N_ELEMENTS(unframed));
+	tcase_add_loop_test(tcase, early_answer_that_is_reset_is_incomplete, 0,
+			    G_N_ELEMENTS(early_answers) * MOMENTS);
 	tcase_add_loop_test(tcase, bad_status_is_a_protocol_error, 0,
 			    (int)sup_bad_status.n);
 	tcase_add_loop_test(tcase, bad_field_is_a_protocol_error, 0,
