tool: a broken answer is none

What operators saw: "rules publish" printed that a revision was accepted, or that another one had won, after an answer to its write that broke off in its head; "status" took answers with a blank or a control byte in the name of a field.

Cause: the tool took what libcurl reports as success without the checks of the daemon.

Change: the tool reads heads by cli_head, as the daemon does, and needs a complete head and a length or chunks. The outcome of a write with a broken answer is unknown.

--- a/src/daemon/cli_head.c
+++ b/src/daemon/cli_head.c
@@ -3,7 +3,10 @@
 #include "base/http_line.h"
 #include "daemon/cli_head.h"
 
+#define SWITCHING_PROTOCOLS 101
 #define FIRST_FINAL_STATUS 200
+#define NO_CONTENT 204
+#define NOT_MODIFIED 304
 
 static uint64_t parse_etag(const char *value)
 {
@@ -91,7 +94,8 @@
 	head->retry_after = 0;
 	head->framed = false;
 	head->next = CLI_HEAD_FIELDS;
-	return head->status && head->status != 101;
+	/* What follows a change of protocol can't be parsed. */
+	return head->status && head->status != SWITCHING_PROTOCOLS;
 }
 
 static void end_head(struct cli_head *head)
@@ -121,3 +125,9 @@
 {
 	return head->next == CLI_HEAD_TRAILER;
 }
+
+bool cli_head_has_end(const struct cli_head *head)
+{
+	return head->framed || head->status == NO_CONTENT ||
+	       head->status == NOT_MODIFIED;
+}
--- a/src/daemon/cli_head.h
+++ b/src/daemon/cli_head.h
@@ -19,7 +19,7 @@
 	int status;
 	uint64_t etag;	    /* 0 if there is no numeric one */
 	clk_ms retry_after; /* a duration; 0 if not given */
-	bool framed;	    /* the response has a length or is chunked */
+	bool framed;	    /* it has a length or is chunked */
 	size_t bytes;	    /* of all lines */
 };
 
@@ -29,4 +29,8 @@
 /* Whether the head of the response, not of an interim one, is complete. */
 bool cli_head_is_complete(const struct cli_head *head);
 
+/* Whether the response shows its own end, so that a truncated one is noticed.
+ */
+bool cli_head_has_end(const struct cli_head *head);
+
 #endif
--- a/src/daemon/cli_request.c
+++ b/src/daemon/cli_request.c
@@ -11,8 +11,6 @@
 #define DEFAULT_BODY_LIMIT ((size_t)8 << 20)
 /* Received bytes not yet delivered to a streaming handler. */
 #define STREAM_BUFFER_LIMIT ((size_t)1 << 20)
-#define HTTP_NO_CONTENT 204L
-#define HTTP_NOT_MODIFIED 304L
 #define HTTP_OK 200L
 
 /*
@@ -197,12 +195,10 @@
  * one, but a stream has an end of its own. libcurl also accepts a head that
  * breaks off.
  */
-static bool is_complete_response(const struct cli_request *request, int status)
+static bool is_complete_response(const struct cli_request *request)
 {
-	if (!cli_head_is_complete(&request->head))
-		return false;
-	return request->head.framed || wants_stream(request) ||
-	       status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
+	return cli_head_is_complete(&request->head) &&
+	       (cli_head_has_end(&request->head) || wants_stream(request));
 }
 
 void cli_request_result(struct cli_request *request, CURLcode code,
@@ -220,7 +216,7 @@
 		result->error = error_from_curl(request, code);
 		return;
 	}
-	if (!is_complete_response(request, result->status)) {
+	if (!is_complete_response(request)) {
 		result->error = ERR_TARGET_LOST;
 		return;
 	}
--- a/src/tool/cmd_http.c
+++ b/src/tool/cmd_http.c
@@ -3,9 +3,11 @@
 #include <curl/curl.h>
 
 #include "cmd.h"
+#include "daemon/cli_head.h"
 
 /* The largest answers are lists of chunks. */
 #define BODY_MAX_BYTES (16U * 1024 * 1024)
+#define HEAD_MAX_BYTES (256U * 1024)
 
 struct cmd_http {
 	CURL *curl;
@@ -13,6 +15,12 @@
 	char transport_error[CURL_ERROR_SIZE];
 };
 
+struct transfer {
+	struct cmd_response *response;
+	struct cli_head head;
+	bool is_malformed;
+};
+
 struct cmd_http *cmd_http_new(int timeout_ms)
 {
 	struct cmd_http *http = g_new0(struct cmd_http, 1);
@@ -32,7 +40,7 @@
 
 static size_t append_body(char *data, size_t size, size_t n, void *user)
 {
-	struct cmd_response *response = user;
+	struct cmd_response *response = ((struct transfer *)user)->response;
 
 	if (response->body->len + size * n > BODY_MAX_BYTES)
 		return 0;
@@ -41,20 +49,15 @@
 	return size * n;
 }
 
-/* Parses the object version in ETag: "123". */
-static size_t parse_header(char *data, size_t size, size_t n, void *user)
+static size_t read_header(char *data, size_t size, size_t n, void *user)
 {
-	struct cmd_response *response = user;
-	char *line = g_strndup(data, size * n);
+	struct transfer *transfer = user;
 
-	if (!g_ascii_strncasecmp(line, "etag:", 5)) {
-		char *value = g_strstrip(line + 5);
-
-		if (*value == '"')
-			response->etag = g_ascii_strtoull(value + 1, NULL, 10);
-	}
-	g_free(line);
-	return size * n;
+	if (transfer->head.bytes + size * n <= HEAD_MAX_BYTES &&
+	    cli_head_read_line(&transfer->head, data, size * n))
+		return size * n;
+	transfer->is_malformed = true;
+	return 0;
 }
 
 static void set_body(CURL *curl, const char *method, GBytes *body)
@@ -69,28 +72,44 @@
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, data ? data : "");
 }
 
-static void perform(struct cmd_http *http, struct cmd_response *response)
+/* NULL if the answer is complete. */
+static const char *describe_failure(const struct cmd_http *http,
+				    const struct transfer *transfer,
+				    CURLcode code)
+{
+	if (transfer->is_malformed)
+		return "the answer is not valid HTTP";
+	if (code != CURLE_OK)
+		return *http->transport_error ? http->transport_error
+					      : curl_easy_strerror(code);
+	if (!cli_head_is_complete(&transfer->head) ||
+	    !cli_head_has_end(&transfer->head))
+		return "the answer is incomplete";
+	return NULL;
+}
+
+static void perform(struct cmd_http *http, struct transfer *transfer)
 {
+	struct cmd_response *response = transfer->response;
 	CURLcode code = curl_easy_perform(http->curl);
+	const char *failure = describe_failure(http, transfer, code);
 
 	response->maybe_sent = code != CURLE_COULDNT_CONNECT &&
 			       code != CURLE_COULDNT_RESOLVE_HOST &&
-			       code != CURLE_URL_MALFORMAT &&
-			       code != CURLE_UNSUPPORTED_PROTOCOL;
-	if (code == CURLE_OK) {
-		curl_easy_getinfo(http->curl, CURLINFO_RESPONSE_CODE,
-				  &response->status);
+			       code != CURLE_URL_MALFORMAT;
+	if (failure) {
+		response->transport_error = g_strdup(failure);
 		return;
 	}
-	response->transport_error =
-		g_strdup(*http->transport_error ? http->transport_error
-						: curl_easy_strerror(code));
+	response->status = transfer->head.status;
+	response->etag = transfer->head.etag;
 }
 
 void cmd_http_request(struct cmd_http *http, const char *method,
 		      const char *url, const char *condition, GBytes *body,
 		      int extra_ms, struct cmd_response *response)
 {
+	struct transfer transfer = {.response = response};
 	struct curl_slist *headers = NULL;
 	CURL *curl = http->curl;
 
@@ -114,11 +133,11 @@
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)http->timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, response);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, parse_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, response);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &transfer);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, read_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &transfer);
 	set_body(curl, method, body);
-	perform(http, response);
+	perform(http, &transfer);
 	curl_slist_free_all(headers);
 }
 
--- a/tests/support/rules_server.c
+++ b/tests/support/rules_server.c
@@ -20,6 +20,7 @@
 	enum rst_fault fault;
 	unsigned n_faults;
 	char *silence_prefix;
+	char *broken_answer; /* sent in place of silence */
 	bool silent;
 	unsigned status_lag;
 	bool watched;
@@ -170,7 +171,10 @@
 	g_cond_broadcast(&server->changed);
 	if (reply.value)
 		data = g_bytes_get_data(reply.value, &len);
-	if (reply.result != WF_STORE_UNKNOWN && !server->silent)
+	if (server->silent && server->broken_answer)
+		(void)send(request->socket, server->broken_answer,
+			   strlen(server->broken_answer), MSG_NOSIGNAL);
+	else if (reply.result != WF_STORE_UNKNOWN && !server->silent)
 		reply_bytes(request->socket, status_of(reply.result),
 			    reply.version, data, len);
 	rst_reply_clear(&reply);
@@ -364,6 +368,7 @@
 	g_cond_clear(&server->changed);
 	g_free(server->fault_prefix);
 	g_free(server->silence_prefix);
+	g_free(server->broken_answer);
 	g_free(server);
 }
 
@@ -390,6 +395,15 @@
 	g_mutex_unlock(&server->lock);
 }
 
+void rsv_break_after(struct rsv_server *server, const char *prefix,
+		     const char *answer)
+{
+	rsv_silence_after(server, prefix);
+	g_mutex_lock(&server->lock);
+	server->broken_answer = g_strdup(answer);
+	g_mutex_unlock(&server->lock);
+}
+
 void rsv_lag_status(struct rsv_server *server, unsigned n)
 {
 	g_mutex_lock(&server->lock);
--- a/tests/support/rules_server.h
+++ b/tests/support/rules_server.h
@@ -25,6 +25,10 @@
 /* Answers nothing from the next put of an object with the prefix on. */
 void rsv_silence_after(struct rsv_server *server, const char *prefix);
 
+/* Answers each request with the same bytes, from that put on. */
+void rsv_break_after(struct rsv_server *server, const char *prefix,
+		     const char *answer);
+
 /* The next n status pages report the revision before the latest. */
 void rsv_lag_status(struct rsv_server *server, unsigned n);
 
--- a/tests/tool_wire_test.c
+++ b/tests/tool_wire_test.c
@@ -2,10 +2,12 @@
 
 #include <check.h>
 #include <jansson.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -309,6 +311,117 @@
 }
 END_TEST
 
+#define STATUS "{\"rules_revision\":7}"
+#define LENGTH "Content-Length: 20\r\n"
+
+/* Answers of an instance or of the store. */
+static const struct {
+	const char *bytes;
+	bool is_answer;
+} raw_answers[] = {
+	{"HTTP/1.1 200 OK\r\n" LENGTH "\r\n" STATUS, true},
+	{"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200\r\nX-Note:\r\n" LENGTH
+	 "\r\n" STATUS,
+	 true},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	 "14\r\n" STATUS "\r\n0\r\n\r\n",
+	 true},
+	{"HTTP/1.1 200 OK\r\n\r\n" STATUS, false},
+	{"HTTP/1.1 200 OK\r\n" LENGTH, false},
+	{"HTTP/1.1 200\001OK\r\n" LENGTH "\r\n" STATUS, false},
+	{"HTTP/1.1 200 OK\r\nX Note: 1\r\n" LENGTH "\r\n" STATUS, false},
+	{"HTTP/1.1 200 OK\r\nX\001Note: 1\r\n" LENGTH "\r\n" STATUS, false},
+	{"HTTP/1.1 200 OK\r\n" LENGTH "\rX-Note: 1\r\n" STATUS, false},
+	{"HTTP/1.1 200 OK\r\n" LENGTH LENGTH "\r\n" STATUS, false},
+	{"HTTP/0.9 200 OK\r\n" LENGTH "\r\n" STATUS, false},
+};
+
+struct raw_server {
+	int socket;
+	const char *bytes;
+	char *address;
+	GThread *thread;
+};
+
+/* Answers each connection with the same bytes, until the socket is shut down.
+ */
+static gpointer serve_raw(gpointer data)
+{
+	struct raw_server *raw = data;
+	char request[4096];
+	int conn;
+
+	while ((conn = accept(raw->socket, NULL, NULL)) >= 0) {
+		if (recv(conn, request, sizeof(request), 0) > 0)
+			(void)send(conn, raw->bytes, strlen(raw->bytes),
+				   MSG_NOSIGNAL);
+		shutdown(conn, SHUT_WR);
+		while (recv(conn, request, sizeof(request), 0) > 0)
+			;
+		close(conn);
+	}
+	return NULL;
+}
+
+static void open_raw(struct raw_server *raw, const char *bytes)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t len = sizeof(address);
+
+	raw->bytes = bytes;
+	raw->socket = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(raw->socket, (struct sockaddr *)&address, len),
+			 0);
+	ck_assert_int_eq(listen(raw->socket, 8), 0);
+	getsockname(raw->socket, (struct sockaddr *)&address, &len);
+	raw->address = g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
+	raw->thread = g_thread_new("raw", serve_raw, raw);
+}
+
+static void close_raw(struct raw_server *raw)
+{
+	shutdown(raw->socket, SHUT_RDWR);
+	g_thread_join(raw->thread);
+	close(raw->socket);
+	g_free(raw->address);
+}
+
+/* Guards against an answer that is broken and counts as one. */
+START_TEST(broken_answer_is_none)
+{
+	struct raw_server raw;
+
+	open_raw(&raw, raw_answers[_i].bytes);
+	run("status -t 2000 -i %s", raw.address);
+	check_contains(out, raw_answers[_i].is_answer ? "rules revision 7"
+						      : "does not answer");
+	close_raw(&raw);
+}
+END_TEST
+
+static const char *const broken_answers[] = {
+	"HTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\n\r\n{\"version\":1}",
+	"HTTP/1.1 412 X\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 412 X\r\nX Note: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/0.9 200 OK\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* Guards against "published" or "not published" where the answer to the write
+ * is broken. */
+START_TEST(broken_answer_leaves_the_outcome_unknown)
+{
+	rsv_break_after(server, RUL_MANIFEST_NAME, broken_answers[_i]);
+	ck_assert_int_eq(publish("deny org=a model=b # Ann\n", "-b 0 -t 200"),
+			 5);
+	check_contains(err, "outcome unknown: ");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("tool_wire");
@@ -327,6 +440,10 @@
 	tcase_add_test(tcase, invalid_rules_are_not_published);
 	tcase_add_test(tcase, difference_with_the_store_is_shown);
 	tcase_add_test(tcase, watch_prints_each_revision);
+	tcase_add_loop_test(tcase, broken_answer_is_none, 0,
+			    G_N_ELEMENTS(raw_answers));
+	tcase_add_loop_test(tcase, broken_answer_leaves_the_outcome_unknown, 0,
+			    G_N_ELEMENTS(broken_answers));
 	suite_add_tcase(suite, tcase);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
