edge: read the version of a response only from a valid status line

Cause: a line shorter than a status line was read behind its end, inside the memory of its buffer; found by reading, AddressSanitizer doesn't see it. Change: a line that is no status line ends the parser's work before. Result: short_line_is_malformed passed before and passes now.

--- a/src/edge/rsp_parser.c
+++ b/src/edge/rsp_parser.c
@@ -73,11 +73,13 @@
 	if (!parser->line->len)
 		return true;
 	parser->status = hln_parse_status(line, parser->line->len);
+	/* What follows a change of protocol can't be parsed. */
+	if (!parser->status || parser->status == SWITCHING_PROTOCOLS)
+		return false;
 	parser->is_version_1_0 = line[strlen(VERSION_PREFIX)] == '0';
 	hdr_reset(&parser->headers);
 	parser->state = RSP_IN_FIELD;
-	/* What follows a change of protocol can't be parsed. */
-	return parser->status && parser->status != SWITCHING_PROTOCOLS;
+	return true;
 }
 
 static bool has_connection_option(const struct hdr_list *headers,
--- a/tests/rsp_test.c
+++ b/tests/rsp_test.c
@@ -129,6 +129,25 @@
 }
 END_TEST
 
+/* Guards against reads beyond a line that is shorter than a status line. */
+START_TEST(short_line_is_malformed)
+{
+	static const char text[] = "HTTP/1.";
+	size_t len;
+
+	for (len = 1; len < sizeof(text); len++) {
+		struct reader reader;
+
+		open_reader(&reader);
+		feed(&reader, text, len);
+		ck_assert_int_eq(reader.item, RSP_NEEDS_MORE);
+		feed(&reader, "\n", 1);
+		ck_assert_int_eq(reader.item, RSP_MALFORMED);
+		close_reader(&reader);
+	}
+}
+END_TEST
+
 #define TEXT(bytes) bytes, sizeof(bytes) - 1
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
 
@@ -257,6 +276,7 @@
 	tcase_add_test(tcase, bad_messages_are_malformed_however_they_arrive);
 	tcase_add_test(tcase, rare_messages_are_read_however_they_arrive);
 	tcase_add_test(tcase, incomplete_message_needs_more);
+	tcase_add_test(tcase, short_line_is_malformed);
 	tcase_add_loop_test(tcase, connection_is_kept_as_the_response_says, 0,
 			    G_N_ELEMENTS(kept_cases));
 	tcase_add_test(tcase, response_without_length_ends_with_its_connection);
