daemon: end a request at a NUL in the head of its answer

What callers saw: after a field line that begins with NUL, wagtailferryd waited for the deadline. If the rest of the answer came later, it was taken for what follows the line before, so a wrong body could count as whole.

Cause: libcurl 7.88.1 drops what it has read from such a NUL on, before any callback.

Change: before libcurl reads a connection whose head is incomplete, the client looks for NUL in what it will read, and ends the request if the head is still incomplete behind it. The bytes are peeked at only if there are some, so a reset is left to libcurl.

--- a/src/daemon/cli_http.c
+++ b/src/daemon/cli_http.c
@@ -1,4 +1,6 @@
 #include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include "daemon/cli_request.h"
 
@@ -28,6 +30,7 @@
 	uv_poll_t poll;
 	struct cli_client *client;
 	curl_socket_t fd;
+	struct cli_request *request; /* whose connection it is */
 };
 
 static struct cli_request *find_request(const struct cli_client *client,
@@ -188,10 +191,32 @@
 	finish_completed(client);
 }
 
+/*
+ * Whether the bytes that libcurl reads next hold a NUL. Where there are none,
+ * a read would take the report of a reset from libcurl.
+ */
+static bool has_unread_nul(curl_socket_t fd)
+{
+	char bytes[CURL_MAX_WRITE_SIZE];
+	int available = 0;
+	ssize_t n;
+
+	if (ioctl(fd, FIONREAD, &available) || available <= 0)
+		return false;
+	n = recv(fd, bytes, sizeof(bytes), MSG_PEEK | MSG_DONTWAIT);
+	return n > 0 && memchr(bytes, '\0', (size_t)n);
+}
+
 static void on_socket_ready(uv_poll_t *poll, int status, int events)
 {
 	struct socket_watch *watch = poll->data;
 	struct cli_client *client = watch->client;
+	struct cli_request *request = watch->request;
+	/* libcurl drops what it has read from a NUL on that starts a header
+	 * line, and takes what it reads next for the rest of the head. */
+	bool has_nul = (events & UV_READABLE) &&
+		       !cli_head_is_complete(&request->head) &&
+		       has_unread_nul(watch->fd);
 	int flags = 0;
 	int running;
 
@@ -202,6 +227,8 @@
 	if (events & UV_WRITABLE)
 		flags |= CURL_CSELECT_OUT;
 	curl_multi_socket_action(client->multi, watch->fd, flags, &running);
+	if (has_nul && !cli_head_is_complete(&request->head))
+		fail(client, request, ERR_PROTOCOL);
 	process(client);
 }
 
@@ -242,7 +269,6 @@
 	struct socket_watch *watch = socket_user;
 	int events = 0;
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		unwatch_socket(client, fd, watch);
 		return 0;
@@ -251,6 +277,7 @@
 		watch = watch_socket(client, fd);
 	if (!watch)
 		return -1;
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &watch->request);
 	if (what != CURL_POLL_OUT)
 		events |= UV_READABLE;
 	if (what != CURL_POLL_IN)
--- a/tests/cli_wire_test.c
+++ b/tests/cli_wire_test.c
@@ -487,6 +487,52 @@
 }
 END_TEST
 
+static const char binary[] = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"
+			     "\0a\n\0b\0";
+
+/* Sends the answer in two parts; the second one after a turn of the loop. */
+struct parts {
+	struct wire_conn *conn;
+	uv_timer_t timer;
+	size_t first;
+};
+
+static void send_rest(uv_timer_t *timer)
+{
+	struct parts *parts = timer->data;
+
+	wire_send_bytes(parts->conn, binary + parts->first,
+			sizeof(binary) - 1 - parts->first);
+}
+
+static void send_binary(struct wire_conn *conn, const char *request, void *user)
+{
+	struct parts *parts = user;
+
+	(void)request;
+	parts->conn = conn;
+	wire_send_bytes(conn, binary, parts->first);
+	uv_timer_start(&parts->timer, send_rest, 10, 0);
+}
+
+/* Guards against NUL in a body that counts as one in the head. */
+START_TEST(body_with_nul_is_complete)
+{
+	struct parts parts = {.first = (size_t)_i};
+	struct fixture fixture;
+
+	open_fixture(&fixture, send_binary, &parts, &whole_ops);
+	uv_timer_init(&fixture.wire.loop, &parts.timer);
+	parts.timer.data = &parts;
+	run(&fixture);
+	ck_assert(fixture.probe.result.ok);
+	ck_assert_uint_eq(fixture.probe.data->len, 6);
+	ck_assert_mem_eq(fixture.probe.data->str, "\0a\n\0b\0", 6);
+	uv_close((uv_handle_t *)&parts.timer, NULL);
+	close_fixture(&fixture);
+}
+END_TEST
+
 /* Guards against a body that is not the server's because its end or its coding
  * was misread. */
 START_TEST(bad_framing_ends_the_request)
@@ -790,6 +836,8 @@
 	tcase_add_loop_test(tcase,
 			    line_that_begins_with_nul_is_a_protocol_error, 0,
 			    (int)sup_nul_lines.n);
+	tcase_add_loop_test(tcase, body_with_nul_is_complete, 1,
+			    sizeof(binary) - 1);
 	tcase_add_loop_test(tcase, bad_framing_ends_the_request, 0,
 			    (int)sup_bad_framing.n);
 	tcase_add_loop_test(tcase, rare_answer_is_complete, 0,
