--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -50,12 +50,19 @@
 	return g_string_free(out, FALSE);
 }
 
+static answer_writer store_writer = wire_answer;
+
+void world_set_store_writer(answer_writer writer)
+{
+	store_writer = writer;
+}
+
 static void answer_json(struct wire_conn *conn, int status, json_t *body)
 {
 	char *dumped = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
 	char *text = insert_raw_bytes(dumped);
 
-	wire_answer(conn, status, "Content-Type: application/json\r\n", text);
+	store_writer(conn, status, "Content-Type: application/json\r\n", text);
 	free(dumped);
 	g_free(text);
 	json_decref(body);
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -94,6 +94,10 @@
 	json_t *entry;
 };
 
+/* Writes an answer; the same as wire_answer(). */
+typedef void (*answer_writer)(struct wire_conn *conn, int status,
+			      const char *extra, const char *body);
+
 enum store_mode {
 	STORE_ANSWERS,
 	/* Never answers. */
@@ -138,6 +142,8 @@
 
 /* Starts the store, empty. */
 void world_open(struct platform_world *world);
+/* Sets how the stores of this process write their answers. */
+void world_set_store_writer(answer_writer writer);
 void world_close(struct platform_world *world);
 
 /* Writes an object, as the operator or a worker would; takes ownership of
