tests: all calls of wagtailferryd in broken and in rare forms

Cause: the client's tests don't show what the adapter makes of its results. Change: rows for the store, streams, services, the status of a booking, orders and reports, seven of them of rare forms that are sound.

--- a/tests/plat_wire_test.c
+++ b/tests/plat_wire_test.c
@@ -91,6 +91,15 @@
 #define HEAD(status, extra, len) \
 	"HTTP/1.1 " status " X\r\n" extra "Content-Length: " len "\r\n\r\n"
 
+/* The same in a rare form that is sound, and in broken ones. */
+#define RARE(status, extra, len)                                          \
+	"HTTP/1.1 103 X\r\nLink: </a>\r\n\r\nHTTP/1.1 " status "\n" extra \
+	"X_'Note|:\r\ncontent-length:\t" len " \r\n\r\n"
+#define BLANK(status, extra, len) HEAD(status, "X Note: 1\r\n" extra, len)
+#define CONTROL(status, extra, len) HEAD(status, "X\001Note: 1\r\n" extra, len)
+#define BAD_STATUS(status, extra, len) \
+	"HTTP/1.1 000 " status "\r\n" extra "Content-Length: " len "\r\n\r\n"
+
 static const struct {
 	enum wf_action_type type;
 	uint64_t version;
@@ -160,6 +169,20 @@
 	 false,
 	 "GET /v1/watch/rules?prefix=manifest&after=6&timeout_ms=300 HTTP/1.1",
 	 "", "ok 8 a@0\n"},
+	{WF_ACT_STORE_GET, 0, RARE("200", "ETag: \"9\"\r\n", "2") "hi", false,
+	 "GET ", "", "ok 9 value=hi\n"},
+	{WF_ACT_STORE_GET, 0, BLANK("200", "ETag: \"9\"\r\n", "2") "hi", false,
+	 "GET ", "", "unavailable 0\n"},
+	{WF_ACT_STORE_GET, 0, CONTROL("404", "", "0"), false, "GET ", "",
+	 "unavailable 0\n"},
+	{WF_ACT_STORE_PUT, 4, RARE("200", "", "13") "{\"version\":5}", false,
+	 "PUT ", "", "ok 5\n"},
+	{WF_ACT_STORE_PUT, 4, BLANK("200", "", "13") "{\"version\":5}", false,
+	 "PUT ", "", "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, CONTROL("412", "ETag: \"8\"\r\n", "0"), false,
+	 "PUT ", "", "unknown 0\n"},
+	{WF_ACT_STORE_PUT, 4, BAD_STATUS("200", "", "13") "{\"version\":5}",
+	 false, "PUT ", "", "unknown 0\n"},
 };
 
 /*
@@ -301,6 +324,19 @@
 	 false, 1, "3/1 protocol engine-1 0\n"},
 	{SSE_HEAD "event: end\ndata: {\"lineage\":1}\n\n", false, 1,
 	 "3/1 protocol engine-1 0\n"},
+	/* answers in rare and in broken forms */
+	{"HTTP/1.1 200\nX_'Note|:\n\n" ACCEPTED END, true, 2,
+	 "0/1\n2/1 stop\n"},
+	{"HTTP/1.1 200 X\r\nX Note: 1\r\n\r\n" ACCEPTED END, true, 1,
+	 "3/1 protocol engine-1 0\n"},
+	{"HTTP/1.1 200 X\r\n\rX-Note: 1\r\n\r\n" ACCEPTED END, true, 1,
+	 "3/1 protocol engine-1 0\n"},
+	{"HTTP/1.1 000 X\r\n\r\n" ACCEPTED END, true, 1,
+	 "3/1 protocol engine-1 0\n"},
+	{CONTROL("409", "", "27") "{\"error\":{\"type\":\"fenced\"}}", false, 1,
+	 "3/1 protocol engine-1 0\n"},
+	{"HTTP/1.1 409 X\r\n\r\n{\"error\":{\"type\":\"fenced\"", true, 1,
+	 "3/1 target_lost engine-1 0\n"},
 	/* events of a later protocol version */
 	{SSE_HEAD "event: news\ndata: {\"lineage\":1}\n\n" END, true, 1,
 	 "2/1 stop\n"},
@@ -438,6 +474,34 @@
 	 "revision 4 engine-7/1/2/3-9/swan-70b b/0/0/0-0/\n"},
 	{WF_ACT_POLL_TARGET, HEAD("404", "", "0"), false, 1, "GET ",
 	 "t reachable=0 leaving=0 0 0 0\n"},
+	/* answers in rare and in broken forms */
+	{WF_ACT_SERVICE_CALL, RARE("201", "", "2") "ok", false, 1, "POST ",
+	 "ok=1 sent=1 201  ok\n"},
+	{WF_ACT_SERVICE_CALL, BLANK("201", "", "2") "ok", false, 1, "POST ",
+	 "ok=0 sent=1 0 protocol\n"},
+	{WF_ACT_SERVICE_CALL, CONTROL("503", "", "2") "no", false, 1, "POST ",
+	 "ok=0 sent=1 0 protocol\n"},
+	{WF_ACT_SERVICE_CALL, BAD_STATUS("201", "", "2") "ok", false, 1,
+	 "POST ", "ok=0 sent=1 0 protocol\n"},
+	{WF_ACT_SERVICE_CALL, HEAD("699", "", "2") "ok", false, 1, "POST ",
+	 "ok=0 sent=1 0 protocol\n"},
+	{WF_ACT_STATUS_QUERY, RARE("200", "", "19") "{\"state\":\"running\"}",
+	 false, 1, "GET ", "2 0\n"},
+	{WF_ACT_STATUS_QUERY,
+	 BLANK("404", "", "27") "{\"error\":{\"type\":\"absent\"}}", false, 1,
+	 "GET ", "3 0\n"},
+	{WF_ACT_ORDER, RARE("200", "", "2") "{}", false, 1, "POST ", "ok=1 \n"},
+	{WF_ACT_ORDER, BLANK("200", "", "2") "{}", false, 1, "POST ",
+	 "ok=0 outcome_unknown\n"},
+	{WF_ACT_ORDER,
+	 CONTROL("409", "", "27") "{\"error\":{\"type\":\"fenced\"}}", false, 1,
+	 "POST ", "ok=0 outcome_unknown\n"},
+	{WF_ACT_POLL_TARGET,
+	 RARE("200", "", "24") "{\"running\":2,\"queued\":1}", false, 1, "GET ",
+	 "t reachable=1 leaving=0 2 1 0\n"},
+	{WF_ACT_POLL_TARGET,
+	 BLANK("200", "", "24") "{\"running\":2,\"queued\":1}", false, 1,
+	 "GET ", "t reachable=0 leaving=0 0 0 0\n"},
 };
 
 /* Guards against lax parsing of service, status, order and list replies. */
