scripts: install clang, which the fuzz step uses

Cause: install-deps.sh lists only clang's runtime, so that on a new machine scripts/checks/fuzz.sh finds no compiler. Change: clang is in the list.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,7 @@
 libh2o-dev libhttp-parser-dev libuv1-dev libzmq3-dev libjansson-dev libprotobuf-c-dev
 protobuf-c-compiler libpopt-dev check libglib2.0-dev libxxhash-dev
 libssl-dev libcurl4-openssl-dev libsodium-dev zlib1g-dev
-libclang-rt-14-dev gnuplot-nox jq curl"
+clang libclang-rt-14-dev gnuplot-nox jq curl"
 
 missing=
 for package in $packages
