--- a/include/wagtailferry/quarantine.h
+++ b/include/wagtailferry/quarantine.h
@@ -3,11 +3,13 @@
 
 /*
  * qtn: quarantine of prompt parts that crash engines. A part is suspected if
- * engines crash, one after another, while they run requests with it that have
- * no event yet; the first event of a run proves that its parts are sound. A
- * part with enough crashes and no event since is quarantined: requests with it
- * are refused, for longer with each further crash. Instances exchange their
- * evidence. There is no I/O here, and the caller supplies the time.
+ * engines crash, one after another, while they run requests with it. What was
+ * cut before its first event is cleared by the first event of a run with the
+ * part, what was cut in its stream by a whole answer or by a run that went on
+ * for longer. A part with enough crashes that nothing has cleared is
+ * quarantined: requests with it are refused, for longer with each further
+ * crash. Instances exchange their evidence. There is no I/O here, and the
+ * caller supplies the time.
  */
 
 #include <wagtailferry/base.h>
@@ -17,6 +19,14 @@
 /* Parts of a prompt that are looked at; the others are ignored. */
 #define QTN_MAX_PROMPT_PARTS 32
 
+/* Flags of a crash, see qtn_crash_flags(): the number of earlier runs and, from
+ * QTN_EVENTS_SHIFT on, that of events. */
+#define QTN_MAX_RETRY 7u
+#define QTN_EVENTS_SHIFT 8
+#define QTN_MAX_EVENTS 0xffffu
+/* Flag of a record without a crash: an answer was whole. */
+#define QTN_WHOLE 1u
+
 struct qtn_quarantine;
 
 enum qtn_verdict {
@@ -35,6 +45,8 @@
 	/* Identifies the process that crashed, see qtn_crash_id(); 0 if the
 	 * record states that a run with the part had an event. */
 	uint32_t crash;
+	/* Of the crash, or QTN_WHOLE; unknown ones are ignored. */
+	uint32_t flags;
 	/* Time since then. */
 	clk_ms age;
 };
@@ -66,30 +78,46 @@
  */
 uint32_t qtn_crash_id(uint32_t process, bool has_answer);
 
-/* The process crash ended at the time at, while it ran a request with the part
- * that had no event yet. */
+/*
+ * Flags of a crash that cut a run after so many events. retry is the number of
+ * earlier runs of the request that crashes cut, if this one shows that its
+ * engine outlived them; otherwise 0.
+ */
+unsigned qtn_crash_flags(unsigned events, unsigned retry);
+
+/* The process crash ended at the time at, while it ran a request with the part.
+ * flags is 0 or what qtn_crash_flags() gave. */
 void qtn_record_crash(struct qtn_quarantine *quarantine, clk_ms at,
-		      uint64_t part, uint32_t crash);
+		      uint64_t part, uint32_t crash, unsigned flags);
 
-/* A run with these parts had its first event. */
-void qtn_record_event(struct qtn_quarantine *quarantine, clk_ms now,
+/* A run with these parts has had so many events, one or more. */
+void qtn_record_events(struct qtn_quarantine *quarantine, clk_ms now,
+		       const uint64_t *parts, unsigned n, unsigned events);
+
+/* An answer with these parts was whole. */
+void qtn_record_whole(struct qtn_quarantine *quarantine, clk_ms now,
 		      const uint64_t *parts, unsigned n);
 
-/* Time for which requests with these parts are refused; 0 if they are not. */
+/* Time for which requests with these parts are refused; 0 if they are not. One
+ * whose answer has begun is refused only for more evidence. */
 clk_ms qtn_time_left(const struct qtn_quarantine *quarantine, clk_ms now,
-		     const uint64_t *parts, unsigned n);
+		     const uint64_t *parts, unsigned n, bool has_begun);
 
-/* Whether a request with these parts may be sent. Sets retry_after for
- * QTN_HELD and QTN_QUARANTINED. */
+/*
+ * Whether a request with these parts may be sent. Sets retry_after for
+ * QTN_HELD and QTN_QUARANTINED. One whose answer has begun is not held for
+ * crashes in the stream alone.
+ */
 enum qtn_verdict qtn_check(struct qtn_quarantine *quarantine, clk_ms now,
-			   const uint64_t *parts, unsigned n,
+			   const uint64_t *parts, unsigned n, bool has_begun,
 			   clk_ms *retry_after);
 
 /* The request that got QTN_PROBE for these parts is no longer running. */
 void qtn_end_probe(struct qtn_quarantine *quarantine, const uint64_t *parts,
 		   unsigned n);
 
-/* Whether there is a crash with one of the parts and no event since. */
+/* Whether one of the parts has a crash before an event, or several crashes,
+ * that nothing has cleared. */
 bool qtn_is_suspected(const struct qtn_quarantine *quarantine, clk_ms now,
 		      const uint64_t *parts, unsigned n);
 
--- a/src/edge/edg_private.h
+++ b/src/edge/edg_private.h
@@ -201,7 +201,9 @@
 	unsigned n_parts;
 	/* The only request with a suspected part. */
 	bool is_probe;
-	/* Runs that were cut before they had an event. */
+	/* Runs whose connection was lost: all of them, and those since the last
+	 * event. */
+	unsigned lost_runs;
 	unsigned cut_runs;
 	/* The response head was sent to the caller. */
 	bool is_answer_started;
@@ -438,15 +440,18 @@
 /* Whether the request may be sent in view of its prompt parts; ends it if
  * not. */
 bool edg_check_parts(struct edg_request *request);
-/* The current run had its first event. */
-void edg_parts_had_event(struct edg_request *request);
+/* The current run had n more events. */
+void edg_parts_had_events(struct edg_request *request, unsigned n);
+/* The answer was whole. */
+void edg_parts_were_whole(struct edg_request *request);
 /* The current send has ended. If its connection was lost or refused, finds out
  * whether its head crashed. */
 void edg_question_head(struct edg_request *request, enum hup_result how);
-/* The same for a takeover without an answer, sent to a process of the target
- * that started at started_at. */
+/* The same for a takeover without an answer, sent at sent_at to a process of
+ * the target that started at started_at. */
 void edg_question_target(struct edg_request *request, struct flt_target *target,
-			 int64_t started_at, enum hup_result how);
+			 int64_t started_at, clk_ms sent_at,
+			 enum hup_result how);
 /* Whether engines may have crashed on a part of the request's prompt. */
 bool edg_has_suspected_part(const struct edg_request *request);
 /* The request is no longer running. */
--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -5,8 +5,8 @@
 #include "edge/edg_private.h"
 
 /*
- * Runs that end with a lost connection before their first event are evidence
- * on the parts of their prompts if the head has crashed. A head that still
+ * Runs that end with a lost connection are evidence on the parts of their
+ * prompts if the head has crashed. A head that still
  * reports as the same process has not, and a connection that is lost then is
  * no evidence. One that does not report is lost, and is marked so at once: its
  * entry is listed for seconds, and paths and the plan would go on counting on
@@ -21,9 +21,22 @@
 /* Minimum time between two questions to a head, unless prompt parts are
  * suspected. */
 #define QUERY_INTERVAL_MS 1000
+/* The engine of a run that was cut without an event, but not before this time,
+ * outlived the crash that cut the run before. */
+#define OUTLIVED_MS 20
+/* The quarantine is told of the first event of a run and then each time after
+ * this many. */
+#define EVENTS_PER_RECORD 8
 /* When a request with a suspected part may return if it was not run. */
 #define SUSPECTED_RETRY_MS 1000
 
+/* A part of a request that was cut, with the flags of the crash. */
+struct cut_part {
+	uint64_t key;
+	bool has_answer;
+	unsigned flags;
+};
+
 /* A question to a head whose connections were lost or refused. */
 struct cut_inquiry {
 	struct edg_edge *edge;
@@ -31,10 +44,8 @@
 	/* The process to which the requests were sent. */
 	int64_t started_at;
 	clk_ms at;
-	/* Keys of the parts of the requests that were cut, and of those among
-	 * them to which the head of an answer had come. */
+	/* Of struct cut_part. */
 	GArray *parts;
-	GArray *answered_parts;
 };
 
 static void on_apply(uv_timer_t *timer)
@@ -119,7 +130,8 @@
 #endif
 	edg_end_probe(request);
 	verdict = qtn_check(edge->quarantine, now, request->parts,
-			    request->n_parts, &retry_after);
+			    request->n_parts, request->is_answer_started,
+			    &retry_after);
 	request->is_probe = verdict == QTN_PROBE;
 	if (verdict <= QTN_PROBE && request->cut_runs >= MAX_CUT_RUNS &&
 	    edg_has_suspected_part(request)) {
@@ -132,15 +144,33 @@
 	return false;
 }
 
-void edg_parts_had_event(struct edg_request *request)
+/* Events of the current run that are progress. */
+static unsigned run_events(const struct edg_request *request)
+{
+	return request->splitter.progress - request->progress_before_send;
+}
+
+void edg_parts_had_events(struct edg_request *request, unsigned n)
 {
 	struct edg_edge *edge = request->edge;
+	unsigned events = run_events(request);
+	unsigned before = events - n;
 
-	if (request->splitter.progress != request->progress_before_send + 1)
+	if (before && before / EVENTS_PER_RECORD == events / EVENTS_PER_RECORD)
 		return;
 	request->cut_runs = 0;
-	edg_end_probe(request);
-	qtn_record_event(edge->quarantine, edg_now(edge), request->parts,
+	qtn_record_events(edge->quarantine, edg_now(edge), request->parts,
+			  request->n_parts, events);
+	/* After crashes in the stream the first event proves little. */
+	if (!edg_has_suspected_part(request))
+		edg_end_probe(request);
+}
+
+void edg_parts_were_whole(struct edg_request *request)
+{
+	struct edg_edge *edge = request->edge;
+
+	qtn_record_whole(edge->quarantine, edg_now(edge), request->parts,
 			 request->n_parts);
 }
 
@@ -152,33 +182,35 @@
 	request->is_probe = false;
 }
 
-static void record_parts(struct edg_edge *edge, clk_ms at, const GArray *parts,
-			 uint32_t crash)
-{
-	guint i;
-
-	for (i = 0; i < parts->len; i++)
-		qtn_record_crash(edge->quarantine, at,
-				 g_array_index(parts, uint64_t, i), crash);
-}
-
 static void record_crash(const struct cut_inquiry *inquiry)
 {
 	struct edg_edge *edge = inquiry->edge;
 	uint32_t process = (uint32_t)wf_hash(&inquiry->started_at,
 					     sizeof(inquiry->started_at),
 					     inquiry->target->id_hash);
+	unsigned answered = 0;
+	unsigned in_stream = 0;
+	guint i;
 
-	if (!inquiry->parts->len && !inquiry->answered_parts->len)
+	if (!inquiry->parts->len)
 		return;
+	for (i = 0; i < inquiry->parts->len; i++) {
+		const struct cut_part *part =
+			&g_array_index(inquiry->parts, struct cut_part, i);
+
+		if (part->flags >> QTN_EVENTS_SHIFT)
+			in_stream++;
+		else
+			answered += part->has_answer;
+		qtn_record_crash(edge->quarantine, inquiry->at, part->key,
+				 qtn_crash_id(process, part->has_answer),
+				 part->flags);
+	}
 	ctr_add(edge->counters, "wf_edge_quarantine_crashes_total", 1);
 	edg_log(edge, "prompt parts", "unsuspected", "suspected",
-		"head=%s parts=%u answered_parts=%u", inquiry->target->id,
-		inquiry->parts->len, inquiry->answered_parts->len);
-	record_parts(edge, inquiry->at, inquiry->parts,
-		     qtn_crash_id(process, false));
-	record_parts(edge, inquiry->at, inquiry->answered_parts,
-		     qtn_crash_id(process, true));
+		"head=%s parts=%u answered_parts=%u stream_parts=%u",
+		inquiry->target->id, inquiry->parts->len - answered - in_stream,
+		answered, in_stream);
 	edg_apply_quarantine(edge);
 }
 
@@ -198,7 +230,6 @@
 			      "connections_lost");
 	flt_target_drop(inquiry->target);
 	g_array_unref(inquiry->parts);
-	g_array_unref(inquiry->answered_parts);
 	g_free(inquiry);
 }
 
@@ -211,8 +242,7 @@
 	inquiry->target = flt_target_keep(target);
 	inquiry->started_at = started_at;
 	inquiry->at = edg_now(edge);
-	inquiry->parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	inquiry->answered_parts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	inquiry->parts = g_array_new(FALSE, FALSE, sizeof(struct cut_part));
 	target->report_requested_at = inquiry->at;
 	g_hash_table_insert(edge->cut_inquiries, target, inquiry);
 	edge->platform->ops->ask_report(edge->platform, target, on_report,
@@ -220,46 +250,93 @@
 	return inquiry;
 }
 
-/* is_suspect tells that the run was cut before its first event. */
-static void question(struct edg_request *request, struct flt_target *target,
-		     int64_t started_at, bool is_suspect, bool had_head)
+static void add_parts(struct cut_inquiry *inquiry,
+		      const struct edg_request *request, bool has_answer,
+		      unsigned flags)
+{
+	unsigned i;
+
+	for (i = 0; i < request->n_parts; i++) {
+		struct cut_part part = {request->parts[i], has_answer, flags};
+
+		g_array_append_val(inquiry->parts, part);
+	}
+}
+
+/* A run that has ended. */
+struct ended_run {
+	struct flt_target *target;
+	/* Start of the process to which it was sent. */
+	int64_t started_at;
+	clk_ms sent_at;
+	/* Its connection was lost. */
+	bool is_cut;
+	bool has_answer;
+	unsigned events;
+};
+
+static unsigned crash_flags(const struct edg_request *request,
+			    const struct ended_run *run)
+{
+	bool has_outlived =
+		run->events ||
+		edg_now(request->edge) - run->sent_at >= OUTLIVED_MS;
+
+	return qtn_crash_flags(run->events,
+			       has_outlived ? request->lost_runs : 0);
+}
+
+static void question(struct edg_request *request, const struct ended_run *run)
 {
 	struct edg_edge *edge = request->edge;
 	struct cut_inquiry *inquiry =
-		g_hash_table_lookup(edge->cut_inquiries, target);
-
+		g_hash_table_lookup(edge->cut_inquiries, run->target);
 	/* A head that leaves ends what it still runs. */
-	is_suspect =
-		is_suspect && request->n_parts && target->state != FLT_DRAINING;
-	if (!inquiry && !is_suspect &&
-	    edg_now(edge) - target->report_requested_at < QUERY_INTERVAL_MS)
+	bool is_evidence = run->is_cut && request->n_parts &&
+			   run->target->state != FLT_DRAINING;
+
+	if (!inquiry && !is_evidence &&
+	    edg_now(edge) - run->target->report_requested_at <
+		    QUERY_INTERVAL_MS)
 		return;
 	if (!inquiry)
-		inquiry = ask(edge, target, started_at);
-	if (!is_suspect)
+		inquiry = ask(edge, run->target, run->started_at);
+	if (!is_evidence)
 		return;
-	request->cut_runs++;
-	g_array_append_vals(had_head ? inquiry->answered_parts : inquiry->parts,
-			    request->parts, request->n_parts);
+	add_parts(inquiry, request, run->has_answer, crash_flags(request, run));
+	request->lost_runs++;
+	if (!run->events)
+		request->cut_runs++;
 }
 
 void edg_question_head(struct edg_request *request, enum hup_result how)
 {
-	bool is_cut =
-		how == HUP_CONN_LOST &&
-		request->splitter.progress == request->progress_before_send;
-
-	if (request->path && (how == HUP_CONN_LOST || !hup_was_sent(how)))
-		question(request, request->target, request->sent_to_start,
-			 is_cut, request->status == 200);
+	struct ended_run run = {
+		.target = request->target,
+		.started_at = request->sent_to_start,
+		.sent_at = request->sent_at,
+		.is_cut = how == HUP_CONN_LOST,
+		.has_answer = request->status == 200,
+		.events = run_events(request),
+	};
+
+	if (request->path && (run.is_cut || !hup_was_sent(how)))
+		question(request, &run);
 }
 
 void edg_question_target(struct edg_request *request, struct flt_target *target,
-			 int64_t started_at, enum hup_result how)
+			 int64_t started_at, clk_ms sent_at,
+			 enum hup_result how)
 {
-	if (how == HUP_CONN_LOST || !hup_was_sent(how))
-		question(request, target, started_at, how == HUP_CONN_LOST,
-			 false);
+	struct ended_run run = {
+		.target = target,
+		.started_at = started_at,
+		.sent_at = sent_at,
+		.is_cut = how == HUP_CONN_LOST,
+	};
+
+	if (run.is_cut || !hup_was_sent(how))
+		question(request, &run);
 }
 
 bool edg_has_suspected_part(const struct edg_request *request)
@@ -278,11 +355,10 @@
 	struct edg_edge *edge = request->edge;
 	clk_ms left;
 
-	if (request->is_freed || request->is_probe ||
-	    request->splitter.progress != request->progress_before_send)
+	if (request->is_freed || request->is_probe || run_events(request))
 		return;
 	left = qtn_time_left(edge->quarantine, edg_now(edge), request->parts,
-			     request->n_parts);
+			     request->n_parts, request->is_answer_started);
 	if (!left)
 		return;
 	if (request->exchange)
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -122,7 +122,8 @@
 		edg_move_had_event(request);
 		if (request->takeover)
 			keep_run(request);
-		edg_parts_had_event(request);
+		edg_parts_had_events(request,
+				     request->splitter.progress - progress);
 		record_event(request);
 		watch_silence(request);
 	}
@@ -178,6 +179,7 @@
 
 	flt_record_response(request->target, now, now - request->sent_at);
 	record_output(request);
+	edg_parts_were_whole(request);
 	edg_log_request_end(request, "streamed", request->status);
 	edg_request_free(request);
 	hsv_end_chunked(http);
--- a/src/edge/prs_private.h
+++ b/src/edge/prs_private.h
@@ -69,7 +69,7 @@
 	double send_budget;
 	clk_ms budget_updated_at;
 	/* Above the longest report. */
-	char buffer[3072];
+	char buffer[3200];
 };
 
 /* The parallel arrays of a report. */
@@ -83,6 +83,7 @@
 	uint64_t suspect_part[QTN_MAX_RECORDS];
 	uint32_t suspect_crash[QTN_MAX_RECORDS];
 	uint32_t suspect_age_ms[QTN_MAX_RECORDS];
+	uint32_t suspect_flags[QTN_MAX_RECORDS];
 };
 
 clk_ms prs_now(const struct prs_peers *peers);
--- a/src/edge/prs_reports.c
+++ b/src/edge/prs_reports.c
@@ -98,7 +98,9 @@
 	       (report->n_target == report->n_long_percent ||
 		!report->n_long_percent) &&
 	       report->n_suspect_part == report->n_suspect_crash &&
-	       report->n_suspect_part == report->n_suspect_age_ms;
+	       report->n_suspect_part == report->n_suspect_age_ms &&
+	       (report->n_suspect_part == report->n_suspect_flags ||
+		!report->n_suspect_flags);
 }
 
 /* The peer reports after receiving the report of ours that it echoes, so the
@@ -125,9 +127,10 @@
 	if (!peers->config.quarantine)
 		return;
 	for (i = 0; i < n; i++)
-		records[i] = (struct qtn_record){report->suspect_part[i],
-						 report->suspect_crash[i],
-						 report->suspect_age_ms[i]};
+		records[i] = (struct qtn_record){
+			report->suspect_part[i], report->suspect_crash[i],
+			report->n_suspect_flags ? report->suspect_flags[i] : 0,
+			report->suspect_age_ms[i]};
 	qtn_merge(peers->config.quarantine, prs_now(peers), records,
 		  (unsigned)n);
 }
@@ -146,12 +149,14 @@
 		out->suspect_part[i] = records[i].part;
 		out->suspect_crash[i] = records[i].crash;
 		out->suspect_age_ms[i] = (uint32_t)records[i].age;
+		out->suspect_flags[i] = records[i].flags;
 	}
 	report->n_suspect_part = report->n_suspect_crash = n;
-	report->n_suspect_age_ms = n;
+	report->n_suspect_age_ms = report->n_suspect_flags = n;
 	report->suspect_part = out->suspect_part;
 	report->suspect_crash = out->suspect_crash;
 	report->suspect_age_ms = out->suspect_age_ms;
+	report->suspect_flags = out->suspect_flags;
 }
 
 void prs_receive(struct prs_peers *peers, const uint8_t *bytes, size_t len)
--- a/src/edge/stream_takeover.c
+++ b/src/edge/stream_takeover.c
@@ -121,6 +121,7 @@
 	struct edg_request *request = takeover->request;
 	struct flt_target *target = flt_target_keep(takeover->target);
 	int64_t sent_to_start = takeover->sent_to_start;
+	clk_ms sent_at = takeover->sent_at;
 	bool is_not_sent = !hup_was_sent(how);
 
 	takeover->exchange = NULL;
@@ -132,7 +133,7 @@
 	else
 		edg_record_run(request, target);
 	flt_record_failure(target, edg_now(request->edge));
-	edg_question_target(request, target, sent_to_start, how);
+	edg_question_target(request, target, sent_to_start, sent_at, how);
 	flt_target_drop(target);
 	if (request->is_freed || request->takeover)
 		return;
--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <string.h>
 
 #include <wagtailferry/core.h>
@@ -6,21 +7,31 @@
 /*
  * The load pattern: requests with one part crash each engine that runs them,
  * come at any instance and share their other parts with sound requests. Each
- * crash also cuts sound requests that have no event yet, so their parts get a
- * crash too; an event of their next run clears them.
+ * crash also cuts sound requests, so their parts get a crash too. For those cut
+ * before an event the first event of a later run clears them. Those cut in the
+ * stream need a whole answer, or a run that goes on for clearly longer, as the
+ * engine may crash at any place of the answer.
  */
 
 /* Crashes within this time count as one: a rack that fails takes several
- * engines at once, which says nothing about a part. */
+ * engines at once, which says nothing about a part. One that cut a later run of
+ * a request counts by itself, as its engine outlived the crash before. */
 #define SEPARATION_MS 100
 /* Weight of a crash, without and with the head of an answer. */
 #define CRASH_WEIGHT 2
 #define ANSWER_CRASH_WEIGHT 3
+/* Of a crash in the stream, and if an answer with the part was whole shortly
+ * before: most streams that an engine runs when it crashes are sound. */
+#define STREAM_CRASH_WEIGHT 2
+#define SOUND_CRASH_WEIGHT 1
 /* From this weight on, one request at a time may run: two crashes, or one
  * after the head of an answer. */
 #define SUSPECT_WEIGHT 3
 /* Three crashes, or two after the heads of answers. */
 #define QUARANTINE_WEIGHT 6
+/* From this weight on, crashes in the stream end also streams that have begun:
+ * to refuse one that is sound costs more than another crash. */
+#define STREAM_END_WEIGHT 8
 /* Time from the last crash of a quarantined part to the next probe, doubled
  * with the weight of each crash beyond QUARANTINE_WEIGHT. */
 #define QUARANTINE_MS (60 * CLK_SECOND)
@@ -33,8 +44,17 @@
 #define MAX_CRASHES 6
 /* Longer than the longest quarantine with its spread, which is 12 minutes. */
 #define EVIDENCE_MS (30 * CLK_MINUTE)
-/* Peers are told of an event that cleared a part for this time. */
+/* Peers are told of what cleared a part for this time. */
 #define CLEARED_SHARED_MS (3 * CLK_SECOND)
+/* A run that has this many times the events of the longest run that was cut in
+ * the stream, and some more, shows that its parts are sound. */
+#define OUTLIVED_FACTOR 1.25
+#define OUTLIVED_EVENTS 8
+/* Time for which a whole answer speaks for its parts. */
+#define SOUND_MS (60 * CLK_SECOND)
+/* Slots for parts of whole answers; a part that needs a taken one replaces the
+ * other part. */
+#define MAX_SOUND_PARTS 2048
 /* Parts with evidence; the least suspect one makes room for a new one. */
 #define MAX_PARTS 256
 /* When a request that is held back may return: about the time to the first
@@ -46,6 +66,11 @@
 struct crash {
 	uint32_t id;
 	clk_ms at;
+	/* Number of earlier runs of the request that crashes cut. */
+	unsigned retry;
+	/* Of the longest run that it cut, 0 if one of them had none. */
+	unsigned events;
+	unsigned weight;
 };
 
 struct part {
@@ -56,15 +81,27 @@
 	/* Those that count: crashes within SEPARATION_MS are one. */
 	unsigned count;
 	unsigned weight;
-	/* Last event of a run with it, 0 if none is known. */
+	/* Weight without the crashes in the stream. */
+	unsigned early_weight;
+	/* Last event of a run with it, and last whole answer; 0 if none is
+	 * known. */
 	clk_ms cleared_at;
+	clk_ms whole_at;
 	/* The present probe ends by then; 0 if there is none. */
 	clk_ms probe_until;
 	bool is_reported;
 };
 
+/* A part of a whole answer. */
+struct sound_part {
+	uint64_t key;
+	clk_ms whole_at;
+};
+
 struct qtn_quarantine {
 	uint64_t salt;
+	/* By key. */
+	struct sound_part sound[MAX_SOUND_PARTS];
 	/* Key to struct part. */
 	GHashTable *parts;
 	/* Part at which the next export starts among equals. */
@@ -111,36 +148,55 @@
 	return g_hash_table_lookup(quarantine->parts, &key);
 }
 
+static bool has_enough_crashes(const struct part *part)
+{
+	return part->weight >= QUARANTINE_WEIGHT;
+}
+
 static clk_ms last_crash(const struct part *part)
 {
 	return part->n ? part->crashes[part->n - 1].at : 0;
 }
 
+/* Sum over crashes in order of time. Of those that count as one the heaviest
+ * counts. */
+struct tally {
+	clk_ms first_at;
+	unsigned retry;
+	unsigned heaviest;
+	unsigned count;
+	unsigned weight;
+};
+
+static void tally_add(struct tally *tally, const struct crash *crash)
+{
+	if (!tally->count || crash->retry > tally->retry ||
+	    crash->at - tally->first_at >= SEPARATION_MS) {
+		tally->first_at = crash->at;
+		tally->retry = crash->retry;
+		tally->heaviest = 0;
+		tally->count++;
+	}
+	if (crash->weight > tally->heaviest) {
+		tally->weight += crash->weight - tally->heaviest;
+		tally->heaviest = crash->weight;
+	}
+}
+
 static void count_crashes(struct part *part)
 {
-	clk_ms last = 0;
-	unsigned weight = 0;
+	struct tally all = {0};
+	struct tally early = {0};
 	unsigned i;
 
-	part->count = 0;
-	part->weight = 0;
 	for (i = 0; i < part->n; i++) {
-		const struct crash *crash = &part->crashes[i];
-		unsigned own = crash->id & ANSWER_BIT ? ANSWER_CRASH_WEIGHT
-						      : CRASH_WEIGHT;
-
-		if (part->count && crash->at - last < SEPARATION_MS) {
-			/* The heaviest of them counts. */
-			if (own > weight)
-				part->weight += own - weight;
-			weight = MAX(weight, own);
-			continue;
-		}
-		last = crash->at;
-		weight = own;
-		part->count++;
-		part->weight += own;
+		tally_add(&all, &part->crashes[i]);
+		if (!part->crashes[i].events)
+			tally_add(&early, &part->crashes[i]);
 	}
+	part->count = all.count;
+	part->weight = all.weight;
+	part->early_weight = early.weight;
 }
 
 static void remove_crashes(struct part *part, unsigned n)
@@ -151,15 +207,38 @@
 	count_crashes(part);
 }
 
-static void clear(struct part *part, clk_ms at)
+/* Whether a run with so many events lasted longer than all that were cut. */
+static bool is_outlived(const struct part *part, unsigned events)
 {
-	unsigned n = 0;
+	unsigned longest = 0;
+	unsigned i;
+
+	for (i = 0; i < part->n; i++)
+		longest = MAX(longest, part->crashes[i].events);
+	return events > OUTLIVED_FACTOR * longest + OUTLIVED_EVENTS;
+}
+
+/* Removes the crashes that a run with so many events, UINT_MAX if its answer
+ * was whole, has disproved. */
+static void clear(struct part *part, clk_ms at, unsigned events)
+{
+	bool is_whole = is_outlived(part, events);
+	unsigned kept = 0;
+	unsigned i;
 
 	part->cleared_at = MAX(part->cleared_at, at);
-	while (n < part->n && part->crashes[n].at <= at)
-		n++;
-	remove_crashes(part, n);
-	part->is_reported = false;
+	if (is_whole)
+		part->whole_at = MAX(part->whole_at, at);
+	for (i = 0; i < part->n; i++) {
+		const struct crash *crash = &part->crashes[i];
+
+		if (crash->at > at || (crash->events && !is_whole))
+			part->crashes[kept++] = *crash;
+	}
+	part->n = kept;
+	count_crashes(part);
+	if (!has_enough_crashes(part))
+		part->is_reported = false;
 }
 
 static void expire(struct qtn_quarantine *quarantine, clk_ms now)
@@ -252,11 +331,6 @@
 	       (clk_ms)(PROBE_SPREAD * (double)length * (double)draw / 1024);
 }
 
-static bool has_enough_crashes(const struct part *part)
-{
-	return part->weight >= QUARANTINE_WEIGHT;
-}
-
 static bool is_quarantined(const struct qtn_quarantine *quarantine,
 			   const struct part *part, clk_ms now)
 {
@@ -264,39 +338,86 @@
 	       now < quarantine_end(quarantine, part);
 }
 
-void qtn_record_crash(struct qtn_quarantine *quarantine, clk_ms at,
-		      uint64_t key, uint32_t crash)
+static struct sound_part *sound_slot(struct qtn_quarantine *quarantine,
+				     uint64_t key)
+{
+	return &quarantine->sound[key % MAX_SOUND_PARTS];
+}
+
+static bool was_sound(struct qtn_quarantine *quarantine, uint64_t key,
+		      clk_ms at)
+{
+	const struct sound_part *sound = sound_slot(quarantine, key);
+
+	return sound->key == key && sound->whole_at &&
+	       at - sound->whole_at < SOUND_MS;
+}
+
+static unsigned crash_weight(struct qtn_quarantine *quarantine, uint64_t key,
+			     const struct crash *crash)
+{
+	if (crash->events)
+		return was_sound(quarantine, key, crash->at)
+			       ? SOUND_CRASH_WEIGHT
+			       : STREAM_CRASH_WEIGHT;
+	return crash->id & ANSWER_BIT ? ANSWER_CRASH_WEIGHT : CRASH_WEIGHT;
+}
+
+/* Adds what another request that the crash cut tells of it. */
+static void merge_crash(struct crash *known, const struct crash *crash)
+{
+	known->id |= crash->id & ANSWER_BIT;
+	known->retry = MAX(known->retry, crash->retry);
+	known->events = known->events && crash->events
+				? MAX(known->events, crash->events)
+				: 0;
+	known->weight = MAX(known->weight, crash->weight);
+}
+
+static void insert_crash(struct part *part, const struct crash *crash)
 {
-	struct part *part = get(quarantine, at, key);
-	struct crash *known;
-	bool was_quarantined;
 	unsigned i;
 
-	if (part->cleared_at >= at)
-		return;
-	known = find_crash(part, crash);
-	if (known) {
-		known->id |= crash & ANSWER_BIT;
-		count_crashes(part);
-		return;
-	}
-	was_quarantined = is_quarantined(quarantine, part, at);
 	if (part->n == MAX_CRASHES) {
-		if (at <= part->crashes[0].at)
+		if (crash->at <= part->crashes[0].at)
 			return;
 		remove_crashes(part, 1);
 	}
-	for (i = part->n; i > 0 && part->crashes[i - 1].at > at; i--)
+	for (i = part->n; i > 0 && part->crashes[i - 1].at > crash->at; i--)
 		part->crashes[i] = part->crashes[i - 1];
-	part->crashes[i] = (struct crash){crash, at};
+	part->crashes[i] = *crash;
 	part->n++;
+}
+
+void qtn_record_crash(struct qtn_quarantine *quarantine, clk_ms at,
+		      uint64_t key, uint32_t id, unsigned flags)
+{
+	struct part *part = get(quarantine, at, key);
+	struct crash crash = {
+		.id = id,
+		.at = at,
+		.retry = flags & QTN_MAX_RETRY,
+		.events = flags >> QTN_EVENTS_SHIFT,
+	};
+	struct crash *known;
+	bool was_quarantined;
+
+	if ((crash.events ? part->whole_at : part->cleared_at) >= at)
+		return;
+	crash.weight = crash_weight(quarantine, key, &crash);
+	known = find_crash(part, id);
+	was_quarantined = is_quarantined(quarantine, part, at);
+	if (known)
+		merge_crash(known, &crash);
+	else
+		insert_crash(part, &crash);
 	count_crashes(part);
-	if (!was_quarantined)
+	if (!known && !was_quarantined)
 		part->is_reported = false;
 }
 
-void qtn_record_event(struct qtn_quarantine *quarantine, clk_ms now,
-		      const uint64_t *parts, unsigned n)
+static void clear_parts(struct qtn_quarantine *quarantine, clk_ms at,
+			const uint64_t *parts, unsigned n, unsigned events)
 {
 	unsigned i;
 
@@ -304,10 +425,34 @@
 		struct part *part = find(quarantine, parts[i]);
 
 		if (part)
-			clear(part, now);
+			clear(part, at, events);
 	}
 }
 
+void qtn_record_events(struct qtn_quarantine *quarantine, clk_ms now,
+		       const uint64_t *parts, unsigned n, unsigned events)
+{
+	if (g_hash_table_size(quarantine->parts))
+		clear_parts(quarantine, now, parts, n, events);
+}
+
+unsigned qtn_crash_flags(unsigned events, unsigned retry)
+{
+	return MIN(retry, QTN_MAX_RETRY) | MIN(events, QTN_MAX_EVENTS)
+						   << QTN_EVENTS_SHIFT;
+}
+
+void qtn_record_whole(struct qtn_quarantine *quarantine, clk_ms now,
+		      const uint64_t *parts, unsigned n)
+{
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		*sound_slot(quarantine, parts[i]) =
+			(struct sound_part){parts[i], now};
+	clear_parts(quarantine, now, parts, n, UINT_MAX);
+}
+
 /* Whether all crashes of the part may be due to the other one, which may have
  * had earlier ones than it keeps. */
 static bool may_be_due_to(const struct part *part, struct part *other)
@@ -386,8 +531,22 @@
 	return false;
 }
 
+/* Whether the part's evidence is only that of crashes in the stream, which
+ * mostly cut sound requests. */
+static bool is_weak(const struct part *part)
+{
+	return part->early_weight < SUSPECT_WEIGHT;
+}
+
+/* Whether the part's evidence is enough to refuse a request. */
+static bool is_enough_for(const struct part *part, bool has_begun)
+{
+	return !has_begun || !is_weak(part) ||
+	       part->weight >= STREAM_END_WEIGHT;
+}
+
 clk_ms qtn_time_left(const struct qtn_quarantine *quarantine, clk_ms now,
-		     const uint64_t *parts, unsigned n)
+		     const uint64_t *parts, unsigned n, bool has_begun)
 {
 	clk_ms left = 0;
 	unsigned i;
@@ -396,6 +555,7 @@
 		const struct part *part = find(quarantine, parts[i]);
 
 		if (part && is_quarantined(quarantine, part, now) &&
+		    is_enough_for(part, has_begun) &&
 		    is_certain(quarantine, part, parts, n))
 			left = MAX(left,
 				   quarantine_end(quarantine, part) - now);
@@ -404,27 +564,29 @@
 }
 
 static bool is_probed(const struct qtn_quarantine *quarantine,
-		      const struct part *part, const uint64_t *parts,
-		      unsigned n)
+		      const struct part *part, bool has_begun,
+		      const uint64_t *parts, unsigned n)
 {
-	return part && part->weight >= SUSPECT_WEIGHT &&
-	       !is_explained(quarantine, part, parts, n);
+	if (!part || part->weight < SUSPECT_WEIGHT ||
+	    is_explained(quarantine, part, parts, n))
+		return false;
+	return !has_begun || !is_weak(part);
 }
 
 enum qtn_verdict qtn_check(struct qtn_quarantine *quarantine, clk_ms now,
-			   const uint64_t *parts, unsigned n,
+			   const uint64_t *parts, unsigned n, bool has_begun,
 			   clk_ms *retry_after)
 {
 	enum qtn_verdict verdict = QTN_ALLOWED;
 	unsigned i;
 
-	*retry_after = qtn_time_left(quarantine, now, parts, n);
+	*retry_after = qtn_time_left(quarantine, now, parts, n, has_begun);
 	if (*retry_after)
 		return QTN_QUARANTINED;
 	for (i = 0; i < n; i++) {
 		const struct part *part = find(quarantine, parts[i]);
 
-		if (!is_probed(quarantine, part, parts, n))
+		if (!is_probed(quarantine, part, has_begun, parts, n))
 			continue;
 		if (now < part->probe_until) {
 			*retry_after = HELD_RETRY_MS;
@@ -435,7 +597,7 @@
 	for (i = 0; verdict == QTN_PROBE && i < n; i++) {
 		struct part *part = find(quarantine, parts[i]);
 
-		if (is_probed(quarantine, part, parts, n))
+		if (is_probed(quarantine, part, has_begun, parts, n))
 			part->probe_until = now + MAX_PROBE_MS;
 	}
 	return verdict;
@@ -462,7 +624,9 @@
 	for (i = 0; i < n; i++) {
 		const struct part *part = find(quarantine, parts[i]);
 
-		if (part && part->n && now - last_crash(part) < EVIDENCE_MS &&
+		if (part &&
+		    (part->early_weight || part->weight >= SUSPECT_WEIGHT) &&
+		    now - last_crash(part) < EVIDENCE_MS &&
 		    !is_explained(quarantine, part, parts, n))
 			return true;
 	}
@@ -525,17 +689,23 @@
 static unsigned write_records(const struct part *part, clk_ms now,
 			      struct qtn_record *records, unsigned room)
 {
+	bool is_whole = part->whole_at == part->cleared_at;
 	unsigned n = 0;
 	unsigned i;
 
 	if (part->cleared_at && now - part->cleared_at < CLEARED_SHARED_MS &&
 	    n < room)
 		records[n++] = (struct qtn_record){part->key, 0,
+						   is_whole ? QTN_WHOLE : 0,
 						   now - part->cleared_at};
-	for (i = 0; i < part->n && n < room; i++)
-		records[n++] =
-			(struct qtn_record){part->key, part->crashes[i].id,
-					    now - part->crashes[i].at};
+	for (i = 0; i < part->n && n < room; i++) {
+		const struct crash *crash = &part->crashes[i];
+
+		records[n++] = (struct qtn_record){
+			part->key, crash->id,
+			qtn_crash_flags(crash->events, crash->retry),
+			now - crash->at};
+	}
 	return n;
 }
 
@@ -592,8 +762,9 @@
 			continue;
 		if (record->crash)
 			qtn_record_crash(quarantine, at, record->part,
-					 record->crash);
+					 record->crash, record->flags);
 		else
-			qtn_record_event(quarantine, at, &record->part, 1);
+			clear_parts(quarantine, at, &record->part, 1,
+				    record->flags & QTN_WHOLE ? UINT_MAX : 1);
 	}
 }
--- a/src/schema/edge.pb-c.c
+++ b/src/schema/edge.pb-c.c
@@ -411,7 +411,7 @@
   (ProtobufCMessageInit) wf__edge_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor wf__load_report__field_descriptors[22] =
 {
   {
     "instance",
@@ -665,6 +665,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect_flags",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wf__LoadReport, n_suspect_flags),
+    offsetof(Wf__LoadReport, suspect_flags),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wf__load_report__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -686,6 +698,7 @@
   4,   /* field[4] = sequence */
   17,   /* field[17] = suspect_age_ms */
   16,   /* field[16] = suspect_crash */
+  21,   /* field[21] = suspect_flags */
   15,   /* field[15] = suspect_part */
   10,   /* field[10] = target */
 };
@@ -693,7 +706,7 @@
 {
   { 1, 0 },
   { 8, 5 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor wf__load_report__descriptor =
 {
@@ -703,7 +716,7 @@
   "Wf__LoadReport",
   "wf",
   sizeof(Wf__LoadReport),
-  21,
+  22,
   wf__load_report__field_descriptors,
   wf__load_report__field_indices_by_name,
   2,  wf__load_report__number_ranges,
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -206,10 +206,18 @@
    */
   size_t n_long_percent;
   uint32_t *long_percent;
+  /*
+   * For each piece of evidence the number of earlier runs of the request that
+   * crashes cut, plus 256 times the number of events of the run that was cut;
+   * where the part is sound, 1 if the whole answer came. Absent in the reports
+   * of earlier versions.
+   */
+  size_t n_suspect_flags;
+  uint32_t *suspect_flags;
 };
 #define WF__LOAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wf__load_report__descriptor) \
-    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Wf__EdgeSettings methods */
--- a/tests/platform/quarantine_wire_test.c
+++ b/tests/platform/quarantine_wire_test.c
@@ -114,6 +114,61 @@
 }
 END_TEST
 
+/* Guards against a part that an event of each of its runs clears. */
+START_TEST(part_that_crashes_engines_in_the_stream_reaches_few_of_them)
+{
+	struct platform_world world;
+	struct wire_client *client;
+
+	open_heads(&world);
+	world.deadly_events = _i;
+	send_deadly_requests(&world, 12);
+	ck_assert_uint_le(world.deadly_requests,
+			  MAX_CRASHES + MAX_LATE_REQUESTS);
+	client = send_stream(&world, DEADLY_PARTS);
+	wire_client_await(&world.wire, client, "HTTP/1.1 503 ");
+	wire_client_drop(client);
+	await_events(&world, send_stream(&world, SOUND_PARTS));
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against a sound stream that ends because engines under it crash: its
+ * parts have a crash each, its answer is not whole before the end. */
+START_TEST(sound_stream_outlives_two_crashes)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	unsigned n = 0;
+	unsigned i;
+
+	open_heads(&world);
+	world_set_modes(&world, WORKER_STALLS_STREAM);
+	client = send_stream(&world, SOUND_PARTS);
+	wire_client_await(&world.wire, client, "data: one");
+	while (n < 2) {
+		for (i = 0; i < HEADS; i++) {
+			struct worker *head = world.workers->pdata[i];
+
+			if (!head->stream)
+				continue;
+			worker_crash(head, head->stream);
+			head->stream = NULL;
+			n++;
+		}
+		world_run(&world, GAP_MS);
+	}
+	for (i = 0; i < HEADS; i++) {
+		struct worker *head = world.workers->pdata[i];
+
+		if (head->stream)
+			worker_resume_stream(head);
+	}
+	await_events(&world, client);
+	world_close(&world);
+}
+END_TEST
+
 /* One request is not resumed at head after head. */
 START_TEST(deadly_request_costs_two_engines_at_most)
 {
@@ -188,7 +243,8 @@
 	world_run(&world, 50);
 	ck_assert_uint_eq(qtn_parse_parts("5a,dead,x", "model", keys), 2);
 	for (i = 0; i < 3; i++)
-		records[i] = (struct qtn_record){keys[1], 2 * i + 2, 1000 * i};
+		records[i] =
+			(struct qtn_record){keys[1], 2 * i + 2, 0, 1000 * i};
 	now = edg_now(world.edge);
 	qtn_merge(edg_quarantine(world.edge), now, records, 3);
 	wire_client_await(&world.wire, client, "HTTP/1.1 502 ");
@@ -269,26 +325,40 @@
 	ctr_drop(pair->counters);
 }
 
+/* Passes a report of the first instance to the second. */
+static void pass_report(struct pair *pair)
+{
+	GBytes *report = prs_make_report(pair->peers[0], "two");
+	gsize len;
+	const uint8_t *bytes = g_bytes_get_data(report, &len);
+
+	prs_receive(pair->peers[1], bytes, len);
+	g_bytes_unref(report);
+}
+
 /* Also to an instance of another data centre that has just started. */
 START_TEST(report_carries_evidence)
 {
+	const unsigned flags[] = {0, qtn_crash_flags(3, 0)};
 	struct pair pair;
 	const uint64_t part = 7;
-	GBytes *report;
-	gsize len;
-	const uint8_t *bytes;
 	unsigned i;
 
 	pair_open(&pair);
 	for (i = 0; i < 3; i++)
 		qtn_record_crash(pair.quarantines[0],
-				 CLK_MINUTE - 1000 * (clk_ms)i, part,
-				 2 * i + 2);
-	report = prs_make_report(pair.peers[0], "two");
-	bytes = g_bytes_get_data(report, &len);
-	prs_receive(pair.peers[1], bytes, len);
+				 CLK_MINUTE - 1000 * (clk_ms)i, part, 2 * i + 2,
+				 flags[_i]);
+	pass_report(&pair);
 	ck_assert_uint_eq(qtn_count(pair.quarantines[1], CLK_MINUTE), 1);
-	g_bytes_unref(report);
+	/* An event clears no crashes in the stream, a whole answer does. */
+	qtn_record_events(pair.quarantines[0], CLK_MINUTE, &part, 1, 1);
+	pass_report(&pair);
+	ck_assert_uint_eq(qtn_count(pair.quarantines[1], CLK_MINUTE),
+			  (unsigned)_i);
+	qtn_record_whole(pair.quarantines[0], CLK_MINUTE, &part, 1);
+	pass_report(&pair);
+	ck_assert_uint_eq(qtn_count(pair.quarantines[1], CLK_MINUTE), 0);
 	pair_close(&pair);
 }
 END_TEST
@@ -301,6 +371,7 @@
 	uint64_t parts[] = {7, 7, 7};
 	uint32_t crashes[] = {2, 4, 6};
 	uint32_t ages[] = {0, 1000, 2000};
+	uint32_t flags[] = {0, 0, 0};
 	uint8_t bytes[256];
 	size_t len;
 
@@ -320,6 +391,14 @@
 			 1);
 	ck_assert_uint_eq(qtn_count(pair.quarantines[1], CLK_MINUTE), 0);
 	report.n_suspect_crash = 3;
+	report.suspect_flags = flags;
+	report.n_suspect_flags = 2;
+	len = wf__load_report__pack(&report, bytes);
+	prs_receive(pair.peers[1], bytes, len);
+	ck_assert_int_eq(ctr_get(pair.counters, "wf_peer_bad_reports_total"),
+			 2);
+	/* Earlier versions send no flags. */
+	report.n_suspect_flags = 0;
 	len = wf__load_report__pack(&report, bytes);
 	prs_receive(pair.peers[1], bytes, len);
 	ck_assert_uint_eq(qtn_count(pair.quarantines[1], CLK_MINUTE), 1);
@@ -333,12 +412,17 @@
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, part_that_crashes_engines_reaches_few_of_them);
+	tcase_add_loop_test(
+		tcase,
+		part_that_crashes_engines_in_the_stream_reaches_few_of_them, 1,
+		4);
+	tcase_add_test(tcase, sound_stream_outlives_two_crashes);
 	tcase_add_test(tcase, deadly_request_costs_two_engines_at_most);
 	tcase_add_test(tcase, cut_connections_without_a_crash_suspect_nothing);
 	tcase_add_test(tcase,
 		       head_that_cuts_connections_and_does_not_report_is_lost);
 	tcase_add_test(tcase, verdict_of_peers_ends_a_request_in_progress);
-	tcase_add_test(tcase, report_carries_evidence);
+	tcase_add_loop_test(tcase, report_carries_evidence, 0, 2);
 	tcase_add_test(tcase, report_with_incomplete_evidence_is_dropped);
 	return sup_run_case("quarantine_wire", tcase);
 }
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -430,8 +430,7 @@
 	return found;
 }
 
-/* Cuts the stream and is a new process from then on. */
-static void crash(struct worker *worker, struct wire_conn *conn)
+void worker_crash(struct worker *worker, struct wire_conn *conn)
 {
 	worker->crashes++;
 	worker->born += 1000;
@@ -442,6 +441,23 @@
 		  json_deep_copy(worker->entry));
 }
 
+static void send_deadly_events(const struct worker *worker,
+			       struct wire_conn *conn, const char *last)
+{
+	unsigned long id = last ? strtoul(last, NULL, 10) : 0;
+	unsigned i;
+
+	for (i = 0; i < worker->world->deadly_events; i++) {
+		char *event = g_strdup_printf("id: %lu\ndata: x\n\n", ++id);
+		char *chunk =
+			g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
+
+		wire_send(conn, chunk);
+		g_free(chunk);
+		g_free(event);
+	}
+}
+
 static void send_stream(struct worker *worker, struct wire_conn *conn,
 			const char *request)
 {
@@ -452,7 +468,8 @@
 	wire_send(conn, head);
 	if (is_deadly(worker, request)) {
 		worker->world->deadly_requests++;
-		crash(worker, conn);
+		send_deadly_events(worker, conn, last);
+		worker_crash(worker, conn);
 	} else if (worker->mode == WORKER_CUTS_STREAM) {
 		wire_hang_up(conn);
 	} else {
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -126,6 +126,8 @@
 	/* Part of a prompt, "ID:", that crashes each worker which begins to
 	 * write an answer to a request with it; NULL for none. */
 	const char *deadly_part;
+	/* Events of each answer to it before the crash. */
+	unsigned deadly_events;
 	/* Requests with it that reached a worker. */
 	unsigned deadly_requests;
 
@@ -177,6 +179,8 @@
  * the world. */
 bool world_holds_all_layers(void *user);
 
+/* Ends the connection of a stream; the worker is a new process from then on. */
+void worker_crash(struct worker *worker, struct wire_conn *conn);
 /* Sends the second event of the worker's stalled stream, and its end. */
 void worker_resume_stream(struct worker *worker);
 /* Answers the requests that the worker has kept, and is not late any more. */
--- a/tests/quarantine_test.c
+++ b/tests/quarantine_test.c
@@ -29,7 +29,7 @@
 {
 	clk_ms retry_after = 0;
 	enum qtn_verdict verdict =
-		qtn_check(quarantine, now, parts, n, &retry_after);
+		qtn_check(quarantine, now, parts, n, false, &retry_after);
 
 	ck_assert_int_eq(verdict >= QTN_HELD, retry_after > 0);
 	return verdict;
@@ -50,8 +50,8 @@
 
 	for (i = 0; i < n; i++) {
 		at += STEP_MS;
-		qtn_record_crash(quarantine, at, SHARED, 2 * (first + i));
-		qtn_record_crash(quarantine, at, DEADLY, 2 * (first + i));
+		qtn_record_crash(quarantine, at, SHARED, 2 * (first + i), 0);
+		qtn_record_crash(quarantine, at, DEADLY, 2 * (first + i), 0);
 	}
 	return at;
 }
@@ -65,7 +65,7 @@
 	ck_assert_uint_eq(qtn_count(quarantine, now), 0);
 	ck_assert(!qtn_next_change(quarantine, now, &change));
 	now = crash_engines(quarantine, now, 3, 1);
-	qtn_record_event(quarantine, now, sound_request, 1);
+	qtn_record_events(quarantine, now, sound_request, 1, 1);
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
 	ck_assert(qtn_next_change(quarantine, now, &change));
 	ck_assert_uint_eq(change.part, DEADLY);
@@ -82,18 +82,19 @@
 	struct qtn_quarantine *quarantine = qtn_new(1);
 	clk_ms now = 1000;
 
-	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(10, true));
+	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(10, true), 0);
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_HELD);
 	/* Another request that the same crash cut had no answer yet. */
-	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(10, false));
+	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(10, false), 0);
 	/* Crashes at the same time still count as one. */
-	qtn_record_crash(quarantine, now + 10, DEADLY, qtn_crash_id(20, true));
+	qtn_record_crash(quarantine, now + 10, DEADLY, qtn_crash_id(20, true),
+			 0);
 	ck_assert_uint_eq(qtn_count(quarantine, now + 10), 0);
 	now += STEP_MS;
-	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(30, false));
+	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(30, false), 0);
 	ck_assert_uint_eq(qtn_count(quarantine, now), 0);
-	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(30, true));
+	qtn_record_crash(quarantine, now, DEADLY, qtn_crash_id(30, true), 0);
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
 	ck_assert_uint_ne(qtn_crash_id(0, false), 0);
 	qtn_drop(quarantine);
@@ -121,7 +122,7 @@
 	struct qtn_quarantine *quarantine = qtn_new(1);
 	clk_ms now = crash_engines(quarantine, 1000, 1, 2);
 
-	qtn_record_event(quarantine, now, deadly_request, 2);
+	qtn_record_events(quarantine, now, deadly_request, 2, 1);
 	ck_assert(!qtn_is_suspected(quarantine, now, deadly_request, 2));
 	now = crash_engines(quarantine, now, 3, 1);
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_ALLOWED);
@@ -140,10 +141,10 @@
 	for (i = 0; i < 20; i++) {
 		now = crash_engines(quarantine, now, i + 1, 1);
 		for (part = 100; part < 140; part++)
-			qtn_record_crash(quarantine, now, part, 2 * (i + 1));
+			qtn_record_crash(quarantine, now, part, 2 * (i + 1), 0);
 		for (part = 100; part < 140; part++)
-			qtn_record_event(quarantine, now + 50, &part, 1);
-		qtn_record_event(quarantine, now + 50, sound_request, 1);
+			qtn_record_events(quarantine, now + 50, &part, 1, 1);
+		qtn_record_events(quarantine, now + 50, sound_request, 1, 1);
 	}
 	for (part = 100; part < 140; part++)
 		ck_assert_int_eq(check(quarantine, now + 60, &part, 1),
@@ -155,6 +156,155 @@
 }
 END_TEST
 
+/* Guards against a part that the first event of each run clears although the
+ * engine crashes later in the answer. */
+START_TEST(crashes_in_the_stream_quarantine_a_part)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = 1000;
+	uint32_t engine;
+
+	for (engine = 1; engine <= 3; engine++) {
+		ck_assert_uint_eq(qtn_count(quarantine, now), 0);
+		qtn_record_events(quarantine, now, deadly_request, 2, 1);
+		now += STEP_MS;
+		qtn_record_crash(quarantine, now, SHARED, 2 * engine,
+				 qtn_crash_flags(1, 0));
+		qtn_record_crash(quarantine, now, DEADLY, 2 * engine,
+				 qtn_crash_flags(1, 0));
+		qtn_record_whole(quarantine, now + 1, sound_request, 1);
+	}
+	ck_assert_int_eq(check_deadly(quarantine, now + 1), QTN_QUARANTINED);
+	ck_assert_int_eq(check(quarantine, now + 1, sound_request, 1),
+			 QTN_ALLOWED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+START_TEST(whole_answer_clears_crashes_in_the_stream)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+
+	qtn_record_crash(quarantine, 1000, DEADLY, 2, qtn_crash_flags(1, 0));
+	qtn_record_crash(quarantine, 2000, DEADLY, 4, qtn_crash_flags(1, 0));
+	qtn_record_whole(quarantine, 2500, deadly_request, 2);
+	qtn_record_crash(quarantine, 3000, DEADLY, 6, qtn_crash_flags(1, 0));
+	ck_assert_int_eq(check_deadly(quarantine, 3000), QTN_ALLOWED);
+	/* Evidence of peers that arrives late does not bring them back. */
+	qtn_record_crash(quarantine, 1500, DEADLY, 8, qtn_crash_flags(1, 0));
+	qtn_record_crash(quarantine, 2400, DEADLY, 10, qtn_crash_flags(1, 0));
+	ck_assert(!qtn_is_suspected(quarantine, 3000, deadly_request, 2));
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* Guards against refusing streams that random crashes cut: 50 sessions have one
+ * stream of 20 s after another, all begin together, and each second a crash
+ * cuts one to three streams, which go on elsewhere. */
+START_TEST(sessions_whose_streams_random_crashes_cut_are_never_refused)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	GRand *rand = g_rand_new_with_seed(_i);
+	enum { SESSIONS = 50, SECONDS = 200, EVENTS_PER_S = 25 };
+	/* Events of the current run, and left until the answer is whole. */
+	unsigned events[SESSIONS] = {0};
+	unsigned left[SESSIONS];
+	clk_ms now = CLK_MINUTE;
+	clk_ms retry_after;
+	uint32_t crash;
+	uint64_t i;
+
+	for (i = 0; i < SESSIONS; i++)
+		left[i] = 20 * EVENTS_PER_S;
+	for (crash = 1; crash <= SECONDS; crash++) {
+		now += CLK_SECOND;
+		for (i = 0; i < SESSIONS; i++) {
+			const uint64_t parts[] = {SHARED, 100 + i};
+
+			events[i] += EVENTS_PER_S;
+			left[i] -= EVENTS_PER_S;
+			qtn_record_events(quarantine, now, parts, 2, events[i]);
+			if (left[i])
+				continue;
+			qtn_record_whole(quarantine, now, parts, 2);
+			events[i] = 0;
+			left[i] = 20 * EVENTS_PER_S;
+			ck_assert_int_eq(check(quarantine, now, parts, 2),
+					 QTN_ALLOWED);
+		}
+		for (i = 0; i < (uint64_t)g_rand_int_range(rand, 1, 4); i++) {
+			uint64_t cut =
+				(uint64_t)g_rand_int_range(rand, 0, SESSIONS);
+			const uint64_t parts[] = {SHARED, 100 + cut};
+			unsigned flags = qtn_crash_flags(events[cut], 0);
+
+			if (!events[cut])
+				continue;
+			qtn_record_crash(quarantine, now, SHARED, 2 * crash,
+					 flags);
+			qtn_record_crash(quarantine, now, parts[1], 2 * crash,
+					 flags);
+			events[cut] = 0;
+			ck_assert_int_le(qtn_check(quarantine, now, parts, 2,
+						   true, &retry_after),
+					 QTN_PROBE);
+			qtn_end_probe(quarantine, parts, 2);
+		}
+	}
+	g_rand_free(rand);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* Guards against a crash in the stream that only the end of an answer clears:
+ * answers may take longer than the time between crashes. */
+START_TEST(run_that_outlives_those_cut_clears_crashes_in_the_stream)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+
+	qtn_record_crash(quarantine, 1000, DEADLY, 2, qtn_crash_flags(40, 0));
+	qtn_record_crash(quarantine, 2000, DEADLY, 4, qtn_crash_flags(2, 0));
+	qtn_record_events(quarantine, 2500, deadly_request, 2, 48);
+	ck_assert(qtn_is_suspected(quarantine, 2500, deadly_request, 2));
+	qtn_record_events(quarantine, 2600, deadly_request, 2, 64);
+	ck_assert(!qtn_is_suspected(quarantine, 2600, deadly_request, 2));
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* Guards against ending the other streams of an engine that a part crashes
+ * again and again. */
+START_TEST(streams_cut_with_a_deadly_one_go_on)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	const uint64_t other[] = {OTHER};
+	clk_ms now = 1000;
+	clk_ms retry_after;
+	uint32_t engine;
+
+	for (engine = 1; engine <= 4; engine++) {
+		now += STEP_MS;
+		qtn_record_crash(quarantine, now, OTHER, 2 * engine,
+				 qtn_crash_flags(1, 0));
+		qtn_record_crash(quarantine, now, DEADLY, 2 * engine,
+				 qtn_crash_flags(1, 0));
+		ck_assert_int_eq(qtn_check(quarantine, now, other, 1, true,
+					   &retry_after),
+				 QTN_ALLOWED);
+	}
+	/* Which of them it is shows with the next one. */
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_HELD);
+	qtn_record_crash(quarantine, now + STEP_MS, DEADLY, 10,
+			 qtn_crash_flags(1, 0));
+	now += STEP_MS;
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
+	ck_assert_int_eq(check(quarantine, now, other, 1), QTN_ALLOWED);
+	ck_assert_int_eq(check(quarantine, now, other, 1), QTN_ALLOWED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
 /* A rack takes its engines within some ms, and the retries with it. */
 START_TEST(rack_that_fails_quarantines_nothing)
 {
@@ -162,7 +312,8 @@
 	uint32_t engine;
 
 	for (engine = 1; engine <= 20; engine++)
-		qtn_record_crash(quarantine, 1000 + engine, SHARED, 2 * engine);
+		qtn_record_crash(quarantine, 1000 + engine, SHARED, 2 * engine,
+				 0);
 	ck_assert_int_eq(check(quarantine, 1050, sound_request, 1),
 			 QTN_ALLOWED);
 	qtn_drop(quarantine);
@@ -176,7 +327,7 @@
 	unsigned i;
 
 	for (i = 0; i < 10; i++)
-		qtn_record_crash(quarantine, 1000 + i * STEP_MS, DEADLY, 8);
+		qtn_record_crash(quarantine, 1000 + i * STEP_MS, DEADLY, 8, 0);
 	ck_assert_int_eq(check_deadly(quarantine, 9000), QTN_ALLOWED);
 	qtn_drop(quarantine);
 }
@@ -192,7 +343,7 @@
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
 	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_PROBE);
 	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_HELD);
-	qtn_record_event(quarantine, now, sound_request, 1);
+	qtn_record_events(quarantine, now, sound_request, 1, 1);
 	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_ALLOWED);
 	ck_assert_int_eq(check(quarantine, now, with_other, 2),
 			 QTN_QUARANTINED);
@@ -213,8 +364,8 @@
 
 	for (engine = 1; engine <= 4; engine++)
 		qtn_record_crash(quarantine, now + engine - 5, OTHER,
-				 2 * engine);
-	qtn_record_event(quarantine, now, sound_request, 1);
+				 2 * engine, 0);
+	qtn_record_events(quarantine, now, sound_request, 1, 1);
 	ck_assert_int_eq(check(quarantine, now, other, 1), QTN_ALLOWED);
 	ck_assert_int_eq(check(quarantine, now, other, 1), QTN_ALLOWED);
 	ck_assert_int_eq(check(quarantine, now, both, 2), QTN_QUARANTINED);
@@ -222,9 +373,9 @@
 	ck_assert_uint_eq(change.part, DEADLY);
 	ck_assert(!qtn_next_change(quarantine, now, &change));
 	/* A crash without the deadly part is due to something else. */
-	qtn_record_crash(quarantine, now + 500, OTHER, 90);
-	qtn_record_crash(quarantine, now + 1000, OTHER, 92);
-	qtn_record_crash(quarantine, now + 1500, OTHER, 94);
+	qtn_record_crash(quarantine, now + 500, OTHER, 90, 0);
+	qtn_record_crash(quarantine, now + 1000, OTHER, 92, 0);
+	qtn_record_crash(quarantine, now + 1500, OTHER, 94, 0);
 	ck_assert_int_eq(check(quarantine, now + 1500, other, 1),
 			 QTN_QUARANTINED);
 	qtn_drop(quarantine);
@@ -236,18 +387,18 @@
 	struct qtn_quarantine *quarantine = qtn_new(1);
 	clk_ms now = crash_engines(quarantine, 1000, 1, 3);
 
-	qtn_record_event(quarantine, now, sound_request, 1);
+	qtn_record_events(quarantine, now, sound_request, 1, 1);
 	ck_assert_int_eq(check_deadly(quarantine, now + 59 * CLK_SECOND),
 			 QTN_QUARANTINED);
 	now += FIRST_PROBE_MS;
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_HELD);
-	qtn_record_crash(quarantine, now, DEADLY, 8);
+	qtn_record_crash(quarantine, now, DEADLY, 8, 0);
 	ck_assert_int_eq(check_deadly(quarantine, now + 119 * CLK_SECOND),
 			 QTN_QUARANTINED);
 	now += 2 * FIRST_PROBE_MS;
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_PROBE);
-	qtn_record_event(quarantine, now, deadly_request, 2);
+	qtn_record_events(quarantine, now, deadly_request, 2, 1);
 	ck_assert_int_eq(check_deadly(quarantine, now), QTN_ALLOWED);
 	qtn_drop(quarantine);
 }
@@ -283,7 +434,7 @@
 	ck_assert_int_eq(check_deadly(instances[3], now + 300),
 			 QTN_QUARANTINED);
 	/* An event that one of them sees clears the shared part at all. */
-	qtn_record_event(instances[2], now + 400, sound_request, 1);
+	qtn_record_events(instances[2], now + 400, sound_request, 1, 1);
 	send_evidence(instances[2], instances[3], now + 500);
 	ck_assert_int_eq(check(instances[3], now + 500, sound_request, 1),
 			 QTN_ALLOWED);
@@ -308,7 +459,7 @@
 	unsigned i;
 
 	for (part = 100; part < 200; part++)
-		qtn_record_crash(from, now, part, 90);
+		qtn_record_crash(from, now, part, 90, 0);
 	send_evidence(from, to, now + 100);
 	ck_assert_int_eq(check_deadly(to, now + 100), QTN_QUARANTINED);
 	for (i = 0; i < 200; i++)
@@ -325,10 +476,10 @@
 {
 	struct qtn_quarantine *quarantine = qtn_new(1);
 	struct qtn_record records[QTN_MAX_RECORDS] = {
-		{DEADLY, 2, -1},
-		{DEADLY, 4, INT64_MAX},
-		{DEADLY, 6, UINT32_MAX},
-		{OTHER, 0, 0},
+		{DEADLY, 2, 0, -1},
+		{DEADLY, 4, 0, INT64_MAX},
+		{DEADLY, 6, 0, UINT32_MAX},
+		{OTHER, 0, 0, 0},
 	};
 	uint64_t i;
 
@@ -337,8 +488,8 @@
 	ck_assert(!qtn_is_suspected(quarantine, 1000, deadly_request, 2));
 	crash_engines(quarantine, 1000, 1, 3);
 	for (i = 0; i < 100000; i++) {
-		records[0] =
-			(struct qtn_record){1000 + i, (uint32_t)(2 * i + 2), 1};
+		records[0] = (struct qtn_record){1000 + i,
+						 (uint32_t)(2 * i + 2), 0, 1};
 		qtn_merge(quarantine, 3000, records, 1);
 	}
 	ck_assert_int_eq(check_deadly(quarantine, 3000), QTN_QUARANTINED);
@@ -383,6 +534,16 @@
 	tcase_add_test(tcase, event_of_a_run_clears_its_parts);
 	tcase_add_test(tcase,
 		       parts_of_sound_requests_cut_by_crashes_stay_allowed);
+	tcase_add_test(tcase, crashes_in_the_stream_quarantine_a_part);
+	tcase_add_test(tcase, whole_answer_clears_crashes_in_the_stream);
+	tcase_add_test(
+		tcase,
+		run_that_outlives_those_cut_clears_crashes_in_the_stream);
+	tcase_add_loop_test(
+		tcase,
+		sessions_whose_streams_random_crashes_cut_are_never_refused, 1,
+		11);
+	tcase_add_test(tcase, streams_cut_with_a_deadly_one_go_on);
 	tcase_add_test(tcase, rack_that_fails_quarantines_nothing);
 	tcase_add_test(tcase, crash_counts_once_for_a_part);
 	tcase_add_test(
