quarantine: keep the crashes that count, and count second engines

Callers saw: groups of five requests with a part that crashes engines, one at each instance, crashed eight to ten engines each, the last group as the first. Cause: of a part the latest six crashes were kept and those within 100 ms count as one, so that a group pushed all earlier ones out and the part had one for ever. Besides, a group of requests with two runs each counted as one or two of the three crashes needed, so that the next group still sent one request at each instance; and a table of 256 parts dropped suspects for the parts of the sound requests that the same crashes cut. Change: crashes that count are kept and reported before others; several requests that each crash a second engine before an event weigh twice; 1,024 parts. Six new checks failed before: 4 to 30 late requests at two to five instances where three are allowed, and two on what bounded memory forgot.

--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -40,8 +40,9 @@
 #define PROBE_SPREAD 0.5
 /* Bit of a crash's id that is set if the head of an answer had arrived. */
 #define ANSWER_BIT 1u
-/* Crashes kept for a part, the latest. */
-#define MAX_CRASHES 6
+/* Crashes kept for a part: those that count, the latest of them, and of the
+ * others as many as there is room for. */
+#define MAX_CRASHES 12
 /* Longer than the longest quarantine with its spread, which is 12 minutes. */
 #define EVIDENCE_MS (30 * CLK_MINUTE)
 /* Peers are told of what cleared a part for this time. */
@@ -55,8 +56,11 @@
 /* Slots for parts of whole answers; a part that needs a taken one replaces the
  * other part. */
 #define MAX_SOUND_PARTS 2048
-/* Parts with evidence; the least suspect one makes room for a new one. */
-#define MAX_PARTS 256
+/* Parts with evidence; the least suspect one makes room for a new one. Each
+ * crash of an engine brings those of all requests that it ran. */
+#define MAX_PARTS 1024
+/* Heaviest parts that are looked at when a report is written. */
+#define MAX_EXPLAINING_PARTS 32
 /* When a request that is held back may return: about the time to the first
  * event of the probe. */
 #define HELD_RETRY_MS 500
@@ -71,12 +75,14 @@
 	/* Of the longest run that it cut, 0 if one of them had none. */
 	unsigned events;
 	unsigned weight;
+	/* What it adds to the weight of its part. */
+	unsigned added;
 };
 
 struct part {
 	uint64_t key;
-	/* In order of time. */
-	struct crash crashes[MAX_CRASHES];
+	/* In order of time, with room to insert one. */
+	struct crash crashes[MAX_CRASHES + 1];
 	unsigned n;
 	/* Those that count: crashes within SEPARATION_MS are one. */
 	unsigned count;
@@ -164,23 +170,39 @@
 	clk_ms first_at;
 	unsigned retry;
 	unsigned heaviest;
+	/* Engines that crashed before an event although they had outlived an
+	 * earlier crash. */
+	unsigned outlived;
 	unsigned count;
 	unsigned weight;
 };
 
-static void tally_add(struct tally *tally, const struct crash *crash)
+/*
+ * Returns what the crash adds. Several requests may each have been sent again
+ * after a crash, and have crashed a second engine at the same time: two of them
+ * weigh as much as two crashes apart, since most requests have only two runs
+ * without an event.
+ */
+static unsigned tally_add(struct tally *tally, const struct crash *crash)
 {
+	unsigned added = 0;
+
 	if (!tally->count || crash->retry > tally->retry ||
 	    crash->at - tally->first_at >= SEPARATION_MS) {
 		tally->first_at = crash->at;
 		tally->retry = crash->retry;
 		tally->heaviest = 0;
+		tally->outlived = 0;
 		tally->count++;
 	}
 	if (crash->weight > tally->heaviest) {
-		tally->weight += crash->weight - tally->heaviest;
+		added = crash->weight - tally->heaviest;
 		tally->heaviest = crash->weight;
 	}
+	if (crash->retry && !crash->events && ++tally->outlived == 2)
+		added += crash->weight;
+	tally->weight += added;
+	return added;
 }
 
 static void count_crashes(struct part *part)
@@ -190,20 +212,22 @@
 	unsigned i;
 
 	for (i = 0; i < part->n; i++) {
-		tally_add(&all, &part->crashes[i]);
-		if (!part->crashes[i].events)
-			tally_add(&early, &part->crashes[i]);
+		struct crash *crash = &part->crashes[i];
+
+		crash->added = tally_add(&all, crash);
+		if (!crash->events)
+			tally_add(&early, crash);
 	}
 	part->count = all.count;
 	part->weight = all.weight;
 	part->early_weight = early.weight;
 }
 
-static void remove_crashes(struct part *part, unsigned n)
+static void remove_crash(struct part *part, unsigned i)
 {
-	part->n -= n;
-	memmove(part->crashes, part->crashes + n,
-		part->n * sizeof(*part->crashes));
+	part->n--;
+	memmove(part->crashes + i, part->crashes + i + 1,
+		(part->n - i) * sizeof(*part->crashes));
 	count_crashes(part);
 }
 
@@ -251,7 +275,7 @@
 		struct part *part = value;
 
 		while (part->n && now - part->crashes[0].at >= EVIDENCE_MS)
-			remove_crashes(part, 1);
+			remove_crash(part, 0);
 		if (!part->n && now - part->cleared_at >= CLEARED_SHARED_MS)
 			g_hash_table_iter_remove(&iter);
 	}
@@ -374,19 +398,28 @@
 	known->weight = MAX(known->weight, crash->weight);
 }
 
+/* A crash that counts makes room only if all of them do: those of a group of
+ * requests would otherwise replace all that came before them. */
+static void remove_least(struct part *part)
+{
+	unsigned i = 0;
+
+	while (i < part->n && part->crashes[i].added)
+		i++;
+	remove_crash(part, i < part->n ? i : 0);
+}
+
 static void insert_crash(struct part *part, const struct crash *crash)
 {
 	unsigned i;
 
-	if (part->n == MAX_CRASHES) {
-		if (crash->at <= part->crashes[0].at)
-			return;
-		remove_crashes(part, 1);
-	}
 	for (i = part->n; i > 0 && part->crashes[i - 1].at > crash->at; i--)
 		part->crashes[i] = part->crashes[i - 1];
 	part->crashes[i] = *crash;
 	part->n++;
+	count_crashes(part);
+	if (part->n > MAX_CRASHES)
+		remove_least(part);
 }
 
 void qtn_record_crash(struct qtn_quarantine *quarantine, clk_ms at,
@@ -407,11 +440,12 @@
 	crash.weight = crash_weight(quarantine, key, &crash);
 	known = find_crash(part, id);
 	was_quarantined = is_quarantined(quarantine, part, at);
-	if (known)
+	if (known) {
 		merge_crash(known, &crash);
-	else
+		count_crashes(part);
+	} else {
 		insert_crash(part, &crash);
-	count_crashes(part);
+	}
 	if (!known && !was_quarantined)
 		part->is_reported = false;
 }
@@ -453,17 +487,30 @@
 	clear_parts(quarantine, now, parts, n, UINT_MAX);
 }
 
+static bool has_crash_near(const struct part *part, clk_ms at)
+{
+	unsigned i;
+
+	for (i = 0; i < part->n; i++) {
+		if (ABS(part->crashes[i].at - at) < SEPARATION_MS)
+			return true;
+	}
+	return false;
+}
+
 /* Whether all crashes of the part may be due to the other one, which may have
- * had earlier ones than it keeps. */
+ * had more than it keeps: earlier ones, and some at the same time as others. */
 static bool may_be_due_to(const struct part *part, struct part *other)
 {
 	unsigned i;
 
 	for (i = 0; i < part->n; i++) {
-		bool is_kept = other->n < MAX_CRASHES ||
-			       part->crashes[i].at >= other->crashes[0].at;
+		const struct crash *crash = &part->crashes[i];
+		bool may_be_forgotten = other->n == MAX_CRASHES &&
+					(crash->at < other->crashes[0].at ||
+					 has_crash_near(other, crash->at));
 
-		if (is_kept && !find_crash(other, part->crashes[i].id))
+		if (!may_be_forgotten && !find_crash(other, crash->id))
 			return false;
 	}
 	return true;
@@ -686,27 +733,79 @@
 	return order ? order : (int)right->n - (int)left->n;
 }
 
+static unsigned write_crashes(const struct part *part, clk_ms now, bool counts,
+			      struct qtn_record *records, unsigned room)
+{
+	unsigned n = 0;
+	unsigned i;
+
+	for (i = 0; i < part->n && n < room; i++) {
+		const struct crash *crash = &part->crashes[i];
+
+		if (counts == (crash->added > 0))
+			records[n++] = (struct qtn_record){
+				part->key, crash->id,
+				qtn_crash_flags(crash->events, crash->retry),
+				now - crash->at};
+	}
+	return n;
+}
+
+/* Those that count come first, in case there is no room for all. */
 static unsigned write_records(const struct part *part, clk_ms now,
 			      struct qtn_record *records, unsigned room)
 {
 	bool is_whole = part->whole_at == part->cleared_at;
 	unsigned n = 0;
-	unsigned i;
 
 	if (part->cleared_at && now - part->cleared_at < CLEARED_SHARED_MS &&
 	    n < room)
 		records[n++] = (struct qtn_record){part->key, 0,
 						   is_whole ? QTN_WHOLE : 0,
 						   now - part->cleared_at};
-	for (i = 0; i < part->n && n < room; i++) {
-		const struct crash *crash = &part->crashes[i];
+	n += write_crashes(part, now, true, records + n, room - n);
+	n += write_crashes(part, now, false, records + n, room - n);
+	return n;
+}
 
-		records[n++] = (struct qtn_record){
-			part->key, crash->id,
-			qtn_crash_flags(crash->events, crash->retry),
-			now - crash->at};
+/* Whether one of the heaviest parts explains all crashes of the one at that
+ * index. */
+static bool is_explained_by_heavier(const GPtrArray *parts, guint index)
+{
+	struct part *part = parts->pdata[index];
+	guint i;
+
+	for (i = 0; part->n && i < MIN(index, MAX_EXPLAINING_PARTS); i++) {
+		struct part *heavier = parts->pdata[i];
+
+		if (heavier->weight <= part->weight)
+			return false;
+		if (may_be_due_to(part, heavier))
+			return true;
 	}
-	return n;
+	return false;
+}
+
+/* Lists the parts that no other one explains, in the order of
+ * compare_parts(). */
+static GPtrArray *list_unexplained(const struct qtn_quarantine *quarantine)
+{
+	GPtrArray *all = g_ptr_array_new();
+	GPtrArray *unexplained = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, quarantine->parts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(all, value);
+	g_ptr_array_sort(all, compare_parts);
+	for (i = 0; i < all->len; i++) {
+		if (!is_explained_by_heavier(all, i))
+			g_ptr_array_add(unexplained, all->pdata[i]);
+	}
+	g_ptr_array_unref(all);
+	return unexplained;
 }
 
 /* Parts with several crashes come first; the others, most of which are sound
@@ -715,8 +814,6 @@
 		    struct qtn_record *records)
 {
 	GPtrArray *parts;
-	GHashTableIter iter;
-	gpointer value;
 	unsigned n = 0;
 	guint suspects = 0;
 	guint i;
@@ -724,13 +821,7 @@
 	if (!g_hash_table_size(quarantine->parts))
 		return 0;
 	expire(quarantine, now);
-	parts = g_ptr_array_new();
-	g_hash_table_iter_init(&iter, quarantine->parts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!is_explained(quarantine, value, NULL, 0))
-			g_ptr_array_add(parts, value);
-	}
-	g_ptr_array_sort(parts, compare_parts);
+	parts = list_unexplained(quarantine);
 	while (suspects < parts->len &&
 	       (((struct part *)parts->pdata[suspects])->n > 1 ||
 		((struct part *)parts->pdata[suspects])->weight >=
--- a/tests/quarantine_test.c
+++ b/tests/quarantine_test.c
@@ -56,6 +56,16 @@
 	return at;
 }
 
+static void send_evidence(struct qtn_quarantine *from,
+			  struct qtn_quarantine *to, clk_ms now)
+{
+	struct qtn_record records[QTN_MAX_RECORDS];
+	unsigned n = qtn_export(from, now, records);
+
+	ck_assert_uint_le(n, QTN_MAX_RECORDS);
+	qtn_merge(to, now, records, n);
+}
+
 START_TEST(third_crash_quarantines_a_part)
 {
 	struct qtn_quarantine *quarantine = qtn_new(1);
@@ -320,6 +330,95 @@
 }
 END_TEST
 
+/* Guards against a group of crashes that takes the place of all earlier ones:
+ * five requests with the part at the same moment, each with two runs, at one to
+ * five instances that hear each other 300 ms later. */
+START_TEST(groups_of_deadly_requests_are_kept_out)
+{
+	enum { REQUESTS = 5, GROUPS = 5, GROUP_MS = 5000 };
+	struct qtn_quarantine *instances[REQUESTS];
+	unsigned n = MAX((unsigned)_i, 1);
+	unsigned spread = 0;
+	clk_ms now = 1000;
+	uint32_t process = 0;
+	unsigned late = 0;
+	unsigned group;
+	unsigned i;
+	unsigned j;
+
+	for (i = 0; i < n; i++)
+		instances[i] = qtn_new(i);
+	for (group = 0; group < GROUPS; group++, now += GROUP_MS) {
+		for (i = 0; i < REQUESTS; i++) {
+			struct qtn_quarantine *at = instances[i % n];
+			clk_ms crash = now + (clk_ms)(spread * i) + 60;
+
+			if (check_deadly(at, now) >= QTN_HELD)
+				continue;
+			late += group > 0;
+			qtn_record_crash(at, crash, DEADLY, 2 * ++process, 0);
+			if (check_deadly(at, crash) == QTN_QUARANTINED)
+				continue;
+			late += group > 0;
+			qtn_record_crash(at, crash + 60, DEADLY, 2 * ++process,
+					 qtn_crash_flags(0, 1));
+			qtn_end_probe(at, deadly_request, 2);
+		}
+		for (i = 0; i < n; i++) {
+			for (j = 0; j < n; j++) {
+				if (i != j)
+					send_evidence(instances[i],
+						      instances[j], now + 300);
+			}
+		}
+		/* A group within 100 ms, after one at the same moment. */
+		spread = 20;
+	}
+	ck_assert_uint_le(late, 3);
+	for (i = 0; i < n; i++) {
+		ck_assert_int_eq(check_deadly(instances[i], now),
+				 QTN_QUARANTINED);
+		qtn_drop(instances[i]);
+	}
+}
+END_TEST
+
+/* Guards against the verdict that ends while engines go on to crash. */
+START_TEST(crashes_at_the_same_time_replace_none_that_count)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = crash_engines(quarantine, 1000, 1, 3);
+	uint32_t engine;
+
+	qtn_record_events(quarantine, now, sound_request, 1, 1);
+	for (engine = 100; engine < 200; engine++)
+		qtn_record_crash(quarantine, now + 1, DEADLY, 2 * engine, 0);
+	ck_assert_int_eq(check_deadly(quarantine, now + 1), QTN_QUARANTINED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
+/* Guards against a deadly part that makes room for those of the sound requests
+ * which the same crashes cut. */
+START_TEST(parts_of_many_cut_requests_replace_no_suspect)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = 1000;
+	uint64_t part = 1000;
+	uint32_t engine;
+	unsigned i;
+
+	for (engine = 1; engine <= 3; engine++) {
+		now = crash_engines(quarantine, now, engine, 1);
+		for (i = 0; i < 600; i++)
+			qtn_record_crash(quarantine, now, part++, 2 * engine,
+					 qtn_crash_flags(9, 0));
+	}
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
 /* The same crash is reported for each of the requests that it cut. */
 START_TEST(crash_counts_once_for_a_part)
 {
@@ -404,16 +503,6 @@
 }
 END_TEST
 
-static void send_evidence(struct qtn_quarantine *from,
-			  struct qtn_quarantine *to, clk_ms now)
-{
-	struct qtn_record records[QTN_MAX_RECORDS];
-	unsigned n = qtn_export(from, now, records);
-
-	ck_assert_uint_le(n, QTN_MAX_RECORDS);
-	qtn_merge(to, now, records, n);
-}
-
 /* Each instance sees a crash of its own; a fourth one has just started and
  * hears of them from one peer. */
 START_TEST(evidence_of_several_instances_adds_up)
@@ -545,6 +634,10 @@
 		11);
 	tcase_add_test(tcase, streams_cut_with_a_deadly_one_go_on);
 	tcase_add_test(tcase, rack_that_fails_quarantines_nothing);
+	tcase_add_loop_test(tcase, groups_of_deadly_requests_are_kept_out, 1,
+			    6);
+	tcase_add_test(tcase, crashes_at_the_same_time_replace_none_that_count);
+	tcase_add_test(tcase, parts_of_many_cut_requests_replace_no_suspect);
 	tcase_add_test(tcase, crash_counts_once_for_a_part);
 	tcase_add_test(
 		tcase,
