edge: don't send a stream once more to a head that leaves

Callers saw: nothing at first; the worker that had reported to be draining 2.5 s before got the stream again, and ends when it likes. Cause: a stream that as many living heads as its route allows have run, and that breaks off, is sent to the last head once more if that still reports. Whether it leaves was not asked, and the search keeps the head of the present path without looking at it; it also took the later engines of that path for engines that run the request, so that one which turns requests away got it again. Change: a head must be routable and open; otherwise the head before gets the stream, and without one it ends at once. Only the head is kept, the rest of the path is searched as for a new request.

--- a/include/wagtailferry/fleet.h
+++ b/include/wagtailferry/fleet.h
@@ -189,6 +189,10 @@
 
 bool flt_is_closed(const struct flt_target *target, clk_ms now);
 
+/* Whether a request may be sent to the target in view of both: it is routable
+ * and not closed. */
+bool flt_may_send(const struct flt_target *target, clk_ms now);
+
 /*
  * Time in ms until enough targets of the service are open: one, or for a model
  * of that many layers one for each layer. 0 if they are, or if layers are
@@ -306,6 +310,11 @@
 			 const struct pth_query *query, GRand *rand,
 			 struct pth_path **out);
 
+/* The path of a head alone, which holds the first layers: as the current path
+ * of a query it keeps that head. To be freed with pth_free(). */
+struct pth_path *pth_from_head(struct flt_target *head,
+			       const struct cat_engine *engine);
+
 void pth_free(struct pth_path *path);
 
 /*
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -16,7 +16,7 @@
 /* A refusal within 1/3 of the engines' stall timeout means a full engine. */
 #define FULL_REFUSAL_DIVISOR 3
 
-static void send_next(struct edg_request *request, bool keeps_head);
+static void send_next(struct edg_request *request, struct flt_target *head);
 
 static void watch_silence(struct edg_request *request)
 {
@@ -269,51 +269,104 @@
 	       take_retry_token(request);
 }
 
-static bool is_head_open(const struct edg_request *request)
+/* A question to a head whether it is alive, in order to send the request to it
+ * once more. Holds references. */
+struct head_call {
+	struct edg_request *request;
+	struct flt_target *head;
+};
+
+/* Whether the head, which ran the request before, may get it again: it does not
+ * leave, wants requests and is no other process since. */
+static bool may_run_at(const struct edg_request *request,
+		       const struct edg_run *run)
 {
-	return !flt_is_closed(request->target, edg_now(request->edge));
+	const struct flt_target *head = run->target;
+	clk_ms now = edg_now(request->edge);
+
+#ifndef WF_GUARD_OFF_EDGE_LEAVING_HEAD
+	if (!flt_may_send(head, now))
+		return false;
+#endif
+	return !flt_has_ended(head, now) &&
+	       head->started_at == run->started_at && !head->holds.first &&
+	       head->holds.end;
 }
 
-/* Retries a broken run on the same head if that is still alive; otherwise marks
- * the head as lost and tries another one. */
+/* The last head that may run the request once more, or NULL. */
+static struct flt_target *find_known_head(const struct edg_request *request)
+{
+	guint i = request->runs->len;
+
+	while (i-- > 0) {
+		const struct edg_run *run =
+			&g_array_index(request->runs, struct edg_run, i);
+
+		if (may_run_at(request, run))
+			return run->target;
+	}
+	return NULL;
+}
+
+static bool ask_known_head(struct edg_request *request);
+
+/* Sends a broken run to the head again, unless that may no longer get it. head
+ * is NULL if the one that was asked is lost: another one may then run it. */
+static void try_head(struct edg_request *request, struct flt_target *head)
+{
+	bool is_open = head && head == find_known_head(request);
+
+	if (is_open && take_retry_token(request))
+		send_next(request, head);
+	else if (!head && may_resume(request, EDG_OUTCOME_UNKNOWN))
+		send_next(request, NULL);
+	else if (!head || is_open || !ask_known_head(request))
+		fail_or_abort(request);
+}
+
+/* Does that if the head is still alive; otherwise marks it as lost. */
 static void on_head_report(void *user, enum edg_report_result result,
 			   const struct edg_report *report)
 {
-	struct edg_request *request = user;
+	struct head_call *call = user;
+	struct edg_request *request = call->request;
 
-	if (!request->is_freed) {
-		if (!report)
-			stl_mark_lost(request->edge, request->target,
-				      result == EDG_REPORT_UNREACHABLE,
-				      "no_report");
-		if (report ? is_head_open(request) && take_retry_token(request)
-			   : may_resume(request, EDG_OUTCOME_UNKNOWN))
-			send_next(request, report != NULL);
-		else
-			fail_or_abort(request);
-	}
+	if (!request->is_freed && !report)
+		stl_mark_lost(request->edge, call->head,
+			      result == EDG_REPORT_UNREACHABLE, "no_report");
+	if (!request->is_freed)
+		try_head(request, report ? call->head : NULL);
+	flt_target_drop(call->head);
 	edg_request_drop(request);
+	g_free(call);
 }
 
-static void ask_head(struct edg_request *request)
+/* Returns false if no head may run the request once more. */
+static bool ask_known_head(struct edg_request *request)
 {
-	request->edge->platform->ops->ask_report(
-		request->edge->platform, request->target, on_head_report,
-		edg_request_keep(request));
+	struct flt_target *head = find_known_head(request);
+	struct head_call *call;
+
+	if (!head)
+		return false;
+	call = g_new0(struct head_call, 1);
+	call->request = edg_request_keep(request);
+	call->head = flt_target_keep(head);
+	request->edge->platform->ops->ask_report(request->edge->platform, head,
+						 on_head_report, call);
+	return true;
 }
 
 static void handle_failed_send(struct edg_request *request,
 			       enum edg_outcome outcome)
 {
 	if (may_resume(request, outcome))
-		send_next(request, false);
+		send_next(request, NULL);
 	else if (outcome == EDG_OUTCOME_FAILED && !request->is_answer_started)
 		edg_deliver(request);
-	else if (outcome == EDG_OUTCOME_UNKNOWN && request->service->engine &&
-		 may_run_again(request) && is_at_limit(request) &&
-		 is_head_open(request))
-		ask_head(request);
-	else
+	else if (outcome != EDG_OUTCOME_UNKNOWN || !request->service->engine ||
+		 !may_run_again(request) || !is_at_limit(request) ||
+		 !ask_known_head(request))
 		fail_or_abort(request);
 }
 
@@ -422,22 +475,25 @@
 	request->target = flt_target_keep(pth_head(path));
 }
 
+/* Releases the current send and reserves a path for the next one, with that
+ * head unless it is NULL. */
 static enum pth_result reserve_path(struct edg_request *request,
-				    bool keeps_head)
+				    struct flt_target *head)
 {
 	struct edg_edge *edge = request->edge;
 	struct pth_query query = edg_path_query(request);
+	struct pth_path *start =
+		head ? pth_from_head(head, query.engine) : NULL;
 	struct pth_path *path;
 	enum pth_result result;
 
-	if (!keeps_head)
-		edg_release_send(request);
-	query.current = request->path;
+	edg_release_send(request);
+	query.current = start;
 	ctr_add(edge->counters, "wf_edge_path_searches_total", 1);
 	result = edg_find_path(edge, &query, &path);
-	if (result == PTH_NO_CAPACITY && !query.current)
+	if (result == PTH_NO_CAPACITY && !head)
 		edg_note_full(edge, query.service, query.tokens);
-	edg_release_send(request);
+	pth_free(start);
 	if (result == PTH_FOUND)
 		use_path(request, path);
 	return result;
@@ -445,11 +501,11 @@
 
 bool edg_reserve_path(struct edg_request *request)
 {
-	return reserve_path(request, false) == PTH_FOUND;
+	return reserve_path(request, NULL) == PTH_FOUND;
 }
 
 /* Releases the current send and finds a path for the next one. */
-static bool find_path(struct edg_request *request, bool keeps_head)
+static bool find_path(struct edg_request *request, struct flt_target *head)
 {
 	struct pth_query query = edg_path_query(request);
 	enum pth_result result;
@@ -460,7 +516,7 @@
 		edg_wait_for_room(request, query.tokens);
 		return false;
 	}
-	result = reserve_path(request, keeps_head);
+	result = reserve_path(request, head);
 	if (result == PTH_FOUND)
 		return true;
 	if (request->is_answer_started || edg_may_have_run(request))
@@ -495,7 +551,8 @@
 	edg_send_stream(request);
 }
 
-static void send_next(struct edg_request *request, bool keeps_head)
+/* Sends the request to that head, or to any if it is NULL. */
+static void send_next(struct edg_request *request, struct flt_target *head)
 {
 	bool found;
 
@@ -504,7 +561,7 @@
 	evs_discard_partial(&request->splitter);
 	if (!edg_check_parts(request))
 		return;
-	found = request->service->engine ? find_path(request, keeps_head)
+	found = request->service->engine ? find_path(request, head)
 					 : find_target(request);
 	if (found)
 		edg_send_stream(request);
@@ -540,5 +597,5 @@
 		request->splitter.awaits_event = false;
 	parse_token_counts(request);
 	edg_read_parts(request);
-	send_next(request, false);
+	send_next(request, NULL);
 }
--- a/src/forward/fleet.c
+++ b/src/forward/fleet.c
@@ -374,6 +374,11 @@
 	return now < target->closed_until;
 }
 
+bool flt_may_send(const struct flt_target *target, clk_ms now)
+{
+	return flt_is_routable(target, now) && !flt_is_closed(target, now);
+}
+
 bool flt_mark_closed(struct flt_fleet *fleet, clk_ms now, const char *id,
 		     int64_t started_at, clk_ms span)
 {
@@ -614,8 +619,7 @@
 		double cost;
 
 		if (strcmp(target->service, service) != 0 ||
-		    !flt_is_routable(target, now) ||
-		    flt_is_closed(target, now) ||
+		    !flt_may_send(target, now) ||
 		    contains_target(tried, target))
 			continue;
 		cost = selection_cost(target, now, data_center);
--- a/src/forward/path.c
+++ b/src/forward/path.c
@@ -20,6 +20,19 @@
 	return path;
 }
 
+struct pth_path *pth_from_head(struct flt_target *head,
+			       const struct cat_engine *engine)
+{
+	struct pth_path *path = pth_new();
+	struct pth_stage stage = {
+		.target = head,
+		.range = {0, MIN(head->holds.end, engine->layers)},
+	};
+
+	pth_prepend(path, stage);
+	return path;
+}
+
 void pth_free(struct pth_path *path)
 {
 	if (!path)
--- a/tests/path_test.c
+++ b/tests/path_test.c
@@ -606,6 +606,120 @@
 }
 END_TEST
 
+/* How the fleet knows that an engine leaves, or wants no requests. */
+enum notice { ENTRY, ANSWER, REMOVED, CLOSED, N_NOTICES };
+
+static void give_notice(struct fixture *fixture, clk_ms now, const char *id,
+			enum notice notice)
+{
+	const struct flt_target *known = flt_find(fixture->fleet, id);
+	struct flt_target *entry;
+
+	if (notice == ENTRY) {
+		entry = flt_target_new();
+		entry->id = g_strdup(id);
+		entry->service = g_strdup(known->service);
+		entry->address = g_strdup(known->address);
+		entry->data_center = g_strdup(known->data_center);
+		entry->accelerator = g_strdup(known->accelerator);
+		entry->slots = known->slots;
+		entry->started_at = known->started_at;
+		entry->holds = known->holds;
+		entry->state = FLT_DRAINING;
+		flt_upsert(fixture->fleet, now, entry);
+	} else if (notice == ANSWER) {
+		ck_assert(flt_mark_leaving(fixture->fleet, now, id, 1));
+	} else if (notice == REMOVED) {
+		flt_remove(fixture->fleet, now, id, 0);
+	} else {
+		ck_assert(flt_mark_closed(fixture->fleet, now, id, 1, 10000));
+	}
+}
+
+/* Guards against a request that is sent again along a later engine which
+ * leaves or wants no requests, whatever sends it: a reroute may only keep one
+ * that runs the request already and is closed to others. */
+START_TEST(request_sent_again_avoids_later_engines_that_leave)
+{
+	enum notice notice = (enum notice)(_i % N_NOTICES);
+	bool is_kept = _i >= N_NOTICES;
+	struct fixture fixture;
+	struct pth_path *path;
+	struct pth_path *start;
+	struct pth_path *next;
+	struct pth_query query;
+	struct flt_target *head;
+	struct flt_target *leaving;
+	unsigned draw;
+
+	setup(&fixture, 1);
+	add_engine(&fixture, "e1", "a", "large", 0, 40);
+	add_engine(&fixture, "e2", "a", "large", 0, 40);
+	add_engine(&fixture, "e3", "a", "large", 40, 80);
+	add_engine(&fixture, "e4", "a", "large", 40, 80);
+	ck_assert_int_eq(find_path(&fixture, 0, "a", &path), PTH_FOUND);
+	head = flt_target_keep(pth_head(path));
+	leaving = stage_at(path, 1)->target;
+	if (!is_kept)
+		leaving = flt_find(fixture.fleet,
+				   strcmp(leaving->id, "e3") ? "e3" : "e4");
+	flt_target_keep(leaving);
+	give_notice(&fixture, 0, leaving->id, notice);
+	start = pth_from_head(head, fixture.service->engine);
+	for (draw = 0; draw < 20; draw++) {
+		/* Sent to its head again, rerouted, and taken over. */
+		query = query_for(&fixture, "a");
+		query.current = start;
+		ck_assert_int_eq(pth_find(fixture.fleet, 1500, &query,
+					  fixture.rand, &next),
+				 PTH_FOUND);
+		ck_assert_ptr_eq(pth_head(next), head);
+		ck_assert(!pth_contains(next, leaving));
+		pth_free(next);
+		query.current = path;
+		ck_assert_int_eq(pth_find(fixture.fleet, 1500, &query,
+					  fixture.rand, &next),
+				 PTH_FOUND);
+		ck_assert(!pth_contains(next, leaving) ||
+			  (is_kept && notice == CLOSED));
+		pth_free(next);
+		query.current = NULL;
+		query.without = head;
+		ck_assert_int_eq(pth_find(fixture.fleet, 1500, &query,
+					  fixture.rand, &next),
+				 PTH_FOUND);
+		ck_assert_ptr_ne(pth_head(next), head);
+		ck_assert(!pth_contains(next, leaving));
+		pth_free(next);
+	}
+	pth_free(start);
+	pth_free(path);
+	flt_target_drop(leaving);
+	flt_target_drop(head);
+	teardown(&fixture);
+}
+END_TEST
+
+/* The only head left is one that leaves. */
+START_TEST(takeover_by_a_head_that_leaves_is_refused)
+{
+	struct fixture fixture;
+	struct pth_path *path;
+	struct pth_query query;
+
+	setup(&fixture, 1);
+	add_engine(&fixture, "e1", "a", "large", 0, 80);
+	add_engine(&fixture, "e2", "a", "large", 40, 80);
+	give_notice(&fixture, 0, "e1", (enum notice)_i);
+	query = query_for(&fixture, "a");
+	query.without = flt_find(fixture.fleet, "e2");
+	ck_assert_int_ne(
+		pth_find(fixture.fleet, 1500, &query, fixture.rand, &path),
+		PTH_FOUND);
+	teardown(&fixture);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("path");
@@ -633,5 +747,10 @@
 	tcase_add_test(tcase, reroute_without_another_engine_is_refused);
 	tcase_add_test(tcase, heads_share_the_paths_of_a_crest);
 	tcase_add_test(tcase, closed_engine_is_on_no_new_path);
+	tcase_add_loop_test(tcase,
+			    request_sent_again_avoids_later_engines_that_leave,
+			    0, 2 * N_NOTICES);
+	tcase_add_loop_test(tcase, takeover_by_a_head_that_leaves_is_refused, 0,
+			    N_NOTICES);
 	return sup_run_case("path", tcase);
 }
--- a/tests/platform/leaving_wire_test.c
+++ b/tests/platform/leaving_wire_test.c
@@ -530,6 +530,160 @@
 }
 END_TEST
 
+/* How an instance knows that a worker leaves or wants no requests. */
+enum notice {
+	NOTICE_ENTRY,
+	NOTICE_ANSWER,
+	NOTICE_REMOVED,
+	NOTICE_CLOSED,
+	N_NOTICES,
+};
+
+static bool may_get_none(void *user)
+{
+	const struct worker *one = user;
+	struct edg_edge *edge = one->world->edge;
+	const struct flt_target *target = flt_find(edg_fleet(edge), one->id);
+
+	return !target || !flt_may_send(target, edg_now(edge));
+}
+
+/* Waits until no request may reach the worker. */
+static void leave(struct platform_world *world, struct worker *one,
+		  enum notice notice)
+{
+	if (notice == NOTICE_ENTRY) {
+		json_object_set_new(one->entry, "state",
+				    json_string("draining"));
+		write_entry(world, one);
+	} else if (notice == NOTICE_ANSWER) {
+		ck_assert(flt_mark_leaving(edg_fleet(world->edge),
+					   edg_now(world->edge), one->id,
+					   1000));
+	} else if (notice == NOTICE_REMOVED) {
+		world_delete(world, "servers", one->id);
+	} else {
+		ck_assert(flt_mark_closed(edg_fleet(world->edge),
+					  edg_now(world->edge), one->id, 1000,
+					  60000));
+	}
+	wire_run_until(&world->wire, may_get_none, one);
+}
+
+/* The first head that gets a stream breaks it off, the other one stalls it. */
+static bool break_first_stream(struct worker *one, struct wire_conn *conn,
+			       const char *request)
+{
+	guint i;
+
+	(void)conn;
+	if (!strstr(request, "/stream/") || one->mode == WORKER_STALLS_STREAM)
+		return false;
+	for (i = 0; i < 2; i++) {
+		if (worker(one->world, i) != one)
+			worker(one->world, i)->mode = WORKER_STALLS_STREAM;
+	}
+	return false;
+}
+
+static bool is_stalled(void *user)
+{
+	struct platform_world *world = user;
+
+	return worker(world, 0)->stream || worker(world, 1)->stream;
+}
+
+/* Opens a stream that one living head has broken off and that the other one
+ * runs, silent, after its first event: both are as many as the route allows.
+ * Returns the second head. From then on heads answer. */
+static struct worker *open_at_second_head(struct platform_world *world,
+					  struct wire_client **client)
+{
+	struct worker *second;
+	unsigned i;
+
+	world_open_engines(world);
+	for (i = 0; i < 2; i++) {
+		worker(world, i)->mode = WORKER_BREAKS_STREAM;
+		worker(world, i)->script = break_first_stream;
+	}
+	*client = world_request(world, "POST", "/stream/", KEY TOKENS, "");
+	wire_run_until(&world->wire, is_stalled, world);
+	second = worker(world, worker(world, 0)->stream ? 0 : 1);
+	for (i = 0; i < 2; i++) {
+		worker(world, i)->mode = WORKER_ANSWERS;
+		worker(world, i)->script = NULL;
+	}
+	return second;
+}
+
+/* Guards against sending a stream that breaks off to its head once more after
+ * that has left; the one before, which goes on, may get it. */
+START_TEST(broken_stream_is_not_sent_again_to_a_head_that_leaves)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *second = open_at_second_head(&world, &client);
+	struct worker *first =
+		worker(&world, second == worker(&world, 0) ? 1 : 0);
+	unsigned before = second->requests;
+	unsigned before_first = first->requests;
+
+	leave(&world, second, (enum notice)_i);
+	wire_hang_up(second->stream);
+	wire_client_await(&world.wire, client,
+			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	ck_assert_uint_eq(second->requests, before);
+	ck_assert_uint_eq(first->requests, before_first + 1);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* The same if both leave: the stream ends at once. */
+START_TEST(broken_stream_of_heads_that_leave_ends)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *second = open_at_second_head(&world, &client);
+	unsigned before = world_total_requests(&world);
+
+	leave(&world, worker(&world, 0), (enum notice)_i);
+	leave(&world, worker(&world, 1), (enum notice)_i);
+	wire_hang_up(second->stream);
+	wire_client_await_close(&world.wire, client);
+	ck_assert_uint_eq(world_total_requests(&world), before);
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
+/* Guards against sending a stream to its head once more along an engine that
+ * has left, because that is on its present path. */
+START_TEST(stream_sent_again_to_its_head_avoids_engines_that_leave)
+{
+	struct platform_world world;
+	struct wire_client *client;
+	struct worker *head = open_at_second_head(&world, &client);
+	struct worker *tail = worker(&world, 2);
+	unsigned before = head->requests;
+
+	if (!strstr(head->last_request->str, wire_server_address(tail->server)))
+		tail = worker(&world, 3);
+	ck_assert_ptr_nonnull(strstr(head->last_request->str,
+				     wire_server_address(tail->server)));
+	leave(&world, tail, (enum notice)_i);
+	wire_hang_up(head->stream);
+	wire_client_await(&world.wire, client,
+			  "id: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	ck_assert_uint_eq(head->requests, before + 1);
+	ck_assert_ptr_null(strstr(head->last_request->str,
+				  wire_server_address(tail->server)));
+	wire_client_drop(client);
+	world_close(&world);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("leaving_wire");
@@ -549,5 +703,13 @@
 	tcase_add_test(tcase, orders_wait_until_a_closed_engine_opens);
 	tcase_add_test(tcase, closed_engines_are_queried_once);
 	tcase_add_test(tcase, broken_stream_is_not_sent_again_to_closed_heads);
+	tcase_add_loop_test(
+		tcase, broken_stream_is_not_sent_again_to_a_head_that_leaves, 0,
+		N_NOTICES);
+	tcase_add_loop_test(tcase, broken_stream_of_heads_that_leave_ends, 0,
+			    N_NOTICES);
+	tcase_add_loop_test(
+		tcase, stream_sent_again_to_its_head_avoids_engines_that_leave,
+		0, N_NOTICES);
 	return sup_run_case("leaving_wire", tcase);
 }
