--- a/tests/soak/stream.c
+++ b/tests/soak/stream.c
@@ -7,6 +7,8 @@
 /* A worker that crashed by a request is back after this long. */
 #define MIN_CRASH_MS 1000
 #define MAX_CRASH_MS 3000
+/* Chance that it sends one more event of an answer on the deadly part first. */
+#define DEADLY_EVENT_CHANCE 0.6
 
 void soak_stream_free(gpointer data)
 {
@@ -119,7 +121,8 @@
 	wire_hang_up(stream->conn);
 }
 
-/* A worker that begins to write on the deadly part crashes. */
+/* A worker that writes on the deadly part crashes at some place of the answer.
+ */
 static bool crash_if_deadly(struct soak_worker *worker,
 			    const struct soak_stream *stream)
 {
@@ -128,6 +131,9 @@
 
 	if (!request || !request->is_deadly)
 		return false;
+	if (stream->next < SOAK_EVENTS &&
+	    soak_chance(soak, DEADLY_EVENT_CHANCE))
+		return false;
 	if (++soak->crashes == 5)
 		soak->fifth_crash_at = soak_now(soak);
 	soak_crash_worker_for(worker, g_rand_int_range(soak->rand, MIN_CRASH_MS,
