quarantine: crashes in the stream alone keep no stream where it is

Cause: a part with two crashes in the stream counted as suspected, and a stream with such a part is not taken over by another head while its own is silent. Most such parts are sound. Change: a part is suspected after a crash before an event, as before, or with enough crashes for a verdict. A probe ends when its part is cleared.

--- a/include/wagtailferry/quarantine.h
+++ b/include/wagtailferry/quarantine.h
@@ -31,8 +31,8 @@
 
 enum qtn_verdict {
 	QTN_ALLOWED,
-	/* Allowed as the only request with a suspected part, until
-	 * qtn_end_probe(). */
+	/* Allowed as the only request with a suspected part, until that is
+	 * cleared or qtn_end_probe() is called. */
 	QTN_PROBE,
 	/* Another request is the probe. */
 	QTN_HELD,
@@ -116,8 +116,8 @@
 void qtn_end_probe(struct qtn_quarantine *quarantine, const uint64_t *parts,
 		   unsigned n);
 
-/* Whether one of the parts has a crash before an event, or several crashes,
- * that nothing has cleared. */
+/* Whether one of the parts has a crash before an event, or enough of any kind
+ * for a verdict, that nothing has cleared. */
 bool qtn_is_suspected(const struct qtn_quarantine *quarantine, clk_ms now,
 		      const uint64_t *parts, unsigned n);
 
--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -161,9 +161,6 @@
 	request->cut_runs = 0;
 	qtn_record_events(edge->quarantine, edg_now(edge), request->parts,
 			  request->n_parts, events);
-	/* After crashes in the stream the first event proves little. */
-	if (!edg_has_suspected_part(request))
-		edg_end_probe(request);
 }
 
 void edg_parts_were_whole(struct edg_request *request)
--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -263,6 +263,8 @@
 	count_crashes(part);
 	if (!has_enough_crashes(part))
 		part->is_reported = false;
+	if (part->weight < SUSPECT_WEIGHT)
+		part->probe_until = 0;
 }
 
 static void expire(struct qtn_quarantine *quarantine, clk_ms now)
@@ -671,8 +673,7 @@
 	for (i = 0; i < n; i++) {
 		const struct part *part = find(quarantine, parts[i]);
 
-		if (part &&
-		    (part->early_weight || part->weight >= SUSPECT_WEIGHT) &&
+		if (part && (part->early_weight || has_enough_crashes(part)) &&
 		    now - last_crash(part) < EVIDENCE_MS &&
 		    !is_explained(quarantine, part, parts, n))
 			return true;
