quarantine: fewer verdicts on sound parts, and none undone by short runs

A run with nine events cleared, at peers too, crashes in streams of any length, as an instance that knew of none exported it like a whole answer. Groups whose requests find no third engine had two crashes of three. The other way round, a part of many sound streams collected a verdict from random crashes, which then ended streams that had begun; the test of this passed because its crashes came in the same millisecond as its whole answers. Change: the number of events travels with the evidence, and decides at each instance what it clears. A crash in the stream of a run that was sent again weighs more, two such engines at once twice. Streams that have begun are spared until three of their own runs were cut, and a part that most other streams hold collects nothing.

--- a/include/wagtailferry/quarantine.h
+++ b/include/wagtailferry/quarantine.h
@@ -24,7 +24,8 @@
 #define QTN_MAX_RETRY 7u
 #define QTN_EVENTS_SHIFT 8
 #define QTN_MAX_EVENTS 0xffffu
-/* Flag of a record without a crash: an answer was whole. */
+/* Flag of a record without a crash: an answer was whole. Otherwise it has the
+ * number of events of a run, in the same place. */
 #define QTN_WHOLE 1u
 
 struct qtn_quarantine;
@@ -45,7 +46,7 @@
 	/* Identifies the process that crashed, see qtn_crash_id(); 0 if the
 	 * record states that a run with the part had an event. */
 	uint32_t crash;
-	/* Of the crash, or QTN_WHOLE; unknown ones are ignored. */
+	/* Of the crash, or what the run with an event had. */
 	uint32_t flags;
 	/* Time since then. */
 	clk_ms age;
@@ -98,18 +99,15 @@
 void qtn_record_whole(struct qtn_quarantine *quarantine, clk_ms now,
 		      const uint64_t *parts, unsigned n);
 
-/* Time for which requests with these parts are refused; 0 if they are not. One
- * whose answer has begun is refused only for more evidence. */
+/* Time for which a request with these parts is refused; 0 if it is not. One
+ * that is spared is not refused for crashes in the stream alone. */
 clk_ms qtn_time_left(const struct qtn_quarantine *quarantine, clk_ms now,
-		     const uint64_t *parts, unsigned n, bool has_begun);
+		     const uint64_t *parts, unsigned n, bool is_spared);
 
-/*
- * Whether a request with these parts may be sent. Sets retry_after for
- * QTN_HELD and QTN_QUARANTINED. One whose answer has begun is not held for
- * crashes in the stream alone.
- */
+/* Whether a request with these parts may be sent. Sets retry_after for
+ * QTN_HELD and QTN_QUARANTINED. is_spared as above. */
 enum qtn_verdict qtn_check(struct qtn_quarantine *quarantine, clk_ms now,
-			   const uint64_t *parts, unsigned n, bool has_begun,
+			   const uint64_t *parts, unsigned n, bool is_spared,
 			   clk_ms *retry_after);
 
 /* The request that got QTN_PROBE for these parts is no longer running. */
--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -21,6 +21,13 @@
 /* Minimum time between two questions to a head, unless prompt parts are
  * suspected. */
 #define QUERY_INTERVAL_MS 1000
+/* A stream that has lost fewer runs goes on whatever crashes in the stream say
+ * of its parts: they cut mostly sound streams. */
+#define SPARED_LOST_RUNS 3
+/* A part that this many other streams here hold, and at least this fraction of
+ * all, is not suspected because of a stream that was cut. */
+#define COMMON_STREAMS 8
+#define COMMON_FRACTION 0.5
 /* The engine of a run that was cut without an event, but not before this time,
  * outlived the crash that cut the run before. */
 #define OUTLIVED_MS 20
@@ -118,6 +125,12 @@
 		    is_held ? "part_suspected" : "part_quarantined");
 }
 
+static bool is_spared(const struct edg_request *request)
+{
+	return request->is_answer_started &&
+	       request->lost_runs < SPARED_LOST_RUNS;
+}
+
 bool edg_check_parts(struct edg_request *request)
 {
 	struct edg_edge *edge = request->edge;
@@ -130,8 +143,7 @@
 #endif
 	edg_end_probe(request);
 	verdict = qtn_check(edge->quarantine, now, request->parts,
-			    request->n_parts, request->is_answer_started,
-			    &retry_after);
+			    request->n_parts, is_spared(request), &retry_after);
 	request->is_probe = verdict == QTN_PROBE;
 	if (verdict <= QTN_PROBE && request->cut_runs >= MAX_CUT_RUNS &&
 	    edg_has_suspected_part(request)) {
@@ -179,6 +191,39 @@
 	request->is_probe = false;
 }
 
+static bool holds_part(const struct edg_request *request, uint64_t key)
+{
+	unsigned i;
+
+	for (i = 0; i < request->n_parts; i++) {
+		if (request->parts[i] == key)
+			return true;
+	}
+	return false;
+}
+
+/* Whether most streams at other heads hold the part and go on. */
+static bool is_common(const struct cut_inquiry *inquiry, uint64_t key)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned streams = 0;
+	unsigned holders = 0;
+
+	g_hash_table_iter_init(&iter, inquiry->edge->requests);
+	while (g_hash_table_iter_next(&iter, &value, NULL)) {
+		const struct edg_request *request = value;
+
+		if (!request->exchange || !request->n_parts ||
+		    request->target == inquiry->target || !run_events(request))
+			continue;
+		streams++;
+		holders += holds_part(request, key);
+	}
+	return holders >= COMMON_STREAMS &&
+	       holders >= COMMON_FRACTION * streams;
+}
+
 static void record_crash(const struct cut_inquiry *inquiry)
 {
 	struct edg_edge *edge = inquiry->edge;
@@ -199,6 +244,9 @@
 			in_stream++;
 		else
 			answered += part->has_answer;
+		if (part->flags >> QTN_EVENTS_SHIFT &&
+		    is_common(inquiry, part->key))
+			continue;
 		qtn_record_crash(edge->quarantine, inquiry->at, part->key,
 				 qtn_crash_id(process, part->has_answer),
 				 part->flags);
@@ -355,7 +403,7 @@
 	if (request->is_freed || request->is_probe || run_events(request))
 		return;
 	left = qtn_time_left(edge->quarantine, edg_now(edge), request->parts,
-			     request->n_parts, request->is_answer_started);
+			     request->n_parts, is_spared(request));
 	if (!left)
 		return;
 	if (request->exchange)
--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -20,18 +20,17 @@
 /* Weight of a crash, without and with the head of an answer. */
 #define CRASH_WEIGHT 2
 #define ANSWER_CRASH_WEIGHT 3
-/* Of a crash in the stream, and if an answer with the part was whole shortly
- * before: most streams that an engine runs when it crashes are sound. */
+/* Of a crash in the stream: of the request's first run, of one that was sent
+ * again after a crash, and if an answer with the part was whole shortly before.
+ * Most streams that an engine runs when it crashes are sound. */
 #define STREAM_CRASH_WEIGHT 2
+#define STREAM_RETRY_CRASH_WEIGHT 3
 #define SOUND_CRASH_WEIGHT 1
 /* From this weight on, one request at a time may run: two crashes, or one
  * after the head of an answer. */
 #define SUSPECT_WEIGHT 3
 /* Three crashes, or two after the heads of answers. */
 #define QUARANTINE_WEIGHT 6
-/* From this weight on, crashes in the stream end also streams that have begun:
- * to refuse one that is sound costs more than another crash. */
-#define STREAM_END_WEIGHT 8
 /* Time from the last crash of a quarantined part to the next probe, doubled
  * with the weight of each crash beyond QUARANTINE_WEIGHT. */
 #define QUARANTINE_MS (60 * CLK_SECOND)
@@ -49,8 +48,10 @@
 #define CLEARED_SHARED_MS (3 * CLK_SECOND)
 /* A run that has this many times the events of the longest run that was cut in
  * the stream, and some more, shows that its parts are sound. */
-#define OUTLIVED_FACTOR 1.25
-#define OUTLIVED_EVENTS 8
+#define OUTLIVED_FACTOR 2.0
+#define OUTLIVED_EVENTS 16
+/* In place of the events of a run whose answer was whole. */
+#define WHOLE_ANSWER UINT_MAX
 /* Time for which a whole answer speaks for its parts. */
 #define SOUND_MS (60 * CLK_SECOND)
 /* Slots for parts of whole answers; a part that needs a taken one replaces the
@@ -89,9 +90,10 @@
 	unsigned weight;
 	/* Weight without the crashes in the stream. */
 	unsigned early_weight;
-	/* Last event of a run with it, and last whole answer; 0 if none is
-	 * known. */
-	clk_ms cleared_at;
+	/* Last event of a run with it, the number of events that this run had,
+	 * and last whole answer; 0 if none is known. */
+	clk_ms event_at;
+	unsigned events;
 	clk_ms whole_at;
 	/* The present probe ends by then; 0 if there is none. */
 	clk_ms probe_until;
@@ -170,8 +172,7 @@
 	clk_ms first_at;
 	unsigned retry;
 	unsigned heaviest;
-	/* Engines that crashed before an event although they had outlived an
-	 * earlier crash. */
+	/* Engines that had outlived an earlier crash. */
 	unsigned outlived;
 	unsigned count;
 	unsigned weight;
@@ -180,8 +181,7 @@
 /*
  * Returns what the crash adds. Several requests may each have been sent again
  * after a crash, and have crashed a second engine at the same time: two of them
- * weigh as much as two crashes apart, since most requests have only two runs
- * without an event.
+ * weigh as much as two crashes apart, since a request may have no third run.
  */
 static unsigned tally_add(struct tally *tally, const struct crash *crash)
 {
@@ -199,7 +199,8 @@
 		added = crash->weight - tally->heaviest;
 		tally->heaviest = crash->weight;
 	}
-	if (crash->retry && !crash->events && ++tally->outlived == 2)
+	if (crash->retry && crash->weight > SOUND_CRASH_WEIGHT &&
+	    ++tally->outlived == 2)
 		added += crash->weight;
 	tally->weight += added;
 	return added;
@@ -231,32 +232,41 @@
 	count_crashes(part);
 }
 
-/* Whether a run with so many events lasted longer than all that were cut. */
-static bool is_outlived(const struct part *part, unsigned events)
+/* Whether a run with so many events shows that one which was cut in the stream
+ * after that many was not cut because of its parts. */
+static bool outlives(unsigned events, unsigned cut_events)
+{
+	return events > OUTLIVED_FACTOR * cut_events + OUTLIVED_EVENTS;
+}
+
+static unsigned longest_run(const struct part *part)
 {
 	unsigned longest = 0;
 	unsigned i;
 
 	for (i = 0; i < part->n; i++)
 		longest = MAX(longest, part->crashes[i].events);
-	return events > OUTLIVED_FACTOR * longest + OUTLIVED_EVENTS;
+	return longest;
 }
 
-/* Removes the crashes that a run with so many events, UINT_MAX if its answer
- * was whole, has disproved. */
+/* Removes the crashes up to that time that a run with so many events has
+ * disproved; WHOLE_ANSWER is more than any. */
 static void clear(struct part *part, clk_ms at, unsigned events)
 {
-	bool is_whole = is_outlived(part, events);
+	bool clears_streams = outlives(events, longest_run(part));
 	unsigned kept = 0;
 	unsigned i;
 
-	part->cleared_at = MAX(part->cleared_at, at);
-	if (is_whole)
+	if (events == WHOLE_ANSWER)
 		part->whole_at = MAX(part->whole_at, at);
+	if (at >= part->event_at) {
+		part->event_at = at;
+		part->events = events;
+	}
 	for (i = 0; i < part->n; i++) {
 		const struct crash *crash = &part->crashes[i];
 
-		if (crash->at > at || (crash->events && !is_whole))
+		if (crash->at > at || (crash->events && !clears_streams))
 			part->crashes[kept++] = *crash;
 	}
 	part->n = kept;
@@ -267,6 +277,16 @@
 		part->probe_until = 0;
 }
 
+/* Whether a later event, or whole answer, has disproved the crash already. */
+static bool is_disproved(const struct part *part, const struct crash *crash)
+{
+	if (!crash->events)
+		return part->event_at >= crash->at;
+	return part->whole_at >= crash->at ||
+	       (part->event_at >= crash->at &&
+		outlives(part->events, crash->events));
+}
+
 static void expire(struct qtn_quarantine *quarantine, clk_ms now)
 {
 	GHashTableIter iter;
@@ -278,7 +298,7 @@
 
 		while (part->n && now - part->crashes[0].at >= EVIDENCE_MS)
 			remove_crash(part, 0);
-		if (!part->n && now - part->cleared_at >= CLEARED_SHARED_MS)
+		if (!part->n && now - part->event_at >= CLEARED_SHARED_MS)
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -382,10 +402,11 @@
 static unsigned crash_weight(struct qtn_quarantine *quarantine, uint64_t key,
 			     const struct crash *crash)
 {
+	if (crash->events && was_sound(quarantine, key, crash->at))
+		return SOUND_CRASH_WEIGHT;
 	if (crash->events)
-		return was_sound(quarantine, key, crash->at)
-			       ? SOUND_CRASH_WEIGHT
-			       : STREAM_CRASH_WEIGHT;
+		return crash->retry ? STREAM_RETRY_CRASH_WEIGHT
+				    : STREAM_CRASH_WEIGHT;
 	return crash->id & ANSWER_BIT ? ANSWER_CRASH_WEIGHT : CRASH_WEIGHT;
 }
 
@@ -437,7 +458,7 @@
 	struct crash *known;
 	bool was_quarantined;
 
-	if ((crash.events ? part->whole_at : part->cleared_at) >= at)
+	if (is_disproved(part, &crash))
 		return;
 	crash.weight = crash_weight(quarantine, key, &crash);
 	known = find_crash(part, id);
@@ -486,7 +507,7 @@
 	for (i = 0; i < n; i++)
 		*sound_slot(quarantine, parts[i]) =
 			(struct sound_part){parts[i], now};
-	clear_parts(quarantine, now, parts, n, UINT_MAX);
+	clear_parts(quarantine, now, parts, n, WHOLE_ANSWER);
 }
 
 static bool has_crash_near(const struct part *part, clk_ms at)
@@ -529,11 +550,19 @@
 	return false;
 }
 
+/* Whether the part's evidence is only that of crashes in the stream, which
+ * mostly cut sound requests. */
+static bool is_weak(const struct part *part)
+{
+	return part->early_weight < SUSPECT_WEIGHT;
+}
+
 /*
  * Whether one of a request's parts is quarantined for certain. A part whose
  * crashes may all be due to another one that this request does not hold is not:
  * sound requests share parts with those that crash engines, and a probe
- * without the other part tells which of them does it.
+ * without the other part tells which of them does it. Of two that crashes in
+ * the stream cut, the one whose requests are cut again weighs more.
  */
 static bool is_certain(const struct qtn_quarantine *quarantine,
 		       const struct part *part, const uint64_t *parts,
@@ -547,6 +576,7 @@
 		struct part *other = value;
 
 		if (other != part && has_enough_crashes(other) &&
+		    (!is_weak(part) || other->weight >= part->weight) &&
 		    !contains(parts, n, other->key) &&
 		    may_be_due_to(part, other))
 			return false;
@@ -580,22 +610,8 @@
 	return false;
 }
 
-/* Whether the part's evidence is only that of crashes in the stream, which
- * mostly cut sound requests. */
-static bool is_weak(const struct part *part)
-{
-	return part->early_weight < SUSPECT_WEIGHT;
-}
-
-/* Whether the part's evidence is enough to refuse a request. */
-static bool is_enough_for(const struct part *part, bool has_begun)
-{
-	return !has_begun || !is_weak(part) ||
-	       part->weight >= STREAM_END_WEIGHT;
-}
-
 clk_ms qtn_time_left(const struct qtn_quarantine *quarantine, clk_ms now,
-		     const uint64_t *parts, unsigned n, bool has_begun)
+		     const uint64_t *parts, unsigned n, bool is_spared)
 {
 	clk_ms left = 0;
 	unsigned i;
@@ -604,7 +620,7 @@
 		const struct part *part = find(quarantine, parts[i]);
 
 		if (part && is_quarantined(quarantine, part, now) &&
-		    is_enough_for(part, has_begun) &&
+		    (!is_spared || !is_weak(part)) &&
 		    is_certain(quarantine, part, parts, n))
 			left = MAX(left,
 				   quarantine_end(quarantine, part) - now);
@@ -612,30 +628,33 @@
 	return left;
 }
 
+/* Weak evidence short of a verdict holds nothing back: it is that of many sound
+ * parts at once. */
 static bool is_probed(const struct qtn_quarantine *quarantine,
-		      const struct part *part, bool has_begun,
+		      const struct part *part, bool is_spared,
 		      const uint64_t *parts, unsigned n)
 {
-	if (!part || part->weight < SUSPECT_WEIGHT ||
-	    is_explained(quarantine, part, parts, n))
+	if (!part || part->weight < SUSPECT_WEIGHT)
+		return false;
+	if (is_weak(part) && (is_spared || !has_enough_crashes(part)))
 		return false;
-	return !has_begun || !is_weak(part);
+	return !is_explained(quarantine, part, parts, n);
 }
 
 enum qtn_verdict qtn_check(struct qtn_quarantine *quarantine, clk_ms now,
-			   const uint64_t *parts, unsigned n, bool has_begun,
+			   const uint64_t *parts, unsigned n, bool is_spared,
 			   clk_ms *retry_after)
 {
 	enum qtn_verdict verdict = QTN_ALLOWED;
 	unsigned i;
 
-	*retry_after = qtn_time_left(quarantine, now, parts, n, has_begun);
+	*retry_after = qtn_time_left(quarantine, now, parts, n, is_spared);
 	if (*retry_after)
 		return QTN_QUARANTINED;
 	for (i = 0; i < n; i++) {
 		const struct part *part = find(quarantine, parts[i]);
 
-		if (!is_probed(quarantine, part, has_begun, parts, n))
+		if (!is_probed(quarantine, part, is_spared, parts, n))
 			continue;
 		if (now < part->probe_until) {
 			*retry_after = HELD_RETRY_MS;
@@ -646,7 +665,7 @@
 	for (i = 0; verdict == QTN_PROBE && i < n; i++) {
 		struct part *part = find(quarantine, parts[i]);
 
-		if (is_probed(quarantine, part, has_begun, parts, n))
+		if (is_probed(quarantine, part, is_spared, parts, n))
 			part->probe_until = now + MAX_PROBE_MS;
 	}
 	return verdict;
@@ -734,6 +753,21 @@
 	return order ? order : (int)right->n - (int)left->n;
 }
 
+/* Flags of a record which states that a run had so many events. */
+static unsigned event_flags(unsigned events)
+{
+	return events == WHOLE_ANSWER
+		       ? QTN_WHOLE
+		       : MIN(events, QTN_MAX_EVENTS) << QTN_EVENTS_SHIFT;
+}
+
+/* Earlier versions state no number. */
+static unsigned flagged_events(unsigned flags)
+{
+	return flags & QTN_WHOLE ? WHOLE_ANSWER
+				 : MAX(flags >> QTN_EVENTS_SHIFT, 1);
+}
+
 static unsigned write_crashes(const struct part *part, clk_ms now, bool counts,
 			      struct qtn_record *records, unsigned room)
 {
@@ -756,14 +790,13 @@
 static unsigned write_records(const struct part *part, clk_ms now,
 			      struct qtn_record *records, unsigned room)
 {
-	bool is_whole = part->whole_at == part->cleared_at;
 	unsigned n = 0;
 
-	if (part->cleared_at && now - part->cleared_at < CLEARED_SHARED_MS &&
+	if (part->event_at && now - part->event_at < CLEARED_SHARED_MS &&
 	    n < room)
 		records[n++] = (struct qtn_record){part->key, 0,
-						   is_whole ? QTN_WHOLE : 0,
-						   now - part->cleared_at};
+						   event_flags(part->events),
+						   now - part->event_at};
 	n += write_crashes(part, now, true, records + n, room - n);
 	n += write_crashes(part, now, false, records + n, room - n);
 	return n;
@@ -857,6 +890,6 @@
 					 record->crash, record->flags);
 		else
 			clear_parts(quarantine, at, &record->part, 1,
-				    record->flags & QTN_WHOLE ? UINT_MAX : 1);
+				    flagged_events(record->flags));
 	}
 }
--- a/src/schema/edge.pb-c.h
+++ b/src/schema/edge.pb-c.h
@@ -209,8 +209,8 @@
   /*
    * For each piece of evidence the number of earlier runs of the request that
    * crashes cut, plus 256 times the number of events of the run that was cut;
-   * where the part is sound, 1 if the whole answer came. Absent in the reports
-   * of earlier versions.
+   * where the part is sound, 1 if the whole answer came, otherwise 256 times the
+   * number of events so far. Absent in the reports of earlier versions.
    */
   size_t n_suspect_flags;
   uint32_t *suspect_flags;
