edge: ask a head whose stream without a length ends inside an event

Cause: such an answer ends with its connection. If the head crashes and the system closes the connection rather than reset it, the client reports a complete answer; the edge knows from the open event that it isn't one, but did not ask whether the head has crashed, so that a part that crashes engines like this was never kept out. Change: it is asked about like a lost connection. A head that still reports as the same process is no evidence, as before.

--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -6,11 +6,10 @@
 
 /*
  * Runs that end with a lost connection are evidence on the parts of their
- * prompts if the head has crashed. A head that still
- * reports as the same process has not, and a connection that is lost then is
- * no evidence. One that does not report is lost, and is marked so at once: its
- * entry is listed for seconds, and paths and the plan would go on counting on
- * its layers.
+ * prompts if the head has crashed. A head that still reports as the same
+ * process has not, and a connection that is lost then is no evidence. One that
+ * does not report is lost, and is marked so at once: its entry is listed for
+ * seconds, and paths and the plan would go on counting on its layers.
  */
 
 /* A request whose runs were cut this often before they had an event is not sent
--- a/src/edge/edg_stream.c
+++ b/src/edge/edg_stream.c
@@ -436,7 +436,10 @@
 		outcome = EDG_OUTCOME_UNKNOWN;
 	record_failure(request, outcome);
 	log_failed_send(request, outcome, how);
-	edg_question_head(request, how);
+	/* An answer without a length ends like this when its head crashes. */
+	edg_question_head(request, how == HUP_COMPLETE && is_partial
+					   ? HUP_CONN_LOST
+					   : how);
 	if (tko_promote(request)) {
 		watch_silence(request);
 		return;
--- a/tests/platform/quarantine_wire_test.c
+++ b/tests/platform/quarantine_wire_test.c
@@ -121,7 +121,8 @@
 	struct wire_client *client;
 
 	open_heads(&world);
-	world.deadly_events = _i;
+	world.deadly_events = (unsigned)_i % 4;
+	world.deadly_is_raw = _i > 4;
 	send_deadly_requests(&world, 12);
 	ck_assert_uint_le(world.deadly_requests,
 			  MAX_CRASHES + MAX_LATE_REQUESTS);
@@ -415,7 +416,7 @@
 	tcase_add_loop_test(
 		tcase,
 		part_that_crashes_engines_in_the_stream_reaches_few_of_them, 1,
-		4);
+		8);
 	tcase_add_test(tcase, sound_stream_outlives_two_crashes);
 	tcase_add_test(tcase, deadly_request_costs_two_engines_at_most);
 	tcase_add_test(tcase, cut_connections_without_a_crash_suspect_nothing);
--- a/tests/platform/support/stand_in.c
+++ b/tests/platform/support/stand_in.c
@@ -452,21 +452,27 @@
 		char *chunk =
 			g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 
-		wire_send(conn, chunk);
+		wire_send(conn, worker->world->deadly_is_raw ? event : chunk);
 		g_free(chunk);
 		g_free(event);
 	}
+	if (worker->world->deadly_is_raw)
+		wire_send(conn, "id: 9\nda");
 }
 
 static void send_stream(struct worker *worker, struct wire_conn *conn,
 			const char *request)
 {
 	char *last = wire_header(request, "Last-Event-Id");
-	char *head = signed_head(worker, request,
-				 "Transfer-Encoding: chunked\r\n\r\n");
+	bool kills = is_deadly(worker, request);
+	char *head =
+		signed_head(worker, request,
+			    kills && worker->world->deadly_is_raw
+				    ? "\r\n"
+				    : "Transfer-Encoding: chunked\r\n\r\n");
 
 	wire_send(conn, head);
-	if (is_deadly(worker, request)) {
+	if (kills) {
 		worker->world->deadly_requests++;
 		send_deadly_events(worker, conn, last);
 		worker_crash(worker, conn);
--- a/tests/platform/support/stand_in.h
+++ b/tests/platform/support/stand_in.h
@@ -128,6 +128,8 @@
 	const char *deadly_part;
 	/* Events of each answer to it before the crash. */
 	unsigned deadly_events;
+	/* Such answers have no length, and end inside an event. */
+	bool deadly_is_raw;
 	/* Requests with it that reached a worker. */
 	unsigned deadly_requests;
 
