quarantine: random crashes beside those of a deadly part condemn no other part

Cause: found by the soak. Parts that sound requests share with deadly ones get the crashes of both. One random crash among them was enough for a verdict that nothing else explained, and as no request with them ran, nothing cleared it. Change: of evidence from the stream alone, what a heavier part may have caused is left out, and only the rest decides. Result: part_shared_with_deadly_requests_stays_allowed_after_a_random_crash failed before.

--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -231,6 +231,19 @@
 	return part->early_weight < QTN_SUSPECT_WEIGHT;
 }
 
+/*
+ * Whether the other part, rather than this one, may be the cause of its
+ * crashes, of which so much weight may have another cause. Crashes in the
+ * stream are weak evidence on many parts at once, so that random ones may be
+ * among them.
+ */
+static bool is_due_to(const struct qtn_part *part, const struct qtn_part *other,
+		      unsigned rest)
+{
+	return qtn_part_weight_without(part, other) <=
+	       (part->early_weight ? 0 : rest);
+}
+
 /*
  * Whether one of a request's parts is quarantined for certain. A part whose
  * crashes may all be due to another one that this request does not hold is not:
@@ -252,7 +265,7 @@
 		if (other != part && qtn_part_has_enough(other) &&
 		    (!is_weak(part) || other->weight >= part->weight) &&
 		    !contains(parts, n, other->key) &&
-		    qtn_part_may_be_due_to(part, other))
+		    is_due_to(part, other, QTN_QUARANTINE_WEIGHT - 1))
 			return false;
 	}
 	return true;
@@ -278,7 +291,7 @@
 
 		if (other->weight > part->weight &&
 		    !contains(parts, n, other->key) &&
-		    qtn_part_may_be_due_to(part, other))
+		    is_due_to(part, other, QTN_SUSPECT_WEIGHT - 1))
 			return true;
 	}
 	return false;
--- a/src/forward/quarantine_exchange.c
+++ b/src/forward/quarantine_exchange.c
@@ -79,7 +79,7 @@
 
 		if (heavier->weight <= part->weight)
 			return false;
-		if (qtn_part_may_be_due_to(part, heavier))
+		if (!qtn_part_weight_without(part, heavier))
 			return true;
 	}
 	return false;
--- a/src/forward/quarantine_part.c
+++ b/src/forward/quarantine_part.c
@@ -252,19 +252,27 @@
 	return false;
 }
 
-bool qtn_part_may_be_due_to(const struct qtn_part *part,
-			    const struct qtn_part *other)
+/* Whether the crash may be due to the part, which may have had more than it
+ * keeps: earlier ones, and some at the same time as others. */
+static bool is_due_to(const struct qtn_crash *crash,
+		      const struct qtn_part *part)
 {
+	bool may_be_forgotten = part->n == QTN_MAX_CRASHES &&
+				(crash->at < part->crashes[0].at ||
+				 has_crash_near(part, crash->at));
+
+	return may_be_forgotten || find_crash(part, crash->id);
+}
+
+unsigned qtn_part_weight_without(const struct qtn_part *part,
+				 const struct qtn_part *other)
+{
+	struct tally tally = {0};
 	unsigned i;
 
 	for (i = 0; i < part->n; i++) {
-		const struct qtn_crash *crash = &part->crashes[i];
-		bool may_be_forgotten = other->n == QTN_MAX_CRASHES &&
-					(crash->at < other->crashes[0].at ||
-					 has_crash_near(other, crash->at));
-
-		if (!may_be_forgotten && !find_crash(other, crash->id))
-			return false;
+		if (!is_due_to(&part->crashes[i], other))
+			tally_add(&tally, &part->crashes[i]);
 	}
-	return true;
+	return tally.weight;
 }
--- a/src/forward/quarantine_private.h
+++ b/src/forward/quarantine_private.h
@@ -93,10 +93,9 @@
 bool qtn_part_has_enough(const struct qtn_part *part);
 /* 0 if there is none. */
 clk_ms qtn_part_last_crash(const struct qtn_part *part);
-/* Whether all crashes of the part may be due to the other one, which may have
- * had more than it keeps: earlier ones, and some at the same time as others. */
-bool qtn_part_may_be_due_to(const struct qtn_part *part,
-			    const struct qtn_part *other);
+/* Weight of the part's crashes that can't be due to the other one. */
+unsigned qtn_part_weight_without(const struct qtn_part *part,
+				 const struct qtn_part *other);
 
 /* quarantine.c */
 
--- a/tests/quarantine_test.c
+++ b/tests/quarantine_test.c
@@ -355,6 +355,34 @@
 }
 END_TEST
 
+/* Guards against a verdict on a part that sound requests share with deadly
+ * ones, because a random crash is among those of the deadly ones: seen in the
+ * soak. */
+START_TEST(part_shared_with_deadly_requests_stays_allowed_after_a_random_crash)
+{
+	struct qtn_quarantine *quarantine = qtn_new(1);
+	clk_ms now = 1000;
+	uint32_t engine;
+
+	for (engine = 1; engine <= 6; engine++) {
+		unsigned flags = qtn_crash_flags(2, (engine - 1) % 3);
+
+		now += STEP_MS;
+		qtn_record_crash(quarantine, now, DEADLY, 2 * engine, flags);
+		if (engine <= 4)
+			qtn_record_crash(quarantine, now, SHARED, 2 * engine,
+					 flags);
+	}
+	qtn_record_crash(quarantine, now + STEP_MS, SHARED, 90,
+			 qtn_crash_flags(5, 0));
+	now += 2 * STEP_MS;
+	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_ALLOWED);
+	ck_assert_int_eq(check(quarantine, now, sound_request, 1), QTN_ALLOWED);
+	ck_assert_int_eq(check_deadly(quarantine, now), QTN_QUARANTINED);
+	qtn_drop(quarantine);
+}
+END_TEST
+
 /* A rack takes its engines within some ms, and the retries with it. */
 START_TEST(rack_that_fails_quarantines_nothing)
 {
@@ -676,6 +704,9 @@
 	tcase_add_test(tcase,
 		       events_at_one_instance_clear_no_longer_runs_at_others);
 	tcase_add_test(tcase, streams_cut_with_a_deadly_one_go_on);
+	tcase_add_test(
+		tcase,
+		part_shared_with_deadly_requests_stays_allowed_after_a_random_crash);
 	tcase_add_test(tcase, rack_that_fails_quarantines_nothing);
 	tcase_add_loop_test(tcase, groups_of_deadly_requests_are_kept_out, 1,
 			    6);
