edge: count the holders of prompt parts once a crash

Cause: after a crash each part of each request that it cut led to a scan of all open requests, the same part again and again; and the loop that looks for a part in a list stood in quarantine.c already. Change: one scan counts the holders of all parts; qtn_contains() serves both. Behaviour stays as it is.

--- a/include/wagtailferry/quarantine.h
+++ b/include/wagtailferry/quarantine.h
@@ -72,6 +72,9 @@
  */
 unsigned qtn_parse_parts(const char *list, const char *service, uint64_t *keys);
 
+/* Whether one of n parts is that one. */
+bool qtn_contains(const uint64_t *parts, unsigned n, uint64_t part);
+
 /*
  * The id of a crash from a hash of the process. With has_answer, the head of
  * the answer had arrived, but no event: the engine had begun to write, which
--- a/src/edge/edg_quarantine.c
+++ b/src/edge/edg_quarantine.c
@@ -190,25 +190,17 @@
 	request->is_probe = false;
 }
 
-static bool holds_part(const struct edg_request *request, uint64_t key)
-{
-	unsigned i;
-
-	for (i = 0; i < request->n_parts; i++) {
-		if (request->parts[i] == key)
-			return true;
-	}
-	return false;
-}
-
-/* Whether most streams at other heads hold the part and go on. */
-static bool is_common(const struct cut_inquiry *inquiry, uint64_t key)
+/* Counts the streams at other heads that go on, and returns how many of them
+ * hold each part. The keys are those of the requests. */
+static GHashTable *count_holders(const struct cut_inquiry *inquiry,
+				 unsigned *streams)
 {
+	GHashTable *holders = g_hash_table_new(g_int64_hash, g_int64_equal);
 	GHashTableIter iter;
 	gpointer value;
-	unsigned streams = 0;
-	unsigned holders = 0;
+	unsigned i;
 
+	*streams = 0;
 	g_hash_table_iter_init(&iter, inquiry->edge->requests);
 	while (g_hash_table_iter_next(&iter, &value, NULL)) {
 		const struct edg_request *request = value;
@@ -216,11 +208,27 @@
 		if (!request->exchange || !request->n_parts ||
 		    request->target == inquiry->target || !run_events(request))
 			continue;
-		streams++;
-		holders += holds_part(request, key);
+		(*streams)++;
+		for (i = 0; i < request->n_parts; i++) {
+			uint64_t *key = &request->parts[i];
+			gpointer count = g_hash_table_lookup(holders, key);
+
+			if (!qtn_contains(request->parts, i, *key))
+				g_hash_table_insert(
+					holders, key,
+					GUINT_TO_POINTER(
+						GPOINTER_TO_UINT(count) + 1));
+		}
 	}
-	return holders >= COMMON_STREAMS &&
-	       holders >= COMMON_FRACTION * streams;
+	return holders;
+}
+
+/* Whether most streams at other heads hold the part and go on. */
+static bool is_common(GHashTable *holders, unsigned streams, uint64_t key)
+{
+	unsigned n = GPOINTER_TO_UINT(g_hash_table_lookup(holders, &key));
+
+	return n >= COMMON_STREAMS && n >= COMMON_FRACTION * streams;
 }
 
 static void record_crash(const struct cut_inquiry *inquiry)
@@ -231,10 +239,13 @@
 					     inquiry->target->id_hash);
 	unsigned answered = 0;
 	unsigned in_stream = 0;
+	unsigned streams;
+	GHashTable *holders;
 	guint i;
 
 	if (!inquiry->parts->len)
 		return;
+	holders = count_holders(inquiry, &streams);
 	for (i = 0; i < inquiry->parts->len; i++) {
 		const struct cut_part *part =
 			&g_array_index(inquiry->parts, struct cut_part, i);
@@ -244,12 +255,13 @@
 		else
 			answered += part->has_answer;
 		if (part->flags >> QTN_EVENTS_SHIFT &&
-		    is_common(inquiry, part->key))
+		    is_common(holders, streams, part->key))
 			continue;
 		qtn_record_crash(edge->quarantine, inquiry->at, part->key,
 				 qtn_crash_id(process, part->has_answer),
 				 part->flags);
 	}
+	g_hash_table_unref(holders);
 	ctr_add(edge->counters, "wf_edge_quarantine_crashes_total", 1);
 	edg_log(edge, "prompt parts", "unsuspected", "suspected",
 		"head=%s parts=%u answered_parts=%u stream_parts=%u",
--- a/src/forward/quarantine.c
+++ b/src/forward/quarantine.c
@@ -213,7 +213,7 @@
 	qtn_clear_parts(quarantine, now, parts, n, QTN_WHOLE_ANSWER);
 }
 
-static bool contains(const uint64_t *parts, unsigned n, uint64_t key)
+bool qtn_contains(const uint64_t *parts, unsigned n, uint64_t key)
 {
 	unsigned i;
 
@@ -264,7 +264,7 @@
 
 		if (other != part && qtn_part_has_enough(other) &&
 		    (!is_weak(part) || other->weight >= part->weight) &&
-		    !contains(parts, n, other->key) &&
+		    !qtn_contains(parts, n, other->key) &&
 		    is_due_to(part, other, QTN_QUARANTINE_WEIGHT - 1))
 			return false;
 	}
@@ -290,7 +290,7 @@
 		struct qtn_part *other = value;
 
 		if (other->weight > part->weight &&
-		    !contains(parts, n, other->key) &&
+		    !qtn_contains(parts, n, other->key) &&
 		    is_due_to(part, other, QTN_SUSPECT_WEIGHT - 1))
 			return true;
 	}
